--- /dev/null
+++ b/crates/core/src/lib.rs
@@ -0,0 +1,11 @@
+//! Tables, systems and policy of the cassialift query tier.
+//!
+//! Nothing in this package does I/O, reads a clock or draws from a global random source: time and
+//! randomness are passed in. That makes every decision testable with fixed seeds.
+
+pub mod ids;
+pub mod index;
+pub mod presets;
+pub mod request;
+pub mod time;
+pub mod view;
--- /dev/null
+++ b/crates/core/src/presets/mod.rs
@@ -0,0 +1,12 @@
+//! Presets: how the system behaves on ordinary days, at peaks and during maintenance.
+//!
+//! The platform publishes all presets in one document under the key `presets`, together with the
+//! name of the one in force, so that an edit and a switch are each atomic.
+
+mod document;
+mod validate;
+
+pub use document::{
+    AnswerPolicy, HedgePolicy, KindPolicy, Preset, PresetDocument, QueuePolicy, RetryPolicy,
+};
+pub use validate::PresetError;
--- /dev/null
+++ b/crates/core/src/request/kind.rs
@@ -0,0 +1,50 @@
+//! Kinds of request.
+
+use serde::{Deserialize, Serialize};
+
+/// What a request asks for.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum RequestKind {
+    /// A search over nearly every shard whose caller is waiting.
+    WideSearch,
+    /// A search over a few shards whose caller is waiting.
+    NarrowSearch,
+    /// A read of one record.
+    Fetch,
+    /// A request that may run at most once.
+    Job,
+}
+
+/// How a request is ranked against others.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Urgency {
+    /// Someone waits for the answer.
+    Urgent,
+    /// Nobody stands and waits.
+    Ordinary,
+}
+
+impl RequestKind {
+    /// All kinds.
+    pub const ALL: [Self; 4] = [Self::WideSearch, Self::NarrowSearch, Self::Fetch, Self::Job];
+
+    /// Returns how the kind is ranked against others.
+    #[must_use]
+    pub const fn urgency(self) -> Urgency {
+        match self {
+            Self::WideSearch | Self::NarrowSearch => Urgency::Urgent,
+            Self::Fetch | Self::Job => Urgency::Ordinary,
+        }
+    }
+
+    /// Returns whether an attempt that may have run can be repeated.
+    #[must_use]
+    pub const fn is_repeatable(self) -> bool {
+        match self {
+            Self::WideSearch | Self::NarrowSearch | Self::Fetch => true,
+            Self::Job => false,
+        }
+    }
+}
--- /dev/null
+++ b/crates/core/src/view/config.rs
@@ -0,0 +1,22 @@
+//! The configuration in force, as traffic sees it.
+
+use std::{collections::BTreeMap, sync::Arc};
+
+use crate::{
+    ids::{PresetId, Revision, ServiceId},
+    index::IndexDocument,
+    presets::Preset,
+};
+
+/// The accepted documents at one revision of the platform's configuration.
+#[derive(Clone, Debug)]
+pub struct ConfigView {
+    /// The revision up to which changes have been applied.
+    pub revision: Revision,
+    /// The name of the preset in force.
+    pub preset: PresetId,
+    /// The preset in force.
+    pub policy: Arc<Preset>,
+    /// The index document of each service.
+    pub indexes: BTreeMap<ServiceId, Arc<IndexDocument>>,
+}
--- /dev/null
+++ b/crates/core/src/view/mod.rs
@@ -0,0 +1,10 @@
+//! The view that the control thread publishes for the traffic threads.
+//!
+//! A view is immutable: a request that holds one runs under one configuration and one index
+//! version from admission to answer.
+
+mod config;
+mod fleet;
+
+pub use config::ConfigView;
+pub use fleet::{FleetView, MemberView, OwnView, OwnerView, Reach};
--- /dev/null
+++ b/crates/ctl/src/main.rs
@@ -0,0 +1,6 @@
+//! The cassialift server program.
+
+#[global_allocator]
+static ALLOCATOR: mimalloc::MiMalloc = mimalloc::MiMalloc;
+
+fn main() {}
--- /dev/null
+++ b/crates/wire/src/peer/mod.rs
@@ -0,0 +1,13 @@
+//! The protocol between cassialift's own processes: tarpc over TCP.
+
+mod call;
+mod control;
+mod job;
+mod service;
+
+pub use call::{CallFailure, CallRefusal, CallResult, ShardCall, ShardReply};
+pub use control::{
+    ConfigPull, ConfigPush, Contact, MemberState, MemberUpdate, Ping, PingReply, ProbeReply,
+};
+pub use job::{JobForward, JobReply};
+pub use service::{Peer, PeerClient, PeerRequest, PeerResponse, ServePeer};
--- /dev/null
+++ b/crates/wire/src/platform/mod.rs
@@ -0,0 +1,75 @@
+//! The platform's read-only protocols: the configuration service and the VM list, JSON over HTTP.
+//!
+//! - `GET /v1/changes?after=REVISION&wait=MILLIS` gives [`Changes`]: every document changed after
+//!   the revision. With a `wait` above zero the service holds the call until there is a change.
+//! - `GET /v1/vms` gives a [`VmList`].
+
+use std::net::SocketAddr;
+
+use cassialift_core::ids::{DataCentre, Revision, VmId};
+use serde::{Deserialize, Serialize};
+
+/// The path of the configuration service's changes.
+pub const CHANGES_PATH: &str = "/v1/changes";
+/// The path of the VM list.
+pub const VMS_PATH: &str = "/v1/vms";
+/// The key of the preset document.
+pub const PRESETS_KEY: &str = "presets";
+/// The prefix of the keys of index documents.
+pub const INDEX_PREFIX: &str = "index/";
+
+/// Documents of the configuration service that changed after a revision.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct Changes {
+    /// The service's revision; at least that of every document here.
+    pub revision: Revision,
+    /// The changed documents, each at its newest state.
+    pub documents: Vec<Document>,
+}
+
+/// One document of the configuration service.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct Document {
+    /// The document's key.
+    pub key: String,
+    /// The revision that last changed it.
+    pub revision: Revision,
+    /// Its text, JSON with comments; none once it has been deleted.
+    pub text: Option<String>,
+}
+
+/// The platform's list of VMs; lags behind the facts.
+#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct VmList {
+    /// The VMs.
+    pub vms: Vec<VmEntry>,
+}
+
+/// One VM of the platform's list.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct VmEntry {
+    /// The VM's name.
+    pub id: VmId,
+    /// The data centre it stands in.
+    pub centre: DataCentre,
+    /// Where its process listens for callers.
+    pub callers: SocketAddr,
+    /// Where its process listens for its peers.
+    pub peers: SocketAddr,
+    /// What the platform last knew of it.
+    pub state: VmState,
+}
+
+/// What the platform last knew of a VM.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, Hash, PartialEq, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum VmState {
+    /// It runs.
+    Live,
+    /// It is about to be taken away.
+    Leaving,
+}
