--- /dev/null
+++ b/crates/server/src/cli/mod.rs
@@ -0,0 +1,43 @@
+//! The command line of the server program.
+
+mod error;
+mod options;
+
+use std::path::Path;
+
+pub use error::CliError;
+
+use crate::{process, settings::Settings};
+
+/// What a successful run leaves to say.
+#[derive(Debug)]
+pub enum Output {
+    /// Text for standard output.
+    Text(String),
+    /// The server ran and was stopped gracefully.
+    Stopped,
+}
+
+/// Runs the program with its arguments, the program's name excluded.
+///
+/// # Errors
+/// Returns why the arguments or settings were refused, or why the server could not run.
+pub fn run(args: &[String]) -> Result<Output, CliError> {
+    let matches = options::parse(args)?;
+    if matches.opt_present("help") {
+        return Ok(Output::Text(options::usage()));
+    }
+    if matches.opt_present("version") {
+        let version = env!("CARGO_PKG_VERSION");
+        return Ok(Output::Text(format!("cassialift {version}")));
+    }
+    let Some(path) = matches.opt_str("settings") else {
+        return Err(CliError::NoSettings);
+    };
+    let settings = Settings::load(Path::new(&path))?;
+    if matches.opt_present("check") {
+        return Ok(Output::Text(format!("{path}: settings are valid")));
+    }
+    process::run(settings)?;
+    Ok(Output::Stopped)
+}
--- /dev/null
+++ b/crates/server/src/control/handle.rs
@@ -0,0 +1,49 @@
+//! Access to the control thread from traffic threads.
+
+use std::sync::Arc;
+
+use arc_swap::{ArcSwap, Guard};
+use cassialift_core::view::FleetView;
+use cassialift_wire::peer::{ConfigPull, ConfigPush};
+use tokio::sync::{mpsc, oneshot};
+
+use super::Event;
+
+/// Access to the control thread from traffic threads.
+#[derive(Clone, Debug)]
+pub struct ControlHandle {
+    pub(super) view: Arc<ArcSwap<FleetView>>,
+    pub(super) events: mpsc::Sender<Event>,
+}
+
+impl ControlHandle {
+    /// Returns the newest view for a short look.
+    #[must_use]
+    pub fn view(&self) -> Guard<Arc<FleetView>> {
+        self.view.load()
+    }
+
+    /// Returns the newest view to keep for a whole request.
+    #[must_use]
+    pub fn pin(&self) -> Arc<FleetView> {
+        self.view.load_full()
+    }
+
+    /// Tells the control thread something.
+    ///
+    /// An event is lost only when the control thread has ended, and the process with it.
+    pub async fn tell(&self, event: Event) {
+        drop(self.events.send(event).await);
+    }
+
+    /// Returns the configuration documents changed after a revision.
+    pub async fn pull(&self, pull: ConfigPull) -> ConfigPush {
+        let (sender, receiver) = oneshot::channel();
+        self.tell(Event::Pull(pull, sender)).await;
+        receiver.await.unwrap_or(ConfigPush {
+            revision: 0,
+            age: None,
+            documents: Vec::new(),
+        })
+    }
+}
--- /dev/null
+++ b/crates/server/src/entry/http.rs
@@ -0,0 +1,103 @@
+//! The callers' and operators' HTTP server.
+
+use std::{pin::Pin, sync::Arc};
+
+use cassialift_core::request::{Ran, RefusalReason};
+use cassialift_wire::{
+    caller::{ADDRESSES_PATH, SEARCH_PATH},
+    operator::{COUNTERS_PATH, Counters},
+};
+use serde::{Serialize, de::DeserializeOwned};
+use tokio::net::TcpListener;
+use volo::net::incoming::DefaultIncoming;
+use volo_http::{
+    Bytes,
+    body::Body,
+    http::{StatusCode, header},
+    response::Response,
+    server::{
+        Router, Server,
+        layer::BodyLimitLayer,
+        route::{get, post},
+    },
+};
+
+use super::{addresses, refuse::Refused, search};
+use crate::process::{Node, ProcessError};
+
+/// Serves callers until the process is told to stop.
+///
+/// # Errors
+/// Returns why the address could not be listened on or the server stopped.
+pub async fn serve(node: Arc<Node>) -> Result<(), ProcessError> {
+    let address = node.settings.callers;
+    let listening = TcpListener::bind(address).await;
+    let listener = listening.map_err(|cause| ProcessError::Listen(address, cause))?;
+    let limits = &node.settings.limits;
+    let mut http = Server::new(router(&node)).layer(BodyLimitLayer::new(limits.body));
+    http.http1_config().set_max_headers(limits.headers);
+    let served = http.run(DefaultIncoming::from(listener)).await;
+    served.map_err(ProcessError::Serve)
+}
+
+fn router(node: &Arc<Node>) -> Router {
+    let counters = Arc::clone(node);
+    let list = Arc::clone(node);
+    Router::new()
+        .route(
+            ADDRESSES_PATH,
+            get(move || {
+                let answer = addresses::answer(&list);
+                async move { reply(answer) }
+            }),
+        )
+        .route(SEARCH_PATH, post(handler(Arc::clone(node), search::run)))
+        .route(
+            COUNTERS_PATH,
+            get(move || {
+                let counters = counters.metrics.snapshot();
+                async move { json(StatusCode::OK, &Counters { counters }) }
+            }),
+        )
+}
+
+/// Makes a handler that reads a JSON body and replies with JSON.
+fn handler<Q, A, F, Fut>(
+    node: Arc<Node>,
+    run: F,
+) -> impl FnOnce(Bytes) -> Pin<Box<dyn Future<Output = Response> + Send>> + Clone + Send + Sync
+where
+    Q: DeserializeOwned + Send + 'static,
+    A: Serialize,
+    F: Fn(Arc<Node>, Q) -> Fut + Copy + Send + Sync + 'static,
+    Fut: Future<Output = Result<A, Refused>> + Send,
+{
+    move |body: Bytes| {
+        Box::pin(async move {
+            match serde_json::from_slice::<Q>(&body) {
+                Ok(request) => reply(run(node, request).await),
+                Err(error) => reply::<A>(Err(Refused::new(
+                    RefusalReason::Malformed,
+                    Ran::NotRun,
+                    error.to_string(),
+                ))),
+            }
+        })
+    }
+}
+
+fn reply<A: Serialize>(result: Result<A, Refused>) -> Response {
+    match result {
+        Ok(answer) => json(StatusCode::OK, &answer),
+        Err(refused) => json(refused.status(), &refused.refusal),
+    }
+}
+
+fn json<T: Serialize>(status: StatusCode, value: &T) -> Response {
+    let body = serde_json::to_vec(value).unwrap_or_default();
+    let mut response = Response::new(Body::from(body));
+    *response.status_mut() = status;
+    let json = header::HeaderValue::from_static("application/json");
+    response.headers_mut().insert(header::CONTENT_TYPE, json);
+    response
+}
--- /dev/null
+++ b/crates/server/src/entry/mod.rs
@@ -0,0 +1,10 @@
+//! The entry role: it faces callers.
+
+mod addresses;
+mod admit;
+mod gather;
+mod http;
+mod refuse;
+mod search;
+
+pub use http::serve;
--- /dev/null
+++ b/crates/server/src/entry/refuse.rs
@@ -0,0 +1,55 @@
+//! Refusals and their HTTP statuses.
+
+use cassialift_core::request::{Ran, RefusalReason};
+use cassialift_wire::caller::Refusal;
+use volo_http::http::StatusCode;
+
+/// A refusal on its way to the caller.
+#[derive(Debug)]
+pub(super) struct Refused {
+    pub(super) refusal: Box<Refusal>,
+}
+
+impl Refused {
+    pub(super) fn new(reason: RefusalReason, ran: Ran, detail: String) -> Self {
+        Self {
+            refusal: Box::new(Refusal {
+                id: None,
+                reason,
+                detail,
+                ran,
+                retry: None,
+                addresses: Vec::new(),
+                coverage: None,
+            }),
+        }
+    }
+
+    pub(super) fn with_id(mut self, id: &str) -> Self {
+        self.refusal.id = Some(id.to_owned());
+        self
+    }
+
+    pub(super) const fn status(&self) -> StatusCode {
+        match self.refusal.reason {
+            RefusalReason::Malformed | RefusalReason::DeadlinePast => StatusCode::BAD_REQUEST,
+            RefusalReason::TooLarge => StatusCode::PAYLOAD_TOO_LARGE,
+            RefusalReason::UnknownService
+            | RefusalReason::UnknownShard
+            | RefusalReason::UnknownTicket => StatusCode::NOT_FOUND,
+            RefusalReason::ForeignTicket => StatusCode::FORBIDDEN,
+            RefusalReason::ExpiredTicket => StatusCode::GONE,
+            RefusalReason::TicketReused => StatusCode::CONFLICT,
+            RefusalReason::CallerShare => StatusCode::TOO_MANY_REQUESTS,
+            RefusalReason::Internal => StatusCode::INTERNAL_SERVER_ERROR,
+            RefusalReason::HolderGone | RefusalReason::NoReply => StatusCode::BAD_GATEWAY,
+            RefusalReason::Infeasible
+            | RefusalReason::NotAdmitted
+            | RefusalReason::Overloaded
+            | RefusalReason::NoConfig
+            | RefusalReason::Leaving
+            | RefusalReason::Coverage
+            | RefusalReason::Unreachable => StatusCode::SERVICE_UNAVAILABLE,
+        }
+    }
+}
--- a/crates/server/src/lib.rs
+++ b/crates/server/src/lib.rs
@@ -1,1 +1,15 @@
-//! Placeholder.
+//! The server of the cassialift query tier.
+//!
+//! One control thread owns all tables and publishes an immutable view; traffic threads serve
+//! callers and peers from that view. See `docs/DESIGN.md`.
+
+pub mod cli;
+pub mod control;
+pub mod entry;
+pub mod metrics;
+pub mod owner;
+pub mod peers;
+pub mod platform;
+pub mod process;
+pub mod settings;
+pub mod timer;
--- /dev/null
+++ b/crates/server/src/metrics/error.rs
@@ -0,0 +1,14 @@
+//! Why metrics cannot be sent.
+
+use displaydoc::Display;
+
+/// Why metrics cannot be sent.
+#[derive(Debug, Display)]
+pub enum MetricsError {
+    /// cannot open a socket for metrics: {0}
+    Socket(std::io::Error),
+    /// cannot use the statsd address: {0}
+    Sink(cadence::MetricError),
+}
+
+impl std::error::Error for MetricsError {}
--- /dev/null
+++ b/crates/server/src/owner/mod.rs
@@ -0,0 +1,5 @@
+//! The edge to backend servers.
+
+mod call;
+
+pub use call::Owner;
--- /dev/null
+++ b/crates/server/src/peers/error.rs
@@ -0,0 +1,29 @@
+//! Why a peer gave no answer.
+
+use displaydoc::Display;
+
+/// Why a peer gave no answer.
+#[derive(Debug, Display)]
+pub enum PeerError {
+    /// the peer is not known
+    Unknown,
+    /// no connection to the peer could be opened: {0}
+    Connect(std::io::Error),
+    /// no connection to the peer could be opened in time
+    ConnectTimeout,
+    /// the call to the peer failed: {0}
+    Call(tarpc::client::RpcError),
+}
+
+impl std::error::Error for PeerError {}
+
+impl PeerError {
+    /// Returns whether the call was certainly not sent.
+    #[must_use]
+    pub const fn is_unsent(&self) -> bool {
+        match self {
+            Self::Unknown | Self::Connect(_) | Self::ConnectTimeout => true,
+            Self::Call(_) => false,
+        }
+    }
+}
--- /dev/null
+++ b/crates/server/src/peers/mod.rs
@@ -0,0 +1,12 @@
+//! tarpc connections between cassialift's processes.
+
+mod error;
+mod serve;
+mod table;
+
+pub use error::PeerError;
+pub use serve::{PeerServer, serve};
+pub use table::PeerTable;
+
+/// The largest frame between peers, bytes: a configuration document and its envelope.
+const MAX_FRAME: usize = 4 * 1024 * 1024;
--- /dev/null
+++ b/crates/server/src/peers/serve.rs
@@ -0,0 +1,78 @@
+//! What this process offers its peers.
+
+use std::sync::Arc;
+
+use cassialift_core::{
+    ids::{Incarnation, VmId},
+    request::{Ran, RefusalReason},
+};
+use cassialift_wire::peer::{
+    ConfigPull, ConfigPush, JobForward, JobReply, Peer, Ping, PingReply, ProbeReply, ShardCall,
+    ShardReply,
+};
+use futures::StreamExt;
+use tarpc::{
+    context::Context,
+    serde_transport::tcp,
+    server::{BaseChannel, Channel},
+    tokio_serde::formats::Bincode,
+};
+
+use super::MAX_FRAME;
+use crate::process::{Node, ProcessError};
+
+/// Serves one peer's calls.
+#[derive(Clone, Debug)]
+pub struct PeerServer {
+    node: Arc<Node>,
+}
+
+impl Peer for PeerServer {
+    async fn call_shard(self, _: Context, call: ShardCall) -> ShardReply {
+        self.node.owner.call(call).await
+    }
+
+    async fn forward_job(self, _: Context, _: Incarnation, _: JobForward) -> JobReply {
+        // This run of the process has issued no tickets.
+        JobReply::Refused {
+            reason: RefusalReason::UnknownTicket,
+            ran: Ran::NotRun,
+            retry: None,
+        }
+    }
+
+    async fn ping(self, _: Context, _: Ping) -> PingReply {
+        self.node.ping_reply()
+    }
+
+    async fn probe(self, _: Context, target: VmId) -> ProbeReply {
+        let answered = self.node.probe(&target).await;
+        ProbeReply { answered }
+    }
+
+    async fn pull_config(self, _: Context, pull: ConfigPull) -> ConfigPush {
+        self.node.control.pull(pull).await
+    }
+}
+
+/// Accepts peers until the process ends.
+///
+/// # Errors
+/// Returns why the address could not be listened on.
+pub async fn serve(node: Arc<Node>) -> Result<(), ProcessError> {
+    let address = node.settings.peers;
+    let listening = tcp::listen(address, Bincode::default).await;
+    let mut listener = listening.map_err(|cause| ProcessError::Listen(address, cause))?;
+    listener.config_mut().max_frame_length(MAX_FRAME);
+    tokio::spawn(async move {
+        while let Some(accepted) = listener.next().await {
+            let Ok(transport) = accepted else { continue };
+            let server = PeerServer {
+                node: Arc::clone(&node),
+            };
+            let calls = BaseChannel::with_defaults(transport).execute(server.serve());
+            tokio::spawn(calls.for_each_concurrent(None, |call| call));
+        }
+    });
+    Ok(())
+}
--- /dev/null
+++ b/crates/server/src/peers/table.rs
@@ -0,0 +1,98 @@
+//! Open connections to peers, one a VM, opened on first use.
+
+use std::{
+    collections::HashMap,
+    net::SocketAddr,
+    sync::{Arc, Mutex},
+    time::Duration,
+};
+
+use cassialift_core::{ids::VmId, view::FleetView};
+use cassialift_wire::peer::PeerClient;
+use tarpc::{
+    client::{Config, RpcError},
+    serde_transport::tcp,
+    tokio_serde::formats::Bincode,
+};
+use tokio::{sync::OnceCell, time::timeout};
+
+use super::{MAX_FRAME, PeerError};
+
+/// How long opening a connection to a peer may take.
+const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
+
+/// The most calls in flight on one connection.
+const MAX_IN_FLIGHT: usize = 16_384;
+
+/// Open connections to peers.
+#[derive(Debug, Default)]
+pub struct PeerTable {
+    entries: Mutex<HashMap<VmId, Arc<Entry>>>,
+}
+
+#[derive(Debug)]
+struct Entry {
+    address: SocketAddr,
+    client: OnceCell<PeerClient>,
+}
+
+impl PeerTable {
+    /// Returns a connection to a VM, opening one when there is none.
+    ///
+    /// # Errors
+    /// Returns why there is no connection; nothing was sent.
+    pub async fn client(&self, view: &FleetView, vm: &VmId) -> Result<PeerClient, PeerError> {
+        let Some(member) = view.members.get(vm) else {
+            return Err(PeerError::Unknown);
+        };
+        let entry = self.entry(vm, member.peers);
+        let client = entry.client.get_or_try_init(|| connect(entry.address));
+        client.await.cloned()
+    }
+
+    /// Forgets the connection to a VM after a call on it failed.
+    ///
+    /// # Panics
+    /// Panics when another thread panicked while it held the table.
+    pub fn forget(&self, vm: &VmId, error: &RpcError) {
+        match error {
+            RpcError::Shutdown | RpcError::Send(_) | RpcError::Channel(_) => {
+                let mut entries = self
+                    .entries
+                    .lock()
+                    .expect("no thread panics holding the lock");
+                entries.remove(vm);
+            }
+            RpcError::DeadlineExceeded | RpcError::Server(_) => {}
+        }
+    }
+
+    fn entry(&self, vm: &VmId, address: SocketAddr) -> Arc<Entry> {
+        let mut entries = self
+            .entries
+            .lock()
+            .expect("no thread panics holding the lock");
+        match entries.get(vm) {
+            Some(entry) if entry.address == address => Arc::clone(entry),
+            _ => {
+                let client = OnceCell::new();
+                let entry = Arc::new(Entry { address, client });
+                entries.insert(VmId::clone(vm), Arc::clone(&entry));
+                entry
+            }
+        }
+    }
+}
+
+async fn connect(address: SocketAddr) -> Result<PeerClient, PeerError> {
+    let mut connecting = tcp::connect(address, Bincode::default);
+    connecting.config_mut().max_frame_length(MAX_FRAME);
+    let Ok(connected) = timeout(CONNECT_TIMEOUT, connecting).await else {
+        return Err(PeerError::ConnectTimeout);
+    };
+    let transport = connected.map_err(PeerError::Connect)?;
+    let mut config = Config::default();
+    config.max_in_flight_requests = MAX_IN_FLIGHT;
+    config.pending_request_buffer = MAX_IN_FLIGHT;
+    Ok(PeerClient::new(config, transport).spawn())
+}
--- /dev/null
+++ b/crates/server/src/platform/client.rs
@@ -0,0 +1,80 @@
+//! The HTTP client of the configuration service and the VM list.
+
+use std::{net::SocketAddr, time::Duration};
+
+use cassialift_core::{ids::Revision, time::Millis};
+use cassialift_wire::platform::{CHANGES_PATH, Changes, VMS_PATH, VmList};
+use serde::de::DeserializeOwned;
+use tokio::time::timeout;
+use volo_http::{
+    body::BodyConversion,
+    client::{Client, ClientBuilder},
+};
+
+use super::PlatformError;
+use crate::settings::PlatformSettings;
+
+/// How long an answer may take beyond the wait that was asked for.
+const ANSWER_TIMEOUT: Duration = Duration::from_secs(2);
+
+/// Reads the configuration service and the VM list.
+#[derive(Clone)]
+pub struct PlatformClient {
+    http: Client,
+    settings: PlatformSettings,
+}
+
+impl std::fmt::Debug for PlatformClient {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.debug_struct("PlatformClient")
+            .field("settings", &self.settings)
+            .finish_non_exhaustive()
+    }
+}
+
+impl PlatformClient {
+    /// Makes a client.
+    ///
+    /// # Errors
+    /// Returns why the HTTP client could not be built.
+    pub fn new(settings: PlatformSettings) -> Result<Self, PlatformError> {
+        let http = ClientBuilder::new().build().map_err(PlatformError::Build)?;
+        Ok(Self { http, settings })
+    }
+
+    /// Returns the documents changed after a revision, waiting at most `wait` for one.
+    ///
+    /// # Errors
+    /// Returns why there is no answer.
+    pub async fn changes(&self, after: Revision, wait: Duration) -> Result<Changes, PlatformError> {
+        let wait_millis = u64::from(Millis(wait));
+        let path = format!("{CHANGES_PATH}?after={after}&wait={wait_millis}");
+        self.get(self.settings.config, &path, wait + ANSWER_TIMEOUT)
+            .await
+    }
+
+    /// Returns the VM list.
+    ///
+    /// # Errors
+    /// Returns why there is no answer.
+    pub async fn vms(&self) -> Result<VmList, PlatformError> {
+        self.get(self.settings.vms, VMS_PATH, ANSWER_TIMEOUT).await
+    }
+
+    async fn get<T: DeserializeOwned>(
+        &self,
+        address: SocketAddr,
+        path: &str,
+        limit: Duration,
+    ) -> Result<T, PlatformError> {
+        let call = async {
+            let uri = format!("http://{address}{path}");
+            let sent = self.http.get(uri).send().await;
+            let response = sent.map_err(|cause| PlatformError::Call(address, cause))?;
+            let body = response.into_json().await;
+            body.map_err(|cause| PlatformError::Body(address, cause))
+        };
+        let answer = timeout(limit, call).await;
+        answer.unwrap_or(Err(PlatformError::Timeout(address)))
+    }
+}
--- /dev/null
+++ b/crates/server/src/platform/error.rs
@@ -0,0 +1,20 @@
+//! Why the platform gave no answer.
+
+use std::net::SocketAddr;
+
+use displaydoc::Display;
+
+/// Why the platform gave no answer.
+#[derive(Debug, Display)]
+pub enum PlatformError {
+    /// {0} could not be called: {1}
+    Call(SocketAddr, volo_http::error::ClientError),
+    /// {0} sent an answer that cannot be read: {1}
+    Body(SocketAddr, volo_http::body::BodyConvertError),
+    /// {0} gave no answer in time
+    Timeout(SocketAddr),
+    /// the HTTP client could not be built: {0}
+    Build(volo_http::error::ClientError),
+}
+
+impl std::error::Error for PlatformError {}
--- /dev/null
+++ b/crates/server/src/platform/mod.rs
@@ -0,0 +1,7 @@
+//! Clients of the platform's read-only services.
+
+mod client;
+mod error;
+
+pub use client::PlatformClient;
+pub use error::PlatformError;
--- /dev/null
+++ b/crates/server/src/process/error.rs
@@ -0,0 +1,37 @@
+//! Why a process cannot run.
+
+use std::net::SocketAddr;
+
+use displaydoc::Display;
+
+use crate::{metrics::MetricsError, platform::PlatformError};
+
+/// Why a process cannot run.
+#[derive(Debug, Display)]
+pub enum ProcessError {
+    /// cannot listen on {0}: {1}
+    Listen(SocketAddr, std::io::Error),
+    /// cannot start a runtime: {0}
+    Runtime(std::io::Error),
+    /// {0}
+    Metrics(MetricsError),
+    /// {0}
+    Platform(PlatformError),
+    /// the callers' server stopped: {0}
+    Serve(volo_http::error::BoxError),
+}
+
+impl std::error::Error for ProcessError {}
+
+impl ProcessError {
+    /// Returns what the operator can do about it.
+    #[must_use]
+    pub const fn hint(&self) -> &'static str {
+        match self {
+            Self::Listen(..) => "check that the address is this VM's and free",
+            Self::Runtime(_) => "check the limits on threads and memory",
+            Self::Metrics(_) => "check the statsd address in the settings",
+            Self::Platform(_) | Self::Serve(_) => "see the log for the cause",
+        }
+    }
+}
--- /dev/null
+++ b/crates/server/src/process/run.rs
@@ -0,0 +1,52 @@
+//! Starting and stopping a process.
+
+use std::sync::Arc;
+
+use cassialift_core::{ids::Incarnation, view::OwnView};
+use tokio::runtime;
+
+use super::{Node, ProcessError};
+use crate::{
+    control::{self, ControlInput, Event},
+    entry,
+    metrics::Metrics,
+    owner::Owner,
+    peers,
+    platform::PlatformClient,
+    settings::Settings,
+};
+
+/// Runs a process until it is told to stop.
+///
+/// # Errors
+/// Returns why it could not start or had to stop.
+pub fn run(settings: Settings) -> Result<(), ProcessError> {
+    let runtime = runtime::Builder::new_multi_thread()
+        .enable_all()
+        .thread_name("traffic")
+        .build()
+        .map_err(ProcessError::Runtime)?;
+    runtime.block_on(serve(settings))
+}
+
+async fn serve(settings: Settings) -> Result<(), ProcessError> {
+    let metrics = Arc::new(Metrics::new(settings.statsd).map_err(ProcessError::Metrics)?);
+    let platform = PlatformClient::new(settings.platform.clone());
+    let control = control::start(ControlInput {
+        own: OwnView {
+            vm: Arc::clone(&settings.vm),
+            incarnation: rand::random::<Incarnation>(),
+            centre: Arc::clone(&settings.centre),
+            leaving: false,
+        },
+        platform: platform.map_err(ProcessError::Platform)?,
+        metrics: Arc::clone(&metrics),
+    })?;
+    let owner = Owner::new(control.clone(), Arc::clone(&metrics));
+    let node = Arc::new(Node::new(settings, control, metrics, owner));
+    peers::serve(Arc::clone(&node)).await?;
+    log::info!("process: {} serves callers.", node.settings.vm);
+    let served = entry::serve(Arc::clone(&node)).await;
+    node.control.tell(Event::Leave).await;
+    served
+}
--- /dev/null
+++ b/crates/server/src/settings/document.rs
@@ -0,0 +1,69 @@
+//! The settings document.
+
+use std::net::SocketAddr;
+
+use cassialift_core::{
+    ids::{DataCentre, VmId},
+    time::Millis,
+};
+use serde::{Deserialize, Serialize};
+
+/// The settings of one process.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct Settings {
+    /// The VM's name, as in the platform's VM list.
+    pub vm: VmId,
+    /// The data centre the VM stands in.
+    pub centre: DataCentre,
+    /// Where to listen for callers and operators.
+    pub callers: SocketAddr,
+    /// Where to listen for peers.
+    pub peers: SocketAddr,
+    /// Where the platform is.
+    pub platform: PlatformSettings,
+    /// Where to send statsd metrics; nowhere when missing.
+    #[serde(default)]
+    pub statsd: Option<SocketAddr>,
+    /// Bounds on what callers and peers can take up.
+    #[serde(default)]
+    pub limits: LimitSettings,
+}
+
+/// Where the platform is.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct PlatformSettings {
+    /// The configuration service.
+    pub config: SocketAddr,
+    /// The VM list.
+    pub vms: SocketAddr,
+}
+
+/// Bounds on what callers and peers can take up.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct LimitSettings {
+    /// The largest request body, bytes.
+    pub body: usize,
+    /// The most headers of a request.
+    pub headers: usize,
+    /// The most connections from callers.
+    pub connections: usize,
+    /// The most requests in flight.
+    pub requests: usize,
+    /// The longest that a caller may take to send a request.
+    pub receive: Millis,
+}
+
+impl Default for LimitSettings {
+    fn default() -> Self {
+        Self {
+            body: 64 * 1024,
+            headers: 64,
+            connections: 4_096,
+            requests: 4_096,
+            receive: Millis::new(5_000),
+        }
+    }
+}
--- /dev/null
+++ b/crates/server/src/settings/mod.rs
@@ -0,0 +1,8 @@
+//! Settings of one process, read from a file of JSON with comments.
+
+mod document;
+mod error;
+mod load;
+
+pub use document::{LimitSettings, PlatformSettings, Settings};
+pub use error::SettingsError;
