testkit: stand-ins for the platform and the backend servers

Configuration service, VM list and backend servers speak the wire package's protocols over volo-http; the example `standin` runs each as a process. volo-http cannot cap connections, so a gate of our own accepts them, counts them, delays them and cuts them. A run outlives its connection, since a real backend server does not stop when a caller hangs up; a job that has begun can't be cancelled. Rows name the shard, the version and the query they are drawn from, so that a checker can tell mixed and crossed answers.

--- a/crates/testkit/src/lib.rs
+++ b/crates/testkit/src/lib.rs
@@ -1,1 +1,4 @@
-//! Placeholder.
+//! Stand-ins, process harness, histories and load for testing cassialift; never shipped.
+
+pub mod client;
+pub mod standin;
--- /dev/null
+++ b/crates/testkit/src/standin/backend/mod.rs
@@ -0,0 +1,16 @@
+//! The stand-in for backend servers; many may live in one process.
+
+mod faults;
+mod history;
+mod process;
+mod rows;
+mod run;
+mod settings;
+mod table;
+
+pub use faults::{Fault, Faults};
+pub use history::{HistoryFile, RunEnd, RunEvent, RunStep, unix_micros};
+pub use process::{BackendChange, BackendProcess, CHANGE_PATH, STATS_PATH};
+pub use rows::{job_rows, search_rows};
+pub use settings::{BackendSettings, ProcessSettings, ServiceTime};
+pub use table::BackendStats;
--- /dev/null
+++ b/crates/testkit/src/standin/mod.rs
@@ -0,0 +1,17 @@
+//! Stand-ins for the platform and the backend servers, each runnable as a process of its own.
+
+pub mod backend;
+mod command;
+pub mod config;
+mod gate;
+mod serve;
+pub mod vms;
+
+pub use command::{StandinError, run_command};
+pub use config::{ConfigMode, ConfigService, ConfigStats, Edit};
+pub use gate::Gate;
+pub use serve::ServerHandle;
+pub use vms::{VmChange, VmService};
+
+/// The path at which every stand-in answers once it serves.
+pub const READY_PATH: &str = "/admin/ready";
--- /dev/null
+++ b/crates/testkit/src/standin/serve.rs
@@ -0,0 +1,50 @@
+//! Serves a router on one address.
+
+use std::{io, net::SocketAddr, sync::Arc};
+
+use tokio::{net::TcpListener, task::JoinHandle};
+use volo_http::server::{Router, Server};
+
+use super::gate::{Gate, accept_through};
+
+/// A running server; dropping it stops new connections.
+#[derive(Debug)]
+pub struct ServerHandle {
+    address: SocketAddr,
+    tasks: [JoinHandle<()>; 2],
+}
+
+impl ServerHandle {
+    /// Returns the address it listens on.
+    #[must_use]
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+}
+
+impl Drop for ServerHandle {
+    fn drop(&mut self) {
+        self.tasks.iter().for_each(JoinHandle::abort);
+    }
+}
+
+/// Serves `router` on `address` behind `gate`.
+pub(super) async fn serve(
+    router: Router,
+    address: SocketAddr,
+    gate: Arc<Gate>,
+) -> io::Result<ServerHandle> {
+    let listener = TcpListener::bind(address).await?;
+    let address = listener.local_addr()?;
+    let (incoming, accept) = accept_through(listener, gate);
+    let accept = tokio::spawn(accept);
+    let run = tokio::spawn(async move {
+        if let Err(error) = Server::new(router).run(incoming).await {
+            log::error!("standin: The server on {address} ended: {error}.");
+        }
+    });
+    Ok(ServerHandle {
+        address,
+        tasks: [accept, run],
+    })
+}
