--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -5,6 +5,7 @@
 
 pub mod ids;
 pub mod index;
+pub mod policy;
 pub mod presets;
 pub mod request;
 pub mod time;
--- /dev/null
+++ b/crates/core/src/policy/budget.rs
@@ -0,0 +1,38 @@
+//! A token budget that ties extra calls to first attempts.
+
+/// Tokens that first attempts earn and extra calls spend.
+///
+/// Over any period the extra calls stay below `ratio` of the first attempts plus the burst, so
+/// that a fault can't multiply the load.
+#[derive(Clone, Copy, Debug)]
+pub struct TokenBudget {
+    tokens: f64,
+    burst: f64,
+}
+
+impl TokenBudget {
+    /// Makes a budget that holds at most `burst` tokens and starts with one.
+    #[must_use]
+    pub const fn new(burst: f64) -> Self {
+        Self { tokens: 1.0, burst }
+    }
+
+    /// Earns the tokens of `calls` first attempts.
+    pub fn earn(&mut self, calls: u32, ratio: f64) {
+        self.tokens = (self.tokens + f64::from(calls) * ratio).min(self.burst);
+    }
+
+    /// Spends a token; returns false when there is none.
+    pub fn spend(&mut self) -> bool {
+        if self.tokens < 1.0 {
+            return false;
+        }
+        self.tokens -= 1.0;
+        true
+    }
+
+    /// Gives back a token whose extra call was not sent.
+    pub fn refund(&mut self) {
+        self.tokens = (self.tokens + 1.0).min(self.burst);
+    }
+}
--- /dev/null
+++ b/crates/core/src/policy/gather/finish.rs
@@ -0,0 +1,109 @@
+//! The end of a gather: when it comes and what it states.
+
+use std::time::Instant;
+
+use super::{
+    machine::Gather,
+    shard::{ShardState, ShardStatus},
+    spec::{Action, Context, GatherEnd, Verdict},
+};
+use crate::{
+    policy::early::{Progress, answer_time},
+    request::{Coverage, MissingReason, MissingShard},
+};
+
+impl Gather {
+    /// Ends the request if nothing more is worth waiting for.
+    pub(super) fn conclude(&mut self, context: &mut Context<'_>, actions: &mut Vec<Action>) {
+        if self.is_ended() {
+            return;
+        }
+        self.drop_hopeless(context, actions);
+        let late = context.now >= self.spec.deadline;
+        let open = self.shards.iter().any(ShardState::is_open);
+        let waits = open && context.now < self.answer_time();
+        if !late && (waits || self.stalled) {
+            return;
+        }
+        let reason = if late {
+            MissingReason::Deadline
+        } else {
+            MissingReason::Early
+        };
+        for index in 0..self.shards.len() {
+            self.cancel_live(index, context, actions);
+            self.close(index, reason);
+        }
+        self.end();
+        actions.push(Action::Finish(self.summary()));
+    }
+
+    /// Returns when the request is answered even if shards are open.
+    pub(super) fn answer_time(&self) -> Instant {
+        let included = self
+            .shards
+            .iter()
+            .filter(|s| s.status == ShardStatus::Included);
+        let progress = Progress {
+            included: u32::try_from(included.count()).unwrap_or(u32::MAX),
+            total: u32::try_from(self.shards.len()).unwrap_or(u32::MAX),
+            started: self.spec.started,
+            deadline: self.spec.deadline,
+            likely: self.likely_time(),
+        };
+        answer_time(self.spec.policy.answer, &progress)
+    }
+
+    /// Returns when the youngest call of an open shard becomes overdue.
+    fn likely_time(&self) -> Option<Instant> {
+        let open = self.shards.iter().filter(|shard| shard.is_open());
+        let live = open.flat_map(|shard| shard.live.iter());
+        live.filter_map(|attempt| attempt.overdue).max()
+    }
+
+    fn close(&mut self, index: usize, reason: MissingReason) {
+        let stalled = self.stalled;
+        let shard = &mut self.shards[index];
+        if stalled {
+            shard.status = ShardStatus::Missing(MissingReason::VersionGone);
+        } else if shard.is_open() {
+            shard.status = ShardStatus::Missing(reason);
+        }
+    }
+
+    fn summary(&self) -> GatherEnd {
+        let mut coverage = Coverage::default();
+        for shard in &self.shards {
+            let number = shard.target.shard;
+            match shard.status {
+                ShardStatus::Included => coverage.included.push(number),
+                ShardStatus::Missing(reason) => coverage.missing.push(MissingShard {
+                    shard: number,
+                    reason,
+                }),
+                ShardStatus::Open => {}
+            }
+        }
+        coverage.included.sort_unstable();
+        coverage
+            .missing
+            .sort_unstable_by_key(|missing| missing.shard);
+        GatherEnd {
+            verdict: self.verdict(&coverage),
+            coverage,
+            version: self.spec.version,
+        }
+    }
+
+    fn verdict(&self, coverage: &Coverage) -> Verdict {
+        let enough = coverage.share() >= self.spec.policy.coverage;
+        if enough && !coverage.included.is_empty() {
+            return Verdict::Answer;
+        }
+        if self.may_have_run {
+            Verdict::Unknown
+        } else {
+            Verdict::NotRun
+        }
+    }
+}
--- /dev/null
+++ b/crates/core/src/policy/gather/send.rs
@@ -0,0 +1,135 @@
+//! The calls that a gather sends and cancels.
+
+use std::time::Duration;
+
+use super::{
+    machine::Gather,
+    shard::Attempt,
+    spec::{Action, AttemptCause, Context},
+};
+use crate::ids::ServerId;
+
+/// The share of the deadline that makes a call overdue while no latencies are known.
+const OVERDUE_SHARE: f64 = 0.25;
+/// The multiple of the overdue time after which calls to replicas in bad standing are given up.
+const HOPELESS_FACTOR: u32 = 2;
+
+impl Gather {
+    /// Sends a call to the best untried replica; returns false when there is none.
+    pub(super) fn send(
+        &mut self,
+        index: usize,
+        cause: AttemptCause,
+        context: &mut Context<'_>,
+        actions: &mut Vec<Action>,
+    ) -> bool {
+        let (now, tables) = (context.now, &mut *context.tables);
+        let shard = &mut self.shards[index];
+        let replicas = &shard.target.replicas;
+        let pick = tables
+            .replicas
+            .choose(replicas, &shard.tried, now, context.rng);
+        let Some(pick) = pick else {
+            return false;
+        };
+        let useless = pick.least_bad || tables.replicas.is_busy(&pick.server, now);
+        if cause == AttemptCause::Hedge && useless {
+            return false;
+        }
+        let (service, kind) = (&self.spec.service, self.spec.kind);
+        if shard.sent == 0 {
+            let delay = tables.hedger.delay(service, kind, &self.spec.hedge);
+            shard.hedge_at = delay.map(|delay| now + delay);
+        }
+        shard.sent += 1;
+        shard.tried.push(ServerId::clone(&pick.server));
+        self.push_call(index, pick.server, cause, context, actions);
+        true
+    }
+
+    /// Sends a copy of the first call to an ejected replica whose probe is due.
+    pub(super) fn send_probe(
+        &mut self,
+        index: usize,
+        context: &mut Context<'_>,
+        actions: &mut Vec<Action>,
+    ) {
+        if !self.spec.kind.is_repeatable() {
+            return;
+        }
+        let shard = &mut self.shards[index];
+        let replicas = &shard.target.replicas;
+        let probe = context.tables.replicas.take_probe(replicas, context.now);
+        let Some(server) = probe else {
+            return;
+        };
+        if !shard.tried.contains(&server) {
+            shard.tried.push(ServerId::clone(&server));
+            self.push_call(index, server, AttemptCause::Probe, context, actions);
+        }
+    }
+
+    fn push_call(
+        &mut self,
+        index: usize,
+        server: ServerId,
+        cause: AttemptCause,
+        context: &mut Context<'_>,
+        actions: &mut Vec<Action>,
+    ) {
+        context.tables.replicas.on_send(&server);
+        let patience = self.overdue_after(context);
+        let overdue = context.now + patience;
+        let lost = context.now + patience * HOPELESS_FACTOR;
+        let id = self.next_attempt;
+        self.next_attempt += 1;
+        let shard = &mut self.shards[index];
+        shard.live.push(Attempt {
+            id,
+            server: ServerId::clone(&server),
+            sent: context.now,
+            cause,
+            overdue: (overdue < self.spec.deadline).then_some(overdue),
+            lost: Some(lost),
+        });
+        actions.push(Action::Send {
+            attempt: id,
+            shard: shard.target.shard,
+            server,
+            cause,
+        });
+    }
+
+    fn overdue_after(&self, context: &Context<'_>) -> Duration {
+        let whole = self
+            .spec
+            .deadline
+            .saturating_duration_since(self.spec.started);
+        let most = whole.mul_f64(OVERDUE_SHARE);
+        let hedger = &context.tables.hedger;
+        let usual = hedger.overdue(&self.spec.service, self.spec.kind);
+        usual.map_or(most, |usual| usual.min(most))
+    }
+
+    /// Cancels the calls of a shard, but for probes, whose replies the tables learn from.
+    pub(super) fn cancel_live(
+        &mut self,
+        index: usize,
+        context: &mut Context<'_>,
+        actions: &mut Vec<Action>,
+    ) {
+        for attempt in self.shards[index].live.drain(..) {
+            if attempt.cause == AttemptCause::Probe {
+                continue;
+            }
+            let elapsed = context.now.saturating_duration_since(attempt.sent);
+            let tables = &mut context.tables.replicas;
+            tables.on_cancelled(&attempt.server, elapsed, context.now);
+            self.may_have_run = true;
+            actions.push(Action::Cancel {
+                attempt: attempt.id,
+                server: attempt.server,
+            });
+        }
+    }
+}
--- /dev/null
+++ b/crates/core/src/policy/gather/tests.rs
@@ -0,0 +1,316 @@
+//! Tests of scatter-gather.
+
+use std::time::{Duration, Instant};
+
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+use yare::parameterized;
+
+use super::{Action, AttemptCause, Context, Gather, GatherEnd, GatherSpec, ShardTarget, Verdict};
+use crate::{
+    ids::{AttemptId, IndexVersion, ServerId, ShardId},
+    policy::{
+        EntryTables,
+        outcome::{CallOutcome, NotRunCause, UnknownCause},
+        retry::RetryReason,
+    },
+    presets::{AnswerPolicy, HedgePolicy, KindPolicy, RetryPolicy},
+    request::{MissingReason, RequestKind},
+};
+
+const DEADLINE: Duration = Duration::from_millis(400);
+
+struct Rig {
+    gather: Gather,
+    tables: EntryTables,
+    rng: ChaCha8Rng,
+    now: Instant,
+    start: Instant,
+}
+
+fn targets(shards: u32) -> Vec<ShardTarget> {
+    let replica = |shard, copy| ServerId::from(format!("s{shard}{copy}"));
+    (0..shards)
+        .map(|shard| ShardTarget {
+            shard,
+            replicas: vec![replica(shard, 'a'), replica(shard, 'b')],
+        })
+        .collect()
+}
+
+impl Rig {
+    fn new(shards: u32, kind: RequestKind, policy: KindPolicy) -> Self {
+        let start = Instant::now();
+        let spec = GatherSpec {
+            service: "counter".into(),
+            kind,
+            version: 1,
+            shards: targets(shards),
+            started: start,
+            deadline: start + DEADLINE,
+            policy,
+            hedge: HedgePolicy::default(),
+            retry: RetryPolicy {
+                budget: 1.0,
+                ..RetryPolicy::default()
+            },
+        };
+        let mut tables = EntryTables::default();
+        for _ in 0..100 {
+            let service = "counter".into();
+            tables
+                .hedger
+                .learn(&service, kind, Duration::from_millis(10));
+            tables.hedger.on_first(1, &spec.hedge);
+        }
+        Self {
+            gather: Gather::new(spec),
+            tables,
+            rng: ChaCha8Rng::seed_from_u64(3),
+            now: start,
+            start,
+        }
+    }
+
+    fn start(&mut self) -> Vec<Action> {
+        let mut context = Context {
+            tables: &mut self.tables,
+            now: self.now,
+            rng: &mut self.rng,
+        };
+        self.gather.start(&mut context)
+    }
+
+    fn reply(&mut self, attempt: AttemptId, outcome: CallOutcome) -> (bool, Vec<Action>) {
+        let mut actions = Vec::new();
+        let mut context = Context {
+            tables: &mut self.tables,
+            now: self.now,
+            rng: &mut self.rng,
+        };
+        let included = self
+            .gather
+            .on_reply(attempt, outcome, &mut context, &mut actions);
+        (included, actions)
+    }
+
+    /// Goes to the next timer and acts on it.
+    fn timer(&mut self) -> Vec<Action> {
+        self.now = self.gather.next_timer().unwrap();
+        let mut context = Context {
+            tables: &mut self.tables,
+            now: self.now,
+            rng: &mut self.rng,
+        };
+        self.gather.on_timer(&mut context)
+    }
+
+    fn restart(&mut self, version: IndexVersion, shards: u32) -> Vec<Action> {
+        let mut context = Context {
+            tables: &mut self.tables,
+            now: self.now,
+            rng: &mut self.rng,
+        };
+        self.gather.restart(version, targets(shards), &mut context)
+    }
+
+    /// Acts on timers until the request ends.
+    fn run_out(&mut self) -> (Duration, GatherEnd) {
+        loop {
+            if let Some(end) = end(&self.timer()) {
+                return (self.now - self.start, end);
+            }
+        }
+    }
+}
+
+fn sends(actions: &[Action]) -> Vec<(AttemptId, ShardId, AttemptCause)> {
+    let send = |action: &Action| match action {
+        Action::Send {
+            attempt,
+            shard,
+            cause,
+            ..
+        } => Some((*attempt, *shard, *cause)),
+        _ => None,
+    };
+    actions.iter().filter_map(send).collect()
+}
+
+fn servers(actions: &[Action]) -> Vec<ServerId> {
+    let send = |action: &Action| match action {
+        Action::Send { server, .. } => Some(ServerId::clone(server)),
+        _ => None,
+    };
+    actions.iter().filter_map(send).collect()
+}
+
+fn end(actions: &[Action]) -> Option<GatherEnd> {
+    actions.iter().find_map(|action| match action {
+        Action::Finish(end) => Some(end.clone()),
+        _ => None,
+    })
+}
+
+#[test]
+fn test_gather_answers_with_all_shards() {
+    let mut rig = Rig::new(3, RequestKind::WideSearch, KindPolicy::default());
+    let first = rig.start();
+    assert_eq!(sends(&first).len(), 3);
+    for (attempt, _, _) in sends(&first) {
+        let (included, actions) = rig.reply(attempt, CallOutcome::Done(1));
+        assert!(included);
+        let done = attempt == 2;
+        assert_eq!(end(&actions).is_some(), done);
+        if let Some(end) = end(&actions) {
+            assert_eq!(end.verdict, Verdict::Answer);
+            assert_eq!(end.coverage.included, [0, 1, 2]);
+            assert!(end.coverage.missing.is_empty());
+        }
+    }
+    assert_eq!(rig.gather.next_timer(), None);
+    // A reply after the end, or repeated, enters nothing.
+    assert!(!rig.reply(1, CallOutcome::Done(1)).0);
+}
+
+#[test]
+fn test_gather_hedges_to_the_other_replica_and_cancels() {
+    let mut rig = Rig::new(1, RequestKind::WideSearch, KindPolicy::default());
+    let first = servers(&rig.start());
+    let actions = rig.timer();
+    assert_eq!(sends(&actions), [(1, 0, AttemptCause::Hedge)]);
+    assert_ne!(servers(&actions), first);
+    let (included, actions) = rig.reply(1, CallOutcome::Done(1));
+    assert!(included);
+    let cancelled = Action::Cancel {
+        attempt: 0,
+        server: ServerId::clone(&first[0]),
+    };
+    assert!(actions.contains(&cancelled), "{actions:?}");
+    assert!(end(&actions).is_some());
+}
+
+#[test]
+fn test_gather_never_repeats_what_may_have_run() {
+    let mut rig = Rig::new(1, RequestKind::Job, KindPolicy::default());
+    rig.start();
+    let (_, actions) = rig.reply(0, CallOutcome::Unknown(UnknownCause::Broken));
+    assert!(sends(&actions).is_empty());
+    assert_eq!(end(&actions).unwrap().verdict, Verdict::Unknown);
+    let mut rig = Rig::new(1, RequestKind::Job, KindPolicy::default());
+    rig.start();
+    let (_, end) = rig.run_out();
+    assert_eq!(end.verdict, Verdict::Unknown);
+    assert_eq!(end.coverage.missing[0].reason, MissingReason::Deadline);
+}
+
+#[parameterized(
+    busy = { NotRunCause::Busy, RetryReason::Busy, MissingReason::Busy },
+    connect = { NotRunCause::Connect, RetryReason::Connect, MissingReason::Unreachable },
+    owner = { NotRunCause::NotOwner, RetryReason::NotOwner, MissingReason::NoOwner },
+)]
+fn test_gather_retries_what_was_not_run(
+    cause: NotRunCause,
+    reason: RetryReason,
+    missing: MissingReason,
+) {
+    let mut rig = Rig::new(1, RequestKind::Job, KindPolicy::default());
+    let first = servers(&rig.start());
+    let (_, second) = rig.reply(0, CallOutcome::NotRun(cause));
+    assert_eq!(sends(&second), [(1, 0, AttemptCause::Retry(reason))]);
+    assert_ne!(servers(&second), first);
+    let (_, none) = rig.reply(1, CallOutcome::NotRun(cause));
+    assert!(sends(&none).is_empty());
+    let third = rig.timer();
+    assert_eq!(sends(&third), [(2, 0, AttemptCause::Retry(reason))]);
+    let (_, last) = rig.reply(2, CallOutcome::NotRun(cause));
+    // Given up at once, long before the deadline, and truthfully not run.
+    let end = end(&last).unwrap();
+    assert_eq!(end.verdict, Verdict::NotRun);
+    assert_eq!(end.coverage.missing[0].reason, missing);
+}
+
+#[test]
+fn test_gather_restarts_whole_on_newer_version() {
+    let mut rig = Rig::new(2, RequestKind::WideSearch, KindPolicy::default());
+    rig.start();
+    assert!(rig.reply(0, CallOutcome::Done(1)).0);
+    let gone = CallOutcome::NotRun(NotRunCause::VersionGone(2));
+    let (_, retry) = rig.reply(1, gone);
+    let attempt = sends(&retry)[0].0;
+    let (_, stall) = rig.reply(attempt, gone);
+    assert!(stall.contains(&Action::Stall { version: 1 }));
+    let again = rig.restart(2, 3);
+    let shards: Vec<_> = sends(&again).iter().map(|send| send.1).collect();
+    assert_eq!(shards, [0, 1, 2]);
+    // A late reply of the old version enters nothing.
+    assert!(!rig.reply(0, CallOutcome::Done(1)).0);
+    for (attempt, _, _) in sends(&again) {
+        let (included, actions) = rig.reply(attempt, CallOutcome::Done(2));
+        assert!(included);
+        if let Some(end) = end(&actions) {
+            assert_eq!((end.version, end.coverage.included.len()), (2, 3));
+        }
+    }
+    assert!(rig.gather.is_ended());
+}
+
+#[test]
+fn test_gather_drops_rows_of_another_version() {
+    let mut rig = Rig::new(1, RequestKind::WideSearch, KindPolicy::default());
+    rig.start();
+    let (included, actions) = rig.reply(0, CallOutcome::Done(2));
+    assert!(!included);
+    let cause = AttemptCause::Retry(RetryReason::VersionGone);
+    assert_eq!(sends(&actions), [(1, 0, cause)]);
+}
+
+#[test]
+fn test_gather_stalled_ends_at_deadline() {
+    let mut rig = Rig::new(1, RequestKind::WideSearch, KindPolicy::default());
+    rig.start();
+    for attempt in [0, 1] {
+        rig.reply(attempt, CallOutcome::NotRun(NotRunCause::VersionGone(2)));
+    }
+    let (took, end) = rig.run_out();
+    assert_eq!(took, DEADLINE);
+    assert_eq!(end.verdict, Verdict::NotRun);
+    assert_eq!(end.coverage.missing[0].reason, MissingReason::VersionGone);
+}
+
+#[parameterized(
+    wait = { AnswerPolicy::Wait, DEADLINE, MissingReason::Deadline },
+    early = { AnswerPolicy::Early { share: 0.5, after: 0.6 }, DEADLINE.mul_f64(0.6), MissingReason::Early },
+)]
+fn test_gather_waits_or_answers_early(
+    answer: AnswerPolicy,
+    expected: Duration,
+    reason: MissingReason,
+) {
+    let policy = KindPolicy {
+        answer,
+        ..KindPolicy::default()
+    };
+    let mut rig = Rig::new(2, RequestKind::WideSearch, policy);
+    rig.start();
+    rig.reply(0, CallOutcome::Done(1));
+    let (took, end) = rig.run_out();
+    assert_eq!(took, expected);
+    assert_eq!(end.coverage.included, [0]);
+    assert_eq!(end.coverage.missing[0].reason, reason);
+    assert_eq!(end.verdict, Verdict::Answer);
+}
+
+#[test]
+fn test_gather_refuses_below_least_coverage() {
+    let policy = KindPolicy {
+        coverage: 0.6,
+        ..KindPolicy::default()
+    };
+    let mut rig = Rig::new(2, RequestKind::WideSearch, policy);
+    rig.start();
+    rig.reply(0, CallOutcome::Done(1));
+    let (_, end) = rig.run_out();
+    assert_eq!(end.verdict, Verdict::Unknown);
+    assert_eq!(end.coverage.included, [0]);
+}
--- /dev/null
+++ b/crates/core/src/policy/mod.rs
@@ -0,0 +1,22 @@
+//! Policy under load and faults: pure decisions over tables, with time and randomness passed in.
+//!
+//! An entry keeps one [`EntryTables`] and drives one [`gather::Gather`] a request. An owner keeps
+//! one [`queue::Queue`] and one [`limit::Limit`] a backend server.
+
+pub mod admission;
+pub mod budget;
+pub mod early;
+pub mod gather;
+pub mod hedge;
+pub mod latency;
+pub mod limit;
+pub mod outcome;
+pub mod queue;
+pub mod replica;
+pub mod retry;
+mod tables;
+
+pub use tables::EntryTables;
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/crates/core/src/policy/queue/table.rs
@@ -0,0 +1,193 @@
+//! The queue itself.
+
+use std::{
+    collections::{BTreeMap, HashMap},
+    time::{Duration, Instant},
+};
+
+use super::entry::{QueueEntry, QueueRefusal, Service};
+use crate::{ids::CallerId, presets::QueuePolicy, request::Urgency};
+
+/// One in this many turns may go to an ordinary call that has waited too long.
+const STARVED_TURN: u32 = 4;
+/// The share of the queue from which urgent calls can't displace ordinary ones.
+const ORDINARY_SHARE: f64 = 0.125;
+
+type Lane = BTreeMap<(Instant, u64), QueueEntry>;
+
+/// Calls that wait for one backend server, by urgency, then deadline.
+///
+/// An ordinary call that has waited for [`QueuePolicy::starvation`] goes before urgent ones, at
+/// one turn in four, so that a flood of urgent calls can't hold it back for ever.
+#[derive(Clone, Debug, Default)]
+pub struct Queue {
+    urgent: Lane,
+    ordinary: Lane,
+    callers: HashMap<CallerId, u32>,
+    turns: u32,
+}
+
+impl Queue {
+    /// Queues a call; returns the ordinary call that it displaced, if any.
+    ///
+    /// # Errors
+    /// Returns why the call was not queued.
+    pub fn push(
+        &mut self,
+        entry: QueueEntry,
+        service: Service,
+        policy: &QueuePolicy,
+        now: Instant,
+    ) -> Result<Option<QueueEntry>, QueueRefusal> {
+        self.check(&entry, service, policy, now)?;
+        let displaced = if self.len() >= policy.length {
+            Some(self.displace(&entry, policy).ok_or(QueueRefusal::Full)?)
+        } else {
+            None
+        };
+        *self
+            .callers
+            .entry(CallerId::clone(&entry.caller))
+            .or_default() += 1;
+        let key = (entry.deadline, entry.id);
+        self.lane(entry.urgency).insert(key, entry);
+        Ok(displaced)
+    }
+
+    /// Takes the call that gets the next free slot.
+    ///
+    /// Call [`Self::expire`] first; what is taken here is not checked again.
+    pub fn pop(&mut self, policy: &QueuePolicy, now: Instant) -> Option<QueueEntry> {
+        self.turns = self.turns.wrapping_add(1);
+        if self.turns.is_multiple_of(STARVED_TURN)
+            && let Some(key) = self.starved(policy, now)
+        {
+            return self.take(Urgency::Ordinary, key);
+        }
+        if let Some(&key) = self.urgent.keys().next() {
+            return self.take(Urgency::Urgent, key);
+        }
+        let key = *self.ordinary.keys().next()?;
+        self.take(Urgency::Ordinary, key)
+    }
+
+    /// Takes a call out that was cancelled.
+    pub fn remove(&mut self, id: u64) -> Option<QueueEntry> {
+        for urgency in [Urgency::Urgent, Urgency::Ordinary] {
+            let found = self.lane(urgency).keys().find(|key| key.1 == id).copied();
+            if let Some(key) = found {
+                return self.take(urgency, key);
+            }
+        }
+        None
+    }
+
+    /// Takes all calls out that can't be done in time any more.
+    pub fn expire(&mut self, service: Service, now: Instant) -> Vec<(QueueEntry, QueueRefusal)> {
+        let mut gone = Vec::new();
+        for urgency in [Urgency::Urgent, Urgency::Ordinary] {
+            while let Some(&key) = self.lane(urgency).keys().next() {
+                let refusal = if key.0 <= now {
+                    QueueRefusal::Expired
+                } else if key.0 < now + service.time / 2 {
+                    QueueRefusal::Infeasible
+                } else {
+                    break;
+                };
+                gone.extend(self.take(urgency, key).map(|entry| (entry, refusal)));
+            }
+        }
+        gone
+    }
+
+    /// Returns when the next call can't be done in time any more.
+    #[must_use]
+    pub fn next_expiry(&self, service: Service) -> Option<Instant> {
+        let firsts = [&self.urgent, &self.ordinary].map(|lane| lane.keys().next());
+        let first = firsts.into_iter().flatten().map(|key| key.0).min()?;
+        Some(first.checked_sub(service.time / 2).unwrap_or(first))
+    }
+
+    /// Returns how many calls wait.
+    #[must_use]
+    pub fn len(&self) -> u32 {
+        u32::try_from(self.urgent.len() + self.ordinary.len()).unwrap_or(u32::MAX)
+    }
+
+    /// Returns whether no call waits.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.urgent.is_empty() && self.ordinary.is_empty()
+    }
+
+    fn check(
+        &self,
+        entry: &QueueEntry,
+        service: Service,
+        policy: &QueuePolicy,
+        now: Instant,
+    ) -> Result<(), QueueRefusal> {
+        let left = entry.deadline.saturating_duration_since(now);
+        if left.is_zero() {
+            return Err(QueueRefusal::Expired);
+        }
+        if self.wait(entry, service) + service.time > left {
+            return Err(QueueRefusal::Infeasible);
+        }
+        let held = self.callers.get(&entry.caller).copied().unwrap_or_default();
+        let most = (f64::from(policy.length) * policy.caller_share).max(1.0);
+        if policy.caller_share < 1.0 && f64::from(held) + 1.0 > most {
+            return Err(QueueRefusal::CallerShare);
+        }
+        Ok(())
+    }
+
+    /// The time until a call would get its slot, from the calls that go before it.
+    fn wait(&self, entry: &QueueEntry, service: Service) -> Duration {
+        let key = (entry.deadline, entry.id);
+        let ahead = match entry.urgency {
+            Urgency::Urgent => self.urgent.range(..key).count(),
+            Urgency::Ordinary => self.urgent.len() + self.ordinary.range(..key).count(),
+        };
+        let ahead = u32::try_from(ahead).unwrap_or(u32::MAX);
+        service
+            .time
+            .mul_f64(f64::from(ahead) / f64::from(service.limit.max(1)))
+    }
+
+    /// Makes room for an urgent call at the cost of the ordinary one with the latest deadline.
+    fn displace(&mut self, entry: &QueueEntry, policy: &QueuePolicy) -> Option<QueueEntry> {
+        let ordinary = u32::try_from(self.ordinary.len()).unwrap_or(u32::MAX);
+        let kept = f64::from(policy.length) * ORDINARY_SHARE;
+        if entry.urgency == Urgency::Ordinary || f64::from(ordinary) <= kept {
+            return None;
+        }
+        let key = *self.ordinary.keys().next_back()?;
+        self.take(Urgency::Ordinary, key)
+    }
+
+    fn starved(&self, policy: &QueuePolicy, now: Instant) -> Option<(Instant, u64)> {
+        let oldest = self.ordinary.values().min_by_key(|entry| entry.queued)?;
+        let waited = now.saturating_duration_since(oldest.queued);
+        let key = (oldest.deadline, oldest.id);
+        (waited >= Duration::from(policy.starvation)).then_some(key)
+    }
+
+    fn take(&mut self, urgency: Urgency, key: (Instant, u64)) -> Option<QueueEntry> {
+        let entry = self.lane(urgency).remove(&key)?;
+        if let Some(held) = self.callers.get_mut(&entry.caller) {
+            *held -= 1;
+            if *held == 0 {
+                self.callers.remove(&entry.caller);
+            }
+        }
+        Some(entry)
+    }
+
+    const fn lane(&mut self, urgency: Urgency) -> &mut Lane {
+        match urgency {
+            Urgency::Urgent => &mut self.urgent,
+            Urgency::Ordinary => &mut self.ordinary,
+        }
+    }
+}
--- /dev/null
+++ b/crates/core/src/policy/replica/stats.rs
@@ -0,0 +1,251 @@
+//! What is learned of one backend server.
+
+use std::time::{Duration, Instant};
+
+use crate::policy::latency::MovingAverage;
+
+/// The successive faults or overdue calls after which a backend server is ejected.
+const EJECT_FAULTS: u32 = 3;
+/// How long an ejected backend server waits for its first probe.
+const PROBE_DELAY: Duration = Duration::from_millis(500);
+/// The longest wait between two probes.
+const PROBE_DELAY_MAX: Duration = Duration::from_secs(8);
+/// How long a returning backend server takes to get its full share of calls.
+const RAMP_TIME: Duration = Duration::from_secs(3);
+/// The share of calls that a returning backend server starts with.
+const RAMP_START: f64 = 0.1;
+/// How long a backend server that said it is leaving gets no call.
+const LEAVING_HOLD: Duration = Duration::from_secs(30);
+/// How long a health claim is taken for news.
+const CLAIM_AGE: Duration = Duration::from_secs(10);
+/// How long a call that gave rows outweighs any health claim.
+const PROOF_AGE: Duration = Duration::from_secs(1);
+/// How much longer a call is assumed to have taken that was cancelled before its reply.
+const CENSORED_FACTOR: u32 = 2;
+/// How long without a sample until a learned latency is half forgotten.
+const STALE_TIME: Duration = Duration::from_secs(2);
+
+/// What a backend server's health endpoint claims.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum HealthClaim {
+    /// Takes work at full speed.
+    Ready,
+    /// Takes work, but its caches are cold.
+    Warming,
+    /// Takes no new work.
+    Leaving,
+    /// Asks for no work.
+    Ill,
+}
+
+/// Whether a backend server gets calls.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Standing {
+    /// It gets its full share.
+    Active,
+    /// It gets a growing share since this time.
+    Ramp(Instant),
+    /// It gets probes only, the next at this time.
+    Ejected(Instant),
+}
+
+/// What is learned of one backend server.
+#[derive(Clone, Debug)]
+pub(crate) struct ReplicaStats {
+    /// The slots that the platform publishes.
+    pub(crate) slots: u32,
+    /// Whether the platform publishes it as leaving.
+    pub(crate) listed_leaving: bool,
+    /// Whether it gets calls.
+    pub(crate) standing: Standing,
+    /// Calls of this entry without a reply.
+    pub(crate) in_flight: u32,
+    service: MovingAverage,
+    sampled: Option<Instant>,
+    proved: Option<Instant>,
+    queued: u32,
+    told: Option<Instant>,
+    faults: u32,
+    probe_delay: Duration,
+    left: Option<Instant>,
+    claim: Option<(HealthClaim, Instant)>,
+}
+
+impl ReplicaStats {
+    pub(crate) fn new(slots: u32, standing: Standing) -> Self {
+        Self {
+            slots: slots.max(1),
+            listed_leaving: false,
+            standing,
+            in_flight: 0,
+            service: MovingAverage::default(),
+            sampled: None,
+            proved: None,
+            queued: 0,
+            told: None,
+            faults: 0,
+            probe_delay: PROBE_DELAY,
+            left: None,
+            claim: None,
+        }
+    }
+
+    /// Notes the queue that the owner told with a reply.
+    pub(crate) fn on_queue(&mut self, queued: u32, now: Instant) {
+        self.queued = queued;
+        self.told = Some(now);
+    }
+
+    /// Notes a call that gave rows.
+    pub(crate) fn on_done(&mut self, latency: Duration, now: Instant) {
+        self.faults = 0;
+        self.proved = Some(now);
+        self.add_sample(latency.div_f64(1.0 + self.queue_turns(now)), now);
+    }
+
+    /// Notes a fault or an overdue call.
+    pub(crate) fn on_fault(&mut self, now: Instant) {
+        self.faults = self.faults.saturating_add(1);
+        match self.standing {
+            Standing::Active | Standing::Ramp(_) if self.faults >= EJECT_FAULTS => self.eject(now),
+            Standing::Ejected(_) => self.postpone_probe(now),
+            Standing::Active | Standing::Ramp(_) => {}
+        }
+    }
+
+    /// Notes a call that was cancelled without a reply; it would have taken longer than `elapsed`.
+    pub(crate) fn on_cancelled(&mut self, elapsed: Duration, now: Instant) {
+        let least = elapsed * CENSORED_FACTOR;
+        let known = self.service.get().unwrap_or_default();
+        let normal = least.div_f64(1.0 + self.queue_turns(now));
+        if normal > known && known > Duration::ZERO {
+            self.add_sample(normal, now);
+        }
+    }
+
+    /// Notes that the backend server itself refused work because it is leaving.
+    pub(crate) fn on_leaving(&mut self, now: Instant) {
+        self.left = Some(now);
+    }
+
+    /// Notes what the health endpoint claims.
+    pub(crate) fn on_claim(&mut self, claim: HealthClaim, now: Instant) {
+        self.claim = Some((claim, now));
+    }
+
+    /// Stops calls other than probes.
+    pub(crate) fn eject(&mut self, now: Instant) {
+        if matches!(self.standing, Standing::Ejected(_)) {
+            return;
+        }
+        self.probe_delay = PROBE_DELAY;
+        self.standing = Standing::Ejected(now + self.probe_delay);
+    }
+
+    /// Lets calls return, a growing share of them.
+    pub(crate) fn readmit(&mut self, now: Instant) {
+        self.faults = 0;
+        self.probe_delay = PROBE_DELAY;
+        self.service.reset();
+        self.standing = Standing::Ramp(now);
+    }
+
+    /// Puts off the next probe, twice as long each time.
+    pub(crate) fn postpone_probe(&mut self, now: Instant) {
+        self.probe_delay = (self.probe_delay * 2).min(PROBE_DELAY_MAX);
+        self.standing = Standing::Ejected(now + self.probe_delay);
+    }
+
+    /// Returns whether a probe is due.
+    pub(crate) fn wants_probe(&self, now: Instant) -> bool {
+        matches!(self.standing, Standing::Ejected(at) if at <= now) && self.in_flight == 0
+    }
+
+    /// Returns whether it must get no call at all.
+    pub(crate) fn is_leaving(&self, now: Instant) -> bool {
+        let held = |left: Instant| now.saturating_duration_since(left) < LEAVING_HOLD;
+        self.listed_leaving || self.left.is_some_and(held)
+    }
+
+    /// Returns the share of calls that it may get, 0 to 1.
+    pub(crate) fn ramp(&self, now: Instant) -> f64 {
+        match self.standing {
+            Standing::Active => 1.0,
+            Standing::Ejected(_) => 0.0,
+            Standing::Ramp(since) => {
+                let age = now.saturating_duration_since(since);
+                (age.as_secs_f64() / RAMP_TIME.as_secs_f64()).clamp(RAMP_START, 1.0)
+            }
+        }
+    }
+
+    /// Ends a ramp that is over.
+    pub(crate) fn settle(&mut self, now: Instant) {
+        if matches!(self.standing, Standing::Ramp(_)) && self.ramp(now) >= 1.0 {
+            self.standing = Standing::Active;
+        }
+    }
+
+    /// Returns the calls that wait at the owner, less those run since it told.
+    pub(crate) fn queue(&self, now: Instant) -> f64 {
+        let Some(told) = self.told else {
+            return 0.0;
+        };
+        let age = now.saturating_duration_since(told).as_secs_f64();
+        let service = self.service.get().unwrap_or_default().as_secs_f64();
+        let drained = age * f64::from(self.slots) / service.max(1e-4);
+        (f64::from(self.queued) - drained).max(0.0)
+    }
+
+    /// Returns the latency without queueing; none before the first sample.
+    pub(crate) fn service(&self) -> Option<Duration> {
+        self.service.get()
+    }
+
+    /// Returns how many latencies were seen.
+    pub(crate) const fn samples(&self) -> u32 {
+        self.service.samples()
+    }
+
+    /// Returns the latency without queueing, drawn to `usual` as the last sample ages.
+    pub(crate) fn fresh_service(&self, usual: Duration, now: Instant) -> Duration {
+        let (Some(service), Some(sampled)) = (self.service.get(), self.sampled) else {
+            return usual;
+        };
+        let age = now.saturating_duration_since(sampled).as_secs_f64();
+        let trust = 0.5_f64.powf(age / STALE_TIME.as_secs_f64());
+        service.mul_f64(trust) + usual.mul_f64(1.0 - trust)
+    }
+
+    /// Returns how many successive faults there were.
+    pub(crate) const fn faults(&self) -> u32 {
+        self.faults
+    }
+
+    /// Returns the factor by which health claims lengthen the expected latency.
+    ///
+    /// Rows that came lately outweigh every claim, and an old claim counts for nothing.
+    pub(crate) fn claim_factor(&self, now: Instant) -> f64 {
+        let young = |at: Instant, age: Duration| now.saturating_duration_since(at) < age;
+        if self.proved.is_some_and(|at| young(at, PROOF_AGE)) {
+            return 1.0;
+        }
+        match self.claim {
+            Some((claim, at)) if young(at, CLAIM_AGE) => match claim {
+                HealthClaim::Ready => 1.0,
+                HealthClaim::Warming => 1.2,
+                HealthClaim::Leaving | HealthClaim::Ill => 1.5,
+            },
+            _ => 1.0,
+        }
+    }
+
+    fn queue_turns(&self, now: Instant) -> f64 {
+        self.queue(now) / f64::from(self.slots)
+    }
+
+    fn add_sample(&mut self, sample: Duration, now: Instant) {
+        self.service.add(sample);
+        self.sampled = Some(now);
+    }
+}
--- /dev/null
+++ b/crates/core/src/policy/replica/table.rs
@@ -0,0 +1,199 @@
+//! The table of backend servers that one entry learns about.
+
+use std::{
+    collections::{HashMap, HashSet},
+    time::{Duration, Instant},
+};
+
+use super::stats::{HealthClaim, ReplicaStats, Standing};
+use crate::{
+    ids::{ServerId, ServiceId},
+    index::{IndexDocument, ServerState},
+    policy::outcome::{CallOutcome, NotRunCause},
+};
+
+/// The latency assumed of backend servers before any was seen.
+const FIRST_GUESS: Duration = Duration::from_millis(5);
+/// The factor over the best replica from which a probe's latency does not count as recovered.
+const RECOVERED_FACTOR: f64 = 3.0;
+
+/// The backend servers that one entry learns about.
+#[derive(Clone, Debug, Default)]
+pub struct ReplicaTable {
+    pub(super) servers: HashMap<ServerId, ReplicaStats>,
+    listed: HashMap<ServiceId, HashSet<ServerId>>,
+}
+
+/// What came of one shard call.
+#[derive(Clone, Copy, Debug)]
+pub struct CallReport {
+    /// What came of it.
+    pub outcome: CallOutcome,
+    /// How long it took, as the entry saw it.
+    pub latency: Duration,
+    /// The calls that waited at the owner when it replied; none when the owner did not reply.
+    pub queued: Option<u32>,
+}
+
+/// The expected time until a shard call is done.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct WaitEstimate {
+    /// The wait in the owner's queue.
+    pub wait: Duration,
+    /// The latency apart from that wait.
+    pub service: Duration,
+    /// The calls that wait in that queue.
+    pub queued: f64,
+}
+
+impl ReplicaTable {
+    /// Takes over the backend servers of an index document and forgets those that it dropped.
+    ///
+    /// A backend server that joins others which are in use already starts with a small share.
+    pub fn sync(&mut self, document: &IndexDocument, now: Instant) {
+        let known = self.listed.get(&document.service);
+        let joins = known.is_some_and(|known| !known.is_empty());
+        let mut listed = HashSet::new();
+        for entry in &document.servers {
+            let standing = if joins {
+                Standing::Ramp(now)
+            } else {
+                Standing::Active
+            };
+            let stats = self
+                .servers
+                .entry(ServerId::clone(&entry.id))
+                .or_insert_with(|| ReplicaStats::new(entry.slots, standing));
+            stats.slots = entry.slots.max(1);
+            stats.listed_leaving = entry.state == ServerState::Leaving;
+            listed.insert(ServerId::clone(&entry.id));
+        }
+        let former = self
+            .listed
+            .insert(ServiceId::clone(&document.service), listed);
+        self.forget(former.unwrap_or_default());
+    }
+
+    /// Notes that a call was sent.
+    pub fn on_send(&mut self, server: &ServerId) {
+        if let Some(stats) = self.servers.get_mut(server) {
+            stats.in_flight += 1;
+        }
+    }
+
+    /// Notes what came of a call.
+    pub fn on_report(&mut self, server: &ServerId, report: &CallReport, now: Instant) {
+        let usual = self.usual();
+        let Some(stats) = self.servers.get_mut(server) else {
+            return;
+        };
+        stats.in_flight = stats.in_flight.saturating_sub(1);
+        if let Some(queued) = report.queued {
+            stats.on_queue(queued, now);
+        }
+        match report.outcome {
+            CallOutcome::Done(_) => {
+                stats.on_done(report.latency, now);
+                review_probe(stats, report.latency, usual, now);
+            }
+            CallOutcome::NotRun(NotRunCause::Leaving) => stats.on_leaving(now),
+            outcome if outcome.is_fault() => stats.on_fault(now),
+            CallOutcome::NotRun(_) | CallOutcome::Unknown(_) => {}
+        }
+    }
+
+    /// Notes that a call was cancelled after `elapsed` without a reply.
+    pub fn on_cancelled(&mut self, server: &ServerId, elapsed: Duration, now: Instant) {
+        if let Some(stats) = self.servers.get_mut(server) {
+            stats.in_flight = stats.in_flight.saturating_sub(1);
+            stats.on_cancelled(elapsed, now);
+        }
+    }
+
+    /// Notes that a call is overdue; it stays in flight.
+    pub fn on_overdue(&mut self, server: &ServerId, now: Instant) {
+        if let Some(stats) = self.servers.get_mut(server) {
+            stats.on_fault(now);
+        }
+    }
+
+    /// Notes what a backend server's health endpoint claims.
+    pub fn on_claim(&mut self, server: &ServerId, claim: HealthClaim, now: Instant) {
+        if let Some(stats) = self.servers.get_mut(server) {
+            stats.on_claim(claim, now);
+        }
+    }
+
+    /// Returns whether a backend server gets calls; none when it is not known.
+    #[must_use]
+    pub fn standing(&self, server: &ServerId) -> Option<Standing> {
+        self.servers.get(server).map(|stats| stats.standing)
+    }
+
+    /// Returns whether calls wait for a backend server, or this entry fills its slots.
+    #[must_use]
+    pub fn is_busy(&self, server: &ServerId, now: Instant) -> bool {
+        let busy = |stats: &ReplicaStats| stats.queue(now) >= 1.0 || stats.in_flight >= stats.slots;
+        self.servers.get(server).is_some_and(busy)
+    }
+
+    /// Returns the expected time of a call to the best of `replicas`.
+    #[must_use]
+    pub fn estimate(&self, replicas: &[ServerId], now: Instant) -> WaitEstimate {
+        replicas
+            .iter()
+            .filter_map(|server| self.servers.get(server))
+            .filter(|stats| !matches!(stats.standing, Standing::Ejected(_)))
+            .filter(|stats| !stats.is_leaving(now))
+            .map(|stats| estimate_one(stats, now))
+            .min_by(|a, b| (a.wait + a.service).cmp(&(b.wait + b.service)))
+            .unwrap_or_default()
+    }
+
+    /// Returns the median latency over all backend servers that were seen and are not ejected.
+    pub(super) fn usual(&self) -> Duration {
+        let mut seen: Vec<_> = self
+            .servers
+            .values()
+            .filter(|stats| !matches!(stats.standing, Standing::Ejected(_)))
+            .filter_map(ReplicaStats::service)
+            .collect();
+        if seen.is_empty() {
+            return FIRST_GUESS;
+        }
+        let middle = seen.len() / 2;
+        *seen.select_nth_unstable(middle).1
+    }
+
+    fn forget(&mut self, former: HashSet<ServerId>) {
+        let listed = &self.listed;
+        for server in former {
+            if !listed.values().any(|servers| servers.contains(&server)) {
+                self.servers.remove(&server);
+            }
+        }
+    }
+}
+
+/// Lets an ejected backend server return when it is about as fast as the others.
+fn review_probe(stats: &mut ReplicaStats, latency: Duration, usual: Duration, now: Instant) {
+    if !matches!(stats.standing, Standing::Ejected(_)) {
+        return;
+    }
+    if latency < usual.mul_f64(RECOVERED_FACTOR) {
+        stats.readmit(now);
+    } else {
+        stats.postpone_probe(now);
+    }
+}
+
+fn estimate_one(stats: &ReplicaStats, now: Instant) -> WaitEstimate {
+    let service = stats.service().unwrap_or_default();
+    let queued = stats.queue(now);
+    let wait = service.mul_f64(queued / f64::from(stats.slots));
+    WaitEstimate {
+        wait,
+        service,
+        queued,
+    }
+}
--- /dev/null
+++ b/crates/core/src/policy/replica/tests.rs
@@ -0,0 +1,231 @@
+//! Tests of the choice among replicas.
+
+use std::time::{Duration, Instant};
+
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+use yare::parameterized;
+
+use super::{CallReport, HealthClaim, ReplicaTable, Standing};
+use crate::{
+    ids::ServerId,
+    index::{IndexDocument, ServerEntry, ServerState, ShardEntry},
+    policy::outcome::{CallOutcome, NotRunCause, UnknownCause},
+};
+
+const FAST: Duration = Duration::from_millis(5);
+const SLOW: Duration = Duration::from_millis(100);
+
+fn server(name: &str, state: ServerState) -> ServerEntry {
+    ServerEntry {
+        id: name.into(),
+        address: ([127, 0, 0, 1], 1).into(),
+        centre: "lagos".into(),
+        slots: 2,
+        connections: 25,
+        state,
+    }
+}
+
+fn document(servers: Vec<ServerEntry>) -> IndexDocument {
+    let replicas = servers
+        .iter()
+        .map(|entry| ServerId::clone(&entry.id))
+        .collect();
+    IndexDocument {
+        service: "counter".into(),
+        version: 1,
+        shards: vec![ShardEntry { shard: 0, replicas }],
+        servers,
+    }
+}
+
+fn table(now: Instant) -> (ReplicaTable, Vec<ServerId>) {
+    let servers = vec![
+        server("a", ServerState::Serving),
+        server("b", ServerState::Serving),
+    ];
+    let mut table = ReplicaTable::default();
+    table.sync(&document(servers), now);
+    (table, vec!["a".into(), "b".into()])
+}
+
+fn report(
+    table: &mut ReplicaTable,
+    name: &str,
+    outcome: CallOutcome,
+    latency: Duration,
+    now: Instant,
+) {
+    let server = name.into();
+    table.on_send(&server);
+    let report = CallReport {
+        outcome,
+        latency,
+        queued: Some(0),
+    };
+    table.on_report(&server, &report, now);
+}
+
+fn settle(table: &mut ReplicaTable, name: &str, latency: Duration, now: Instant) {
+    for _ in 0..20 {
+        report(table, name, CallOutcome::Done(1), latency, now);
+    }
+}
+
+/// Counts how often `name` is chosen out of a hundred.
+fn share(table: &mut ReplicaTable, replicas: &[ServerId], name: &str, now: Instant) -> u32 {
+    let mut rng = ChaCha8Rng::seed_from_u64(7);
+    let mut count = 0;
+    for _ in 0..100 {
+        let pick = table.choose(replicas, &[], now, &mut rng).unwrap();
+        count += u32::from(&*pick.server == name);
+    }
+    count
+}
+
+#[test]
+fn test_replica_slow_one_is_ejected_and_probed() {
+    let now = Instant::now();
+    let (mut table, replicas) = table(now);
+    settle(&mut table, "a", FAST, now);
+    settle(&mut table, "b", SLOW, now);
+    assert_eq!(share(&mut table, &replicas, "b", now), 0);
+    let Some(Standing::Ejected(probe)) = table.standing(&"b".into()) else {
+        panic!("b is not ejected");
+    };
+    assert_eq!(table.take_probe(&replicas, now), None);
+    assert_eq!(table.take_probe(&replicas, probe), Some("b".into()));
+    assert_eq!(table.take_probe(&replicas, probe), None);
+    // A slow probe does not let it return, a fast one does.
+    report(&mut table, "b", CallOutcome::Done(1), SLOW, probe);
+    assert!(matches!(
+        table.standing(&"b".into()),
+        Some(Standing::Ejected(_))
+    ));
+    report(&mut table, "b", CallOutcome::Done(1), FAST, probe);
+    assert_eq!(table.standing(&"b".into()), Some(Standing::Ramp(probe)));
+}
+
+#[test]
+fn test_replica_ramp_grows() {
+    let now = Instant::now();
+    let (mut table, replicas) = table(now);
+    settle(&mut table, "a", FAST, now);
+    for _ in 0..3 {
+        report(
+            &mut table,
+            "b",
+            CallOutcome::Unknown(UnknownCause::Broken),
+            FAST,
+            now,
+        );
+    }
+    assert!(matches!(
+        table.standing(&"b".into()),
+        Some(Standing::Ejected(_))
+    ));
+    report(&mut table, "b", CallOutcome::Done(1), FAST, now);
+    let first = share(&mut table, &replicas, "b", now);
+    let later = share(&mut table, &replicas, "b", now + Duration::from_secs(2));
+    let last = share(&mut table, &replicas, "b", now + Duration::from_secs(4));
+    assert!(
+        first < 12 && first < later && later < 60,
+        "{first} {later} {last}"
+    );
+    assert!((30..=70).contains(&last), "{first} {later} {last}");
+}
+
+#[test]
+fn test_replica_set_is_never_empty() {
+    let now = Instant::now();
+    let (mut table, replicas) = table(now);
+    for (name, faults) in [("a", 6), ("b", 3)] {
+        for _ in 0..faults {
+            report(
+                &mut table,
+                name,
+                CallOutcome::NotRun(NotRunCause::Connect),
+                FAST,
+                now,
+            );
+        }
+    }
+    let mut rng = ChaCha8Rng::seed_from_u64(1);
+    let pick = table.choose(&replicas, &[], now, &mut rng).unwrap();
+    assert_eq!((&*pick.server, pick.least_bad), ("b", true));
+    assert!(table.is_hopeless(&replicas, now));
+}
+
+#[test]
+fn test_replica_leaving_gets_no_call() {
+    let now = Instant::now();
+    let (mut table, replicas) = table(now);
+    report(
+        &mut table,
+        "a",
+        CallOutcome::NotRun(NotRunCause::Leaving),
+        FAST,
+        now,
+    );
+    assert_eq!(share(&mut table, &replicas, "a", now), 0);
+    let servers = vec![
+        server("a", ServerState::Serving),
+        server("b", ServerState::Leaving),
+    ];
+    table.sync(&document(servers), now);
+    let mut rng = ChaCha8Rng::seed_from_u64(1);
+    assert_eq!(table.choose(&replicas, &[], now, &mut rng), None);
+}
+
+#[parameterized(
+    ill = { HealthClaim::Ill },
+    leaving = { HealthClaim::Leaving },
+    warming = { HealthClaim::Warming },
+)]
+fn test_replica_claims_are_weak(claim: HealthClaim) {
+    let now = Instant::now();
+    let (mut table, replicas) = table(now);
+    table.on_claim(&"b".into(), claim, now);
+    assert_eq!(share(&mut table, &replicas, "b", now), 0);
+    // Rows that came lately outweigh the claim.
+    settle(&mut table, "a", FAST, now);
+    settle(&mut table, "b", FAST, now);
+    table.on_claim(&"b".into(), claim, now);
+    assert!(share(&mut table, &replicas, "b", now) >= 30);
+}
+
+#[test]
+fn test_replica_queue_told_by_owner_counts() {
+    let now = Instant::now();
+    let (mut table, replicas) = table(now);
+    settle(&mut table, "a", FAST, now);
+    settle(&mut table, "b", FAST, now);
+    table.on_send(&"a".into());
+    let told = CallReport {
+        outcome: CallOutcome::Done(1),
+        latency: FAST,
+        queued: Some(10),
+    };
+    table.on_report(&"a".into(), &told, now);
+    assert_eq!(share(&mut table, &replicas, "a", now), 0);
+    assert!(table.is_busy(&"a".into(), now));
+    // Two slots at 5 ms a call drain ten calls in 25 ms.
+    let later = now + Duration::from_millis(26);
+    assert!(!table.is_busy(&"a".into(), later));
+}
+
+#[test]
+fn test_replica_new_server_ramps_up() {
+    let now = Instant::now();
+    let (mut table, _) = table(now);
+    let names = ["a", "b", "c"];
+    let servers = names
+        .map(|name| server(name, ServerState::Serving))
+        .to_vec();
+    table.sync(&document(servers), now);
+    assert_eq!(table.standing(&"a".into()), Some(Standing::Active));
+    assert_eq!(table.standing(&"c".into()), Some(Standing::Ramp(now)));
+    table.sync(&document(vec![server("c", ServerState::Serving)]), now);
+    assert_eq!(table.standing(&"a".into()), None);
+}
--- /dev/null
+++ b/crates/core/src/policy/retry.rs
@@ -0,0 +1,139 @@
+//! When a shard call that failed is tried again.
+
+use serde::{Deserialize, Serialize};
+
+use super::{
+    budget::TokenBudget,
+    outcome::{CallOutcome, NotRunCause, UnknownCause},
+};
+use crate::{presets::RetryPolicy, request::RequestKind};
+
+/// The most retry tokens that an entry saves up.
+const RETRY_BURST: f64 = 20.0;
+
+/// Why a shard call is tried again; each reason has a counter.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum RetryReason {
+    /// The VM that was called does not own the backend server.
+    NotOwner,
+    /// The owner's queue was full.
+    QueueFull,
+    /// The deadline would have passed in that owner's queue.
+    Infeasible,
+    /// The backend server had no free slot.
+    Busy,
+    /// The backend server is leaving.
+    Leaving,
+    /// The backend server holds another index version.
+    VersionGone,
+    /// The backend server does not hold the shard.
+    UnknownShard,
+    /// No connection could be opened.
+    Connect,
+    /// The call was cancelled on its way by another than its sender.
+    Cancelled,
+    /// The connection broke.
+    Broken,
+    /// The reply is overdue.
+    Timeout,
+    /// The reply could not be used.
+    BadReply,
+}
+
+impl RetryReason {
+    /// All reasons.
+    pub const ALL: [Self; 12] = [
+        Self::NotOwner,
+        Self::QueueFull,
+        Self::Infeasible,
+        Self::Busy,
+        Self::Leaving,
+        Self::VersionGone,
+        Self::UnknownShard,
+        Self::Connect,
+        Self::Cancelled,
+        Self::Broken,
+        Self::Timeout,
+        Self::BadReply,
+    ];
+
+    /// Returns the name of the reason's counter.
+    #[must_use]
+    pub const fn counter(self) -> &'static str {
+        match self {
+            Self::NotOwner => "retry.not_owner",
+            Self::QueueFull => "retry.queue_full",
+            Self::Infeasible => "retry.infeasible",
+            Self::Busy => "retry.busy",
+            Self::Leaving => "retry.leaving",
+            Self::VersionGone => "retry.version_gone",
+            Self::UnknownShard => "retry.unknown_shard",
+            Self::Connect => "retry.connect",
+            Self::Cancelled => "retry.cancelled",
+            Self::Broken => "retry.broken",
+            Self::Timeout => "retry.timeout",
+            Self::BadReply => "retry.bad_reply",
+        }
+    }
+
+    /// Returns why an attempt with this outcome may be tried again; none when it must not be.
+    ///
+    /// Only what was proved not run, or may be repeated, is tried again.
+    #[must_use]
+    pub const fn of(outcome: CallOutcome, kind: RequestKind) -> Option<Self> {
+        match outcome {
+            CallOutcome::Done(_) | CallOutcome::NotRun(NotRunCause::Expired) => None,
+            CallOutcome::NotRun(cause) => Some(Self::of_not_run(cause)),
+            CallOutcome::Unknown(_) if !kind.is_repeatable() => None,
+            CallOutcome::Unknown(UnknownCause::Broken) => Some(Self::Broken),
+            CallOutcome::Unknown(UnknownCause::Timeout) => Some(Self::Timeout),
+            CallOutcome::Unknown(UnknownCause::BadReply) => Some(Self::BadReply),
+        }
+    }
+
+    const fn of_not_run(cause: NotRunCause) -> Self {
+        match cause {
+            NotRunCause::NotOwner => Self::NotOwner,
+            NotRunCause::QueueFull => Self::QueueFull,
+            NotRunCause::Infeasible | NotRunCause::Expired => Self::Infeasible,
+            NotRunCause::Busy => Self::Busy,
+            NotRunCause::Leaving => Self::Leaving,
+            NotRunCause::VersionGone(_) => Self::VersionGone,
+            NotRunCause::UnknownShard => Self::UnknownShard,
+            NotRunCause::Connect => Self::Connect,
+            NotRunCause::Cancelled => Self::Cancelled,
+        }
+    }
+}
+
+/// The retries that one entry may still send.
+#[derive(Clone, Copy, Debug)]
+pub struct Retrier {
+    budget: TokenBudget,
+}
+
+impl Default for Retrier {
+    fn default() -> Self {
+        Self {
+            budget: TokenBudget::new(RETRY_BURST),
+        }
+    }
+}
+
+impl Retrier {
+    /// Notes first attempts, which earn retries.
+    pub fn on_first(&mut self, calls: u32, policy: &RetryPolicy) {
+        self.budget.earn(calls, policy.budget);
+    }
+
+    /// Takes a retry out of the budget; returns false when it is used up.
+    pub fn allow(&mut self) -> bool {
+        self.budget.spend()
+    }
+
+    /// Gives back a retry that found no backend server.
+    pub fn refund(&mut self) {
+        self.budget.refund();
+    }
+}
--- /dev/null
+++ b/crates/core/src/policy/tests.rs
@@ -0,0 +1,257 @@
+//! Tests of budgets, retry reasons, admission and limits.
+
+use std::{
+    collections::HashSet,
+    time::{Duration, Instant},
+};
+
+use yare::parameterized;
+
+use super::{
+    admission::{Admission, AdmissionRequest},
+    budget::TokenBudget,
+    hedge::Hedger,
+    limit::Limit,
+    outcome::{CallOutcome, NotRunCause, UnknownCause},
+    replica::WaitEstimate,
+    retry::RetryReason,
+};
+use crate::{
+    presets::{HedgePolicy, KindPolicy, QueuePolicy},
+    request::{RefusalReason, RequestKind},
+};
+
+const SHED: CallOutcome = CallOutcome::NotRun(NotRunCause::Busy);
+
+#[test]
+fn test_budget_bounds_extra_calls() {
+    let mut budget = TokenBudget::new(10.0);
+    let mut extra = 0;
+    for _ in 0..10_000 {
+        budget.earn(1, 0.05);
+        while budget.spend() {
+            extra += 1;
+        }
+    }
+    assert!((495..=501).contains(&extra), "{extra}");
+}
+
+#[test]
+fn test_budget_burst_is_bounded() {
+    let mut budget = TokenBudget::new(10.0);
+    budget.earn(100_000, 0.1);
+    let burst = std::iter::from_fn(|| budget.spend().then_some(())).count();
+    assert_eq!(burst, 10);
+}
+
+#[test]
+fn test_retry_counters_differ() {
+    let names: HashSet<_> = RetryReason::ALL.map(RetryReason::counter).into();
+    assert_eq!(names.len(), RetryReason::ALL.len());
+}
+
+#[parameterized(
+    done = { CallOutcome::Done(1), RequestKind::Fetch, None },
+    expired = { CallOutcome::NotRun(NotRunCause::Expired), RequestKind::Fetch, None },
+    job_not_run = { SHED, RequestKind::Job, Some(RetryReason::Busy) },
+    job_unknown = { CallOutcome::Unknown(UnknownCause::Timeout), RequestKind::Job, None },
+    fetch_unknown = {
+        CallOutcome::Unknown(UnknownCause::Timeout), RequestKind::Fetch, Some(RetryReason::Timeout)
+    },
+)]
+fn test_retry_reason(outcome: CallOutcome, kind: RequestKind, expected: Option<RetryReason>) {
+    assert_eq!(RetryReason::of(outcome, kind), expected);
+}
+
+#[parameterized(
+    search = { RequestKind::WideSearch, 0.05, true },
+    job = { RequestKind::Job, 0.05, false },
+    no_budget = { RequestKind::WideSearch, 0.0, false },
+)]
+fn test_hedge_delay(kind: RequestKind, budget: f64, hedges: bool) {
+    let mut hedger = Hedger::default();
+    let service = "counter".into();
+    let policy = HedgePolicy {
+        quantile: 0.9,
+        budget,
+    };
+    assert_eq!(hedger.delay(&service, kind, &policy), None);
+    for millis in 1..=100 {
+        hedger.learn(&service, kind, Duration::from_millis(millis));
+    }
+    let delay = hedger.delay(&service, kind, &policy);
+    assert_eq!(delay.is_some(), hedges);
+    let usual = Duration::from_millis(90)..Duration::from_millis(102);
+    assert!(
+        delay.is_none_or(|delay| usual.contains(&delay)),
+        "{delay:?}"
+    );
+}
+
+fn request(caller: &str, kind: RequestKind, wait_ms: u64) -> AdmissionRequest {
+    AdmissionRequest {
+        caller: caller.into(),
+        kind,
+        remaining: Duration::from_millis(200),
+        estimate: WaitEstimate {
+            wait: Duration::from_millis(wait_ms),
+            service: Duration::from_millis(5),
+            queued: 1.0,
+        },
+    }
+}
+
+fn admit(admission: &mut Admission, request: &AdmissionRequest) -> Option<RefusalReason> {
+    let (policy, queue) = (KindPolicy::default(), QueuePolicy::default());
+    let refused = admission.admit(request, &policy, &queue, Instant::now());
+    refused.err().map(|refusal| refusal.reason)
+}
+
+#[parameterized(
+    idle = { RequestKind::WideSearch, 0, None },
+    urgent_waits = { RequestKind::WideSearch, 70, None },
+    ordinary_shed_first = { RequestKind::Fetch, 70, Some(RefusalReason::Overloaded) },
+    urgent_shed = { RequestKind::WideSearch, 90, Some(RefusalReason::Overloaded) },
+    infeasible = { RequestKind::WideSearch, 300, Some(RefusalReason::Infeasible) },
+)]
+fn test_admission_sheds_by_urgency(
+    kind: RequestKind,
+    wait_ms: u64,
+    expected: Option<RefusalReason>,
+) {
+    let mut admission = Admission::default();
+    // The first ordinary request in overload passes by the floor.
+    let warmup = request("dealer", RequestKind::Fetch, 70);
+    assert_eq!(admit(&mut admission, &warmup), None);
+    assert_eq!(
+        admit(&mut admission, &request("dealer", kind, wait_ms)),
+        expected
+    );
+}
+
+#[test]
+fn test_admission_hints_when_to_come_back() {
+    let mut admission = Admission::default();
+    let (policy, queue) = (KindPolicy::default(), QueuePolicy::default());
+    let refused = request("dealer", RequestKind::WideSearch, 300);
+    let refusal = admission.admit(&refused, &policy, &queue, Instant::now());
+    assert_eq!(refusal.unwrap_err().retry, Some(Duration::from_millis(105)));
+    assert_eq!(admission.in_flight(), 0);
+}
+
+#[test]
+fn test_admission_does_not_starve_ordinary() {
+    let mut admission = Admission::default();
+    let mut ordinary = 0;
+    for _ in 0..400 {
+        let urgent = request("dealer", RequestKind::WideSearch, 70);
+        assert_eq!(admit(&mut admission, &urgent), None);
+        admission.on_end(&urgent.caller);
+        let other = request("invoices", RequestKind::Fetch, 70);
+        if admit(&mut admission, &other).is_none() {
+            admission.on_end(&other.caller);
+            ordinary += 1;
+        }
+    }
+    assert!((20..=24).contains(&ordinary), "{ordinary}");
+}
+
+#[test]
+fn test_admission_bounds_a_caller_in_overload() {
+    let mut admission = Admission::default();
+    for _ in 0..60 {
+        assert_eq!(
+            admit(&mut admission, &request("big", RequestKind::WideSearch, 0)),
+            None
+        );
+    }
+    for _ in 0..20 {
+        assert_eq!(
+            admit(
+                &mut admission,
+                &request("small", RequestKind::WideSearch, 0)
+            ),
+            None
+        );
+    }
+    let more = request("big", RequestKind::WideSearch, 0);
+    assert_eq!(admit(&mut admission, &more), None);
+    let shed = request("big", RequestKind::WideSearch, 90);
+    assert_eq!(
+        admit(&mut admission, &shed),
+        Some(RefusalReason::Overloaded)
+    );
+    assert_eq!(
+        admit(&mut admission, &more),
+        Some(RefusalReason::CallerShare)
+    );
+    assert_eq!(
+        admit(
+            &mut admission,
+            &request("small", RequestKind::WideSearch, 0)
+        ),
+        None
+    );
+    for _ in 0..61 {
+        admission.on_end(&"big".into());
+    }
+    assert_eq!(admit(&mut admission, &more), None);
+}
+
+#[test]
+fn test_limit_falls_and_returns_between_one_and_slots() {
+    let start = Instant::now();
+    let mut limit = Limit::new(6, start);
+    assert_eq!(limit.get(), 6);
+    for step in 1..=100 {
+        limit.on_reply(
+            SHED,
+            Duration::ZERO,
+            start + Duration::from_millis(step * 300),
+        );
+    }
+    assert_eq!(limit.get(), 1);
+    limit.grow(start + Duration::from_secs(31));
+    assert_eq!(limit.get(), 1);
+    limit.grow(start + Duration::from_secs(90));
+    assert_eq!(limit.get(), 6);
+}
+
+#[test]
+fn test_limit_does_not_oscillate() {
+    // A backend server that sheds whatever goes beyond three at once.
+    let start = Instant::now();
+    let mut limit = Limit::new(6, start);
+    let mut changes = 0;
+    let mut last = limit.get();
+    for step in 0..6_000_u64 {
+        let now = start + Duration::from_millis(step * 10);
+        let outcome = if limit.get() > 3 {
+            SHED
+        } else {
+            CallOutcome::Done(1)
+        };
+        limit.on_reply(outcome, Duration::from_millis(5), now);
+        changes += u32::from(limit.get() != last && step > 1_000);
+        last = limit.get();
+    }
+    // Fifty seconds with at most a probe for more each eight.
+    assert!(changes <= 20, "{changes}");
+}
+
+#[test]
+fn test_limit_falls_with_latency() {
+    let start = Instant::now();
+    let mut limit = Limit::new(2, start);
+    let reply = CallOutcome::Done(1);
+    for step in 0..200_u64 {
+        let now = start + Duration::from_millis(step * 5);
+        limit.on_reply(reply, Duration::from_millis(5), now);
+    }
+    assert_eq!(limit.get(), 2);
+    for step in 200..250_u64 {
+        let now = start + Duration::from_millis(step * 5);
+        limit.on_reply(reply, Duration::from_millis(50), now);
+    }
+    assert_eq!(limit.get(), 1);
+}
