wire: say in heartbeats who read the configuration and which fallbacks are held

Two processes at one revision can hold different fallbacks for a document whose newest text is rejected, because the service gives only newest texts. A digest on the heartbeat shows that; the reader's name lets extra readers stand down. Document moves to the core so that its store needs no wire types; wire re-exports it.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -3,6 +3,7 @@
 //! Nothing in this package does I/O, reads a clock or draws from a global random source: time and
 //! randomness are passed in. That makes every decision testable with fixed seeds.
 
+pub mod config;
 pub mod ids;
 pub mod index;
 pub mod presets;
--- a/crates/wire/src/operator/mod.rs
+++ b/crates/wire/src/operator/mod.rs
@@ -6,6 +6,7 @@
 use std::collections::BTreeMap;
 
 use cassialift_core::{
+    config::ServiceReach,
     ids::{DataCentre, Incarnation, PresetId, Revision, VmId},
     time::Millis,
 };
@@ -52,8 +53,32 @@
     pub since: Millis,
     /// How long ago the platform last confirmed the revision, as far as is known here.
     pub age: Option<Millis>,
-    /// Why the last rejected document was rejected.
-    pub rejection: Option<String>,
+    /// The VM that had the platform's confirmation; none before the first.
+    pub reader: Option<VmId>,
+    /// Whether this VM itself can read the configuration service.
+    pub service: ServiceReach,
+    /// Documents whose newest text is rejected; their former text is in force.
+    pub rejections: Vec<Rejection>,
+}
+
+/// Why the newest text of a document is rejected.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct Rejection {
+    /// The document's key.
+    pub key: String,
+    /// The revision of the rejected text.
+    pub revision: Revision,
+    /// The revision of the text that stays in force; none if there never was one.
+    pub former: Option<Revision>,
+    /// The line at fault, from 1.
+    pub line: usize,
+    /// The column at fault, from 1.
+    pub column: usize,
+    /// What is wrong.
+    pub cause: String,
+    /// How to mend it.
+    pub hint: Option<String>,
 }
 
 /// One VM as another sees it.
--- a/crates/wire/src/peer/control.rs
+++ b/crates/wire/src/peer/control.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 
 use cassialift_core::{
+    config::ServiceReach,
     ids::{DataCentre, Incarnation, Revision, VmId},
     time::Millis,
 };
@@ -49,6 +50,18 @@
     pub version: u64,
 }
 
+/// What a heartbeat says of the configuration besides its revision and age.
+#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+pub struct ConfigNote {
+    /// Fingerprint of the documents held; two processes at one revision whose fingerprints differ
+    /// hold different fallbacks for a rejected document and reconcile them.
+    pub digest: u64,
+    /// The VM that had the platform's confirmation; none before the first.
+    pub reader: Option<VmId>,
+    /// Whether the sender itself can read the configuration service.
+    pub service: ServiceReach,
+}
+
 /// A heartbeat.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Ping {
@@ -60,6 +73,8 @@
     pub revision: Revision,
     /// How long ago the platform confirmed that revision, as far as it knows.
     pub age: Option<Millis>,
+    /// What else it knows of the configuration.
+    pub config: ConfigNote,
     /// Its load: requests in flight.
     pub load: u32,
     /// Membership news.
@@ -77,6 +92,8 @@
     pub revision: Revision,
     /// How long ago the platform confirmed that revision, as far as it knows.
     pub age: Option<Millis>,
+    /// What else it knows of the configuration.
+    pub config: ConfigNote,
     /// Its load: requests in flight.
     pub load: u32,
     /// Membership news.
--- a/crates/wire/src/peer/mod.rs
+++ b/crates/wire/src/peer/mod.rs
@@ -7,7 +7,8 @@
 
 pub use call::{CallFailure, CallRefusal, CallResult, ShardCall, ShardReply};
 pub use control::{
-    ConfigPull, ConfigPush, Contact, MemberState, MemberUpdate, Ping, PingReply, ProbeReply,
+    ConfigNote, ConfigPull, ConfigPush, Contact, MemberState, MemberUpdate, Ping, PingReply,
+    ProbeReply,
 };
 pub use job::{JobForward, JobReply};
 pub use service::{Peer, PeerClient, PeerRequest, PeerResponse, ServePeer};
--- a/crates/wire/src/platform/mod.rs
+++ b/crates/wire/src/platform/mod.rs
@@ -6,6 +6,7 @@
 
 use std::net::SocketAddr;
 
+pub use cassialift_core::config::{Document, INDEX_PREFIX, PRESETS_KEY};
 use cassialift_core::ids::{DataCentre, Revision, VmId};
 use serde::{Deserialize, Serialize};
 
@@ -13,11 +14,6 @@
 pub const CHANGES_PATH: &str = "/v1/changes";
 /// The path of the VM list.
 pub const VMS_PATH: &str = "/v1/vms";
-/// The key of the preset document.
-pub const PRESETS_KEY: &str = "presets";
-/// The prefix of the keys of index documents.
-pub const INDEX_PREFIX: &str = "index/";
-
 /// Documents of the configuration service that changed after a revision.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 #[serde(deny_unknown_fields)]
@@ -28,18 +24,6 @@
     pub documents: Vec<Document>,
 }
 
-/// One document of the configuration service.
-#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
-#[serde(deny_unknown_fields)]
-pub struct Document {
-    /// The document's key.
-    pub key: String,
-    /// The revision that last changed it.
-    pub revision: Revision,
-    /// Its text, JSON with comments; none once it has been deleted.
-    pub text: Option<String>,
-}
-
 /// The platform's list of VMs; lags behind the facts.
 #[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
 #[serde(deny_unknown_fields)]
