--- a/crates/core/src/index/mod.rs
+++ b/crates/core/src/index/mod.rs
@@ -6,4 +6,4 @@
 mod validate;
 
 pub use document::{IndexDocument, ServerEntry, ServerState, ShardEntry};
-pub use validate::IndexError;
+pub use validate::{IndexCause, IndexError, MAX_CONNECTIONS, MAX_NAME, MAX_SHARDS, MAX_SLOTS};
--- a/crates/core/src/index/validate.rs
+++ b/crates/core/src/index/validate.rs
@@ -1,21 +1,52 @@
 //! Validation of index documents; deterministic, so that all processes accept or all reject.
 
-use std::collections::HashSet;
+use std::{collections::HashSet, net::SocketAddr};
 
 use displaydoc::Display;
 
-use super::IndexDocument;
-use crate::ids::{ServerId, ShardId};
+use super::{IndexDocument, ServerEntry, ShardEntry};
+use crate::{
+    ids::{ServerId, ShardId},
+    text::Path,
+};
 
-/// Why an index document is rejected.
+/// The most shards of one document.
+pub const MAX_SHARDS: usize = 65_536;
+/// The most slots of one backend server.
+pub const MAX_SLOTS: u32 = 1_024;
+/// The most connections of one backend server.
+pub const MAX_CONNECTIONS: u32 = 65_535;
+/// The most bytes of a name.
+pub const MAX_NAME: usize = 256;
+
+/// Why an index document is rejected, and where.
 #[derive(Clone, Debug, Display, Eq, PartialEq)]
-pub enum IndexError {
+#[displaydoc("{path}: {cause}")]
+pub struct IndexError {
+    /// The value at fault.
+    pub path: Path,
+    /// What is wrong with it.
+    pub cause: IndexCause,
+}
+
+/// What is wrong with an index document.
+#[derive(Clone, Debug, Display, Eq, PartialEq)]
+pub enum IndexCause {
     /// the document names no shard
     NoShards,
+    /// the document names {0} shards, more than 65536
+    TooManyShards(usize),
     /// shard {0} stands twice
     DuplicateShard(ShardId),
     /// shard {0} has no replica
     NoReplica(ShardId),
+    /// shard {shard} names backend server {server} twice
+    DuplicateReplica {
+        /// The shard.
+        shard: ShardId,
+        /// The backend server.
+        server: ServerId,
+    },
     /// shard {shard} names backend server {server}, which the document does not describe
     UnknownServer {
         /// The shard that names the server.
@@ -25,55 +56,153 @@
     },
     /// backend server {0} stands twice
     DuplicateServer(ServerId),
+    /// two backend servers have the address {0}
+    DuplicateAddress(SocketAddr),
+    /// {0} is no address that can be connected to
+    BadAddress(SocketAddr),
     /// backend server {0} has no slots
     NoSlots(ServerId),
     /// backend server {0} accepts fewer connections than it has slots
     FewConnections(ServerId),
+    /// {value} is more than {limit}
+    TooLarge {
+        /// The value.
+        value: u32,
+        /// The largest that is allowed.
+        limit: u32,
+    },
+    /// a name must have 1 to 256 bytes
+    BadName,
 }
 
 impl std::error::Error for IndexError {}
 
+impl IndexCause {
+    /// Returns how to mend the document, when that can be told.
+    #[must_use]
+    pub const fn hint(&self) -> Option<&'static str> {
+        Some(match self {
+            Self::NoShards => "delete the document to withdraw the service",
+            Self::DuplicateShard(_) | Self::DuplicateServer(_) | Self::DuplicateReplica { .. } => {
+                "keep one of the two"
+            }
+            Self::NoReplica(_) => "name at least one backend server",
+            Self::UnknownServer { .. } => "add the backend server to servers",
+            Self::FewConnections(_) => "connections must be at least slots",
+            Self::TooManyShards(_)
+            | Self::DuplicateAddress(_)
+            | Self::BadAddress(_)
+            | Self::NoSlots(_)
+            | Self::TooLarge { .. }
+            | Self::BadName => return None,
+        })
+    }
+}
+
 impl IndexDocument {
     /// Checks that the document is consistent.
     ///
     /// # Errors
-    /// Returns the first inconsistency in document order.
+    /// Returns the first inconsistency: servers first, then shards, in document order.
     pub fn validate(&self) -> Result<(), IndexError> {
+        name(Path::new("service"), &self.service)?;
         let servers = self.validate_servers()?;
-        if self.shards.is_empty() {
-            return Err(IndexError::NoShards);
+        let count = self.shards.len();
+        if count == 0 {
+            return fail(Path::new("shards"), IndexCause::NoShards);
+        }
+        if count > MAX_SHARDS {
+            return fail(Path::new("shards"), IndexCause::TooManyShards(count));
         }
         let mut shards = HashSet::new();
-        for entry in &self.shards {
+        for (i, entry) in self.shards.iter().enumerate() {
+            let path = Path::new("shards").item(i);
             if !shards.insert(entry.shard) {
-                return Err(IndexError::DuplicateShard(entry.shard));
-            }
-            if entry.replicas.is_empty() {
-                return Err(IndexError::NoReplica(entry.shard));
-            }
-            for server in &entry.replicas {
-                if !servers.contains(server) {
-                    let (shard, server) = (entry.shard, ServerId::clone(server));
-                    return Err(IndexError::UnknownServer { shard, server });
-                }
+                return fail(path.key("shard"), IndexCause::DuplicateShard(entry.shard));
             }
+            validate_replicas(&path, entry, &servers)?;
         }
         Ok(())
     }
 
     fn validate_servers(&self) -> Result<HashSet<&ServerId>, IndexError> {
         let mut servers = HashSet::new();
-        for entry in &self.servers {
+        let mut addresses = HashSet::new();
+        for (i, entry) in self.servers.iter().enumerate() {
+            let path = Path::new("servers").item(i);
+            validate_server(&path, entry)?;
             if !servers.insert(&entry.id) {
-                return Err(IndexError::DuplicateServer(ServerId::clone(&entry.id)));
-            }
-            if entry.slots == 0 {
-                return Err(IndexError::NoSlots(ServerId::clone(&entry.id)));
+                let cause = IndexCause::DuplicateServer(ServerId::clone(&entry.id));
+                return fail(path.key("id"), cause);
             }
-            if entry.connections < entry.slots {
-                return Err(IndexError::FewConnections(ServerId::clone(&entry.id)));
+            if !addresses.insert(entry.address) {
+                let cause = IndexCause::DuplicateAddress(entry.address);
+                return fail(path.key("address"), cause);
             }
         }
         Ok(servers)
     }
 }
+
+fn validate_server(path: &Path, entry: &ServerEntry) -> Result<(), IndexError> {
+    let at = |key| path.clone().key(key);
+    name(at("id"), &entry.id)?;
+    name(at("centre"), &entry.centre)?;
+    if entry.address.port() == 0 || entry.address.ip().is_unspecified() {
+        return fail(at("address"), IndexCause::BadAddress(entry.address));
+    }
+    if entry.slots == 0 {
+        let cause = IndexCause::NoSlots(ServerId::clone(&entry.id));
+        return fail(at("slots"), cause);
+    }
+    at_most(at("slots"), entry.slots, MAX_SLOTS)?;
+    at_most(at("connections"), entry.connections, MAX_CONNECTIONS)?;
+    if entry.connections < entry.slots {
+        let cause = IndexCause::FewConnections(ServerId::clone(&entry.id));
+        return fail(at("connections"), cause);
+    }
+    Ok(())
+}
+
+fn validate_replicas(
+    path: &Path,
+    entry: &ShardEntry,
+    servers: &HashSet<&ServerId>,
+) -> Result<(), IndexError> {
+    let shard = entry.shard;
+    let path = path.clone().key("replicas");
+    if entry.replicas.is_empty() {
+        return fail(path, IndexCause::NoReplica(shard));
+    }
+    let mut seen = HashSet::new();
+    for (i, server) in entry.replicas.iter().enumerate() {
+        let server = ServerId::clone(server);
+        if !servers.contains(&server) {
+            let cause = IndexCause::UnknownServer { shard, server };
+            return fail(path.item(i), cause);
+        }
+        if !seen.insert(ServerId::clone(&server)) {
+            let cause = IndexCause::DuplicateReplica { shard, server };
+            return fail(path.item(i), cause);
+        }
+    }
+    Ok(())
+}
+
+fn fail<T>(path: Path, cause: IndexCause) -> Result<T, IndexError> {
+    Err(IndexError { path, cause })
+}
+
+fn name(path: Path, name: &str) -> Result<(), IndexError> {
+    if (1..=MAX_NAME).contains(&name.len()) {
+        return Ok(());
+    }
+    fail(path, IndexCause::BadName)
+}
+
+fn at_most(path: Path, value: u32, limit: u32) -> Result<(), IndexError> {
+    if value <= limit {
+        return Ok(());
+    }
+    fail(path, IndexCause::TooLarge { value, limit })
+}
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -8,5 +8,6 @@
 pub mod index;
 pub mod presets;
 pub mod request;
+pub mod text;
 pub mod time;
 pub mod view;
--- a/crates/core/src/presets/mod.rs
+++ b/crates/core/src/presets/mod.rs
@@ -9,4 +9,7 @@
 pub use document::{
     AnswerPolicy, HedgePolicy, KindPolicy, Preset, PresetDocument, QueuePolicy, RetryPolicy,
 };
-pub use validate::PresetError;
+pub use validate::{
+    MAX_ADDRESS_TTL, MAX_ATTEMPTS, MAX_DEADLINE, MAX_PRESETS, MAX_QUEUE, MAX_TICKET_TTL,
+    PresetCause, PresetError,
+};
--- a/crates/core/src/presets/validate.rs
+++ b/crates/core/src/presets/validate.rs
@@ -3,40 +3,84 @@
 use displaydoc::Display;
 
 use super::{AnswerPolicy, KindPolicy, Preset, PresetDocument};
-use crate::{ids::PresetId, request::RequestKind};
+use crate::{ids::PresetId, request::RequestKind, text::Path, time::Millis};
 
-/// Why a preset document is rejected.
+/// The most presets of one document.
+pub const MAX_PRESETS: usize = 64;
+/// The longest that a caller may keep an address answer; a leaving VM waits this long.
+pub const MAX_ADDRESS_TTL: Millis = Millis::new(30_000);
+/// The longest that a ticket's outcome is remembered.
+pub const MAX_TICKET_TTL: Millis = Millis::new(3_600_000);
+/// The longest deadline of a request.
+pub const MAX_DEADLINE: Millis = Millis::new(600_000);
+/// The most attempts of one shard call.
+pub const MAX_ATTEMPTS: u32 = 16;
+/// The most calls that wait for one backend server.
+pub const MAX_QUEUE: u32 = 65_536;
+
+/// Why a preset document is rejected, and where.
+#[derive(Clone, Debug, Display, PartialEq)]
+#[displaydoc("{path}: {cause}")]
+pub struct PresetError {
+    /// The value at fault.
+    pub path: Path,
+    /// What is wrong with it.
+    pub cause: PresetCause,
+}
+
+/// What is wrong with a preset document.
 #[derive(Clone, Debug, Display, PartialEq)]
-pub enum PresetError {
-    /// the active preset {0} is not among the presets
+pub enum PresetCause {
+    /// there is no preset named {0}
     UnknownActive(PresetId),
-    /// preset {preset}: {field} is {value}, which is not between 0 and 1
-    NotAShare {
-        /// The preset at fault.
-        preset: PresetId,
-        /// The field at fault.
-        field: &'static str,
-        /// The value it has.
-        value: f64,
-    },
-    /// preset {preset}: {field} must not be zero
-    Zero {
-        /// The preset at fault.
-        preset: PresetId,
-        /// The field at fault.
-        field: &'static str,
-    },
-    /// preset {preset}: {kind:?} would answer early with less than its least coverage
-    EarlyBelowCoverage {
-        /// The preset at fault.
-        preset: PresetId,
-        /// The kind at fault.
-        kind: RequestKind,
+    /// there are {0} presets, more than 64
+    TooMany(usize),
+    /// {0} is not between 0 and 1
+    NotAShare(f64),
+    /// must not be zero
+    Zero,
+    /// {value} is more than {limit}
+    TooLarge {
+        /// The value.
+        value: u64,
+        /// The largest that is allowed.
+        limit: u64,
     },
+    /// an early answer would cover less than the least coverage of {0}
+    EarlyBelowCoverage(f64),
+    /// a request of this kind has one part and cannot be answered early
+    EarlyWithOnePart,
+    /// every shard call would be hedged at once
+    HedgeAtOnce,
+    /// {0} attempts are allowed, but the budget allows no retry
+    RetryWithoutBudget(u32),
+    /// no caller could queue a single call
+    NoShare,
+    /// a ticket would expire before the deadline of its job, {0} ms
+    TicketBeforeDeadline(u64),
 }
 
 impl std::error::Error for PresetError {}
 
+impl PresetCause {
+    /// Returns how to mend the document, when that can be told.
+    #[must_use]
+    pub const fn hint(&self) -> Option<&'static str> {
+        Some(match self {
+            Self::UnknownActive(_) => "name one of the presets of this document",
+            Self::TooMany(_) => "remove presets that are no longer used",
+            Self::NotAShare(_) => "write a share such as 0.95",
+            Self::Zero | Self::TooLarge { .. } => return None,
+            Self::EarlyBelowCoverage(_) => "raise share, or lower coverage",
+            Self::EarlyWithOnePart => "write \"answer\": \"wait\"",
+            Self::HedgeAtOnce => "set hedge.budget to 0 to switch hedging off",
+            Self::RetryWithoutBudget(_) => "set attempts to 1 to switch retries off",
+            Self::NoShare => "raise queue.length or queue.caller_share",
+            Self::TicketBeforeDeadline(_) => "raise ticket_ttl, or lower the deadline of jobs",
+        })
+    }
+}
+
 impl PresetDocument {
     /// Checks that the document is consistent.
     ///
@@ -44,37 +88,67 @@
     /// Returns the first fault, presets in name order.
     pub fn validate(&self) -> Result<(), PresetError> {
         if self.in_force().is_none() {
-            return Err(PresetError::UnknownActive(PresetId::clone(&self.active)));
+            let cause = PresetCause::UnknownActive(PresetId::clone(&self.active));
+            return fail(Path::new("active"), cause);
+        }
+        if self.presets.len() > MAX_PRESETS {
+            let cause = PresetCause::TooMany(self.presets.len());
+            return fail(Path::new("presets"), cause);
         }
         for (name, preset) in &self.presets {
-            validate_preset(name, preset)?;
+            validate_preset(&Path::new("presets").key(name), preset)?;
         }
         Ok(())
     }
 }
 
-fn validate_preset(name: &PresetId, preset: &Preset) -> Result<(), PresetError> {
-    share(name, "hedge.quantile", preset.hedge.quantile)?;
-    share(name, "hedge.budget", preset.hedge.budget)?;
-    share(name, "retry.budget", preset.retry.budget)?;
-    share(name, "queue.caller_share", preset.queue.caller_share)?;
-    nonzero(name, "retry.attempts", preset.retry.attempts.into())?;
-    nonzero(name, "queue.length", preset.queue.length.into())?;
-    nonzero(name, "address_ttl", preset.address_ttl.into())?;
-    nonzero(name, "ticket_ttl", preset.ticket_ttl.into())?;
+fn validate_preset(base: &Path, preset: &Preset) -> Result<(), PresetError> {
+    let at = |keys| base.clone().keys(keys);
+    share(at("hedge.quantile"), preset.hedge.quantile)?;
+    share(at("hedge.budget"), preset.hedge.budget)?;
+    share(at("retry.budget"), preset.retry.budget)?;
+    share(at("queue.caller_share"), preset.queue.caller_share)?;
+    within(at("retry.attempts"), preset.retry.attempts, MAX_ATTEMPTS)?;
+    within(at("queue.length"), preset.queue.length, MAX_QUEUE)?;
+    within(at("address_ttl"), preset.address_ttl, MAX_ADDRESS_TTL)?;
+    within(at("ticket_ttl"), preset.ticket_ttl, MAX_TICKET_TTL)?;
+    at_most(
+        at("queue.starvation"),
+        preset.queue.starvation,
+        MAX_DEADLINE,
+    )?;
     for (kind, policy) in &preset.kinds {
-        validate_kind(name, *kind, policy)?;
+        let path = base.clone().key("kinds").key(kind.name());
+        validate_kind(&path, *kind, policy)?;
+    }
+    validate_combinations(base, preset)
+}
+
+fn validate_combinations(base: &Path, preset: &Preset) -> Result<(), PresetError> {
+    let at = |keys| base.clone().keys(keys);
+    let (hedge, retry, queue) = (preset.hedge, preset.retry, preset.queue);
+    if hedge.budget > 0.0 && hedge.quantile <= 0.0 {
+        return fail(at("hedge.quantile"), PresetCause::HedgeAtOnce);
+    }
+    if retry.attempts > 1 && retry.budget <= 0.0 {
+        let cause = PresetCause::RetryWithoutBudget(retry.attempts);
+        return fail(at("retry.budget"), cause);
+    }
+    if f64::from(queue.length) * queue.caller_share < 1.0 {
+        return fail(at("queue.caller_share"), PresetCause::NoShare);
+    }
+    let deadline = preset.kind(RequestKind::Job).deadline;
+    if preset.ticket_ttl < deadline {
+        let cause = PresetCause::TicketBeforeDeadline(deadline.into());
+        return fail(at("ticket_ttl"), cause);
     }
     Ok(())
 }
 
-fn validate_kind(
-    name: &PresetId,
-    kind: RequestKind,
-    policy: &KindPolicy,
-) -> Result<(), PresetError> {
-    share(name, "coverage", policy.coverage)?;
-    nonzero(name, "deadline", policy.deadline.into())?;
+fn validate_kind(path: &Path, kind: RequestKind, policy: &KindPolicy) -> Result<(), PresetError> {
+    let at = |keys| path.clone().keys(keys);
+    share(at("coverage"), policy.coverage)?;
+    within(at("deadline"), policy.deadline, MAX_DEADLINE)?;
     let AnswerPolicy::Early {
         share: early,
         after,
@@ -82,31 +156,45 @@
     else {
         return Ok(());
     };
-    share(name, "answer.early.share", early)?;
-    share(name, "answer.early.after", after)?;
+    if matches!(kind, RequestKind::Fetch | RequestKind::Job) {
+        return fail(at("answer.early"), PresetCause::EarlyWithOnePart);
+    }
+    share(at("answer.early.share"), early)?;
+    share(at("answer.early.after"), after)?;
+    if early <= 0.0 {
+        return fail(at("answer.early.share"), PresetCause::Zero);
+    }
     if early < policy.coverage {
-        let preset = PresetId::clone(name);
-        return Err(PresetError::EarlyBelowCoverage { preset, kind });
+        let cause = PresetCause::EarlyBelowCoverage(policy.coverage);
+        return fail(at("answer.early.share"), cause);
     }
     Ok(())
 }
 
-fn share(name: &PresetId, field: &'static str, value: f64) -> Result<(), PresetError> {
+fn fail(path: Path, cause: PresetCause) -> Result<(), PresetError> {
+    Err(PresetError { path, cause })
+}
+
+fn share(path: Path, value: f64) -> Result<(), PresetError> {
     if (0.0..=1.0).contains(&value) {
         return Ok(());
     }
-    let preset = PresetId::clone(name);
-    Err(PresetError::NotAShare {
-        preset,
-        field,
-        value,
-    })
+    fail(path, PresetCause::NotAShare(value))
+}
+
+/// Checks that a value is neither zero nor above its limit.
+fn within<T: Into<u64>>(path: Path, value: T, limit: T) -> Result<(), PresetError> {
+    let value = value.into();
+    if value == 0 {
+        return fail(path, PresetCause::Zero);
+    }
+    at_most(path, value, limit.into())
 }
 
-fn nonzero(name: &PresetId, field: &'static str, value: u64) -> Result<(), PresetError> {
-    if value > 0 {
+fn at_most<T: Into<u64>>(path: Path, value: T, limit: T) -> Result<(), PresetError> {
+    let (value, limit) = (value.into(), limit.into());
+    if value <= limit {
         return Ok(());
     }
-    let preset = PresetId::clone(name);
-    Err(PresetError::Zero { preset, field })
+    fail(path, PresetCause::TooLarge { value, limit })
 }
--- a/crates/core/src/request/kind.rs
+++ b/crates/core/src/request/kind.rs
@@ -30,6 +30,17 @@
     /// All kinds.
     pub const ALL: [Self; 4] = [Self::WideSearch, Self::NarrowSearch, Self::Fetch, Self::Job];
 
+    /// Returns the name that documents and messages use.
+    #[must_use]
+    pub const fn name(self) -> &'static str {
+        match self {
+            Self::WideSearch => "wide_search",
+            Self::NarrowSearch => "narrow_search",
+            Self::Fetch => "fetch",
+            Self::Job => "job",
+        }
+    }
+
     /// Returns how the kind is ranked against others.
     #[must_use]
     pub const fn urgency(self) -> Urgency {
