--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -3,10 +3,12 @@
 //! Nothing in this package does I/O, reads a clock or draws from a global random source: time and
 //! randomness are passed in. That makes every decision testable with fixed seeds.
 
+pub mod config;
 pub mod ids;
 pub mod index;
 pub mod policy;
 pub mod presets;
 pub mod request;
+pub mod text;
 pub mod time;
 pub mod view;
