owner: lanes, slots, queue and cancellation towards backend servers

The thin owner used one volo-http client a backend server, whose pool bounds idle connections only, and told every failed send as broken.

Whether a request was sent is decided by a mark that its body claims when the connection takes it, so not run and unknown don't rest on error kinds.

--- /dev/null
+++ b/crates/server/src/owner/body.rs
@@ -0,0 +1,69 @@
+//! The body of a request to a backend server.
+
+use std::{
+    pin::Pin,
+    sync::Arc,
+    task::{Context, Poll},
+    time::Instant,
+};
+
+use bytes::Bytes;
+use displaydoc::Display;
+use http_body::{Body, Frame, SizeHint};
+
+use super::mark::SendMark;
+
+/// the request was withheld from the connection
+#[derive(Clone, Copy, Debug, Display, Eq, PartialEq)]
+pub(super) struct Withheld;
+
+impl std::error::Error for Withheld {}
+
+/// A body that asks its mark for leave right before the connection takes it.
+///
+/// The HTTP library takes the body in the same step that writes the head into its buffer and
+/// before it flushes, so a body that is withheld means that nothing was sent.
+#[derive(Debug)]
+pub(super) struct CallBody {
+    data: Option<Bytes>,
+    deadline: Instant,
+    mark: Arc<SendMark>,
+}
+
+impl CallBody {
+    /// Makes a body that is withheld after `deadline`.
+    pub(super) fn new(data: Bytes, deadline: Instant, mark: Arc<SendMark>) -> Self {
+        Self {
+            data: Some(data),
+            deadline,
+            mark,
+        }
+    }
+}
+
+impl Body for CallBody {
+    type Data = Bytes;
+    type Error = Withheld;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        _cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, Withheld>>> {
+        let Some(data) = self.data.take() else {
+            return Poll::Ready(None);
+        };
+        if !self.mark.claim(Instant::now(), self.deadline) {
+            return Poll::Ready(Some(Err(Withheld)));
+        }
+        Poll::Ready(Some(Ok(Frame::data(data))))
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.data.is_none()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        let length = self.data.as_ref().map_or(0, Bytes::len);
+        SizeHint::with_exact(length as u64)
+    }
+}
--- /dev/null
+++ b/crates/server/src/owner/exchange.rs
@@ -0,0 +1,121 @@
+//! One request and its reply on a lane.
+
+use std::{net::SocketAddr, sync::Arc, time::Instant};
+
+use bytes::{Bytes, BytesMut};
+use displaydoc::Display;
+use http_body_util::BodyExt;
+use hyper::{
+    Request, Response,
+    body::Incoming,
+    header::{CONTENT_TYPE, HOST},
+};
+
+use super::{
+    body::CallBody,
+    counters::OwnerCounter,
+    lane::Lane,
+    mark::{SendMark, SendState},
+};
+use crate::metrics::Metrics;
+
+/// Why an exchange gave no reply body.
+#[derive(Clone, Copy, Debug, Display, Eq, PartialEq)]
+pub(super) enum ExchangeError {
+    /// the connection was closed before the request was handed to it
+    Unsent,
+    /// the time ran out before the request was handed to the connection
+    Withheld,
+    /// the request was cancelled before it was handed to the connection
+    Cancelled,
+    /// the connection broke after the request was handed to it
+    Broken,
+    /// the reply is larger than the settings allow
+    TooLarge,
+}
+
+/// A request for one exchange.
+#[derive(Debug)]
+pub(super) struct Exchange {
+    /// The path.
+    pub(super) path: &'static str,
+    /// The body.
+    pub(super) body: Bytes,
+    /// The time after which the request is not sent.
+    pub(super) deadline: Instant,
+    /// Decides whether it is sent.
+    pub(super) mark: Arc<SendMark>,
+    /// The counters of the edge.
+    pub(super) metrics: Arc<Metrics>,
+    /// Counts the request once it was handed to the connection.
+    pub(super) counter: OwnerCounter,
+    /// The largest reply body that is read, in bytes.
+    pub(super) limit: usize,
+}
+
+/// Sends a request on a lane and reads the reply; sends it once at most.
+///
+/// On an error the lane must not be used again.
+pub(super) async fn exchange(lane: &mut Lane, exchange: Exchange) -> Result<Bytes, ExchangeError> {
+    let Exchange {
+        path,
+        body,
+        deadline,
+        mark,
+        metrics,
+        counter,
+        limit,
+    } = exchange;
+    if lane.sender.ready().await.is_err() {
+        return Err(unsent(&mark));
+    }
+    let body = CallBody::new(body, deadline, Arc::clone(&mark));
+    let request = build(lane.address, path, body);
+    let sent = lane.sender.try_send_request(request).await;
+    if mark.state() == SendState::Sent {
+        counter.add(&metrics);
+    }
+    let Ok(response) = sent else {
+        return Err(unsent(&mark));
+    };
+    read(response, limit).await
+}
+
+fn build(address: SocketAddr, path: &'static str, body: CallBody) -> Request<CallBody> {
+    Request::post(path)
+        .header(HOST, address.to_string())
+        .header(CONTENT_TYPE, "application/json")
+        .body(body)
+        .expect("a constant path and an address make a valid request")
+}
+
+/// Tells from the mark, not from the library's error, whether the request was sent.
+fn unsent(mark: &SendMark) -> ExchangeError {
+    match mark.state() {
+        SendState::Waiting => ExchangeError::Unsent,
+        SendState::Withheld => ExchangeError::Withheld,
+        SendState::Cancelled => ExchangeError::Cancelled,
+        SendState::Sent => ExchangeError::Broken,
+    }
+}
+
+async fn read(response: Response<Incoming>, limit: usize) -> Result<Bytes, ExchangeError> {
+    let mut body = response.into_body();
+    let mut buffer = BytesMut::new();
+    while let Some(frame) = body.frame().await {
+        let Ok(frame) = frame else {
+            return Err(ExchangeError::Broken);
+        };
+        let Ok(data) = frame.into_data() else {
+            continue;
+        };
+        if buffer.len() + data.len() > limit {
+            return Err(ExchangeError::TooLarge);
+        }
+        if buffer.is_empty() && http_body::Body::is_end_stream(&body) {
+            return Ok(data);
+        }
+        buffer.extend_from_slice(&data);
+    }
+    Ok(buffer.freeze())
+}
--- /dev/null
+++ b/crates/server/src/owner/gate.rs
@@ -0,0 +1,165 @@
+//! The gate of one backend server: its shares, what uses them, and the queue in front.
+
+use std::{collections::VecDeque, net::SocketAddr, time::Duration, time::Instant};
+
+use cassialift_core::{ids::VmId, presets::QueuePolicy};
+use cassialift_wire::{backend::ServerLoad, peer::CallRefusal};
+
+use super::{lane::Lane, queue::CallQueue};
+
+/// The weight of a new sample in the learned service time: one part in this many.
+const SAMPLE_WEIGHT: u32 = 8;
+
+/// What a view grants this process of one backend server.
+#[derive(Clone, Debug)]
+pub(super) struct Share {
+    /// Where the backend server listens.
+    pub(super) address: SocketAddr,
+    /// The requests that this process may run on it at once.
+    pub(super) slots: u32,
+    /// The connections that this process may hold to it.
+    pub(super) connections: u32,
+    /// Whether the backend server is leaving.
+    pub(super) leaving: bool,
+    /// Who owns it, as far as this process knows.
+    pub(super) owner: Option<VmId>,
+    /// How calls wait for it.
+    pub(super) policy: QueuePolicy,
+}
+
+/// The state of one backend server's gate.
+///
+/// The number of open sockets counts those that are being opened and those that are being closed.
+#[derive(Debug)]
+pub(super) struct Gate<W> {
+    pub(super) share: Share,
+    pub(super) running: u32,
+    pub(super) open: u32,
+    pub(super) idle: VecDeque<Lane>,
+    pub(super) queue: CallQueue<W>,
+    pub(super) sequence: u64,
+    pub(super) load: ServerLoad,
+    pub(super) held: Option<Instant>,
+    service: Duration,
+}
+
+/// What a granted call uses to send with.
+#[derive(Debug)]
+pub(super) enum Passage {
+    /// A warm lane.
+    Warm(Lane),
+    /// Leave to open a connection, already counted.
+    Open,
+}
+
+impl<W> Gate<W> {
+    /// Makes a gate with nothing in use.
+    pub(super) fn new(share: Share) -> Self {
+        Self {
+            share,
+            running: 0,
+            open: 0,
+            idle: VecDeque::new(),
+            queue: CallQueue::new(),
+            sequence: 0,
+            load: ServerLoad::default(),
+            held: None,
+            service: Duration::ZERO,
+        }
+    }
+
+    /// Returns why no new work may be sent, if so.
+    pub(super) fn refusal(&self, now: Instant) -> Option<CallRefusal> {
+        if self.share.slots == 0 || self.share.connections == 0 {
+            let owner = self.share.owner.clone();
+            return Some(CallRefusal::NotOwner { owner });
+        }
+        if self.share.leaving || self.held.is_some_and(|until| now < until) {
+            return Some(CallRefusal::Leaving);
+        }
+        None
+    }
+
+    /// Takes a slot and what to send with; none when either is used up.
+    pub(super) fn pass(&mut self) -> Option<Passage> {
+        if self.running >= self.share.slots {
+            return None;
+        }
+        let passage = match self.take_idle() {
+            Some(lane) => Passage::Warm(lane),
+            None if self.reserve_open() => Passage::Open,
+            None => return None,
+        };
+        self.running += 1;
+        Some(passage)
+    }
+
+    /// Takes the lane that was used last.
+    pub(super) fn take_idle(&mut self) -> Option<Lane> {
+        while let Some(lane) = self.idle.pop_back() {
+            if !lane.is_closed() && lane.address == self.share.address {
+                return Some(lane);
+            }
+        }
+        None
+    }
+
+    /// Counts one more connection if the share allows it.
+    pub(super) fn reserve_open(&mut self) -> bool {
+        if self.open >= self.share.connections {
+            return false;
+        }
+        self.open += 1;
+        true
+    }
+
+    /// Keeps a lane for later use, or drops it when the share shrank or the server moved.
+    pub(super) fn put_idle(&mut self, lane: Lane) {
+        let fits = self.open <= self.share.connections && self.share.slots > 0;
+        if fits && !lane.is_closed() && lane.address == self.share.address {
+            self.idle.push_back(lane);
+        }
+    }
+
+    /// Drops idle lanes that are closed, lead elsewhere or exceed the share.
+    pub(super) fn trim_idle(&mut self) {
+        let address = self.share.address;
+        self.idle
+            .retain(|lane| !lane.is_closed() && lane.address == address);
+        let excess = self.open.saturating_sub(self.share.connections) as usize;
+        let dropped = if self.share.slots == 0 {
+            self.idle.len()
+        } else {
+            excess.min(self.idle.len())
+        };
+        self.idle.drain(..dropped);
+    }
+
+    /// Returns how many connections are to be opened in advance.
+    pub(super) fn missing_warm(&self) -> u32 {
+        let wanted = self.share.slots.min(self.share.connections);
+        wanted.saturating_sub(self.open)
+    }
+
+    /// Learns from a reply.
+    pub(super) fn learn(&mut self, load: ServerLoad, took: Duration) {
+        self.load = load;
+        self.service = if self.service.is_zero() {
+            took
+        } else {
+            (self.service * (SAMPLE_WEIGHT - 1) + took) / SAMPLE_WEIGHT
+        };
+    }
+
+    /// Estimates the wait of a call with `ahead` calls before it; zero before the first reply.
+    pub(super) fn estimate(&self, ahead: usize) -> Duration {
+        let slots = self.share.slots.max(1);
+        let rounds = u32::try_from(ahead).unwrap_or(u32::MAX) / slots + 1;
+        self.service.saturating_mul(rounds)
+    }
+
+    /// Returns whether nothing is in use.
+    pub(super) fn is_unused(&self) -> bool {
+        self.running == 0 && self.open == 0 && self.queue.is_empty()
+    }
+}
--- /dev/null
+++ b/crates/server/src/owner/lane.rs
@@ -0,0 +1,90 @@
+//! Lanes: connections to a backend server that carry one request at a time.
+
+use std::{io, net::SocketAddr, time::Duration, time::Instant};
+
+use displaydoc::Display;
+use hyper::client::conn::http1::{self, SendRequest};
+use hyper_util::rt::TokioIo;
+use tokio::{net::TcpStream, runtime::Handle};
+
+use super::{body::CallBody, counters::OwnerCounter, server::OpenPermit};
+
+/// Why a connection could not be opened.
+#[derive(Debug, Display)]
+pub(super) enum ConnectError {
+    /// no answer within the connect time
+    Timeout,
+    /// the socket could not be connected: {0}
+    Socket(io::Error),
+    /// the connection could not be set up: {0}
+    Setup(hyper::Error),
+}
+
+/// An open connection that carries one request at a time.
+#[derive(Debug)]
+pub(super) struct Lane {
+    /// Sends requests to the task that drives the connection.
+    pub(super) sender: SendRequest<CallBody>,
+    /// The address that the connection was opened to.
+    pub(super) address: SocketAddr,
+    /// When the connection was last used.
+    pub(super) used: Instant,
+}
+
+impl Lane {
+    /// Opens a connection; the permit is returned once its socket is closed.
+    pub(super) async fn open(
+        address: SocketAddr,
+        permit: OpenPermit,
+        limit: Duration,
+        handle: &Handle,
+    ) -> Result<Self, ConnectError> {
+        let result = Self::open_inner(address, permit, limit, handle).await;
+        if let Err(error) = &result {
+            log::debug!("owner: no connection to {address}: {error}.");
+        }
+        result
+    }
+
+    async fn open_inner(
+        address: SocketAddr,
+        permit: OpenPermit,
+        limit: Duration,
+        handle: &Handle,
+    ) -> Result<Self, ConnectError> {
+        let metrics = permit.metrics();
+        let connecting = tokio::time::timeout(limit, TcpStream::connect(address)).await;
+        let stream = match connecting {
+            Ok(Ok(stream)) => stream,
+            Ok(Err(error)) => {
+                OwnerCounter::ConnectFailed.add(&metrics);
+                return Err(ConnectError::Socket(error));
+            }
+            Err(_elapsed) => {
+                OwnerCounter::ConnectFailed.add(&metrics);
+                return Err(ConnectError::Timeout);
+            }
+        };
+        stream.set_nodelay(true).map_err(ConnectError::Socket)?;
+        let (sender, connection) = http1::handshake(TokioIo::new(stream))
+            .await
+            .map_err(ConnectError::Setup)?;
+        OwnerCounter::Opened.add(&metrics);
+        handle.spawn(async move {
+            let _permit = permit;
+            if let Err(error) = connection.await {
+                log::debug!("owner: connection to {address} ended: {error}.");
+            }
+        });
+        Ok(Self {
+            sender,
+            address,
+            used: Instant::now(),
+        })
+    }
+
+    /// Returns whether the connection is known to be closed.
+    pub(super) fn is_closed(&self) -> bool {
+        self.sender.is_closed()
+    }
+}
--- a/crates/server/src/owner/mod.rs
+++ b/crates/server/src/owner/mod.rs
@@ -1,5 +1,24 @@
-//! The edge to backend servers.
+//! The edge towards backend servers: queue, slots, connections and exchanges.
+//!
+//! Each backend server that this process owns has a gate that bounds the requests it runs and the
+//! connections it holds, a queue in front of the gate, and lanes: connections that carry one
+//! request at a time. Whether a request was handed to a connection is decided at one point, the
+//! `SendMark`, so that a refusal that says `not run` is proved.
 
-mod call;
+mod body;
+mod cancel;
+mod counters;
+mod exchange;
+mod gate;
+mod lane;
+mod mark;
+mod queue;
+mod run;
+mod server;
+mod service;
+mod settings;
+#[cfg(test)]
+mod tests;
 
-pub use call::Owner;
+pub use service::{Owner, follow};
+pub use settings::OwnerSettings;
--- /dev/null
+++ b/crates/server/src/owner/run.rs
@@ -0,0 +1,190 @@
+//! One granted call: finds a lane, sends the request once and reads the reply.
+
+use std::{
+    sync::Arc,
+    time::{Duration, Instant},
+};
+
+use bytes::Bytes;
+use cassialift_core::time::Millis;
+use cassialift_wire::{
+    backend::{RUN_PATH, RunOutcome, RunRefusal, RunReply, RunRequest},
+    peer::{CallFailure, CallRefusal, CallResult, ShardCall},
+};
+
+use super::{
+    counters::OwnerCounter,
+    exchange::{Exchange, ExchangeError, exchange},
+    lane::Lane,
+    mark::SendMark,
+    server::{Grant, Server},
+};
+
+/// How often a request that was proved unsent is moved to another connection.
+const MOVES: u32 = 2;
+
+/// A granted call.
+#[derive(Debug)]
+pub(super) struct Run {
+    /// The slot and what to send with.
+    pub(super) grant: Grant,
+    /// The call.
+    pub(super) call: Arc<ShardCall>,
+    /// When its time runs out.
+    pub(super) deadline: Instant,
+    /// Decides whether it is sent.
+    pub(super) mark: Arc<SendMark>,
+}
+
+impl Run {
+    /// Runs the call; the slot is held until the returned future ends or is dropped.
+    pub(super) async fn execute(mut self) -> CallResult {
+        let mut moves = 0;
+        loop {
+            let Some(mut lane) = self.lane().await else {
+                return CallResult::NotRun(CallRefusal::Connect);
+            };
+            let Some(request) = self.exchange() else {
+                self.grant.server().put_idle(lane);
+                self.count(OwnerCounter::Withheld);
+                return CallResult::NotRun(CallRefusal::Expired);
+            };
+            let sent = Instant::now();
+            match exchange(&mut lane, request).await {
+                Ok(body) => return self.finish(lane, &body, sent.elapsed()),
+                Err(ExchangeError::Unsent) if moves < MOVES => {
+                    self.count(OwnerCounter::Moved);
+                    moves += 1;
+                }
+                Err(error) => return self.fail(error),
+            }
+        }
+    }
+
+    /// Takes a warm lane, or opens one when there is none or it is too old for this call.
+    async fn lane(&mut self) -> Option<Lane> {
+        let warm = self.grant.take_lane().filter(|lane| !lane.is_closed());
+        if let Some(lane) = warm {
+            if self.is_fresh(&lane) {
+                return Some(lane);
+            }
+            let Some(opened) = self.open().await else {
+                return Some(lane);
+            };
+            self.grant.server().put_idle(lane);
+            return Some(opened);
+        }
+        self.open().await
+    }
+
+    async fn open(&mut self) -> Option<Lane> {
+        let permit = self.grant.take_permit()?;
+        let server = Arc::clone(self.grant.server());
+        let left = self.deadline.saturating_duration_since(Instant::now());
+        let limit = left.min(server.settings.connect.0);
+        Lane::open(server.address(), permit, limit, &server.handle)
+            .await
+            .ok()
+    }
+
+    fn is_fresh(&self, lane: &Lane) -> bool {
+        let fresh = self.grant.server().settings.fresh.0;
+        self.call.kind.is_repeatable() || lane.used.elapsed() < fresh
+    }
+
+    /// Builds the request with the time that is left now; none when there is none left.
+    fn exchange(&self) -> Option<Exchange> {
+        let remaining = self.deadline.saturating_duration_since(Instant::now());
+        if remaining < Duration::from_millis(1) {
+            return None;
+        }
+        let call = &*self.call;
+        let request = RunRequest {
+            request: call.request,
+            attempt: call.attempt,
+            service: Arc::clone(&call.service),
+            shard: call.shard,
+            version: call.version,
+            kind: call.kind,
+            urgency: call.urgency,
+            remaining: Millis(remaining),
+            body: call.body.clone(),
+        };
+        let body =
+            serde_json::to_vec(&request).expect("a request of strings and numbers is valid JSON");
+        Some(Exchange {
+            path: RUN_PATH,
+            body: Bytes::from(body),
+            deadline: self.deadline,
+            mark: Arc::clone(&self.mark),
+            metrics: Arc::clone(&self.grant.server().metrics),
+            counter: OwnerCounter::Sent,
+            limit: self.grant.server().settings.reply,
+        })
+    }
+
+    fn finish(self, mut lane: Lane, body: &[u8], took: Duration) -> CallResult {
+        let server = Arc::clone(self.grant.server());
+        let Some(reply) = self.parse(body) else {
+            self.count(OwnerCounter::BadReply);
+            return CallResult::Unknown(CallFailure::BadReply);
+        };
+        server.learn(reply.load, took);
+        let result = result(&server, reply.outcome);
+        lane.used = Instant::now();
+        server.put_idle(lane);
+        result
+    }
+
+    /// Reads a reply; none when it is unreadable or belongs to another call.
+    fn parse(&self, body: &[u8]) -> Option<RunReply> {
+        let reply: RunReply = serde_json::from_slice(body).ok()?;
+        let call = &*self.call;
+        let matches = reply.request == call.request
+            && reply.attempt == call.attempt
+            && reply.shard == call.shard
+            && reply.server == call.server;
+        matches.then_some(reply)
+    }
+
+    fn fail(&self, error: ExchangeError) -> CallResult {
+        match error {
+            ExchangeError::Unsent => CallResult::NotRun(CallRefusal::Connect),
+            ExchangeError::Withheld => {
+                self.count(OwnerCounter::Withheld);
+                CallResult::NotRun(CallRefusal::Expired)
+            }
+            ExchangeError::Cancelled => CallResult::NotRun(CallRefusal::Cancelled),
+            ExchangeError::Broken => {
+                self.count(OwnerCounter::Broken);
+                CallResult::Unknown(CallFailure::Broken)
+            }
+            ExchangeError::TooLarge => {
+                self.count(OwnerCounter::BadReply);
+                CallResult::Unknown(CallFailure::BadReply)
+            }
+        }
+    }
+
+    fn count(&self, counter: OwnerCounter) {
+        counter.add(&self.grant.server().metrics);
+    }
+}
+
+fn result(server: &Server, outcome: RunOutcome) -> CallResult {
+    let refusal = match outcome {
+        RunOutcome::Done { version, rows } => return CallResult::Done { version, rows },
+        RunOutcome::Refused(refusal) => refusal,
+    };
+    CallResult::NotRun(match refusal {
+        RunRefusal::Busy => CallRefusal::Busy,
+        RunRefusal::Leaving => {
+            server.hold();
+            CallRefusal::Leaving
+        }
+        RunRefusal::Expired => CallRefusal::Expired,
+        RunRefusal::Cancelled => CallRefusal::Cancelled,
+        RunRefusal::VersionGone { held } => CallRefusal::VersionGone { held },
+        RunRefusal::UnknownShard => CallRefusal::UnknownShard,
+    })
+}
--- /dev/null
+++ b/crates/server/src/owner/server.rs
@@ -0,0 +1,337 @@
+//! One backend server as its owner sees it.
+
+use std::{
+    sync::{Arc, Mutex, MutexGuard, PoisonError},
+    time::{Duration, Instant},
+};
+
+use cassialift_core::ids::CallerId;
+use cassialift_wire::{
+    backend::ServerLoad,
+    peer::{CallRefusal, ShardCall},
+};
+use tokio::{runtime::Handle, sync::oneshot};
+
+use super::{
+    counters::OwnerCounter,
+    gate::{Gate, Passage, Share},
+    lane::Lane,
+    queue::QueueKey,
+    settings::OwnerSettings,
+};
+use crate::metrics::Metrics;
+
+type Waiter = oneshot::Sender<Result<Grant, CallRefusal>>;
+
+/// One backend server: its gate and what all servers share.
+#[derive(Debug)]
+pub(super) struct Server {
+    pub(super) settings: OwnerSettings,
+    pub(super) metrics: Arc<Metrics>,
+    pub(super) handle: Handle,
+    gate: Mutex<Gate<Waiter>>,
+}
+
+/// Leave to hold one connection open; given back when dropped.
+#[derive(Debug)]
+pub(super) struct OpenPermit(Arc<Server>);
+
+/// A slot and what to send with; both are given back when dropped.
+#[derive(Debug)]
+pub(super) struct Grant {
+    server: Arc<Server>,
+    lane: Option<Lane>,
+    permit: Option<OpenPermit>,
+}
+
+/// What came of asking for a slot.
+#[derive(Debug)]
+pub(super) enum Admission {
+    /// A slot was free.
+    Granted(Grant),
+    /// The call waits in the queue.
+    Waiting(QueuePlace),
+}
+
+/// A place in the queue; left when dropped.
+#[derive(Debug)]
+pub(super) struct QueuePlace {
+    server: Arc<Server>,
+    key: QueueKey,
+    receiver: oneshot::Receiver<Result<Grant, CallRefusal>>,
+}
+
+impl Server {
+    /// Makes a server with nothing in use.
+    pub(super) fn new(
+        settings: OwnerSettings,
+        metrics: Arc<Metrics>,
+        handle: Handle,
+        share: Share,
+    ) -> Self {
+        Self {
+            settings,
+            metrics,
+            handle,
+            gate: Mutex::new(Gate::new(share)),
+        }
+    }
+
+    /// Applies a new share: refuses the queue when the server is lost, opens connections else.
+    pub(super) fn apply(self: &Arc<Self>, share: Share) {
+        let now = Instant::now();
+        let (refused, warm) = {
+            let mut gate = self.lock();
+            gate.share = share;
+            gate.trim_idle();
+            match gate.refusal(now) {
+                Some(refusal) => (Some((gate.queue.drain(), refusal)), 0),
+                None => (None, gate.missing_warm()),
+            }
+        };
+        if let Some((waiters, refusal)) = refused {
+            refuse(waiters, &refusal);
+        }
+        self.dispatch();
+        for _ in 0..warm {
+            self.warm();
+        }
+    }
+
+    /// Asks for a slot for a call.
+    pub(super) fn admit(
+        self: &Arc<Self>,
+        call: &ShardCall,
+        now: Instant,
+        deadline: Instant,
+    ) -> Result<Admission, CallRefusal> {
+        let mut gate = self.lock();
+        if let Some(refusal) = gate.refusal(now) {
+            return Err(refusal);
+        }
+        if gate.queue.is_empty()
+            && let Some(passage) = gate.pass()
+        {
+            drop(gate);
+            return Ok(Admission::Granted(self.grant(passage)));
+        }
+        let key = QueueKey {
+            urgency: call.urgency,
+            deadline,
+            sequence: gate.sequence,
+        };
+        self.check_room(&gate, &key, &call.caller, now)?;
+        gate.sequence += 1;
+        let (sender, receiver) = oneshot::channel();
+        gate.queue
+            .push(key, CallerId::clone(&call.caller), now, sender);
+        drop(gate);
+        Ok(Admission::Waiting(QueuePlace {
+            server: Arc::clone(self),
+            key,
+            receiver,
+        }))
+    }
+
+    fn check_room(
+        &self,
+        gate: &Gate<Waiter>,
+        key: &QueueKey,
+        caller: &str,
+        now: Instant,
+    ) -> Result<(), CallRefusal> {
+        if !gate.queue.has_room(caller, &gate.share.policy) {
+            OwnerCounter::QueueFull.add(&self.metrics);
+            return Err(CallRefusal::QueueFull);
+        }
+        let wait = gate.estimate(gate.queue.ahead(key));
+        if now + wait >= key.deadline {
+            OwnerCounter::Infeasible.add(&self.metrics);
+            return Err(CallRefusal::Infeasible);
+        }
+        Ok(())
+    }
+
+    /// Lets waiting calls pass while there are slots and connections.
+    pub(super) fn dispatch(self: &Arc<Self>) {
+        let now = Instant::now();
+        let mut ready = Vec::new();
+        let expired = {
+            let mut gate = self.lock();
+            let expired = gate.queue.drain_expired(now);
+            while !gate.queue.is_empty() {
+                let Some(passage) = gate.pass() else {
+                    break;
+                };
+                let policy = gate.share.policy;
+                if let Some(waiter) = gate.queue.pop(now, &policy) {
+                    ready.push((waiter, passage));
+                }
+            }
+            expired
+        };
+        // A grant whose receiver is gone gives its slot back when dropped, so the lock is free.
+        for (waiter, passage) in ready {
+            drop(waiter.send(Ok(self.grant(passage))));
+        }
+        refuse(expired, &CallRefusal::Expired);
+    }
+
+    /// Takes an idle lane or leave to open a connection, without a slot.
+    pub(super) fn side_passage(self: &Arc<Self>) -> Option<Result<Lane, OpenPermit>> {
+        let mut gate = self.lock();
+        if let Some(lane) = gate.take_idle() {
+            return Some(Ok(lane));
+        }
+        let reserved = gate.reserve_open();
+        drop(gate);
+        reserved.then(|| Err(OpenPermit(Arc::clone(self))))
+    }
+
+    /// Takes leave to open a connection.
+    pub(super) fn reserve_open(self: &Arc<Self>) -> Option<OpenPermit> {
+        let reserved = self.lock().reserve_open();
+        reserved.then(|| OpenPermit(Arc::clone(self)))
+    }
+
+    /// Keeps a lane for later use.
+    pub(super) fn put_idle(self: &Arc<Self>, lane: Lane) {
+        self.lock().put_idle(lane);
+        self.dispatch();
+    }
+
+    /// Learns from a reply.
+    pub(super) fn learn(&self, load: ServerLoad, took: Duration) {
+        self.lock().learn(load, took);
+    }
+
+    /// Sends nothing for a while to a backend server that said it is leaving.
+    pub(super) fn hold(&self) {
+        let until = Instant::now() + self.settings.hold.0;
+        let waiters = {
+            let mut gate = self.lock();
+            gate.held = Some(until);
+            gate.queue.drain()
+        };
+        refuse(waiters, &CallRefusal::Leaving);
+    }
+
+    /// Returns where the backend server listens.
+    pub(super) fn address(&self) -> std::net::SocketAddr {
+        self.lock().share.address
+    }
+
+    /// Returns the calls that wait and the load last told.
+    pub(super) fn report(&self) -> (u32, ServerLoad) {
+        let gate = self.lock();
+        let queued = u32::try_from(gate.queue.len()).unwrap_or(u32::MAX);
+        (queued, gate.load)
+    }
+
+    /// Returns the slots in use and the connections that are open, opening or closing.
+    pub(super) fn usage(&self) -> (u32, u32) {
+        let gate = self.lock();
+        (gate.running, gate.open)
+    }
+
+    /// Returns whether nothing is in use.
+    pub(super) fn is_unused(&self) -> bool {
+        self.lock().is_unused()
+    }
+
+    fn warm(self: &Arc<Self>) {
+        let Some(permit) = self.reserve_open() else {
+            return;
+        };
+        let server = Arc::clone(self);
+        self.handle.spawn(async move {
+            let limit = server.settings.connect.0;
+            let opened = Lane::open(server.address(), permit, limit, &server.handle).await;
+            if let Ok(lane) = opened {
+                server.put_idle(lane);
+            }
+        });
+    }
+
+    fn grant(self: &Arc<Self>, passage: Passage) -> Grant {
+        let (lane, permit) = match passage {
+            Passage::Warm(lane) => (Some(lane), None),
+            Passage::Open => (None, Some(OpenPermit(Arc::clone(self)))),
+        };
+        Grant {
+            server: Arc::clone(self),
+            lane,
+            permit,
+        }
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Gate<Waiter>> {
+        self.gate.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+fn refuse(waiters: Vec<Waiter>, refusal: &CallRefusal) {
+    for waiter in waiters {
+        drop(waiter.send(Err(refusal.clone())));
+    }
+}
+
+impl OpenPermit {
+    /// Returns the counters of the edge.
+    pub(super) fn metrics(&self) -> Arc<Metrics> {
+        Arc::clone(&self.0.metrics)
+    }
+}
+
+impl Drop for OpenPermit {
+    fn drop(&mut self) {
+        self.0.lock().open -= 1;
+        self.0.dispatch();
+    }
+}
+
+impl Grant {
+    /// Returns the server.
+    pub(super) fn server(&self) -> &Arc<Server> {
+        &self.server
+    }
+
+    /// Takes the warm lane, if there is one.
+    pub(super) fn take_lane(&mut self) -> Option<Lane> {
+        self.lane.take()
+    }
+
+    /// Takes leave to open a connection.
+    pub(super) fn take_permit(&mut self) -> Option<OpenPermit> {
+        self.permit.take().or_else(|| self.server.reserve_open())
+    }
+}
+
+impl Drop for Grant {
+    fn drop(&mut self) {
+        let lane = self.lane.take();
+        drop(self.permit.take());
+        {
+            let mut gate = self.server.lock();
+            gate.running -= 1;
+            if let Some(lane) = lane {
+                gate.put_idle(lane);
+            }
+        }
+        self.server.dispatch();
+    }
+}
+
+impl QueuePlace {
+    /// Waits for a slot.
+    pub(super) async fn wait(&mut self) -> Result<Grant, CallRefusal> {
+        let received = (&mut self.receiver).await;
+        received.unwrap_or(Err(CallRefusal::Cancelled))
+    }
+}
+
+impl Drop for QueuePlace {
+    fn drop(&mut self) {
+        drop(self.server.lock().queue.remove(&self.key));
+    }
+}
--- /dev/null
+++ b/crates/server/src/owner/settings.rs
@@ -0,0 +1,35 @@
+//! Settings of the edge towards backend servers.
+
+use cassialift_core::time::Millis;
+use serde::{Deserialize, Serialize};
+
+/// Settings of the edge towards backend servers.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct OwnerSettings {
+    /// The longest that opening a connection may take.
+    pub connect: Millis,
+    /// How long after its deadline a late reply is awaited before the connection is closed.
+    pub grace: Millis,
+    /// The longest that a cancellation may take.
+    pub cancel: Millis,
+    /// The longest idle time of a connection that a request is sent on that may not be repeated.
+    pub fresh: Millis,
+    /// How long a backend server that said it is leaving is sent nothing.
+    pub hold: Millis,
+    /// The largest reply body that is read, in bytes.
+    pub reply: usize,
+}
+
+impl Default for OwnerSettings {
+    fn default() -> Self {
+        Self {
+            connect: Millis::new(1_000),
+            grace: Millis::new(100),
+            cancel: Millis::new(500),
+            fresh: Millis::new(1_000),
+            hold: Millis::new(1_000),
+            reply: 4 << 20,
+        }
+    }
+}
--- a/crates/server/src/process/run.rs
+++ b/crates/server/src/process/run.rs
@@ -10,7 +10,7 @@
     control::{self, ControlInput, Event},
     entry,
     metrics::Metrics,
-    owner::Owner,
+    owner::{self, Owner},
     peers,
     platform::PlatformClient,
     settings::Settings,
@@ -42,8 +42,10 @@
         platform: platform.map_err(ProcessError::Platform)?,
         metrics: Arc::clone(&metrics),
     })?;
-    let owner = Owner::new(control.clone(), Arc::clone(&metrics));
+    let owner = Owner::new(settings.owner, Arc::clone(&metrics));
     let node = Arc::new(Node::new(settings, control, metrics, owner));
+    let followed = Arc::clone(&node);
+    tokio::spawn(async move { owner::follow(&followed.owner, &followed.control).await });
     peers::serve(Arc::clone(&node)).await?;
     log::info!("process: {} serves callers.", node.settings.vm);
     let served = entry::serve(Arc::clone(&node)).await;
--- a/crates/server/src/settings/document.rs
+++ b/crates/server/src/settings/document.rs
@@ -8,6 +8,8 @@
 };
 use serde::{Deserialize, Serialize};
 
+use crate::owner::OwnerSettings;
+
 /// The settings of one process.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 #[serde(deny_unknown_fields)]
@@ -28,6 +30,9 @@
     /// Bounds on what callers and peers can take up.
     #[serde(default)]
     pub limits: LimitSettings,
+    /// The edge to backend servers.
+    #[serde(default)]
+    pub owner: OwnerSettings,
 }
 
 /// Where the platform is.
