--- a/crates/server/src/process/node.rs
+++ b/crates/server/src/process/node.rs
@@ -10,7 +10,7 @@
     request::MissingReason,
     view::FleetView,
 };
-use cassialift_wire::peer::{Contact, Ping, PingReply, ShardCall, ShardReply};
+use cassialift_wire::peer::{ConfigNote, Contact, Ping, PingReply, ShardCall, ShardReply};
 use tarpc::context;
 
 use crate::{
@@ -102,6 +102,7 @@
             leaving: view.own.leaving,
             revision: view.config.as_ref().map_or(0, |config| config.revision),
             age: None,
+            config: ConfigNote::default(),
             load: 0,
             updates: Vec::new(),
         }
@@ -119,6 +120,7 @@
             leaving: own.leaving,
             revision: own.revision,
             age: own.age,
+            config: own.config,
             load: own.load,
             updates: own.updates,
         };
