--- a/crates/server/src/control/handle.rs
+++ b/crates/server/src/control/handle.rs
@@ -4,7 +4,7 @@
 
 use arc_swap::{ArcSwap, Guard};
 use cassialift_core::view::FleetView;
-use cassialift_wire::peer::{ConfigPull, ConfigPush};
+use cassialift_wire::peer::{ConfigNote, ConfigPull, ConfigPush};
 use tokio::sync::{mpsc, oneshot};
 
 use super::Event;
@@ -41,8 +41,8 @@
         let (sender, receiver) = oneshot::channel();
         self.tell(Event::Pull(pull, sender)).await;
         receiver.await.unwrap_or(ConfigPush {
-            revision: 0,
-            age: None,
+            note: ConfigNote::default(),
+            after: 0,
             documents: Vec::new(),
         })
     }
--- a/crates/server/src/control/tables.rs
+++ b/crates/server/src/control/tables.rs
@@ -13,7 +13,7 @@
     view::{ConfigView, FleetView, MemberView, OwnView, OwnerView, Reach},
 };
 use cassialift_wire::{
-    peer::{ConfigPull, ConfigPush},
+    peer::{ConfigNote, ConfigPull, ConfigPush},
     platform::{Changes, Document, INDEX_PREFIX, PRESETS_KEY, VmEntry, VmList, VmState},
 };
 use jsonc_parser::{ParseOptions, parse_to_serde_value};
@@ -70,8 +70,12 @@
     pub(super) fn pull(&self, pull: ConfigPull, now: Instant) -> ConfigPush {
         let newer = |document: &&Document| document.revision > pull.after;
         ConfigPush {
-            revision: self.revision,
-            age: self.confirmed.map(|then| (now - then).into()),
+            note: ConfigNote {
+                revision: self.revision,
+                age: self.confirmed.map(|then| (now - then).into()),
+                ..ConfigNote::default()
+            },
+            after: pull.after,
             documents: self.documents.values().filter(newer).cloned().collect(),
         }
     }
--- a/crates/server/src/process/node.rs
+++ b/crates/server/src/process/node.rs
@@ -10,7 +10,7 @@
     request::MissingReason,
     view::FleetView,
 };
-use cassialift_wire::peer::{Contact, Ping, PingReply, ShardCall, ShardReply};
+use cassialift_wire::peer::{ConfigNote, Contact, Ping, PingReply, ShardCall, ShardReply};
 use tarpc::context;
 
 use crate::{
@@ -100,8 +100,10 @@
         PingReply {
             from: self.contact(&view),
             leaving: view.own.leaving,
-            revision: view.config.as_ref().map_or(0, |config| config.revision),
-            age: None,
+            config: ConfigNote {
+                revision: view.config.as_ref().map_or(0, |config| config.revision),
+                ..ConfigNote::default()
+            },
             load: 0,
             updates: Vec::new(),
         }
@@ -117,8 +119,7 @@
         let ping = Ping {
             from: own.from,
             leaving: own.leaving,
-            revision: own.revision,
-            age: own.age,
+            config: own.config,
             load: own.load,
             updates: own.updates,
         };
--- a/crates/wire/src/peer/control.rs
+++ b/crates/wire/src/peer/control.rs
@@ -3,14 +3,11 @@
 use std::net::SocketAddr;
 
 use cassialift_core::{
-    config::ServiceReach,
+    config::{ConfigNote, Document},
     ids::{DataCentre, Incarnation, Revision, VmId},
-    time::Millis,
 };
 use serde::{Deserialize, Serialize};
 
-use crate::platform::Document;
-
 /// How a process is reached and which run of it this is.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Contact {
@@ -50,18 +47,6 @@
     pub version: u64,
 }
 
-/// What a heartbeat says of the configuration besides its revision and age.
-#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
-pub struct ConfigNote {
-    /// Fingerprint of the documents held; two processes at one revision whose fingerprints differ
-    /// hold different fallbacks for a rejected document and reconcile them.
-    pub digest: u64,
-    /// The VM that had the platform's confirmation; none before the first.
-    pub reader: Option<VmId>,
-    /// Whether the sender itself can read the configuration service.
-    pub service: ServiceReach,
-}
-
 /// A heartbeat.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Ping {
@@ -69,11 +54,7 @@
     pub from: Contact,
     /// Whether it is leaving.
     pub leaving: bool,
-    /// The configuration revision it holds.
-    pub revision: Revision,
-    /// How long ago the platform confirmed that revision, as far as it knows.
-    pub age: Option<Millis>,
-    /// What else it knows of the configuration.
+    /// What it holds of the configuration.
     pub config: ConfigNote,
     /// Its load: requests in flight.
     pub load: u32,
@@ -88,11 +69,7 @@
     pub from: Contact,
     /// Whether it is leaving.
     pub leaving: bool,
-    /// The configuration revision it holds.
-    pub revision: Revision,
-    /// How long ago the platform confirmed that revision, as far as it knows.
-    pub age: Option<Millis>,
-    /// What else it knows of the configuration.
+    /// What it holds of the configuration.
     pub config: ConfigNote,
     /// Its load: requests in flight.
     pub load: u32,
@@ -117,10 +94,11 @@
 /// Configuration documents from a peer.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct ConfigPush {
-    /// The revision that the sender holds.
-    pub revision: Revision,
-    /// How long ago the platform confirmed that revision, as far as the sender knows.
-    pub age: Option<Millis>,
-    /// The documents changed after the revision asked for, rejected ones included.
+    /// What the sender holds.
+    pub note: ConfigNote,
+    /// The revision after which it holds every change.
+    pub after: Revision,
+    /// The changed documents, rejected ones included; a document whose newest text is rejected
+    /// may stand twice, with its accepted and its newest text.
     pub documents: Vec<Document>,
 }
--- a/crates/wire/src/peer/mod.rs
+++ b/crates/wire/src/peer/mod.rs
@@ -5,10 +5,11 @@
 mod job;
 mod service;
 
+pub use cassialift_core::config::ConfigNote;
+
 pub use call::{CallFailure, CallRefusal, CallResult, ShardCall, ShardReply};
 pub use control::{
-    ConfigNote, ConfigPull, ConfigPush, Contact, MemberState, MemberUpdate, Ping, PingReply,
-    ProbeReply,
+    ConfigPull, ConfigPush, Contact, MemberState, MemberUpdate, Ping, PingReply, ProbeReply,
 };
 pub use job::{JobForward, JobReply};
 pub use service::{Peer, PeerClient, PeerRequest, PeerResponse, ServePeer};
