--- a/crates/server/src/process/node.rs
+++ b/crates/server/src/process/node.rs
@@ -100,9 +100,10 @@
         PingReply {
             from: self.contact(&view),
             leaving: view.own.leaving,
-            revision: view.config.as_ref().map_or(0, |config| config.revision),
-            age: None,
-            config: ConfigNote::default(),
+            config: ConfigNote {
+                revision: view.config.as_ref().map_or(0, |config| config.revision),
+                ..ConfigNote::default()
+            },
             load: 0,
             updates: Vec::new(),
         }
@@ -118,8 +119,6 @@
         let ping = Ping {
             from: own.from,
             leaving: own.leaving,
-            revision: own.revision,
-            age: own.age,
             config: own.config,
             load: own.load,
             updates: own.updates,
