testkit: history checker and process harness

The verdict of every process test comes from one checker over a history: callers record what they sent and received, backend servers append a line for each step to a file (whole lines survive a kill), the harness records what it disturbed. Each violation names the records that show it.

The harness starts stand-ins and VMs as processes on loopback addresses of their own, waits on conditions, signals them by number and kills them on drop. Its caller opens a connection a call, so that no library layer can resend.

--- /dev/null
+++ b/crates/testkit/src/harness/mod.rs
@@ -0,0 +1,22 @@
+//! Starts stand-ins and a small fleet as processes, disturbs them, and records what callers see.
+
+mod binaries;
+mod caller;
+mod child;
+mod error;
+mod fleet;
+mod network;
+mod platform;
+mod publish;
+mod recorder;
+mod settings;
+mod vms;
+
+pub use caller::Caller;
+pub use child::{Child, Signal};
+pub use error::HarnessError;
+pub use fleet::Fleet;
+pub use network::Network;
+pub use publish::{JOB_SERVICE, SEARCH_SERVICE};
+pub use recorder::Recorder;
+pub use settings::FleetSettings;
--- /dev/null
+++ b/crates/testkit/src/harness/platform.rs
@@ -0,0 +1,235 @@
+//! The platform and the backend servers of a fleet under test.
+
+use std::{collections::BTreeMap, fs, path::Path, sync::Arc};
+
+use cassialift_core::{
+    ids::{IndexVersion, Revision, ServerId, VmId},
+    index::{IndexDocument, ServerState},
+    presets::Preset,
+    time::Millis,
+};
+use cassialift_wire::platform::{VmEntry, VmList, VmState};
+
+use super::{
+    Fleet, HarnessError, JOB_SERVICE,
+    fleet::{BACKEND_HOST, CONFIG_HOST, VM_HOST, VMS_HOST, host_number, servers, vm_name},
+    publish::{centre_of, index, index_edit, preset_edit},
+};
+use crate::{
+    client::Reply,
+    history::{History, Target},
+    standin::{
+        backend::{self, BackendChange, BackendStats},
+        config::{ConfigMode, ConfigStats, Edit, MODE_PATH, PUBLISH_PATH, STATS_PATH},
+        vms::{self, VmChange},
+    },
+};
+
+impl Fleet {
+    pub(super) async fn publish_all(&mut self) -> Result<(), HarnessError> {
+        let runners = servers(&self.settings, self.network, JOB_SERVICE);
+        let jobs = index(&self.settings, JOB_SERVICE, &runners, 1);
+        let edits = vec![
+            preset_edit("ordinary", &self.settings.preset)?,
+            index_edit(&jobs)?,
+            index_edit(&self.index)?,
+        ];
+        self.expect(&jobs);
+        self.expect(&self.index);
+        self.publish(edits).await?;
+        Ok(())
+    }
+
+    /// Takes an index document into what answers are checked against.
+    fn expect(&self, index: &IndexDocument) {
+        let mut records = self.recorder.lock();
+        let versions = records.expected.indexes.entry(Arc::clone(&index.service));
+        versions.or_default().insert(index.version, index.clone());
+    }
+
+    /// Publishes documents and returns their revision.
+    ///
+    /// # Errors
+    /// Returns why the service did not take them.
+    pub async fn publish(&self, edits: Vec<Edit>) -> Result<Revision, HarnessError> {
+        let address = self.network.service(CONFIG_HOST);
+        let reply = self.client.post(address, PUBLISH_PATH, &edits).await?;
+        let revision = reply.parse()?;
+        let now = backend::unix_micros();
+        self.recorder
+            .lock()
+            .expected
+            .published
+            .insert(revision, now);
+        Ok(revision)
+    }
+
+    /// Publishes a preset under a name as the one in force.
+    ///
+    /// # Errors
+    /// Returns why the service did not take it.
+    pub async fn publish_preset(
+        &self,
+        name: &str,
+        preset: &Preset,
+    ) -> Result<Revision, HarnessError> {
+        self.publish(vec![preset_edit(name, preset)?]).await
+    }
+
+    /// Publishes a new index version and lets backend servers hold the versions given.
+    ///
+    /// # Errors
+    /// Returns why a stand-in did not take it.
+    pub async fn publish_version(
+        &mut self,
+        version: IndexVersion,
+        held: &[IndexVersion],
+    ) -> Result<Revision, HarnessError> {
+        self.index.version = version;
+        self.expect(&self.index);
+        self.change_backends(&BackendChange {
+            versions: Some(held.to_vec()),
+            ..BackendChange::default()
+        })
+        .await?;
+        self.publish(vec![index_edit(&self.index)?]).await
+    }
+
+    /// Publishes whether a backend server of the search service is leaving.
+    ///
+    /// # Errors
+    /// Returns why the service did not take it.
+    pub async fn publish_state(
+        &mut self,
+        server: &str,
+        state: ServerState,
+    ) -> Result<Revision, HarnessError> {
+        let entries = self.index.servers.iter_mut();
+        for entry in entries.filter(|entry| &*entry.id == server) {
+            entry.state = state;
+        }
+        let target = Target::Server(ServerId::from(server));
+        let revision = self.publish(vec![index_edit(&self.index)?]).await?;
+        match state {
+            ServerState::Leaving => self.recorder.disturb(target),
+            ServerState::Serving => self.recorder.calm(&target),
+        }
+        Ok(revision)
+    }
+
+    /// Sets how the configuration service answers.
+    ///
+    /// # Errors
+    /// Returns why the service did not take it.
+    pub async fn set_config_mode(&self, mode: ConfigMode) -> Result<(), HarnessError> {
+        let address = self.network.service(CONFIG_HOST);
+        if mode == ConfigMode::Serving {
+            self.recorder.calm(&Target::Platform);
+        } else {
+            self.recorder.disturb(Target::Platform);
+        }
+        taken(self.client.post(address, MODE_PATH, &mode).await?)
+    }
+
+    /// Returns what the configuration service counted.
+    ///
+    /// # Errors
+    /// Returns how the call failed.
+    pub async fn config_stats(&self) -> Result<ConfigStats, HarnessError> {
+        let address = self.network.service(CONFIG_HOST);
+        Ok(self.client.get(address, STATS_PATH).await?.parse()?)
+    }
+
+    /// Sets the VM list to all VMs, those given as leaving, showing after `lag`.
+    ///
+    /// # Errors
+    /// Returns why the service did not take it.
+    pub async fn set_vms(&self, leaving: &[usize], lag: Millis) -> Result<(), HarnessError> {
+        let entry = |vm: usize| VmEntry {
+            id: VmId::from(vm_name(vm)),
+            centre: centre_of(&self.settings, vm),
+            callers: self.vm_address(vm),
+            peers: self.network.inner(host_number(VM_HOST, vm)),
+            state: if leaving.contains(&vm) {
+                VmState::Leaving
+            } else {
+                VmState::Live
+            },
+        };
+        let vms = (0..self.nodes.len()).map(entry).collect();
+        let change = VmChange {
+            list: Some(VmList { vms }),
+            lag,
+            down: false,
+        };
+        let address = self.network.service(VMS_HOST);
+        taken(self.client.post(address, vms::CHANGE_PATH, &change).await?)
+    }
+
+    /// Changes backend servers in every process of them.
+    ///
+    /// # Errors
+    /// Returns why no process knows the server named.
+    pub async fn change_backends(&self, change: &BackendChange) -> Result<(), HarnessError> {
+        let mut known = false;
+        for host in 0..self.settings.hosts {
+            let address = self.network.inner(host_number(BACKEND_HOST, host));
+            let path = backend::CHANGE_PATH;
+            known |= self.client.post(address, path, change).await?.status == 200;
+        }
+        if known {
+            Ok(())
+        } else {
+            Err(HarnessError::Refused(format!("{change:?}")))
+        }
+    }
+
+    /// Returns what each backend server counted.
+    ///
+    /// # Errors
+    /// Returns how the call failed.
+    pub async fn backend_stats(&self) -> Result<BTreeMap<ServerId, BackendStats>, HarnessError> {
+        let mut stats = BTreeMap::new();
+        for host in 0..self.settings.hosts {
+            let address = self.network.inner(host_number(BACKEND_HOST, host));
+            let reply = self.client.get(address, backend::STATS_PATH).await?;
+            stats.append(&mut reply.parse()?);
+        }
+        Ok(stats)
+    }
+
+    /// Reads the history so far.
+    ///
+    /// # Errors
+    /// Returns why a file of it cannot be read.
+    pub fn history(&self) -> Result<History, HarnessError> {
+        let mut runs = Vec::new();
+        for host in 0..self.settings.hosts {
+            let text = fs::read_to_string(self.history_path(host))?;
+            for line in text.lines() {
+                runs.push(serde_json::from_str(line)?);
+            }
+        }
+        let records = self.recorder.lock();
+        Ok(History {
+            expected: records.expected.clone(),
+            calls: records.calls.clone(),
+            runs,
+            disturbances: records.disturbances.clone(),
+        })
+    }
+
+    /// Returns where the logs are.
+    #[must_use]
+    pub fn folder(&self) -> &Path {
+        &self.folder
+    }
+}
+
+fn taken(reply: Reply) -> Result<(), HarnessError> {
+    if reply.status == 200 {
+        Ok(())
+    } else {
+        Err(HarnessError::Refused(reply.text))
+    }
+}
--- /dev/null
+++ b/crates/testkit/src/harness/vms.rs
@@ -0,0 +1,113 @@
+//! The VMs of a fleet under test.
+
+use std::{net::SocketAddr, sync::Arc};
+
+use cassialift_wire::caller::ADDRESSES_PATH;
+
+use super::{
+    Caller, Child, Fleet, HarnessError, Signal,
+    fleet::{CONFIG_HOST, VM_HOST, VMS_HOST, host_number, vm_name},
+    publish::centre_of,
+};
+use crate::{client::Reply, history::Target};
+
+impl Fleet {
+    /// Starts a VM's process, which may have run before.
+    ///
+    /// # Errors
+    /// Returns why it cannot be started.
+    pub fn start_vm(&mut self, vm: usize) -> Result<(), HarnessError> {
+        let settings = serde_json::json!({
+            "vm": vm_name(vm),
+            "centre": centre_of(&self.settings, vm),
+            "callers": self.vm_address(vm),
+            "peers": self.network.inner(host_number(VM_HOST, vm)),
+            "platform": {
+                "config": self.network.service(CONFIG_HOST),
+                "vms": self.network.service(VMS_HOST),
+            },
+        });
+        let name = vm_name(vm);
+        let path = self.write(&format!("{name}.json"), &settings)?;
+        let args = ["--settings", &path.to_string_lossy()];
+        let log = self.folder.join(format!("{name}.log"));
+        let child = Child::start(&self.binaries.cassialift, &args, &log)?;
+        self.nodes[vm] = Some(child);
+        Ok(())
+    }
+
+    /// Waits until a VM answers callers.
+    ///
+    /// # Errors
+    /// Returns that it does not in time.
+    pub async fn wait_vm(&self, vm: usize) -> Result<(), HarnessError> {
+        let address = self.vm_address(vm);
+        self.wait_for(&vm_name(vm), async || {
+            let reply = self.client.get(address, ADDRESSES_PATH).await;
+            reply.is_ok_and(|reply| reply.status == 200)
+        })
+        .await?;
+        self.recorder.calm(&Target::Process(address));
+        Ok(())
+    }
+
+    /// Returns the address at which a VM serves callers.
+    #[must_use]
+    pub fn vm_address(&self, vm: usize) -> SocketAddr {
+        self.network.service(host_number(VM_HOST, vm))
+    }
+
+    /// Returns the addresses of all VMs.
+    #[must_use]
+    pub fn vm_addresses(&self) -> Vec<SocketAddr> {
+        (0..self.nodes.len())
+            .map(|vm| self.vm_address(vm))
+            .collect()
+    }
+
+    /// Sends a signal to a VM's process and records what it disturbs.
+    ///
+    /// # Errors
+    /// Returns why it cannot be sent.
+    pub fn signal(&mut self, vm: usize, signal: Signal) -> Result<(), HarnessError> {
+        let target = Target::Process(self.vm_address(vm));
+        if matches!(signal, Signal::Kill | Signal::Stop) {
+            self.recorder.disturb(target.clone());
+        }
+        if let Some(child) = &mut self.nodes[vm] {
+            child.signal(signal)?;
+        }
+        if signal == Signal::Continue {
+            self.recorder.calm(&target);
+        }
+        Ok(())
+    }
+
+    /// Returns whether a VM's process has ended.
+    ///
+    /// # Errors
+    /// Returns why it cannot be asked.
+    pub fn is_gone(&mut self, vm: usize) -> Result<bool, HarnessError> {
+        match &mut self.nodes[vm] {
+            Some(child) => Ok(child.exited()?.is_some()),
+            None => Ok(true),
+        }
+    }
+
+    /// Makes a caller that knows all VMs.
+    ///
+    /// # Errors
+    /// Returns what hinders its client.
+    pub fn caller(&self, name: &str) -> Result<Caller, HarnessError> {
+        let recorder = Arc::clone(&self.recorder);
+        Ok(Caller::new(name, self.vm_addresses(), recorder)?)
+    }
+
+    /// Gets a page of a VM.
+    ///
+    /// # Errors
+    /// Returns how the call failed.
+    pub async fn get(&self, vm: usize, path: &str) -> Result<Reply, HarnessError> {
+        Ok(self.client.get(self.vm_address(vm), path).await?)
+    }
+}
--- /dev/null
+++ b/crates/testkit/src/history/violation.rs
@@ -0,0 +1,88 @@
+//! Broken rules and the records that show it.
+
+use displaydoc::Display;
+
+use super::CallRecord;
+use crate::standin::backend::RunEvent;
+
+/// What must always hold.
+#[derive(Clone, Copy, Debug, Display, Eq, Ord, PartialEq, PartialOrd)]
+pub enum Rule {
+    /// every answer is drawn from one snapshot
+    Snapshot,
+    /// every answer states its coverage truthfully
+    Coverage,
+    /// each caller receives the whole answer to its own request
+    Identity,
+    /// a request that may not be repeated runs at most once
+    AtMostOnce,
+    /// what a refusal says was not run was not run
+    Refusal,
+    /// nothing in flight is cut off
+    Flight,
+    /// a leaving backend server receives no new work
+    Leaving,
+    /// a configuration in force never reverts
+    Order,
+    /// a configuration is in force everywhere in time
+    Settle,
+}
+
+/// One broken rule.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Violation {
+    /// The rule.
+    pub rule: Rule,
+    /// What was seen.
+    pub detail: String,
+    /// The calls that show it; no smaller set does.
+    pub calls: Vec<CallRecord>,
+    /// The runs that show it.
+    pub runs: Vec<RunEvent>,
+}
+
+impl Violation {
+    pub(super) fn of_call(rule: Rule, call: &CallRecord, detail: impl Into<String>) -> Self {
+        Self {
+            rule,
+            detail: detail.into(),
+            calls: vec![call.clone()],
+            runs: Vec::new(),
+        }
+    }
+
+    pub(super) fn of_runs(rule: Rule, runs: Vec<RunEvent>, detail: impl Into<String>) -> Self {
+        Self {
+            rule,
+            detail: detail.into(),
+            calls: Vec::new(),
+            runs,
+        }
+    }
+
+    pub(super) fn with_runs(mut self, runs: Vec<RunEvent>) -> Self {
+        self.runs = runs;
+        self
+    }
+}
+
+impl std::fmt::Display for Violation {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        writeln!(f, "broken: {}: {}", self.rule, self.detail)?;
+        for call in &self.calls {
+            writeln!(
+                f,
+                "  call {}",
+                serde_json::to_string(call).unwrap_or_default()
+            )?;
+        }
+        for run in &self.runs {
+            writeln!(
+                f,
+                "  run {}",
+                serde_json::to_string(run).unwrap_or_default()
+            )?;
+        }
+        Ok(())
+    }
+}
