--- a/crates/core/src/config/batch.rs
+++ b/crates/core/src/config/batch.rs
@@ -63,7 +63,8 @@
 }
 
 /// A document whose newest text is rejected.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, Display, PartialEq)]
+#[displaydoc("{key} of revision {revision}: {fault}")]
 pub struct RejectedDocument {
     /// The document's key.
     pub key: String,
--- a/crates/core/src/config/store.rs
+++ b/crates/core/src/config/store.rs
@@ -10,6 +10,8 @@
     time::Instant,
 };
 
+use displaydoc::Display;
+
 use super::{
     Accepted, Batch, BatchError, Change, Document, INDEX_PREFIX, MAX_DOCUMENTS, MAX_TOTAL_BYTES,
     PRESETS_KEY, RejectedDocument,
@@ -22,11 +24,11 @@
 };
 
 /// Where a revision was learned.
-#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Clone, Debug, Display, Eq, PartialEq)]
 pub enum Source {
-    /// From the platform's configuration service.
+    /// platform
     Platform,
-    /// From a peer.
+    /// {0}
     Vm(VmId),
 }
 
