--- a/crates/core/src/config/node.rs
+++ b/crates/core/src/config/node.rs
@@ -10,8 +10,8 @@
 use rand_chacha::ChaCha8Rng;
 
 use super::{
-    Batch, Candidate, ConfigEvent, ConfigNote, FANOUT, Freshness, Order, ReadInput, ReadPlan,
-    STALE_AGE, ServiceReach, Source, StartGate, Store, plan_reads, spread::Spread,
+    Batch, Candidate, ConfigEvent, ConfigNote, Confirmation, FANOUT, Freshness, Order, ReadInput,
+    ReadPlan, STALE_AGE, ServiceReach, Source, StartGate, Store, plan_reads, spread::Spread,
 };
 use crate::{
     ids::{DataCentre, Revision, VmId},
@@ -93,6 +93,12 @@
         self.plan
     }
 
+    /// Returns the newest confirmation that is known.
+    #[must_use]
+    pub const fn confirmed(&self) -> Option<&Confirmation> {
+        self.freshness.newest()
+    }
+
     /// Returns what to tell peers.
     #[must_use]
     pub fn note(&self, now: Instant) -> ConfigNote {
--- /dev/null
+++ b/crates/server/src/control/config.rs
@@ -0,0 +1,160 @@
+//! The configuration's part in the control thread.
+
+use std::{sync::Arc, time::Instant};
+
+use cassialift_core::{
+    config::{Batch, ConfigNode, ConfigNote, ConfigPeer, Order},
+    ids::VmId,
+    view::{FleetView, OwnView, Reach},
+};
+use cassialift_wire::{
+    peer::{ConfigPull, ConfigPush},
+    platform::Changes,
+};
+
+use super::ConfigState;
+use crate::{
+    journal::{Journal, Part},
+    metrics::Metrics,
+};
+
+/// What the configuration's part is told.
+#[derive(Debug)]
+pub enum ConfigEvent {
+    /// A read of the configuration service ended; no answer if it failed.
+    Read {
+        /// The changes after `after`.
+        answer: Option<Changes>,
+        /// The revision that the read asked for changes after.
+        after: u64,
+        /// When the read was sent.
+        sent: Instant,
+    },
+    /// A peer said what it holds.
+    Heard {
+        /// The peer.
+        vm: VmId,
+        /// What it holds.
+        note: ConfigNote,
+        /// When the heartbeat that it replied to was sent; none if it sent a heartbeat itself.
+        sent: Option<Instant>,
+    },
+    /// A pull from a peer ended; nothing pushed if it failed.
+    Pushed {
+        /// The peer.
+        vm: VmId,
+        /// What it pushed.
+        push: Option<ConfigPush>,
+        /// When the pull was sent.
+        sent: Instant,
+    },
+}
+
+/// The configuration's part in the control thread.
+#[derive(Debug)]
+pub(super) struct ConfigPart {
+    node: ConfigNode,
+    journal: Arc<Journal>,
+    metrics: Arc<Metrics>,
+}
+
+impl ConfigPart {
+    pub(super) fn new(
+        own: &OwnView,
+        journal: Arc<Journal>,
+        metrics: Arc<Metrics>,
+        now: Instant,
+    ) -> Self {
+        let (vm, centre) = (VmId::clone(&own.vm), Arc::clone(&own.centre));
+        Self {
+            node: ConfigNode::new(vm, centre, own.incarnation, now),
+            journal,
+            metrics,
+        }
+    }
+
+    pub(super) fn node(&self) -> &ConfigNode {
+        &self.node
+    }
+
+    pub(super) fn state(&self, now: Instant) -> ConfigState {
+        ConfigState::new(&self.node, now)
+    }
+
+    /// Takes in which processes there are.
+    pub(super) fn set_members(&mut self, view: &FleetView) {
+        let peers = view.members.iter().map(|(vm, member)| ConfigPeer {
+            vm: VmId::clone(vm),
+            centre: Arc::clone(&member.centre),
+            usable: matches!(member.reach, Reach::Alive | Reach::Unknown),
+        });
+        self.node.set_peers(peers.collect());
+    }
+
+    pub(super) fn pull(&self, pull: ConfigPull, now: Instant) -> ConfigPush {
+        let batch = self.node.pull(pull.after);
+        ConfigPush {
+            note: self.node.note(now),
+            after: batch.after,
+            documents: batch.documents,
+        }
+    }
+
+    pub(super) fn apply(&mut self, event: ConfigEvent, now: Instant) {
+        match event {
+            ConfigEvent::Read {
+                answer,
+                after,
+                sent,
+            } => {
+                let batch = answer.map(|changes| Batch {
+                    after,
+                    revision: changes.revision,
+                    documents: changes.documents,
+                });
+                self.node.read(batch, sent, now);
+            }
+            ConfigEvent::Heard { vm, note, sent } => self.node.heard(&vm, &note, sent, now),
+            ConfigEvent::Pushed { vm, push, sent } => {
+                let push = push.map(|push| {
+                    let batch = Batch {
+                        after: push.after,
+                        revision: push.note.revision,
+                        documents: push.documents,
+                    };
+                    (push.note, batch)
+                });
+                self.node.pushed(&vm, push, sent, now);
+            }
+        }
+        self.report();
+    }
+
+    /// Forgets what may have changed during a pause of the process.
+    pub(super) fn distrust(&mut self) {
+        self.node.distrust();
+        self.report();
+    }
+
+    /// Advances all timers.
+    pub(super) fn tick(&mut self, now: Instant) {
+        self.node.tick(now);
+        self.report();
+    }
+
+    /// Returns what is to be sent, once.
+    pub(super) fn take_orders(&mut self) -> Vec<Order> {
+        self.node.take_orders()
+    }
+
+    fn report(&mut self) {
+        for event in self.node.take_events() {
+            self.metrics.count(event.counter());
+            if event.is_warning() {
+                self.journal.warn(Part::Config, &event);
+            } else {
+                self.journal.info(Part::Config, &event);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/server/src/control/config_read.rs
@@ -0,0 +1,77 @@
+//! The task that reads the configuration service as the plan says.
+
+use std::{
+    sync::Arc,
+    time::{Duration, Instant},
+};
+
+use cassialift_core::config::{ReadPlan, WATCH_PERIOD, WATCH_WAIT};
+use rand::Rng;
+
+use super::{ConfigEvent, ControlHandle, Event};
+use crate::{metrics::Metrics, platform::PlatformClient, timer::Timer};
+
+/// How often an idle process looks whether it is to read.
+const IDLE_PERIOD: Duration = Duration::from_millis(50);
+/// How long an elected reader waits after a failed read, on average.
+const RETRY_PERIOD: Duration = Duration::from_millis(200);
+
+/// Reads the configuration service until the process ends.
+pub(super) async fn run(platform: PlatformClient, control: ControlHandle, metrics: Arc<Metrics>) {
+    loop {
+        let began = Timer.now();
+        let period = match control.config().plan() {
+            ReadPlan::Idle => IDLE_PERIOD,
+            ReadPlan::Watch => {
+                let read = read(&platform, &control, &metrics, WATCH_WAIT).await;
+                if read {
+                    WATCH_PERIOD
+                } else {
+                    jittered(RETRY_PERIOD)
+                }
+            }
+            ReadPlan::Fallback { period } => {
+                read(&platform, &control, &metrics, period / 2).await;
+                jittered(period)
+            }
+        };
+        wait_until(began + period).await;
+    }
+}
+
+/// Reads once, tells the control thread and returns whether there was an answer.
+async fn read(
+    platform: &PlatformClient,
+    control: &ControlHandle,
+    metrics: &Metrics,
+    wait: Duration,
+) -> bool {
+    let after = control.config().revision();
+    let sent = Timer.now();
+    metrics.count("platform.config_reads");
+    let answer = match platform.changes(after, wait).await {
+        Ok(changes) => Some(changes),
+        Err(error) => {
+            metrics.count("platform.config_failed");
+            log::debug!("platform: the configuration service gave no answer: {error}");
+            None
+        }
+    };
+    let read = answer.is_some();
+    let event = ConfigEvent::Read {
+        answer,
+        after,
+        sent,
+    };
+    control.tell(Event::Config(event)).await;
+    read
+}
+
+/// Returns a duration between four and six fifths of `mean`.
+fn jittered(mean: Duration) -> Duration {
+    mean.mul_f64(rand::rng().random_range(0.8..1.2))
+}
+
+async fn wait_until(instant: Instant) {
+    Timer.at(instant).await;
+}
--- /dev/null
+++ b/crates/server/src/control/config_send.rs
@@ -0,0 +1,66 @@
+//! Sending what the configuration's part orders to peers.
+
+use std::{sync::Arc, time::Duration};
+
+use cassialift_core::{config::Order, ids::VmId};
+use cassialift_wire::peer::{ConfigPull, ConfigPush, Ping};
+use tarpc::context;
+
+use super::{ConfigEvent, ControlHandle, Event};
+use crate::{peers::PeerTable, timer::Timer};
+
+/// How long a peer may take to answer.
+const ANSWER_TIMEOUT: Duration = Duration::from_secs(1);
+
+/// Sends one order and tells the control thread what came of it.
+pub(super) async fn send(order: Order, ping: Ping, peers: Arc<PeerTable>, control: ControlHandle) {
+    match order {
+        Order::Pull { vm, after } => {
+            let sent = Timer.now();
+            let push = pull(&peers, &control, &vm, after).await;
+            let event = ConfigEvent::Pushed { vm, push, sent };
+            control.tell(Event::Config(event)).await;
+        }
+        Order::Announce(vm) => announce(&peers, &control, vm, ping).await,
+    }
+}
+
+async fn pull(
+    peers: &PeerTable,
+    control: &ControlHandle,
+    vm: &VmId,
+    after: u64,
+) -> Option<ConfigPush> {
+    let client = peers.client(&control.pin(), vm).await.ok()?;
+    let mut context = context::current();
+    context.deadline = Timer.now() + ANSWER_TIMEOUT;
+    match client.pull_config(context, ConfigPull { after }).await {
+        Ok(push) => Some(push),
+        Err(error) => {
+            peers.forget(vm, &error);
+            log::debug!("config: {vm} did not push its configuration: {error}");
+            None
+        }
+    }
+}
+
+/// Sends a heartbeat and takes in what the reply says of the configuration.
+async fn announce(peers: &PeerTable, control: &ControlHandle, vm: VmId, ping: Ping) {
+    let Ok(client) = peers.client(&control.pin(), &vm).await else {
+        return;
+    };
+    let sent = Timer.now();
+    let mut context = context::current();
+    context.deadline = sent + ANSWER_TIMEOUT;
+    match client.ping(context, ping).await {
+        Ok(reply) => {
+            let event = ConfigEvent::Heard {
+                vm,
+                note: reply.config,
+                sent: Some(sent),
+            };
+            control.tell(Event::Config(event)).await;
+        }
+        Err(error) => peers.forget(&vm, &error),
+    }
+}
--- /dev/null
+++ b/crates/server/src/control/config_state.rs
@@ -0,0 +1,87 @@
+//! What the control thread publishes of the configuration for heartbeats and operators.
+
+use std::time::Instant;
+
+use cassialift_core::{
+    config::{ConfigNode, ConfigNote, Confirmation, Origin, ReadPlan, RejectedDocument},
+    ids::{PresetId, Revision},
+};
+use cassialift_wire::operator::{ConfigStatus, Rejection};
+
+/// What the control thread publishes of the configuration.
+#[derive(Clone, Debug, Default)]
+pub struct ConfigState {
+    note: ConfigNote,
+    confirmed: Option<Confirmation>,
+    preset: Option<PresetId>,
+    origin: Option<Origin>,
+    rejections: Vec<RejectedDocument>,
+    plan: ReadPlan,
+}
+
+impl ConfigState {
+    pub(super) fn new(node: &ConfigNode, now: Instant) -> Self {
+        let store = node.store();
+        Self {
+            note: node.note(now),
+            confirmed: node.confirmed().cloned(),
+            preset: store.view().map(|view| PresetId::clone(&view.preset)),
+            origin: store.in_force().cloned(),
+            rejections: store.rejections(),
+            plan: node.plan(),
+        }
+    }
+
+    /// Returns what to tell a peer.
+    #[must_use]
+    pub fn note(&self, now: Instant) -> ConfigNote {
+        let confirmed = self.confirmed.as_ref();
+        ConfigNote {
+            age: confirmed.map(|newest| now.saturating_duration_since(newest.at).into()),
+            ..self.note.clone()
+        }
+    }
+
+    /// Returns the revision held.
+    #[must_use]
+    pub const fn revision(&self) -> Revision {
+        self.note.revision
+    }
+
+    /// Returns how this process reads the service.
+    #[must_use]
+    pub const fn plan(&self) -> ReadPlan {
+        self.plan
+    }
+
+    /// Returns what operators are told.
+    #[must_use]
+    pub fn status(&self, admits: bool, now: Instant) -> ConfigStatus {
+        let note = self.note(now);
+        let origin = self.origin.as_ref();
+        let since = origin.map(|origin| now.saturating_duration_since(origin.since).into());
+        ConfigStatus {
+            revision: note.revision,
+            preset: self.preset.clone(),
+            source: origin.map(|origin| origin.source.to_string()),
+            since,
+            admits,
+            age: note.age,
+            reader: note.reader,
+            service: note.service,
+            rejections: self.rejections.iter().map(rejection).collect(),
+        }
+    }
+}
+
+fn rejection(rejected: &RejectedDocument) -> Rejection {
+    Rejection {
+        key: rejected.key.clone(),
+        revision: rejected.revision,
+        former: rejected.former,
+        line: rejected.fault.place.line,
+        column: rejected.fault.place.column,
+        cause: rejected.fault.cause.to_string(),
+        hint: rejected.fault.hint.clone(),
+    }
+}
--- a/crates/server/src/control/event.rs
+++ b/crates/server/src/control/event.rs
@@ -1,18 +1,18 @@
 //! What the control thread is told.
 
-use std::time::Instant;
-
 use cassialift_wire::{
     peer::{ConfigPull, ConfigPush},
-    platform::{Changes, VmList},
+    platform::VmList,
 };
 use tokio::sync::oneshot;
 
+use super::ConfigEvent;
+
 /// What the control thread is told.
 #[derive(Debug)]
 pub enum Event {
-    /// The configuration service answered.
-    Changes(Changes, Instant),
+    /// Something for the configuration's part.
+    Config(ConfigEvent),
     /// The VM list answered.
     Vms(VmList),
     /// A peer asks for configuration documents.
--- a/crates/server/src/control/handle.rs
+++ b/crates/server/src/control/handle.rs
@@ -7,12 +7,13 @@
 use cassialift_wire::peer::{ConfigNote, ConfigPull, ConfigPush};
 use tokio::sync::{mpsc, oneshot};
 
-use super::Event;
+use super::{ConfigState, Event};
 
 /// Access to the control thread from traffic threads.
 #[derive(Clone, Debug)]
 pub struct ControlHandle {
     pub(super) view: Arc<ArcSwap<FleetView>>,
+    pub(super) config: Arc<ArcSwap<ConfigState>>,
     pub(super) events: mpsc::Sender<Event>,
 }
 
@@ -29,6 +30,12 @@
         self.view.load_full()
     }
 
+    /// Returns what is known of the configuration besides what requests run under.
+    #[must_use]
+    pub fn config(&self) -> Arc<ConfigState> {
+        self.config.load_full()
+    }
+
     /// Tells the control thread something.
     ///
     /// An event is lost only when the control thread has ended, and the process with it.
--- a/crates/server/src/control/mod.rs
+++ b/crates/server/src/control/mod.rs
@@ -1,10 +1,16 @@
 //! The control thread: it owns all tables and publishes a view for the traffic threads.
 
+mod config;
+mod config_read;
+mod config_send;
+mod config_state;
 mod event;
 mod handle;
 mod tables;
 mod thread;
 
+pub use config::ConfigEvent;
+pub use config_state::ConfigState;
 pub use event::Event;
 pub use handle::ControlHandle;
 pub use thread::{ControlInput, start};
--- a/crates/server/src/control/tables.rs
+++ b/crates/server/src/control/tables.rs
@@ -1,23 +1,13 @@
 //! The tables of the control thread.
 
-use std::{
-    collections::{BTreeMap, HashMap},
-    sync::Arc,
-    time::Instant,
-};
+use std::{collections::HashMap, sync::Arc};
 
 use cassialift_core::{
-    ids::{Revision, VmId},
-    index::{IndexDocument, ServerEntry},
-    presets::PresetDocument,
+    ids::VmId,
+    index::ServerEntry,
     view::{ConfigView, FleetView, MemberView, OwnView, OwnerView, Reach},
 };
-use cassialift_wire::{
-    peer::{ConfigNote, ConfigPull, ConfigPush},
-    platform::{Changes, Document, INDEX_PREFIX, PRESETS_KEY, VmEntry, VmList, VmState},
-};
-use jsonc_parser::{ParseOptions, parse_to_serde_value};
-use serde::de::DeserializeOwned;
+use cassialift_wire::platform::{VmEntry, VmList, VmState};
 use xxhash_rust::xxh3::xxh3_64;
 
 /// The tables of the control thread.
@@ -25,9 +15,6 @@
 pub(super) struct Tables {
     own: OwnView,
     vms: Vec<VmEntry>,
-    documents: BTreeMap<String, Document>,
-    revision: Revision,
-    confirmed: Option<Instant>,
     config: Option<Arc<ConfigView>>,
 }
 
@@ -36,9 +23,6 @@
         Self {
             own,
             vms: Vec::new(),
-            documents: BTreeMap::new(),
-            revision: 0,
-            confirmed: None,
             config: None,
         }
     }
@@ -47,61 +31,12 @@
         self.vms = list.vms;
     }
 
-    pub(super) fn leave(&mut self) {
-        self.own.leaving = true;
-    }
-
-    /// Takes in documents; an older revision changes nothing.
-    pub(super) fn apply(&mut self, changes: Changes, now: Instant) {
-        if changes.revision < self.revision {
-            return;
-        }
-        self.revision = changes.revision;
-        self.confirmed = Some(now);
-        for document in changes.documents {
-            let known = self.documents.get(&document.key);
-            if known.is_none_or(|known| known.revision < document.revision) {
-                self.documents.insert(document.key.clone(), document);
-            }
-        }
-        self.config = self.accept().map(Arc::new).or_else(|| self.config.take());
-    }
-
-    pub(super) fn pull(&self, pull: ConfigPull, now: Instant) -> ConfigPush {
-        let newer = |document: &&Document| document.revision > pull.after;
-        ConfigPush {
-            note: ConfigNote {
-                revision: self.revision,
-                age: self.confirmed.map(|then| (now - then).into()),
-                ..ConfigNote::default()
-            },
-            after: pull.after,
-            documents: self.documents.values().filter(newer).cloned().collect(),
-        }
+    pub(super) fn set_config(&mut self, config: Option<&Arc<ConfigView>>) {
+        self.config = config.cloned();
     }
 
-    fn accept(&self) -> Option<ConfigView> {
-        let presets: PresetDocument = parse(self.documents.get(PRESETS_KEY)?)?;
-        presets.validate().ok()?;
-        let policy = Arc::new(presets.in_force()?.clone());
-        let mut indexes = BTreeMap::new();
-        for (key, document) in &self.documents {
-            if !key.starts_with(INDEX_PREFIX) {
-                continue;
-            }
-            let Some(index) = parse::<IndexDocument>(document) else {
-                continue;
-            };
-            if index.validate().is_ok() {
-                indexes.insert(Arc::clone(&index.service), Arc::new(index));
-            }
-        }
-        Some(ConfigView {
-            revision: self.revision,
-            preset: presets.active,
-            policy,
-            indexes,
-        })
+    pub(super) fn leave(&mut self) {
+        self.own.leaving = true;
     }
 
     /// Computes the view to publish.
@@ -171,9 +106,3 @@
 fn weight(vm: &str, server: &str) -> u64 {
     xxh3_64(format!("{vm}/{server}").as_bytes())
 }
-
-fn parse<T: DeserializeOwned>(document: &Document) -> Option<T> {
-    let text = document.text.as_deref()?;
-    let value = parse_to_serde_value::<serde_json::Value>(text, &ParseOptions::default()).ok()?;
-    serde_json::from_value(value).ok()
-}
--- a/crates/server/src/control/thread.rs
+++ b/crates/server/src/control/thread.rs
@@ -1,21 +1,29 @@
 //! The control thread's loop.
 
-use std::{sync::Arc, thread, time::Duration};
+use std::{
+    sync::Arc,
+    thread,
+    time::{Duration, Instant},
+};
 
 use arc_swap::ArcSwap;
-use cassialift_core::{ids::Revision, view::OwnView};
+use cassialift_core::view::OwnView;
+use cassialift_wire::peer::{Contact, Ping};
 use tokio::{runtime, sync::mpsc};
 
-use super::{ControlHandle, Event, tables::Tables};
-use crate::{metrics::Metrics, platform::PlatformClient, process::ProcessError, timer::Timer};
+use super::{ControlHandle, Event, config::ConfigPart, config_read, config_send, tables::Tables};
+use crate::{
+    journal::Journal, metrics::Metrics, peers::PeerTable, platform::PlatformClient,
+    process::ProcessError, timer::Timer,
+};
 
 /// How often the systems run.
 const TICK: Duration = Duration::from_millis(50);
 
-/// How long one call to the configuration service waits for a change.
-const WATCH_WAIT: Duration = Duration::from_secs(10);
+/// The time between two ticks from which the process counts as having been paused.
+const FREEZE: Duration = Duration::from_secs(1);
 
-/// How often the VM list is read, and how long to wait after a failed read.
+/// How often the VM list is read.
 const READ_PERIOD: Duration = Duration::from_millis(500);
 
 /// The most events that wait for the control thread.
@@ -28,8 +36,12 @@
     pub own: OwnView,
     /// The platform.
     pub platform: PlatformClient,
+    /// How peers reach this process.
+    pub contact: Contact,
     /// The counters.
     pub metrics: Arc<Metrics>,
+    /// The journal.
+    pub journal: Arc<Journal>,
 }
 
 /// Starts the control thread.
@@ -41,69 +53,111 @@
         .enable_all()
         .build()
         .map_err(ProcessError::Runtime)?;
+    let (metrics, journal) = (Arc::clone(&input.metrics), Arc::clone(&input.journal));
+    let config = ConfigPart::new(&input.own, journal, metrics, Instant::now());
     let tables = Tables::new(input.own);
     let view = Arc::new(ArcSwap::from_pointee(tables.view()));
     let (sender, receiver) = mpsc::channel(EVENT_QUEUE);
     let handle = ControlHandle {
         view,
+        config: Arc::default(),
         events: sender,
     };
     let control = handle.clone();
+    let parts = Parts {
+        tables,
+        config,
+        peers: Arc::default(),
+        contact: input.contact,
+        handle: handle.clone(),
+    };
     let spawned = thread::Builder::new()
         .name("control".to_owned())
         .spawn(move || {
             runtime.block_on(async {
-                tokio::spawn(watch(
+                tokio::spawn(config_read::run(
                     input.platform.clone(),
                     control.clone(),
                     Arc::clone(&input.metrics),
                 ));
-                tokio::spawn(list(input.platform, control.clone(), input.metrics));
-                run(tables, control, receiver).await;
+                tokio::spawn(list(input.platform, control, input.metrics));
+                run(parts, receiver).await;
             });
         });
     spawned.map_err(ProcessError::Runtime)?;
     Ok(handle)
 }
 
-async fn run(mut tables: Tables, handle: ControlHandle, mut events: mpsc::Receiver<Event>) {
+async fn run(mut part: Parts, mut events: mpsc::Receiver<Event>) {
     let mut ticks = Timer.subscribe(TICK);
+    let mut last = Timer.now();
     loop {
         tokio::select! {
-            _ = ticks.next() => handle.view.store(Arc::new(tables.view())),
+            now = ticks.next() => {
+                if now.saturating_duration_since(last) > FREEZE {
+                    part.config.distrust();
+                }
+                last = now;
+                part.tick(now);
+            }
             event = events.recv() => match event {
-                Some(event) => apply(&mut tables, event),
+                Some(event) => part.apply(event),
                 None => return,
             },
         }
     }
 }
 
-fn apply(tables: &mut Tables, event: Event) {
-    match event {
-        Event::Changes(changes, at) => tables.apply(changes, at),
-        Event::Vms(list) => tables.set_vms(list),
-        Event::Pull(pull, reply) => {
-            // The peer may have hung up by now.
-            drop(reply.send(tables.pull(pull, Timer.now())));
-        }
-        Event::Leave => tables.leave(),
-    }
+/// The tables and what they publish and send through.
+struct Parts {
+    tables: Tables,
+    config: ConfigPart,
+    peers: Arc<PeerTable>,
+    contact: Contact,
+    handle: ControlHandle,
 }
 
-async fn watch(platform: PlatformClient, control: ControlHandle, metrics: Arc<Metrics>) {
-    let mut after: Revision = 0;
-    loop {
-        match platform.changes(after, WATCH_WAIT).await {
-            Ok(changes) => {
-                after = after.max(changes.revision);
-                control.tell(Event::Changes(changes, Timer.now())).await;
+impl Parts {
+    fn tick(&mut self, now: Instant) {
+        self.config.tick(now);
+        self.publish(now);
+    }
+
+    fn apply(&mut self, event: Event) {
+        let now = Timer.now();
+        match event {
+            Event::Config(event) => {
+                self.config.apply(event, now);
+                self.publish(now);
             }
-            Err(error) => {
-                metrics.count("platform.config_failed");
-                log::warn!("platform: the configuration service gave no answer: {error}");
-                Timer.after(READ_PERIOD).await;
+            Event::Vms(list) => self.tables.set_vms(list),
+            Event::Pull(pull, reply) => {
+                // The peer may have hung up by now.
+                drop(reply.send(self.config.pull(pull, now)));
             }
+            Event::Leave => self.tables.leave(),
+        }
+    }
+
+    /// Publishes what is held now and sends what is ordered.
+    fn publish(&mut self, now: Instant) {
+        self.tables.set_config(self.config.node().view());
+        let view = self.tables.view();
+        self.config.set_members(&view);
+        let leaving = view.own.leaving;
+        self.handle.view.store(Arc::new(view));
+        let state = Arc::new(self.config.state(now));
+        self.handle.config.store(Arc::clone(&state));
+        for order in self.config.take_orders() {
+            let ping = Ping {
+                from: self.contact.clone(),
+                leaving,
+                config: state.note(now),
+                load: 0,
+                updates: Vec::new(),
+            };
+            let (peers, handle) = (Arc::clone(&self.peers), self.handle.clone());
+            tokio::spawn(config_send::send(order, ping, peers, handle));
         }
     }
 }
--- a/crates/server/src/entry/http.rs
+++ b/crates/server/src/entry/http.rs
@@ -5,7 +5,7 @@
 use cassialift_core::request::{Ran, RefusalReason};
 use cassialift_wire::{
     caller::{ADDRESSES_PATH, SEARCH_PATH},
-    operator::{COUNTERS_PATH, Counters},
+    operator::{COUNTERS_PATH, Counters, STATUS_PATH},
 };
 use serde::{Serialize, de::DeserializeOwned};
 use tokio::net::TcpListener;
@@ -23,7 +23,10 @@
 };
 
 use super::{addresses, refuse::Refused, search};
-use crate::process::{Node, ProcessError};
+use crate::{
+    operator,
+    process::{Node, ProcessError},
+};
 
 /// Serves callers until the process is told to stop.
 ///
@@ -43,6 +46,7 @@
 fn router(node: &Arc<Node>) -> Router {
     let counters = Arc::clone(node);
     let list = Arc::clone(node);
+    let fleet = Arc::clone(node);
     Router::new()
         .route(
             ADDRESSES_PATH,
@@ -52,6 +56,13 @@
             }),
         )
         .route(SEARCH_PATH, post(handler(Arc::clone(node), search::run)))
+        .route(
+            STATUS_PATH,
+            get(move || {
+                let status = operator::status(&fleet);
+                async move { json(StatusCode::OK, &status) }
+            }),
+        )
         .route(
             COUNTERS_PATH,
             get(move || {
--- a/crates/server/src/lib.rs
+++ b/crates/server/src/lib.rs
@@ -6,7 +6,9 @@
 pub mod cli;
 pub mod control;
 pub mod entry;
+pub mod journal;
 pub mod metrics;
+pub mod operator;
 pub mod owner;
 pub mod peers;
 pub mod platform;
--- a/crates/server/src/peers/serve.rs
+++ b/crates/server/src/peers/serve.rs
@@ -19,7 +19,10 @@
 };
 
 use super::MAX_FRAME;
-use crate::process::{Node, ProcessError};
+use crate::{
+    control::{ConfigEvent, Event},
+    process::{Node, ProcessError},
+};
 
 /// Serves one peer's calls.
 #[derive(Clone, Debug)]
@@ -41,7 +44,13 @@
         }
     }
 
-    async fn ping(self, _: Context, _: Ping) -> PingReply {
+    async fn ping(self, _: Context, ping: Ping) -> PingReply {
+        let event = ConfigEvent::Heard {
+            vm: ping.from.vm,
+            note: ping.config,
+            sent: None,
+        };
+        self.node.control.tell(Event::Config(event)).await;
         self.node.ping_reply()
     }
 
--- a/crates/server/src/process/node.rs
+++ b/crates/server/src/process/node.rs
@@ -10,11 +10,12 @@
     request::MissingReason,
     view::FleetView,
 };
-use cassialift_wire::peer::{ConfigNote, Contact, Ping, PingReply, ShardCall, ShardReply};
+use cassialift_wire::peer::{Contact, Ping, PingReply, ShardCall, ShardReply};
 use tarpc::context;
 
 use crate::{
     control::ControlHandle,
+    journal::Journal,
     metrics::Metrics,
     owner::Owner,
     peers::{PeerError, PeerTable},
@@ -31,6 +32,8 @@
     pub control: ControlHandle,
     /// The counters.
     pub metrics: Arc<Metrics>,
+    /// The journal of decisions.
+    pub journal: Arc<Journal>,
     /// The edge to backend servers.
     pub owner: Owner,
     /// The connections to peers.
@@ -45,12 +48,14 @@
         settings: Settings,
         control: ControlHandle,
         metrics: Arc<Metrics>,
+        journal: Arc<Journal>,
         owner: Owner,
     ) -> Self {
         Self {
             settings,
             control,
             metrics,
+            journal,
             owner,
             peers: PeerTable::default(),
             sequence: AtomicU64::new(0),
@@ -100,10 +105,7 @@
         PingReply {
             from: self.contact(&view),
             leaving: view.own.leaving,
-            config: ConfigNote {
-                revision: view.config.as_ref().map_or(0, |config| config.revision),
-                ..ConfigNote::default()
-            },
+            config: self.control.config().note(Timer.now()),
             load: 0,
             updates: Vec::new(),
         }
--- a/crates/server/src/process/run.rs
+++ b/crates/server/src/process/run.rs
@@ -3,12 +3,14 @@
 use std::sync::Arc;
 
 use cassialift_core::{ids::Incarnation, view::OwnView};
+use cassialift_wire::peer::Contact;
 use tokio::runtime;
 
 use super::{Node, ProcessError};
 use crate::{
     control::{self, ControlInput, Event},
     entry,
+    journal::Journal,
     metrics::Metrics,
     owner::{self, Owner},
     peers,
@@ -31,19 +33,29 @@
 
 async fn serve(settings: Settings) -> Result<(), ProcessError> {
     let metrics = Arc::new(Metrics::new(settings.statsd).map_err(ProcessError::Metrics)?);
+    let journal = Arc::new(Journal::default());
     let platform = PlatformClient::new(settings.platform.clone());
+    let own = OwnView {
+        vm: Arc::clone(&settings.vm),
+        incarnation: rand::random::<Incarnation>(),
+        centre: Arc::clone(&settings.centre),
+        leaving: false,
+    };
     let control = control::start(ControlInput {
-        own: OwnView {
-            vm: Arc::clone(&settings.vm),
-            incarnation: rand::random::<Incarnation>(),
-            centre: Arc::clone(&settings.centre),
-            leaving: false,
+        contact: Contact {
+            vm: Arc::clone(&own.vm),
+            incarnation: own.incarnation,
+            centre: Arc::clone(&own.centre),
+            peers: settings.peers,
+            callers: settings.callers,
         },
+        own,
+        journal: Arc::clone(&journal),
         platform: platform.map_err(ProcessError::Platform)?,
         metrics: Arc::clone(&metrics),
     })?;
     let owner = Owner::new(settings.owner, Arc::clone(&metrics));
-    let node = Arc::new(Node::new(settings, control, metrics, owner));
+    let node = Arc::new(Node::new(settings, control, metrics, journal, owner));
     let followed = Arc::clone(&node);
     tokio::spawn(async move { owner::follow(&followed.owner, &followed.control).await });
     peers::serve(Arc::clone(&node)).await?;
--- a/crates/server/src/settings/error.rs
+++ b/crates/server/src/settings/error.rs
@@ -1,46 +1,108 @@
 //! Why settings are refused.
 
-use std::path::PathBuf;
+use std::{net::SocketAddr, path::PathBuf};
 
+use cassialift_core::text::{self, Path, Place, TextCause, locate};
 use displaydoc::Display;
 
 /// Why settings are refused.
 #[derive(Debug, Display)]
 pub enum SettingsError {
-    /// {path:?} cannot be read: {source}
+    /// {path:?} cannot be read: {cause}
     Read {
         /// The file.
         path: PathBuf,
         /// The cause.
-        source: std::io::Error,
+        cause: std::io::Error,
     },
-    /// {path:?}: {cause}
-    Parse {
+    /// {path:?}: {fault}
+    Refused {
         /// The file.
         path: PathBuf,
-        /// The cause with its position.
-        cause: jsonc_parser::errors::ParseError,
+        /// What is wrong, and where.
+        fault: SettingsFault,
     },
-    /// {path:?}: {cause}
-    Shape {
-        /// The file.
-        path: PathBuf,
-        /// The cause.
-        cause: serde_json::Error,
+}
+
+/// What is wrong with settings, and where.
+#[derive(Clone, Debug, Display, Eq, PartialEq)]
+#[displaydoc("{place}: {cause}")]
+pub struct SettingsFault {
+    /// Where.
+    pub place: Place,
+    /// What.
+    pub cause: SettingsCause,
+    /// How to mend it, when that can be told.
+    pub hint: Option<String>,
+}
+
+/// What is wrong with settings.
+#[derive(Clone, Debug, Display, Eq, PartialEq)]
+pub enum SettingsCause {
+    /// {0}
+    Text(TextCause),
+    /// a name must have 1 to 256 bytes
+    BadName,
+    /// {0} is no address that others can connect to
+    NotConcrete(SocketAddr),
+    /// {0} is no address that can be called
+    NoTarget(SocketAddr),
+    /// callers and peers are both to connect to {0}
+    SameAddress(SocketAddr),
+    /// must not be zero
+    Zero,
+    /// {value} is more than {limit}
+    TooLarge {
+        /// The value.
+        value: u64,
+        /// The largest that is allowed.
+        limit: u64,
     },
 }
 
 impl std::error::Error for SettingsError {}
 
+impl std::error::Error for SettingsFault {}
+
+impl SettingsFault {
+    pub(super) fn new(text: &str, path: &Path, cause: SettingsCause) -> Self {
+        let hint = match &cause {
+            SettingsCause::NotConcrete(_) => Some("write this VM's own IP number and a port"),
+            SettingsCause::NoTarget(_) => Some("write an IP number and a port"),
+            SettingsCause::SameAddress(_) => Some("give callers and peers different ports"),
+            SettingsCause::Text(_)
+            | SettingsCause::BadName
+            | SettingsCause::Zero
+            | SettingsCause::TooLarge { .. } => None,
+        };
+        Self {
+            place: locate(text, path),
+            cause,
+            hint: hint.map(str::to_owned),
+        }
+    }
+}
+
+impl From<text::Fault> for SettingsFault {
+    fn from(fault: text::Fault) -> Self {
+        Self {
+            place: fault.place,
+            cause: SettingsCause::Text(fault.cause),
+            hint: fault.hint.map(|hint| hint.to_string()),
+        }
+    }
+}
+
 impl SettingsError {
     /// Returns what the operator can do about it.
     #[must_use]
     pub fn hint(&self) -> String {
         match self {
-            Self::Read { .. } => "check the path and its permissions",
-            Self::Parse { .. } => "settings are JSON with comments",
-            Self::Shape { .. } => "see docs/OPERATORS.md for the settings",
+            Self::Read { .. } => "check the path and its permissions".to_owned(),
+            Self::Refused { fault, .. } => fault
+                .hint
+                .clone()
+                .unwrap_or_else(|| "see docs/OPERATORS.md for the settings".to_owned()),
         }
-        .to_owned()
     }
 }
--- a/crates/server/src/settings/load.rs
+++ b/crates/server/src/settings/load.rs
@@ -2,9 +2,9 @@
 
 use std::path::Path;
 
-use jsonc_parser::{ParseOptions, parse_to_serde_value};
+use cassialift_core::text;
 
-use super::{Settings, SettingsError};
+use super::{Settings, SettingsError, SettingsFault};
 
 impl Settings {
     /// Reads and checks the settings in a file.
@@ -12,18 +12,25 @@
     /// # Errors
     /// Returns why the file cannot be read or what in it is wrong.
     pub fn load(path: &Path) -> Result<Self, SettingsError> {
-        let text = std::fs::read_to_string(path).map_err(|source| SettingsError::Read {
+        let text = std::fs::read_to_string(path).map_err(|cause| SettingsError::Read {
             path: path.to_owned(),
-            source,
+            cause,
         })?;
-        let value: serde_json::Value = parse_to_serde_value(&text, &ParseOptions::default())
-            .map_err(|cause| SettingsError::Parse {
-                path: path.to_owned(),
-                cause,
-            })?;
-        serde_json::from_value(value).map_err(|cause| SettingsError::Shape {
+        Self::parse(&text).map_err(|fault| SettingsError::Refused {
             path: path.to_owned(),
-            cause,
+            fault,
         })
     }
+
+    /// Reads and checks the text of settings.
+    ///
+    /// # Errors
+    /// Returns the first fault, with its line and column.
+    pub fn parse(text: &str) -> Result<Self, SettingsFault> {
+        let settings: Self = text::read(text)?;
+        settings
+            .validate()
+            .map_err(|(path, cause)| SettingsFault::new(text, &path, cause))?;
+        Ok(settings)
+    }
 }
--- a/crates/server/src/settings/mod.rs
+++ b/crates/server/src/settings/mod.rs
@@ -3,6 +3,10 @@
 mod document;
 mod error;
 mod load;
+mod validate;
 
 pub use document::{LimitSettings, PlatformSettings, Settings};
-pub use error::SettingsError;
+pub use error::{SettingsCause, SettingsError, SettingsFault};
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/crates/server/src/settings/validate.rs
@@ -0,0 +1,84 @@
+//! Combinations of settings that cannot work.
+
+use std::net::SocketAddr;
+
+use cassialift_core::{index::MAX_NAME, text::Path, time::Millis};
+
+use super::{LimitSettings, Settings, SettingsCause};
+
+/// The largest request body that may be allowed, bytes.
+const MAX_BODY: u64 = 16 << 20;
+/// The most headers of a request that may be allowed.
+const MAX_HEADERS: u64 = 1_024;
+/// The most connections or requests that may be allowed.
+const MAX_COUNT: u64 = 1_000_000;
+/// The longest that a caller may be given to send a request.
+const MAX_RECEIVE: Millis = Millis::new(600_000);
+
+type Checked = Result<(), (Path, SettingsCause)>;
+
+impl Settings {
+    /// Checks that the settings are consistent.
+    ///
+    /// # Errors
+    /// Returns where the first fault is, and what is wrong.
+    pub(super) fn validate(&self) -> Checked {
+        name("vm", &self.vm)?;
+        name("centre", &self.centre)?;
+        listening("callers", self.callers)?;
+        listening("peers", self.peers)?;
+        if self.callers == self.peers {
+            return fail("peers", SettingsCause::SameAddress(self.peers));
+        }
+        calling("platform.config", self.platform.config)?;
+        calling("platform.vms", self.platform.vms)?;
+        if let Some(statsd) = self.statsd {
+            calling("statsd", statsd)?;
+        }
+        self.limits.validate()
+    }
+}
+
+impl LimitSettings {
+    fn validate(&self) -> Checked {
+        within("limits.body", self.body as u64, MAX_BODY)?;
+        within("limits.headers", self.headers as u64, MAX_HEADERS)?;
+        within("limits.connections", self.connections as u64, MAX_COUNT)?;
+        within("limits.requests", self.requests as u64, MAX_COUNT)?;
+        within("limits.receive", self.receive.into(), MAX_RECEIVE.into())
+    }
+}
+
+fn name(keys: &str, name: &str) -> Checked {
+    if (1..=MAX_NAME).contains(&name.len()) {
+        return Ok(());
+    }
+    fail(keys, SettingsCause::BadName)
+}
+
+/// Checks an address that others are told to connect to.
+fn listening(keys: &str, address: SocketAddr) -> Checked {
+    if address.ip().is_unspecified() || address.port() == 0 {
+        return fail(keys, SettingsCause::NotConcrete(address));
+    }
+    Ok(())
+}
+
+fn calling(keys: &str, address: SocketAddr) -> Checked {
+    if address.ip().is_unspecified() || address.port() == 0 {
+        return fail(keys, SettingsCause::NoTarget(address));
+    }
+    Ok(())
+}
+
+fn within(keys: &str, value: u64, limit: u64) -> Checked {
+    match value {
+        0 => fail(keys, SettingsCause::Zero),
+        _ if value > limit => fail(keys, SettingsCause::TooLarge { value, limit }),
+        _ => Ok(()),
+    }
+}
+
+fn fail(keys: &str, cause: SettingsCause) -> Checked {
+    Err((Path::new(keys), cause))
+}
--- a/crates/wire/src/operator/mod.rs
+++ b/crates/wire/src/operator/mod.rs
@@ -47,10 +47,12 @@
     pub revision: Revision,
     /// The preset in force.
     pub preset: Option<PresetId>,
-    /// Where the revision was learned: `platform` or a VM's name.
-    pub source: String,
+    /// Where the preset in force was learned: `platform` or a VM's name; none before the first.
+    pub source: Option<String>,
     /// How long the preset has been in force here.
-    pub since: Millis,
+    pub since: Option<Millis>,
+    /// Whether requests are admitted under it.
+    pub admits: bool,
     /// How long ago the platform last confirmed the revision, as far as is known here.
     pub age: Option<Millis>,
     /// The VM that had the platform's confirmation; none before the first.
@@ -121,6 +123,8 @@
     pub part: String,
     /// What was decided and why, one sentence.
     pub text: String,
+    /// How often it was decided in a row.
+    pub count: u32,
 }
 
 /// Counters since the process started, by name.
