--- /dev/null
+++ b/crates/core/tests/config/node.rs
@@ -0,0 +1,233 @@
+//! Tests of one process's part in the configuration.
+
+use std::time::{Duration, Instant};
+
+use cassialift_core::{
+    config::{
+        ConfigEvent, ConfigNode, ConfigNote, ConfigPeer, Order, ReadPlan, START_WAIT, ServiceReach,
+    },
+    ids::VmId,
+    time::Millis,
+};
+
+use crate::history::{Edit, Platform};
+
+const TICK: Duration = Duration::from_millis(50);
+
+/// Processes that are told of each other by hand.
+struct Bench {
+    now: Instant,
+    nodes: Vec<ConfigNode>,
+}
+
+impl Bench {
+    fn new(processes: usize) -> Self {
+        let now = Instant::now() + Duration::from_secs(3_600);
+        let peers: Vec<ConfigPeer> = (0..processes).map(peer).collect();
+        let node = |seed: usize| {
+            let peer = &peers[seed];
+            let centre = peer.centre.clone();
+            let mut node = ConfigNode::new(VmId::clone(&peer.vm), centre, seed as u64, now);
+            node.set_peers(peers.clone());
+            node
+        };
+        Self {
+            now,
+            nodes: (0..processes).map(node).collect(),
+        }
+    }
+
+    /// Advances time by one tick and carries out all orders, but for pulls from `silent`.
+    fn step(&mut self, silent: &[usize]) {
+        self.now += TICK;
+        for i in 0..self.nodes.len() {
+            self.nodes[i].tick(self.now);
+            for order in self.nodes[i].take_orders() {
+                self.carry_out(i, order, silent);
+            }
+        }
+    }
+
+    fn carry_out(&mut self, from: usize, order: Order, silent: &[usize]) {
+        let now = self.now;
+        match order {
+            Order::Pull { vm, after } => {
+                let to = number(&vm);
+                let push = (!silent.contains(&to)).then(|| {
+                    let node = &self.nodes[to];
+                    (node.note(now), node.pull(after))
+                });
+                self.nodes[from].pushed(&vm, push, now, now);
+            }
+            Order::Announce(vm) => {
+                let note = self.nodes[from].note(now);
+                let own = peer(from).vm;
+                self.nodes[number(&vm)].heard(&own, &note, None, now);
+            }
+        }
+    }
+
+    fn read(&mut self, node: usize, platform: &Platform, replica: u64) {
+        let batch = platform.changes(self.nodes[node].store().revision(), replica);
+        self.nodes[node].read(Some(batch), self.now, self.now);
+    }
+
+    fn admits(&self, node: usize) -> Option<u64> {
+        self.nodes[node].view().map(|view| view.revision)
+    }
+}
+
+fn peer(i: usize) -> ConfigPeer {
+    ConfigPeer {
+        vm: VmId::from(format!("vm-{i}")),
+        centre: "lagos".into(),
+        usable: true,
+    }
+}
+
+fn number(vm: &VmId) -> usize {
+    vm.trim_start_matches("vm-").parse().unwrap()
+}
+
+fn platform(edits: u32) -> Platform {
+    let edits: Vec<Edit> = (1..=edits).map(|i| Edit::Presets(i + 1)).collect();
+    Platform::new(&edits)
+}
+
+#[test]
+fn test_node_spreads_from_one_reader() {
+    let platform = platform(2);
+    let mut bench = Bench::new(8);
+    bench.read(0, &platform, 1);
+    for _ in 0..60 {
+        bench.step(&[]);
+    }
+    bench.read(0, &platform, 2);
+    for _ in 0..10 {
+        bench.step(&[]);
+    }
+    for i in 0..8 {
+        assert_eq!(bench.admits(i), Some(2), "vm-{i}");
+    }
+}
+
+#[test]
+fn test_node_starts_from_peers_when_replica_is_stale() {
+    let platform = platform(5);
+    let mut bench = Bench::new(3);
+    bench.read(0, &platform, 5);
+    bench.read(1, &platform, 2);
+    assert_eq!(bench.admits(1), None);
+    bench.step(&[]);
+    bench.step(&[]);
+    assert_eq!(bench.admits(1), Some(5));
+}
+
+#[test]
+fn test_node_starts_alone_after_a_wait() {
+    let platform = platform(1);
+    let mut bench = Bench::new(3);
+    bench.read(0, &platform, 1);
+    bench.step(&[1, 2]);
+    assert_eq!(bench.admits(0), None);
+    bench.now += START_WAIT;
+    bench.step(&[1, 2]);
+    assert_eq!(bench.admits(0), Some(1));
+}
+
+#[test]
+fn test_node_admits_nothing_without_peers_and_service() {
+    let mut bench = Bench::new(1);
+    for _ in 0..200 {
+        bench.nodes[0].read(None, bench.now, bench.now);
+        bench.step(&[]);
+    }
+    assert_eq!(bench.admits(0), None);
+}
+
+#[test]
+fn test_node_passes_a_silent_peer_over() {
+    let platform = platform(1);
+    let mut bench = Bench::new(8);
+    bench.read(0, &platform, 1);
+    let note = bench.nodes[0].note(bench.now);
+    for teller in ["vm-6", "vm-0"] {
+        bench.nodes[3].heard(&VmId::from(teller), &note, None, bench.now);
+    }
+    bench.step(&[6]);
+    bench.step(&[6]);
+    assert_eq!(bench.nodes[3].store().revision(), 1);
+}
+
+#[test]
+fn test_node_reconciles_fallbacks_at_one_revision() {
+    let platform = Platform::new(&[Edit::Presets(10), Edit::BadPresets]);
+    let mut bench = Bench::new(2);
+    bench.read(0, &platform, 1);
+    bench.read(0, &platform, 2);
+    bench.read(1, &platform, 2);
+    bench.nodes[0].take_orders();
+    let note = bench.nodes[0].note(bench.now);
+    bench.nodes[1].heard(&VmId::from("vm-0"), &note, None, bench.now);
+    bench.step(&[]);
+    let digests: Vec<u64> = bench.nodes.iter().map(|n| n.store().digest()).collect();
+    assert_eq!(digests[0], digests[1]);
+}
+
+#[test]
+fn test_node_believes_ages_from_replies_only() {
+    let platform = platform(1);
+    let mut bench = Bench::new(2);
+    bench.read(0, &platform, 1);
+    let push = bench.nodes[0].pull(0);
+    let blank = ConfigNote::default();
+    let (vm, now) = (VmId::from("vm-0"), bench.now);
+    bench.nodes[1].pushed(&vm, Some((blank, push)), now, now);
+    let note = ConfigNote {
+        age: Some(Millis::new(100)),
+        ..bench.nodes[0].note(now)
+    };
+    // A heartbeat may have waited in a buffer while this process was frozen.
+    bench.nodes[1].heard(&vm, &note, None, now);
+    assert_eq!(bench.nodes[1].note(now).age, None);
+    // A reply cannot be older than the heartbeat that it answers.
+    let sent = now - Duration::from_millis(400);
+    bench.nodes[1].heard(&vm, &note, Some(sent), now);
+    assert_eq!(bench.nodes[1].note(now).age, Some(Millis::new(500)));
+    assert_eq!(bench.nodes[1].note(now).reader, Some(vm));
+}
+
+#[test]
+fn test_node_distrusts_its_age_after_a_pause() {
+    let platform = platform(1);
+    let mut bench = Bench::new(1);
+    bench.read(0, &platform, 1);
+    bench.now += START_WAIT;
+    bench.step(&[]);
+    bench.nodes[0].distrust();
+    assert_eq!(bench.nodes[0].note(bench.now).age, None);
+    // It goes on serving under its last accepted configuration.
+    assert_eq!(bench.admits(0), Some(1));
+    bench.read(0, &platform, 1);
+    assert_eq!(bench.nodes[0].note(bench.now).age, Some(Millis::new(0)));
+}
+
+#[test]
+fn test_node_says_that_the_service_is_lost_and_stale() {
+    let platform = platform(3);
+    let mut bench = Bench::new(1);
+    bench.read(0, &platform, 3);
+    bench.nodes[0].take_events();
+    bench.read(0, &platform, 1);
+    bench.nodes[0].read(None, bench.now, bench.now);
+    let events = bench.nodes[0].take_events();
+    let stale = ConfigEvent::StaleAnswer { given: 1, held: 3 };
+    assert_eq!(events, [stale, ConfigEvent::ServiceLost]);
+    assert_eq!(
+        bench.nodes[0].note(bench.now).service,
+        ServiceReach::Unreachable
+    );
+    assert_eq!(bench.nodes[0].store().revision(), 3);
+    bench.step(&[]);
+    assert!(matches!(bench.nodes[0].plan(), ReadPlan::Fallback { .. }));
+}
--- /dev/null
+++ b/crates/core/tests/config/readers.rs
@@ -0,0 +1,162 @@
+//! Tests of who reads the configuration service.
+
+use std::time::{Duration, Instant};
+
+use cassialift_core::{
+    config::{
+        Candidate, Confirmation, FALLBACK_RATE, READERS, ReadInput, ReadPlan, STALE_AGE,
+        ServiceReach, WATCH_PERIOD, WATCH_WAIT, plan_reads,
+    },
+    ids::{DataCentre, VmId},
+};
+use yare::parameterized;
+
+/// The reads a second that the platform allows.
+const PLATFORM_RATE: f64 = 2_000.0;
+
+fn fleet(processes: usize, centres: usize) -> Vec<Candidate> {
+    let candidate = |i: usize| Candidate {
+        vm: VmId::from(format!("vm-{i}")),
+        centre: DataCentre::from(format!("centre-{}", i % centres)),
+        usable: true,
+        service: ServiceReach::Untried,
+    };
+    (0..processes).map(candidate).collect()
+}
+
+/// Returns the plan of each process, when all hold the same of each other.
+fn plans(
+    fleet: &[Candidate],
+    age: Option<Duration>,
+    former: ReadPlan,
+    newest: Option<&Confirmation>,
+) -> Vec<ReadPlan> {
+    let plan = |(i, own): (usize, &Candidate)| {
+        let mut others = fleet.to_vec();
+        others.remove(i);
+        plan_reads(&ReadInput {
+            own: &own.vm,
+            centre: &own.centre,
+            service: own.service,
+            others: &others,
+            newest,
+            age,
+            plan: former,
+        })
+    };
+    fleet.iter().enumerate().map(plan).collect()
+}
+
+/// Returns the most reads a second that these plans make, changes coming all the time or never.
+fn rate(plans: &[ReadPlan], changing: bool) -> f64 {
+    let watch = if changing { WATCH_PERIOD } else { WATCH_WAIT };
+    let of = |plan: &ReadPlan| match plan {
+        ReadPlan::Idle => 0.0,
+        ReadPlan::Watch => 1.0 / watch.as_secs_f64(),
+        ReadPlan::Fallback { period } => 1.0 / period.as_secs_f64(),
+    };
+    plans.iter().map(of).sum()
+}
+
+#[parameterized(
+    adebayo = { 8, 4, 8 },
+    riddim = { 7, 3, 6 },
+    one = { 1, 1, 1 },
+    later = { 1_100, 10, 20 },
+)]
+fn test_readers_elected(processes: usize, centres: usize, readers: usize) {
+    let plans = plans(
+        &fleet(processes, centres),
+        Some(Duration::ZERO),
+        ReadPlan::Idle,
+        None,
+    );
+    let watching = plans.iter().filter(|plan| **plan == ReadPlan::Watch);
+    assert_eq!(watching.count(), readers);
+    let idle = plans.iter().filter(|plan| **plan == ReadPlan::Idle);
+    assert_eq!(idle.count(), processes - readers);
+}
+
+#[parameterized(
+    confirmed = { Some(Duration::ZERO), ServiceReach::Reached },
+    cut_off = { Some(STALE_AGE * 2), ServiceReach::Unreachable },
+    never = { None, ServiceReach::Untried },
+)]
+fn test_readers_rate_at_1100(age: Option<Duration>, service: ServiceReach) {
+    let mut fleet = fleet(1_100, 10);
+    for candidate in &mut fleet {
+        candidate.service = service;
+    }
+    let plans = plans(&fleet, age, ReadPlan::Idle, None);
+    let bound = f64::from(FALLBACK_RATE) + 20.0 / WATCH_PERIOD.as_secs_f64();
+    assert!(rate(&plans, true) <= bound, "{}", rate(&plans, true));
+    assert!(bound < 0.7 * PLATFORM_RATE);
+}
+
+#[test]
+fn test_readers_rate_grows_with_data_centres_only() {
+    let rate_at = |processes, centres| {
+        let fleet = fleet(processes, centres);
+        rate(
+            &plans(&fleet, Some(Duration::ZERO), ReadPlan::Idle, None),
+            false,
+        )
+    };
+    assert!((rate_at(64, 4) - rate_at(1_100, 4)).abs() < f64::EPSILON);
+    assert!((rate_at(64, 4) * 2.0 - rate_at(64, 8)).abs() < f64::EPSILON);
+}
+
+#[test]
+fn test_readers_election_passes_on() {
+    let mut fleet = fleet(12, 1);
+    let watching = |fleet: &[Candidate]| -> Vec<usize> {
+        let plans = plans(fleet, Some(Duration::ZERO), ReadPlan::Idle, None);
+        (0..plans.len())
+            .filter(|i| plans[*i] == ReadPlan::Watch)
+            .collect()
+    };
+    let first = watching(&fleet);
+    fleet[first[0]].service = ServiceReach::Unreachable;
+    fleet[first[1]].usable = false;
+    let second: Vec<usize> = watching(&fleet)
+        .into_iter()
+        .filter(|i| *i != first[1])
+        .collect();
+    assert_eq!(second.len(), READERS);
+    assert!(!second.contains(&first[0]));
+    // The one that cannot read keeps trying, so that it comes back.
+    let plans = plans(&fleet, Some(Duration::ZERO), ReadPlan::Idle, None);
+    assert!(matches!(plans[first[0]], ReadPlan::Fallback { .. }));
+}
+
+#[test]
+fn test_readers_last_extra_reader_stays() {
+    // Everyone reads by itself and hears of one reader; only those that rank before it stay.
+    let mut fleet = fleet(40, 1);
+    for candidate in &mut fleet {
+        candidate.service = ServiceReach::Reached;
+    }
+    let former = ReadPlan::Fallback {
+        period: Duration::from_secs(1),
+    };
+    let mut staying: Vec<VmId> = fleet.iter().map(|own| VmId::clone(&own.vm)).collect();
+    while staying.len() > 1 {
+        let newest = Confirmation {
+            at: Instant::now(),
+            reader: VmId::clone(&staying[staying.len() / 2]),
+        };
+        let plans = plans(&fleet, Some(Duration::ZERO), former, Some(&newest));
+        let left: Vec<VmId> = fleet
+            .iter()
+            .zip(&plans)
+            .filter(|(own, plan)| **plan != ReadPlan::Idle && staying.contains(&own.vm))
+            .map(|(own, _)| VmId::clone(&own.vm))
+            .collect();
+        assert!(left.contains(&newest.reader));
+        if left.len() == staying.len() {
+            break;
+        }
+        staying = left;
+    }
+    assert!(!staying.is_empty());
+}
