ctl: check, status and explain

check validates settings, preset and index files off-line with line, column, cause and hint; status and explain ask a VM, plain or JSON.

--- a/crates/core/tests/config/node.rs
+++ b/crates/core/tests/config/node.rs
@@ -6,7 +6,7 @@
     config::{
         ConfigEvent, ConfigNode, ConfigNote, ConfigPeer, Order, ReadPlan, START_WAIT, ServiceReach,
     },
-    ids::VmId,
+    ids::{DataCentre, VmId},
     time::Millis,
 };
 
@@ -22,11 +22,11 @@
 
 impl Bench {
     fn new(processes: usize) -> Self {
-        let now = Instant::now() + Duration::from_secs(3_600);
+        let now = Instant::now() + Duration::from_hours(1);
         let peers: Vec<ConfigPeer> = (0..processes).map(peer).collect();
         let node = |seed: usize| {
             let peer = &peers[seed];
-            let centre = peer.centre.clone();
+            let centre = DataCentre::clone(&peer.centre);
             let mut node = ConfigNode::new(VmId::clone(&peer.vm), centre, seed as u64, now);
             node.set_peers(peers.clone());
             node
@@ -191,7 +191,7 @@
     bench.nodes[1].heard(&vm, &note, None, now);
     assert_eq!(bench.nodes[1].note(now).age, None);
     // A reply cannot be older than the heartbeat that it answers.
-    let sent = now - Duration::from_millis(400);
+    let sent = now.checked_sub(Duration::from_millis(400)).unwrap();
     bench.nodes[1].heard(&vm, &note, Some(sent), now);
     assert_eq!(bench.nodes[1].note(now).age, Some(Millis::new(500)));
     assert_eq!(bench.nodes[1].note(now).reader, Some(vm));
--- /dev/null
+++ b/crates/ctl/src/commands/time.rs
@@ -0,0 +1,22 @@
+//! Durations for people.
+
+use std::time::Duration;
+
+use cassialift_core::time::Millis;
+
+const MINUTE: u64 = 60;
+const HOUR: u64 = 60 * MINUTE;
+const DAY: u64 = 24 * HOUR;
+
+/// Writes a duration in its two largest units.
+pub(super) fn text(duration: Millis) -> String {
+    let duration = Duration::from(duration);
+    let seconds = duration.as_secs();
+    match seconds {
+        0 => format!("{} ms", duration.as_millis()),
+        1..MINUTE => format!("{:.1} s", duration.as_secs_f64()),
+        MINUTE..HOUR => format!("{} min {} s", seconds / MINUTE, seconds % MINUTE),
+        HOUR..DAY => format!("{} h {} min", seconds / HOUR, seconds % HOUR / MINUTE),
+        _ => format!("{} d {} h", seconds / DAY, seconds % DAY / HOUR),
+    }
+}
--- /dev/null
+++ b/crates/ctl/src/error.rs
@@ -0,0 +1,106 @@
+//! Why a command gave no report.
+
+use std::net::SocketAddr;
+
+use displaydoc::Display;
+
+/// Why a command gave no report.
+#[derive(Debug, Display)]
+pub enum CtlError {
+    /// {0}
+    Options(getopts::Fail),
+    /// no command was named
+    NoCommand,
+    /// there is no command {0}
+    UnknownCommand(String),
+    /// {0} needs a file
+    NoFile(&'static str),
+    /// {0} needs --vm ADDR
+    NoVm(&'static str),
+    /// unexpected argument {0}
+    Extra(String),
+    /// {text} is not an address: {cause}
+    Address {
+        /// The argument.
+        text: String,
+        /// The cause.
+        cause: std::net::AddrParseError,
+    },
+    /// there is no kind of file {0}
+    UnknownKind(String),
+    /// the program cannot start its runtime: {0}
+    Runtime(std::io::Error),
+    /// the HTTP client cannot be built: {0}
+    Build(volo_http::error::ClientError),
+    /// {vm} does not answer: {cause}
+    Unreachable {
+        /// The VM's address.
+        vm: SocketAddr,
+        /// The cause.
+        cause: volo_http::error::ClientError,
+    },
+    /// {0} gave no answer within 3 s
+    Timeout(SocketAddr),
+    /// {vm} answered with status {status}
+    Status {
+        /// The VM's address.
+        vm: SocketAddr,
+        /// The status.
+        status: u16,
+    },
+    /// {vm} sent an answer that cannot be read: {cause}
+    Body {
+        /// The VM's address.
+        vm: SocketAddr,
+        /// The cause.
+        cause: volo_http::body::BodyConvertError,
+    },
+}
+
+impl std::error::Error for CtlError {}
+
+impl CtlError {
+    /// Returns what the operator can do about it.
+    #[must_use]
+    pub const fn hint(&self) -> &'static str {
+        match self {
+            Self::Options(_)
+            | Self::NoCommand
+            | Self::UnknownCommand(_)
+            | Self::NoFile(_)
+            | Self::Extra(_) => "see cassialiftctl --help",
+            Self::NoVm(_) | Self::Address { .. } => {
+                "write the VM's callers address, such as --vm 10.0.0.1:8080"
+            }
+            Self::UnknownKind(_) => "kinds are settings, presets and index",
+            Self::Runtime(_) | Self::Build(_) => "check the limits on threads and memory",
+            Self::Unreachable { .. } | Self::Timeout(_) => {
+                "check the address, or ask another VM what it knows of this one"
+            }
+            Self::Status { .. } | Self::Body { .. } => {
+                "check that the address is a cassialift VM's callers address"
+            }
+        }
+    }
+
+    /// Returns the exit code: 2 for a wrong command line, 1 for the rest.
+    #[must_use]
+    pub const fn exit_code(&self) -> u8 {
+        match self {
+            Self::Options(_)
+            | Self::NoCommand
+            | Self::UnknownCommand(_)
+            | Self::NoFile(_)
+            | Self::NoVm(_)
+            | Self::Extra(_)
+            | Self::Address { .. }
+            | Self::UnknownKind(_) => 2,
+            Self::Runtime(_)
+            | Self::Build(_)
+            | Self::Unreachable { .. }
+            | Self::Timeout(_)
+            | Self::Status { .. }
+            | Self::Body { .. } => 1,
+        }
+    }
+}
