--- /dev/null
+++ b/crates/core/src/fleet/addresses/choose.rs
@@ -0,0 +1,77 @@
+//! The choice of the addresses of one answer.
+
+use std::{net::SocketAddr, time::Instant};
+
+use rand::Rng;
+use rand_chacha::ChaCha8Rng;
+
+use super::{AddressSettings, Entry};
+use crate::{ids::DataCentre, view::Reach};
+
+/// Chooses the addresses for a caller in or near the data centre `near`, best first.
+///
+/// Entries that answer come first, those of the caller's data centre before the others. Suspected
+/// entries only fill up a short answer, and leaving ones are named only when there is no other.
+#[must_use]
+pub fn choose(
+    entries: &[Entry],
+    near: &DataCentre,
+    settings: &AddressSettings,
+    rng: &mut ChaCha8Rng,
+    now: Instant,
+) -> Vec<SocketAddr> {
+    let alive: Vec<&Entry> = of_reach(entries, Reach::Alive);
+    let fleet = mean(alive.iter().copied());
+    let local = alive.iter().filter(|entry| entry.centre == *near);
+    let local = mean(local.copied());
+    let spills = rng.random_bool(spill(local, fleet, settings));
+    let mut drawn: Vec<_> = alive
+        .into_iter()
+        .map(|entry| {
+            let far = !spills && entry.centre != *near;
+            (far, key(entry, fleet, settings, rng, now), entry.address)
+        })
+        .collect();
+    drawn.sort_by(|a, b| a.0.cmp(&b.0).then(b.1.total_cmp(&a.1)));
+    let mut addresses: Vec<_> = drawn.into_iter().map(|(_, _, address)| address).collect();
+    let suspects = of_reach(entries, Reach::Suspect);
+    addresses.extend(suspects.iter().map(|entry| entry.address));
+    if addresses.is_empty() {
+        let leaving = of_reach(entries, Reach::Leaving);
+        addresses.extend(leaving.iter().map(|entry| entry.address));
+    }
+    addresses.truncate(settings.length);
+    addresses
+}
+
+fn of_reach(entries: &[Entry], reach: Reach) -> Vec<&Entry> {
+    let found = entries.iter().filter(|entry| entry.reach == reach);
+    found.collect()
+}
+
+fn mean<'a>(entries: impl Iterator<Item = &'a Entry>) -> f64 {
+    let (mut sum, mut count) = (0.0, 0.0);
+    for entry in entries {
+        sum += f64::from(entry.load);
+        count += 1.0;
+    }
+    if count == 0.0 { 0.0 } else { sum / count }
+}
+
+/// The probability that a caller is sent to any data centre because its own is overloaded.
+fn spill(local: f64, fleet: f64, settings: &AddressSettings) -> f64 {
+    let allowed = settings.excess * (fleet + 1.0);
+    (1.0 - allowed / (local + 1.0)).clamp(0.0, 1.0)
+}
+
+/// Draws a sort key; sorting by it gives a weighted random order without replacement.
+fn key(
+    entry: &Entry,
+    mean: f64,
+    settings: &AddressSettings,
+    rng: &mut ChaCha8Rng,
+    now: Instant,
+) -> f64 {
+    let uniform: f64 = rng.random_range(f64::MIN_POSITIVE..1.0);
+    uniform.ln() / entry.weight(mean, settings, now)
+}
--- /dev/null
+++ b/crates/core/src/fleet/members/hearing.rs
@@ -0,0 +1,199 @@
+//! What pings, replies, failures, probes and news do to the table.
+
+use std::time::Instant;
+
+use super::{Contact, Failure, Member, MemberEvent, MemberState, MemberUpdate, Members};
+use crate::{ids::VmId, view::Reach};
+
+impl Members {
+    /// Takes in a ping or a reply that came directly from `from`.
+    pub fn heard(&mut self, from: &Contact, leaving: bool, load: u32, now: Instant) {
+        if from.vm == self.own.vm {
+            return;
+        }
+        let known = self.rows.contains_key(&from.vm);
+        let member = self
+            .rows
+            .entry(VmId::clone(&from.vm))
+            .or_insert_with(|| Member::heard_of(from, now));
+        if member.former.contains(&from.incarnation) {
+            return;
+        }
+        let restarted = member
+            .incarnation
+            .is_some_and(|old| old != from.incarnation);
+        if member.incarnation != Some(from.incarnation) {
+            member.replace(from);
+            member.since = Some(now);
+        }
+        member.heard = Some(now);
+        member.load = load;
+        member.leaving |= leaving;
+        member.refused = false;
+        member.indirect = false;
+        member.probed = None;
+        if restarted {
+            let (vm, incarnation) = (VmId::clone(&from.vm), from.incarnation);
+            self.gossip.push(&vm);
+            self.events.push(MemberEvent::Restarted { vm, incarnation });
+        }
+        if !known {
+            self.gossip.push(&from.vm);
+        }
+        let reach = if leaving {
+            Reach::Leaving
+        } else {
+            Reach::Alive
+        };
+        self.set_reach(&from.vm, reach, now);
+    }
+
+    /// Takes in the failure of a ping to `vm`.
+    pub fn failed(&mut self, vm: &VmId, failure: Failure, now: Instant) {
+        let freeze = self.settings.freeze;
+        let Some(member) = self.rows.get_mut(vm) else {
+            return;
+        };
+        match failure {
+            Failure::Refused => {
+                member.refused = true;
+                member.probed = None;
+                self.set_reach(vm, Reach::Dead, now);
+            }
+            Failure::Timeout if member.probed.is_some() => {}
+            // A reply of another ping, or a ping of its own, came while this one was waited for.
+            Failure::Timeout if heard_within(member, freeze / 2, now) => {}
+            Failure::Timeout => match member.reach {
+                Reach::Alive | Reach::Leaving => {
+                    member.probed = Some(now);
+                    self.probes.push(VmId::clone(vm));
+                }
+                Reach::Suspect if member.indirect => {
+                    member.probed = Some(now);
+                    self.probes.push(VmId::clone(vm));
+                }
+                Reach::Unknown => self.set_reach(vm, Reach::Suspect, now),
+                Reach::Suspect | Reach::Dead => {}
+            },
+        }
+    }
+
+    /// Takes in what an indirect probe found.
+    pub fn probed(&mut self, vm: &VmId, answered: bool, now: Instant) {
+        let Some(member) = self.rows.get_mut(vm) else {
+            return;
+        };
+        if !answered || member.reach == Reach::Dead {
+            return;
+        }
+        member.probed = None;
+        member.indirect = true;
+        // Calls from here do not reach it, so that it must not be used, yet it lives.
+        self.set_reach(vm, Reach::Suspect, now);
+    }
+
+    /// Takes in news from other processes.
+    pub fn learn(&mut self, updates: &[MemberUpdate], now: Instant) {
+        for update in updates {
+            if update.contact.vm == self.own.vm {
+                self.refute(update);
+            } else {
+                self.learn_one(update, now);
+            }
+        }
+    }
+
+    fn refute(&mut self, update: &MemberUpdate) {
+        let other = update.contact.incarnation != self.own.incarnation;
+        let right = update.state <= self.own_state();
+        if other || right || update.version < self.version {
+            return;
+        }
+        self.version = update.version + 1;
+        let vm = VmId::clone(&self.own.vm);
+        self.gossip.push(&vm);
+        let state = update.state;
+        self.events.push(MemberEvent::Refuted { state });
+    }
+
+    fn learn_one(&mut self, update: &MemberUpdate, now: Instant) {
+        let contact = &update.contact;
+        if !self.rows.contains_key(&contact.vm) {
+            self.introduce(update, now);
+            return;
+        }
+        let Some(member) = self.rows.get_mut(&contact.vm) else {
+            return;
+        };
+        if member.former.contains(&contact.incarnation) {
+            return;
+        }
+        if member.incarnation != Some(contact.incarnation) {
+            // A run that answers here is not replaced on hearsay.
+            if !matches!(member.reach, Reach::Alive | Reach::Leaving) && is_living(update.state) {
+                member.replace(contact);
+                member.version = update.version;
+                self.gossip.push(&contact.vm);
+                self.set_reach(&contact.vm, Reach::Unknown, now);
+            }
+            return;
+        }
+        self.apply(update, now);
+    }
+
+    fn introduce(&mut self, update: &MemberUpdate, now: Instant) {
+        if !is_living(update.state) {
+            return;
+        }
+        let mut member = Member::heard_of(&update.contact, now);
+        member.version = update.version;
+        member.leaving = update.state == MemberState::Leaving;
+        self.rows.insert(VmId::clone(&update.contact.vm), member);
+        self.gossip.push(&update.contact.vm);
+    }
+
+    /// Applies news of the run that is known here.
+    fn apply(&mut self, update: &MemberUpdate, now: Instant) {
+        let vm = &update.contact.vm;
+        let freeze = self.settings.freeze;
+        let Some(member) = self.rows.get_mut(vm) else {
+            return;
+        };
+        let state = member.state().unwrap_or(MemberState::Alive);
+        let newer = update.version > member.version;
+        if !newer && (update.version < member.version || update.state <= state) {
+            return;
+        }
+        member.version = update.version;
+        member.leaving |= update.state == MemberState::Leaving;
+        self.gossip.push(vm);
+        match update.state {
+            MemberState::Leaving if member.reach == Reach::Alive => {
+                self.set_reach(vm, Reach::Leaving, now);
+            }
+            // What is heard at first hand weighs more; the member will refute the news itself.
+            MemberState::Suspect | MemberState::Dead if heard_within(member, freeze, now) => {}
+            MemberState::Suspect if member.reach != Reach::Dead => {
+                self.set_reach(vm, Reach::Suspect, now);
+            }
+            MemberState::Dead => self.set_reach(vm, Reach::Dead, now),
+            // A refuted death leaves the member to be heard directly before it is used again.
+            MemberState::Alive if member.reach == Reach::Dead => {
+                member.refused = false;
+                self.set_reach(vm, Reach::Unknown, now);
+            }
+            MemberState::Alive | MemberState::Leaving | MemberState::Suspect => {}
+        }
+    }
+}
+
+fn heard_within(member: &Member, bound: std::time::Duration, now: Instant) -> bool {
+    let Some(heard) = member.heard else {
+        return false;
+    };
+    now.saturating_duration_since(heard) < bound && member.reach != Reach::Unknown
+}
+
+const fn is_living(state: MemberState) -> bool {
+    matches!(state, MemberState::Alive | MemberState::Leaving)
+}
--- /dev/null
+++ b/crates/core/src/fleet/members/member.rs
@@ -0,0 +1,179 @@
+//! The row of one member.
+
+use std::{net::SocketAddr, time::Instant};
+
+use super::{Contact, MemberState};
+use crate::{
+    ids::{DataCentre, Incarnation, VmId},
+    view::Reach,
+};
+
+/// The most former incarnations of one VM that are remembered.
+const FORMER_LIMIT: usize = 8;
+
+/// A VM as the platform's list names it.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Listed {
+    /// The VM.
+    pub vm: VmId,
+    /// Its data centre.
+    pub centre: DataCentre,
+    /// Where its process listens for peers.
+    pub peers: SocketAddr,
+    /// Where its process listens for callers.
+    pub callers: SocketAddr,
+    /// Whether the platform says that it is about to be taken away.
+    pub leaving: bool,
+}
+
+/// What is known of one other process.
+#[derive(Clone, Debug)]
+#[expect(
+    clippy::struct_excessive_bools,
+    reason = "independent facts that are learned one by one"
+)]
+pub struct Member {
+    /// Its data centre.
+    pub centre: DataCentre,
+    /// Where it listens for peers.
+    pub peers: SocketAddr,
+    /// Where it listens for callers.
+    pub callers: SocketAddr,
+    /// The run of the process; none before it was first heard of.
+    pub incarnation: Option<Incarnation>,
+    /// Whether it can be used.
+    pub reach: Reach,
+    /// Whether the VM list names it.
+    pub listed: bool,
+    /// Whether the VM list has ever named it.
+    pub known: bool,
+    /// Whether the platform or the process itself says that it is leaving.
+    pub leaving: bool,
+    /// Whether its address refused a connection since it was last heard.
+    pub refused: bool,
+    /// Whether others reach it although this process does not.
+    pub indirect: bool,
+    /// The version of the state, set by the process itself.
+    pub version: u64,
+    /// The requests that it last said were in flight.
+    pub load: u32,
+    /// When it was last heard directly.
+    pub heard: Option<Instant>,
+    /// Since when it has answered without a break.
+    pub since: Option<Instant>,
+    /// When `reach` last changed.
+    pub changed: Instant,
+    /// When indirect probes were last asked for; none while none are under way.
+    pub(super) probed: Option<Instant>,
+    /// Incarnations that are over, oldest first.
+    pub(super) former: Vec<Incarnation>,
+}
+
+impl Member {
+    pub(super) fn listed(entry: &Listed, now: Instant) -> Self {
+        Self {
+            centre: DataCentre::clone(&entry.centre),
+            peers: entry.peers,
+            callers: entry.callers,
+            incarnation: None,
+            reach: Reach::Unknown,
+            listed: true,
+            known: true,
+            leaving: entry.leaving,
+            refused: false,
+            indirect: false,
+            version: 0,
+            load: 0,
+            heard: None,
+            since: None,
+            changed: now,
+            probed: None,
+            former: Vec::new(),
+        }
+    }
+
+    pub(super) fn heard_of(contact: &Contact, now: Instant) -> Self {
+        let entry = Listed {
+            vm: VmId::clone(&contact.vm),
+            centre: DataCentre::clone(&contact.centre),
+            peers: contact.peers,
+            callers: contact.callers,
+            leaving: false,
+        };
+        let mut member = Self::listed(&entry, now);
+        member.listed = false;
+        member.known = false;
+        member.incarnation = Some(contact.incarnation);
+        member
+    }
+
+    /// Returns whether the incarnation that is known here is taken to be over for good: its
+    /// address refuses connections, or it does not answer and the VM list no longer names it. A
+    /// VM that the list has not named yet is not gone: the list lags.
+    #[must_use]
+    pub fn is_gone(&self) -> bool {
+        match self.reach {
+            Reach::Alive | Reach::Leaving => false,
+            Reach::Unknown => self.refused,
+            Reach::Suspect | Reach::Dead => self.refused || (self.known && !self.listed),
+        }
+    }
+
+    /// Returns whether new work may be given to the process.
+    #[must_use]
+    pub fn is_usable(&self) -> bool {
+        self.reach == Reach::Alive && !self.leaving
+    }
+
+    pub(super) fn set_reach(&mut self, reach: Reach, now: Instant) -> bool {
+        if self.reach == reach {
+            return false;
+        }
+        self.reach = reach;
+        self.changed = now;
+        match reach {
+            Reach::Alive => self.since = Some(now),
+            Reach::Leaving => {}
+            Reach::Unknown | Reach::Suspect | Reach::Dead => self.since = None,
+        }
+        true
+    }
+
+    /// Makes `contact` the known run of the process; the former one is over.
+    pub(super) fn replace(&mut self, contact: &Contact) {
+        if let Some(former) = self.incarnation {
+            self.former.push(former);
+        }
+        if self.former.len() > FORMER_LIMIT {
+            self.former.remove(0);
+        }
+        self.incarnation = Some(contact.incarnation);
+        self.centre = DataCentre::clone(&contact.centre);
+        self.peers = contact.peers;
+        self.callers = contact.callers;
+        self.version = 0;
+        self.leaving = false;
+    }
+
+    /// Returns the state to tell others; none while nothing is known at first hand or by news.
+    pub(super) fn state(&self) -> Option<MemberState> {
+        match self.reach {
+            Reach::Unknown => None,
+            Reach::Alive => Some(MemberState::Alive),
+            Reach::Suspect if self.indirect => Some(MemberState::Alive),
+            Reach::Suspect => Some(MemberState::Suspect),
+            Reach::Dead => Some(MemberState::Dead),
+            Reach::Leaving => Some(MemberState::Leaving),
+        }
+    }
+
+    pub(super) fn contact(&self, vm: &VmId) -> Option<Contact> {
+        Some(Contact {
+            vm: VmId::clone(vm),
+            incarnation: self.incarnation?,
+            centre: DataCentre::clone(&self.centre),
+            peers: self.peers,
+            callers: self.callers,
+        })
+    }
+}
--- /dev/null
+++ b/crates/core/src/fleet/members/mod.rs
@@ -0,0 +1,21 @@
+//! Membership: which processes of the fleet answer now.
+//!
+//! The platform's VM list names the candidates; it lags. Pings, a constant number a second, tell
+//! who answers. A process that does not answer is probed through others before it is suspected,
+//! and suspected before it is taken to be dead. A process refutes what is said of it by raising
+//! its own version, which nobody else may do. News rides on pings and their replies.
+
+mod gossip;
+mod hearing;
+mod member;
+mod settings;
+mod system;
+mod update;
+
+#[cfg(test)]
+mod tests;
+
+pub use member::{Listed, Member};
+pub use settings::MemberSettings;
+pub use system::{Failure, MemberEvent, Members, Orders, Probe};
+pub use update::{Contact, MemberState, MemberUpdate};
--- /dev/null
+++ b/crates/core/src/fleet/members/system.rs
@@ -0,0 +1,323 @@
+//! The membership table and its tick.
+
+use std::{collections::BTreeMap, time::Instant};
+
+use rand::{Rng, SeedableRng, seq::SliceRandom};
+use rand_chacha::ChaCha8Rng;
+
+use super::{Contact, Listed, Member, MemberSettings, MemberState, MemberUpdate, gossip::Gossip};
+use crate::{
+    ids::{Incarnation, VmId},
+    view::Reach,
+};
+
+/// How a ping failed.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Failure {
+    /// The address refused the connection: no process listens there.
+    Refused,
+    /// No reply came in time, or the connection broke.
+    Timeout,
+}
+
+/// A request to a member to ping another.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Probe {
+    /// Who is to ping.
+    pub via: VmId,
+    /// Who is to be pinged.
+    pub target: VmId,
+}
+
+/// What a tick asks the control thread to send.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub struct Orders {
+    /// Members to ping.
+    pub pings: Vec<VmId>,
+    /// Indirect probes to ask for.
+    pub probes: Vec<Probe>,
+}
+
+/// A change of membership.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum MemberEvent {
+    /// The member's reach changed.
+    Reached {
+        /// The member.
+        vm: VmId,
+        /// Its new reach.
+        reach: Reach,
+    },
+    /// Another run of the member's process has taken over.
+    Restarted {
+        /// The member.
+        vm: VmId,
+        /// The new run.
+        incarnation: Incarnation,
+    },
+    /// This process refuted what was said of it.
+    Refuted {
+        /// What was said.
+        state: MemberState,
+    },
+    /// This process did not run for a while and distrusts all that it believed.
+    Froze {
+        /// The time without a tick.
+        gap: std::time::Duration,
+    },
+}
+
+/// What this process holds of itself and of every other process.
+#[derive(Debug)]
+pub struct Members {
+    pub(super) own: Contact,
+    pub(super) leaving: bool,
+    pub(super) version: u64,
+    pub(super) settings: MemberSettings,
+    pub(super) rows: BTreeMap<VmId, Member>,
+    pub(super) gossip: Gossip,
+    pub(super) events: Vec<MemberEvent>,
+    pub(super) probes: Vec<VmId>,
+    turn: Vec<VmId>,
+    rng: ChaCha8Rng,
+    pinged: Option<Instant>,
+    ticked: Instant,
+}
+
+impl Members {
+    /// Makes the table of a process that knows only itself.
+    #[must_use]
+    pub fn new(own: Contact, settings: MemberSettings, seed: u64, now: Instant) -> Self {
+        let mut gossip = Gossip::default();
+        gossip.push(&own.vm);
+        Self {
+            own,
+            leaving: false,
+            version: 1,
+            settings,
+            rows: BTreeMap::new(),
+            gossip,
+            events: Vec::new(),
+            probes: Vec::new(),
+            turn: Vec::new(),
+            rng: ChaCha8Rng::seed_from_u64(seed),
+            pinged: None,
+            ticked: now,
+        }
+    }
+
+    /// Returns how this process is reached.
+    #[must_use]
+    pub fn own(&self) -> &Contact {
+        &self.own
+    }
+
+    /// Returns whether this process is leaving.
+    #[must_use]
+    pub fn is_leaving(&self) -> bool {
+        self.leaving
+    }
+
+    /// Returns the other processes in name order.
+    pub fn iter(&self) -> impl Iterator<Item = (&VmId, &Member)> {
+        self.rows.iter()
+    }
+
+    /// Returns one other process.
+    #[must_use]
+    pub fn get(&self, vm: &str) -> Option<&Member> {
+        self.rows.get(vm)
+    }
+
+    /// Declares that this process is leaving; there is no way back.
+    pub fn leave(&mut self) {
+        if self.leaving {
+            return;
+        }
+        self.leaving = true;
+        self.version += 1;
+        let vm = VmId::clone(&self.own.vm);
+        self.gossip.push(&vm);
+    }
+
+    /// Takes in a new copy of the platform's VM list.
+    pub fn set_list(&mut self, list: &[Listed], now: Instant) {
+        for member in self.rows.values_mut() {
+            member.listed = false;
+        }
+        for entry in list.iter().filter(|entry| entry.vm != self.own.vm) {
+            let member = self
+                .rows
+                .entry(VmId::clone(&entry.vm))
+                .or_insert_with(|| Member::listed(entry, now));
+            member.listed = true;
+            member.known = true;
+            member.leaving |= entry.leaving;
+            if member.incarnation.is_none() {
+                member.peers = entry.peers;
+                member.callers = entry.callers;
+            }
+        }
+    }
+
+    /// Returns the news to put on the next ping or reply.
+    pub fn updates(&mut self) -> Vec<MemberUpdate> {
+        let names = self.gossip.take(self.settings.updates, self.rows.len() + 1);
+        names.iter().filter_map(|vm| self.update(vm)).collect()
+    }
+
+    fn update(&self, vm: &VmId) -> Option<MemberUpdate> {
+        if *vm == self.own.vm {
+            let contact = self.own.clone();
+            let (state, version) = (self.own_state(), self.version);
+            return Some(MemberUpdate {
+                contact,
+                state,
+                version,
+            });
+        }
+        let member = self.rows.get(vm)?;
+        Some(MemberUpdate {
+            contact: member.contact(vm)?,
+            state: member.state()?,
+            version: member.version,
+        })
+    }
+
+    pub(super) fn own_state(&self) -> MemberState {
+        if self.leaving {
+            MemberState::Leaving
+        } else {
+            MemberState::Alive
+        }
+    }
+
+    /// Advances all timers and returns what to send; call it several times a second.
+    pub fn tick(&mut self, now: Instant) -> Orders {
+        let gap = now.saturating_duration_since(self.ticked);
+        self.ticked = now;
+        if gap > self.settings.freeze {
+            self.distrust(now);
+            self.events.push(MemberEvent::Froze { gap });
+        }
+        self.expire_probes(now);
+        self.expire_suspects(now);
+        self.forget(now);
+        Orders {
+            pings: self.next_ping(now).into_iter().collect(),
+            probes: self.next_probes(),
+        }
+    }
+
+    /// Returns the changes since the last call.
+    pub fn take_events(&mut self) -> Vec<MemberEvent> {
+        std::mem::take(&mut self.events)
+    }
+
+    /// Makes every belief unproven after a freeze: others must be heard anew.
+    fn distrust(&mut self, now: Instant) {
+        for member in self.rows.values_mut() {
+            member.set_reach(Reach::Unknown, now);
+            member.refused = false;
+            member.indirect = false;
+            member.probed = None;
+        }
+        self.probes.clear();
+        self.pinged = None;
+    }
+
+    fn expire_probes(&mut self, now: Instant) {
+        let limit = self.settings.probing;
+        let late = |member: &Member| {
+            member
+                .probed
+                .is_some_and(|at| now.saturating_duration_since(at) >= limit)
+        };
+        let names: Vec<_> = self.names(late);
+        for vm in names {
+            if let Some(member) = self.rows.get_mut(&vm) {
+                member.probed = None;
+                // The suspicion starts anew once no other member reaches it either.
+                if std::mem::take(&mut member.indirect) {
+                    member.changed = now;
+                }
+            }
+            self.set_reach(&vm, Reach::Suspect, now);
+        }
+    }
+
+    fn expire_suspects(&mut self, now: Instant) {
+        let limit = self.settings.suspicion;
+        let over = |member: &Member| {
+            member.reach == Reach::Suspect
+                && !member.indirect
+                && now.saturating_duration_since(member.changed) >= limit
+        };
+        for vm in self.names(over) {
+            self.set_reach(&vm, Reach::Dead, now);
+        }
+    }
+
+    fn forget(&mut self, now: Instant) {
+        let limit = self.settings.forget;
+        self.rows.retain(|_, member| {
+            let idle = now.saturating_duration_since(member.changed) >= limit;
+            let absent = matches!(member.reach, Reach::Dead | Reach::Unknown);
+            member.listed || !absent || !idle
+        });
+    }
+
+    fn names(&self, wanted: impl Fn(&Member) -> bool) -> Vec<VmId> {
+        let found = self.rows.iter().filter(|(_, member)| wanted(member));
+        found.map(|(vm, _)| VmId::clone(vm)).collect()
+    }
+
+    /// Picks the next member in a random order that visits each once before any twice.
+    fn next_ping(&mut self, now: Instant) -> Option<VmId> {
+        let period = self.settings.period;
+        if self
+            .pinged
+            .is_some_and(|at| now.saturating_duration_since(at) < period)
+        {
+            return None;
+        }
+        self.pinged = Some(now);
+        loop {
+            if self.turn.is_empty() {
+                self.turn = self.rows.keys().cloned().collect();
+                self.turn.shuffle(&mut self.rng);
+            }
+            let vm = self.turn.pop()?;
+            if self.rows.contains_key(&vm) {
+                return Some(vm);
+            }
+        }
+    }
+
+    fn next_probes(&mut self) -> Vec<Probe> {
+        let mut probes = Vec::new();
+        for target in std::mem::take(&mut self.probes) {
+            let mut vias = self.names(Member::is_usable);
+            vias.retain(|vm| *vm != target);
+            for _ in 0..self.settings.probers.min(vias.len()) {
+                let via = vias.swap_remove(self.rng.random_range(0..vias.len()));
+                let target = VmId::clone(&target);
+                probes.push(Probe { via, target });
+            }
+        }
+        probes
+    }
+
+    /// Sets a member's reach; a change becomes an event and news.
+    pub(super) fn set_reach(&mut self, vm: &VmId, reach: Reach, now: Instant) {
+        let Some(member) = self.rows.get_mut(vm) else {
+            return;
+        };
+        if !member.set_reach(reach, now) {
+            return;
+        }
+        let vm = VmId::clone(vm);
+        self.gossip.push(&vm);
+        self.events.push(MemberEvent::Reached { vm, reach });
+    }
+}
--- /dev/null
+++ b/crates/core/src/fleet/members/tests.rs
@@ -0,0 +1,250 @@
+//! Tests of membership.
+
+use std::{
+    net::SocketAddr,
+    time::{Duration, Instant},
+};
+
+use super::{
+    Contact, Failure, Listed, MemberEvent, MemberSettings, MemberState, MemberUpdate, Members,
+};
+use crate::{ids::VmId, view::Reach};
+
+const STEP: Duration = Duration::from_millis(50);
+
+fn contact(index: u16, incarnation: u64) -> Contact {
+    Contact {
+        vm: format!("vm-{index}").into(),
+        incarnation,
+        centre: "dc-0".into(),
+        peers: SocketAddr::from(([127, 0, 0, 1], 8_000 + index)),
+        callers: SocketAddr::from(([127, 0, 0, 1], 9_000 + index)),
+    }
+}
+
+fn listed(index: u16) -> Listed {
+    let contact = contact(index, 0);
+    Listed {
+        vm: contact.vm,
+        centre: contact.centre,
+        peers: contact.peers,
+        callers: contact.callers,
+        leaving: false,
+    }
+}
+
+/// A table of `size` members that have all been heard just now.
+fn heard(size: u16, now: Instant) -> Members {
+    let mut members = Members::new(contact(0, 100), MemberSettings::default(), 7, now);
+    let list: Vec<_> = (0..=size).map(listed).collect();
+    members.set_list(&list, now);
+    for index in 1..=size {
+        members.heard(&contact(index, u64::from(index)), false, 0, now);
+    }
+    members.take_events();
+    members
+}
+
+fn update(contact: Contact, state: MemberState, version: u64) -> MemberUpdate {
+    MemberUpdate {
+        contact,
+        state,
+        version,
+    }
+}
+
+#[yare::parameterized(four = { 4 }, hundred = { 100 }, thousand = { 1_100 })]
+fn test_pings_a_second_do_not_depend_on_the_fleet(size: u16) {
+    let mut now = Instant::now();
+    let mut members = heard(size, now);
+    let mut pings = 0;
+    for _ in 0..200 {
+        now += STEP;
+        pings += members.tick(now).pings.len();
+    }
+    assert_eq!(pings, 20);
+}
+
+#[test]
+fn test_every_member_is_pinged_once_before_any_twice() {
+    let mut now = Instant::now();
+    let mut members = heard(10, now);
+    let mut pinged = Vec::new();
+    while pinged.len() < 10 {
+        now += STEP;
+        pinged.extend(members.tick(now).pings);
+    }
+    pinged.sort();
+    pinged.dedup();
+    assert_eq!(pinged.len(), 10);
+}
+
+#[test]
+fn test_news_on_one_message_is_bounded() {
+    let now = Instant::now();
+    let mut members = heard(1_100, now);
+    assert_eq!(members.updates().len(), MemberSettings::default().updates);
+}
+
+#[test]
+fn test_silent_member_is_probed_then_suspected_then_dead() {
+    let mut now = Instant::now();
+    let mut members = heard(4, now);
+    let victim = contact(2, 2).vm;
+    now += Duration::from_millis(800);
+    members.failed(&victim, Failure::Timeout, now);
+    let orders = members.tick(now);
+    assert_eq!(orders.probes.len(), 2);
+    assert!(
+        orders
+            .probes
+            .iter()
+            .all(|probe| probe.target == victim && probe.via != victim)
+    );
+    assert_eq!(members.get(&victim).unwrap().reach, Reach::Alive);
+    let mut states = Vec::new();
+    for _ in 0..60 {
+        now += STEP;
+        members.tick(now);
+        states.extend(members.take_events());
+    }
+    let reached = |reach| MemberEvent::Reached {
+        vm: VmId::clone(&victim),
+        reach,
+    };
+    assert_eq!(states, [reached(Reach::Suspect), reached(Reach::Dead)]);
+}
+
+#[test]
+fn test_member_that_others_reach_is_not_declared_dead() {
+    let mut now = Instant::now();
+    let mut members = heard(4, now);
+    let victim = contact(2, 2).vm;
+    now += Duration::from_millis(800);
+    members.failed(&victim, Failure::Timeout, now);
+    members.tick(now);
+    members.probed(&victim, true, now);
+    for _ in 0..100 {
+        now += STEP;
+        members.tick(now);
+    }
+    let member = members.get(&victim).unwrap();
+    assert_eq!((member.reach, member.is_usable()), (Reach::Suspect, false));
+    assert!(
+        !members
+            .updates()
+            .iter()
+            .any(|one| one.state == MemberState::Suspect)
+    );
+}
+
+#[test]
+fn test_refused_connection_means_gone_until_heard() {
+    let now = Instant::now();
+    let mut members = heard(2, now);
+    let victim = contact(1, 1).vm;
+    members.failed(&victim, Failure::Refused, now);
+    assert!(members.get(&victim).unwrap().is_gone());
+    members.heard(&contact(1, 55), false, 0, now);
+    let member = members.get(&victim).unwrap();
+    assert_eq!((member.is_gone(), member.incarnation), (false, Some(55)));
+    assert!(members.take_events().contains(&MemberEvent::Restarted {
+        vm: victim,
+        incarnation: 55
+    }));
+}
+
+#[test]
+fn test_former_run_is_never_believed_again() {
+    let now = Instant::now();
+    let mut members = heard(2, now);
+    members.heard(&contact(1, 55), false, 0, now);
+    members.heard(&contact(1, 1), false, 9, now);
+    members.learn(&[update(contact(1, 1), MemberState::Alive, 9)], now);
+    let member = members.get(&contact(1, 1).vm).unwrap();
+    assert_eq!((member.incarnation, member.load), (Some(55), 0));
+}
+
+#[test]
+fn test_process_refutes_what_is_said_of_it() {
+    let now = Instant::now();
+    let mut members = heard(2, now);
+    members.learn(&[update(contact(0, 100), MemberState::Dead, 4)], now);
+    let events = members.take_events();
+    assert_eq!(
+        events,
+        [MemberEvent::Refuted {
+            state: MemberState::Dead
+        }]
+    );
+    let own = members
+        .updates()
+        .into_iter()
+        .find(|one| one.contact.incarnation == 100)
+        .unwrap();
+    assert_eq!((own.state, own.version), (MemberState::Alive, 5));
+}
+
+#[test]
+fn test_hearsay_does_not_outweigh_what_was_just_heard() {
+    let now = Instant::now();
+    let mut members = heard(2, now);
+    members.learn(&[update(contact(1, 1), MemberState::Dead, 0)], now);
+    assert_eq!(members.get(&contact(1, 1).vm).unwrap().reach, Reach::Alive);
+    let later = now + Duration::from_secs(2);
+    members.learn(&[update(contact(1, 1), MemberState::Dead, 1)], later);
+    assert_eq!(members.get(&contact(1, 1).vm).unwrap().reach, Reach::Dead);
+}
+
+#[test]
+fn test_lagging_list_neither_hides_new_members_nor_revives_dead_ones() {
+    let now = Instant::now();
+    let mut members = heard(2, now);
+    members.learn(&[update(contact(9, 9), MemberState::Alive, 1)], now);
+    members.heard(&contact(9, 9), false, 0, now);
+    members.failed(&contact(1, 1).vm, Failure::Refused, now);
+    members.set_list(&[listed(0), listed(1), listed(2)], now);
+    assert!(members.get(&contact(9, 9).vm).unwrap().is_usable());
+    assert!(members.get(&contact(1, 1).vm).unwrap().is_gone());
+    members.failed(
+        &contact(9, 9).vm,
+        Failure::Timeout,
+        now + Duration::from_secs(2),
+    );
+    assert!(!members.get(&contact(9, 9).vm).unwrap().is_gone());
+}
+
+#[test]
+fn test_leaving_is_a_state_of_its_own() {
+    let now = Instant::now();
+    let mut members = heard(2, now);
+    members.heard(&contact(1, 1), true, 0, now);
+    let member = members.get(&contact(1, 1).vm).unwrap();
+    assert_eq!(
+        (member.reach, member.is_usable(), member.is_gone()),
+        (Reach::Leaving, false, false)
+    );
+    members.leave();
+    let own = members
+        .updates()
+        .into_iter()
+        .find(|one| one.contact.incarnation == 100)
+        .unwrap();
+    assert_eq!(own.state, MemberState::Leaving);
+}
+
+#[test]
+fn test_woken_process_distrusts_all_members() {
+    let mut now = Instant::now();
+    let mut members = heard(3, now);
+    members.tick(now);
+    now += Duration::from_secs(5);
+    members.tick(now);
+    assert!(
+        members
+            .iter()
+            .all(|(_, member)| member.reach == Reach::Unknown)
+    );
+    let gap = Duration::from_secs(5);
+    assert!(members.take_events().contains(&MemberEvent::Froze { gap }));
+}
--- /dev/null
+++ b/crates/core/src/fleet/node.rs
@@ -0,0 +1,289 @@
+//! One process's part in the fleet: membership and ownership over one exchange of messages.
+
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    time::{Duration, Instant},
+};
+
+use serde::{Deserialize, Serialize};
+
+use super::{
+    members::{
+        Contact, Failure, Listed, Member, MemberEvent, MemberSettings, MemberUpdate, Members,
+        Orders,
+    },
+    ownership::{
+        Answer, Ask, Candidate, Candidates, Holder, OwnState, Ownership, OwnershipEvent,
+        OwnershipSettings,
+    },
+};
+use crate::{
+    ids::{DataCentre, VmId},
+    index::ServerEntry,
+};
+
+/// Periods and bounds of a process's part in the fleet.
+#[derive(Clone, Debug)]
+pub struct NodeSettings {
+    /// Those of membership.
+    pub members: MemberSettings,
+    /// Those of ownership.
+    pub ownership: OwnershipSettings,
+    /// How long a process must have answered before it is handed work.
+    pub settle: Duration,
+    /// How long a starting process waits for the VM list before it claims backend servers.
+    pub grace: Duration,
+}
+
+impl Default for NodeSettings {
+    fn default() -> Self {
+        Self {
+            members: MemberSettings::default(),
+            ownership: OwnershipSettings::default(),
+            settle: Duration::from_secs(2),
+            grace: Duration::from_secs(3),
+        }
+    }
+}
+
+/// A heartbeat: what one process tells another of itself and the fleet.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Beat {
+    /// Who sends it.
+    pub from: Contact,
+    /// Whether the sender is leaving.
+    pub leaving: bool,
+    /// The sender's requests in flight.
+    pub load: u32,
+    /// Membership news.
+    pub updates: Vec<MemberUpdate>,
+    /// What the sender asks about ownership.
+    pub ask: Ask,
+}
+
+/// The reply to a [`Beat`].
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct BeatReply {
+    /// Who replies.
+    pub from: Contact,
+    /// Whether the replier is leaving.
+    pub leaving: bool,
+    /// The replier's requests in flight.
+    pub load: u32,
+    /// Membership news.
+    pub updates: Vec<MemberUpdate>,
+    /// What the replier answers about ownership; none if a later beat overtook this one.
+    pub answer: Option<Answer>,
+}
+
+/// One process's part in the fleet.
+#[derive(Debug)]
+pub struct Node {
+    members: Members,
+    ownership: Ownership,
+    settings: NodeSettings,
+    load: u32,
+    started: Instant,
+    ready: Option<Instant>,
+    beaten: BTreeMap<VmId, Instant>,
+}
+
+impl Node {
+    /// Makes the part of a process that has just started and knows only itself.
+    #[must_use]
+    pub fn new(own: Contact, settings: NodeSettings, seed: u64, now: Instant) -> Self {
+        let holder = holder(&own);
+        let centre = DataCentre::clone(&own.centre);
+        let ownership = Ownership::new(holder, centre, settings.ownership.clone(), now);
+        Self {
+            members: Members::new(own, settings.members.clone(), seed, now),
+            ownership,
+            settings,
+            load: 0,
+            started: now,
+            ready: None,
+            beaten: BTreeMap::new(),
+        }
+    }
+
+    /// Returns the membership table.
+    #[must_use]
+    pub fn members(&self) -> &Members {
+        &self.members
+    }
+
+    /// Returns the ownership table.
+    #[must_use]
+    pub fn ownership(&self) -> &Ownership {
+        &self.ownership
+    }
+
+    /// Takes in the number of requests in flight on this process.
+    pub fn set_load(&mut self, load: u32) {
+        self.load = load;
+    }
+
+    /// Takes in a new copy of the platform's VM list.
+    pub fn set_list(&mut self, list: &[Listed], now: Instant) {
+        self.members.set_list(list, now);
+        self.ready.get_or_insert(now);
+        self.refresh(now);
+    }
+
+    /// Takes in the backend servers of the configuration in force.
+    pub fn set_servers<'a>(&mut self, servers: impl Iterator<Item = &'a ServerEntry>) {
+        self.ownership.set_servers(servers);
+    }
+
+    /// Declares that this process is leaving; there is no way back.
+    pub fn leave(&mut self, now: Instant) {
+        self.members.leave();
+        self.refresh(now);
+    }
+
+    /// Advances all timers and returns what to send; call it several times a second.
+    pub fn tick(&mut self, now: Instant) -> Orders {
+        if now.saturating_duration_since(self.started) >= self.settings.grace {
+            self.ready.get_or_insert(now);
+        }
+        let mut orders = self.members.tick(now);
+        self.refresh(now);
+        self.ownership.tick(now);
+        let mut pings: BTreeSet<_> = orders.pings.drain(..).collect();
+        let partners = self.ownership.partners();
+        pings.extend(partners.into_iter().filter(|vm| self.is_due(vm, now)));
+        self.beaten.retain(|vm, _| self.members.get(vm).is_some());
+        orders.pings = pings.into_iter().collect();
+        orders
+    }
+
+    fn is_due(&self, vm: &VmId, now: Instant) -> bool {
+        let urgent = self.ownership.is_urgent(vm);
+        urgent
+            || self.beaten.get(vm).is_none_or(|at| {
+                now.saturating_duration_since(*at) >= self.settings.ownership.period
+            })
+    }
+
+    /// Makes the beat to send to `to`.
+    pub fn beat(&mut self, to: &VmId, now: Instant) -> Beat {
+        self.beaten.insert(VmId::clone(to), now);
+        let known = self.members.get(to).and_then(|member| member.incarnation);
+        let to = Holder {
+            vm: VmId::clone(to),
+            incarnation: known.unwrap_or_default(),
+        };
+        Beat {
+            from: self.members.own().clone(),
+            leaving: self.members.is_leaving(),
+            load: self.load,
+            ask: self.ownership.ask(&to, now),
+            updates: self.members.updates(),
+        }
+    }
+
+    /// Takes in another process's beat and makes the reply.
+    pub fn hear(&mut self, beat: &Beat, now: Instant) -> BeatReply {
+        self.meet(&beat.from, beat.leaving, beat.load, &beat.updates, now);
+        let answer = self.ownership.answer(&holder(&beat.from), &beat.ask, now);
+        BeatReply {
+            from: self.members.own().clone(),
+            leaving: self.members.is_leaving(),
+            load: self.load,
+            updates: self.members.updates(),
+            answer,
+        }
+    }
+
+    /// Takes in the reply to a beat that was sent to `to` at `sent`.
+    pub fn hear_reply(
+        &mut self,
+        to: &VmId,
+        beat: &Beat,
+        reply: &BeatReply,
+        sent: Instant,
+        now: Instant,
+    ) {
+        self.meet(&reply.from, reply.leaving, reply.load, &reply.updates, now);
+        if reply.from.vm != *to {
+            // Another VM has been given the address.
+            self.members.failed(to, Failure::Refused, now);
+            return;
+        }
+        if let Some(answer) = &reply.answer {
+            let from = holder(&reply.from);
+            self.ownership.accept(&from, &beat.ask, answer, sent, now);
+        }
+    }
+
+    /// Takes in that a beat to `to` got no reply.
+    pub fn hear_failure(&mut self, to: &VmId, failure: Failure, now: Instant) {
+        self.members.failed(to, failure, now);
+        self.refresh_one(to, now);
+    }
+
+    /// Takes in what an indirect probe found.
+    pub fn hear_probe(&mut self, target: &VmId, answered: bool, now: Instant) {
+        self.members.probed(target, answered, now);
+    }
+
+    /// Returns the changes of membership and ownership since the last call.
+    pub fn take_events(&mut self) -> (Vec<MemberEvent>, Vec<OwnershipEvent>) {
+        (self.members.take_events(), self.ownership.take_events())
+    }
+
+    fn meet(
+        &mut self,
+        from: &Contact,
+        leaving: bool,
+        load: u32,
+        updates: &[MemberUpdate],
+        now: Instant,
+    ) {
+        self.members.heard(from, leaving, load, now);
+        self.members.learn(updates, now);
+        self.refresh_one(&from.vm, now);
+    }
+
+    fn refresh(&mut self, now: Instant) {
+        let candidates: Candidates = self
+            .members
+            .iter()
+            .map(|(vm, member)| (VmId::clone(vm), self.candidate(member, now)))
+            .collect();
+        let state = OwnState {
+            leaving: self.members.is_leaving(),
+            ready: self.ready.is_some(),
+            settled: self.is_settled(self.ready, now),
+        };
+        self.ownership.set_candidates(candidates, state);
+    }
+
+    fn refresh_one(&mut self, vm: &VmId, now: Instant) {
+        if let Some(member) = self.members.get(vm) {
+            let candidate = self.candidate(member, now);
+            self.ownership.set_candidate(VmId::clone(vm), candidate);
+        }
+    }
+
+    fn candidate(&self, member: &Member, now: Instant) -> Candidate {
+        Candidate {
+            centre: DataCentre::clone(&member.centre),
+            incarnation: member.incarnation,
+            usable: member.is_usable(),
+            settled: self.is_settled(member.since, now),
+            gone: member.is_gone(),
+        }
+    }
+
+    fn is_settled(&self, since: Option<Instant>, now: Instant) -> bool {
+        since.is_some_and(|at| now.saturating_duration_since(at) >= self.settings.settle)
+    }
+}
+
+fn holder(contact: &Contact) -> Holder {
+    Holder {
+        vm: VmId::clone(&contact.vm),
+        incarnation: contact.incarnation,
+    }
+}
--- /dev/null
+++ b/crates/core/src/fleet/ownership/exchange.rs
@@ -0,0 +1,343 @@
+//! What processes tell each other of ownership; it rides on pings and their replies.
+
+use std::time::Instant;
+
+use serde::{Deserialize, Serialize};
+
+use super::{Holder, Ownership, OwnershipEvent, Role, ServerKey, candidate, role::Origin};
+use crate::ids::{Incarnation, ServerId, VmId};
+
+/// The part of a ping that asks about ownership.
+#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Ask {
+    /// The run that is asked; zero if it is not known. Another run ignores the ask.
+    pub to: Incarnation,
+    /// Counts the asks of the asker's run to one partner; an ask that was overtaken is ignored.
+    pub sequence: u64,
+    /// The servers that the asker owns with the asked one as standby.
+    pub holds: Vec<ServerKey>,
+    /// The servers that the asker claims.
+    pub claims: Vec<ServerKey>,
+    /// The servers that the asker would hand to the asked one, which should ask at once.
+    pub offers: Vec<ServerKey>,
+    /// The servers that the asked one offered and the asker wants.
+    pub wants: Vec<ServerKey>,
+}
+
+/// The part of a ping's reply that answers an [`Ask`].
+#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Answer {
+    /// The servers for which the answering process is the asker's standby. Those that were asked
+    /// for are promised; the others are offered.
+    pub stands: Vec<ServerKey>,
+    /// The claimed servers that are not free.
+    pub denies: Vec<ServerKey>,
+}
+
+impl Ownership {
+    /// Makes the ask for a ping to `to`.
+    pub fn ask(&mut self, to: &Holder, now: Instant) -> Ask {
+        self.check_freeze(now);
+        let mut ask = Ask {
+            to: to.incarnation,
+            sequence: self.next_sequence(&to.vm),
+            ..Ask::default()
+        };
+        for (key, row) in &self.rows {
+            match &row.role {
+                Role::Owner {
+                    standby: Some(standby),
+                    ..
+                } if standby == to && (row.keep || !row.named) => ask.holds.push(*key),
+                Role::Standby {
+                    owner,
+                    origin: Origin::Offered | Origin::Woken { .. },
+                    ..
+                } if owner == to => ask.offers.push(*key),
+                Role::Claiming { .. }
+                | Role::Standby {
+                    origin: Origin::Presumed,
+                    ..
+                } => ask.claims.push(*key),
+                Role::Vacant { .. } | Role::Owner { .. } | Role::Standby { .. } => {}
+            }
+            if row.successor.as_ref() == Some(to) {
+                ask.offers.push(*key);
+            }
+            if row.is_wanted(to, now) {
+                ask.wants.push(*key);
+            }
+        }
+        self.urgent.remove(&to.vm);
+        ask
+    }
+
+    /// Answers an ask of `from`; none if it is meant for another run of this process or a later
+    /// ask was answered before.
+    pub fn answer(&mut self, from: &Holder, ask: &Ask, now: Instant) -> Option<Answer> {
+        self.check_freeze(now);
+        let meant = ask.to == 0 || ask.to == self.own.incarnation;
+        if !meant || !self.is_latest(from, ask.sequence) {
+            return None;
+        }
+        self.note_offers(from, ask, now);
+        self.release(from, ask, now);
+        self.hand_over(from, ask, now);
+        let mut answer = Answer::default();
+        for key in &ask.holds {
+            self.stand(from, *key, now);
+        }
+        for (key, row) in &self.rows {
+            if matches!(&row.role, Role::Standby { owner, .. } if owner == from) {
+                answer.stands.push(*key);
+            }
+        }
+        for key in &ask.claims {
+            if self.denies(from, *key, now) {
+                answer.denies.push(*key);
+            } else {
+                self.pledge(from, *key, now);
+            }
+        }
+        Some(answer)
+    }
+
+    /// Stops being standby of `from` for servers that it no longer names.
+    fn release(&mut self, from: &Holder, ask: &Ask, now: Instant) {
+        for (key, row) in &mut self.rows {
+            let Role::Standby { owner, origin, .. } = &row.role else {
+                continue;
+            };
+            let ended = matches!(origin, Origin::Named | Origin::Presumed);
+            if owner == from && ended && !ask.holds.contains(key) {
+                row.role = Role::vacated(now);
+                // An owner that woke from a freeze offers the server in its answers.
+                row.hint = Some((VmId::clone(&from.vm), now));
+            }
+        }
+    }
+
+    /// Remembers what `from` offers, to ask for it at once.
+    fn note_offers(&mut self, from: &Holder, ask: &Ask, now: Instant) {
+        for key in &ask.offers {
+            if let Some(row) = self.rows.get_mut(key) {
+                row.offer = Some((from.clone(), now));
+                self.urgent.insert(VmId::clone(&from.vm));
+            }
+        }
+    }
+
+    /// Becomes standby of `from` for the servers that it wants; the answer tells it.
+    fn hand_over(&mut self, from: &Holder, ask: &Ask, now: Instant) {
+        let promised = now + self.settings.lease;
+        for key in &ask.wants {
+            let Some(row) = self.rows.get_mut(key) else {
+                continue;
+            };
+            if row.successor.as_ref() != Some(from) {
+                continue;
+            }
+            row.successor = None;
+            let Role::Owner { standby, .. } = &row.role else {
+                continue;
+            };
+            if standby.as_ref().is_some_and(|one| one != from) {
+                continue;
+            }
+            row.role = Role::Standby {
+                owner: from.clone(),
+                promised,
+                origin: Origin::Offered,
+            };
+            let (server, to) = (ServerId::clone(&row.name), VmId::clone(&from.vm));
+            self.events.push(OwnershipEvent::HandedOver { server, to });
+        }
+    }
+
+    /// Becomes or stays standby of `from`, unless the server is held in another way.
+    fn stand(&mut self, from: &Holder, key: ServerKey, now: Instant) {
+        let promised = now + self.settings.lease;
+        let Some(row) = self.rows.get_mut(&key) else {
+            return;
+        };
+        let free = match &row.role {
+            Role::Vacant { .. } | Role::Claiming { .. } => !row.is_pledged(from, now),
+            Role::Owner { .. } => false,
+            Role::Standby { owner, .. } => {
+                owner == from || candidate::is_gone(&self.candidates, owner)
+            }
+        };
+        if free {
+            row.role = Role::Standby {
+                owner: from.clone(),
+                promised,
+                origin: Origin::Named,
+            };
+        }
+    }
+
+    /// Returns whether a server that `from` claims is held or better claimed, as far as known here.
+    fn denies(&mut self, from: &Holder, key: ServerKey, now: Instant) -> bool {
+        let better = self.outranks_own(&from.vm, key);
+        let Some(row) = self.rows.get_mut(&key) else {
+            return false;
+        };
+        let window = self.settings.window;
+        let offered = |(_, at): &(Holder, Instant)| now.saturating_duration_since(*at) < window;
+        match &row.role {
+            // It may own the server as soon as the answer to its next ask is there.
+            Role::Vacant { .. } | Role::Claiming { .. }
+                if row.offer.as_ref().is_some_and(offered) =>
+            {
+                true
+            }
+            Role::Vacant { .. } => row.role.vacated_within(window, now),
+            Role::Claiming { .. } if better => {
+                row.role = Role::START;
+                false
+            }
+            Role::Claiming { .. } | Role::Owner { .. } => true,
+            Role::Standby { owner, .. } => owner != from,
+        }
+    }
+
+    /// Takes no role from others until the claim of `from` is over.
+    fn pledge(&mut self, from: &Holder, key: ServerKey, now: Instant) {
+        let until = now + self.settings.window;
+        if let Some(row) = self.rows.get_mut(&key) {
+            row.pledge = Some((from.clone(), until));
+        }
+    }
+
+    /// Takes in the answer of `from` to an ask that was made at `sent`.
+    pub fn accept(
+        &mut self,
+        from: &Holder,
+        ask: &Ask,
+        answer: &Answer,
+        sent: Instant,
+        now: Instant,
+    ) {
+        self.check_freeze(now);
+        if self.woken.is_some_and(|woken| sent < woken) {
+            return;
+        }
+        let latest = self.asked.get(&from.vm) == Some(&ask.sequence);
+        for key in &ask.holds {
+            let promised = answer.stands.contains(key);
+            self.accept_promise(from, *key, promised, latest, sent, now);
+        }
+        if latest {
+            self.accept_release(from, ask, answer);
+        }
+        // A claimed server that is offered at once is neither free nor denied.
+        for key in ask.claims.iter().filter(|key| !answer.stands.contains(key)) {
+            let denied = answer.denies.contains(key);
+            self.accept_claim(from, *key, denied, sent, now);
+        }
+        for key in &answer.stands {
+            if latest && !ask.holds.contains(key) {
+                self.accept_offer(from, *key, sent, now);
+            }
+        }
+    }
+
+    fn accept_promise(
+        &mut self,
+        from: &Holder,
+        key: ServerKey,
+        promised: bool,
+        latest: bool,
+        sent: Instant,
+        now: Instant,
+    ) {
+        let until = sent + self.settings.lease;
+        let Some(row) = self.rows.get_mut(&key) else {
+            return;
+        };
+        let Role::Owner { standby, lease } = &mut row.role else {
+            return;
+        };
+        if standby.as_ref() != Some(from) {
+            return;
+        }
+        if promised {
+            row.named = true;
+            *lease = (*lease).max(Some(until));
+        } else if latest {
+            *standby = None;
+            *lease = None;
+            row.refused = Some(now);
+        }
+    }
+
+    /// Forgets a standby that was named no longer and has read that.
+    fn accept_release(&mut self, from: &Holder, ask: &Ask, answer: &Answer) {
+        for (key, row) in &mut self.rows {
+            let Role::Owner { standby, lease } = &mut row.role else {
+                continue;
+            };
+            let named = ask.holds.contains(key) || answer.stands.contains(key);
+            if !named && !row.keep && standby.as_ref() == Some(from) {
+                *standby = None;
+                *lease = None;
+            }
+        }
+    }
+
+    fn accept_claim(
+        &mut self,
+        from: &Holder,
+        key: ServerKey,
+        denied: bool,
+        sent: Instant,
+        now: Instant,
+    ) {
+        let Some(row) = self.rows.get_mut(&key) else {
+            return;
+        };
+        match &mut row.role {
+            Role::Claiming { .. } if denied => row.role = Role::START,
+            Role::Claiming { free, .. } => {
+                free.insert(VmId::clone(&from.vm), sent);
+            }
+            Role::Standby {
+                origin: Origin::Presumed,
+                ..
+            } if denied => row.role = Role::vacated(now),
+            Role::Vacant { .. } | Role::Owner { .. } | Role::Standby { .. } => return,
+        }
+        if denied {
+            row.hint = Some((VmId::clone(&from.vm), now));
+        }
+    }
+
+    /// Becomes owner of a server that `from` says it is only the standby for.
+    fn accept_offer(&mut self, from: &Holder, key: ServerKey, sent: Instant, now: Instant) {
+        // The offering process keeps its role for at least this long after it answered.
+        if now.saturating_duration_since(sent) >= self.settings.window {
+            return;
+        }
+        let Some(row) = self.rows.get_mut(&key) else {
+            return;
+        };
+        let free = match &row.role {
+            Role::Vacant { .. } | Role::Claiming { .. } => !row.is_pledged(from, now),
+            Role::Owner { .. } => false,
+            Role::Standby { owner, .. } => owner == from,
+        };
+        if !free {
+            return;
+        }
+        // The offering process may use its half already, so that the lease starts out lapsed.
+        row.role = Role::Owner {
+            standby: Some(from.clone()),
+            lease: Some(sent),
+        };
+        row.keep = true;
+        row.named = false;
+        self.urgent.insert(VmId::clone(&from.vm));
+        let (server, from) = (ServerId::clone(&row.name), VmId::clone(&from.vm));
+        self.events.push(OwnershipEvent::Accepted { server, from });
+    }
+}
--- /dev/null
+++ b/crates/core/src/fleet/ownership/row.rs
@@ -0,0 +1,74 @@
+//! The row of one backend server.
+
+use std::time::Instant;
+
+use super::{Holder, Role, Share};
+use crate::{
+    ids::{DataCentre, ServerId, VmId},
+    index::ServerEntry,
+};
+
+/// One backend server.
+#[derive(Clone, Debug)]
+pub(super) struct Row {
+    pub(super) name: ServerId,
+    pub(super) centre: DataCentre,
+    pub(super) whole: Share,
+    pub(super) role: Role,
+    /// Whether the owner goes on naming its standby.
+    pub(super) keep: bool,
+    /// Whether the standby has acknowledged being named.
+    pub(super) named: bool,
+    /// To whom the owner hands over as soon as that process asks.
+    pub(super) successor: Option<Holder>,
+    /// Who last offered the server, and when.
+    pub(super) offer: Option<(Holder, Instant)>,
+    /// The claimant that was last told that the server is free, and until when this process takes
+    /// no role from anybody else.
+    pub(super) pledge: Option<(Holder, Instant)>,
+    /// When the chosen standby last refused to be one.
+    pub(super) refused: Option<Instant>,
+    /// Who last denied a claim, and when.
+    pub(super) hint: Option<(VmId, Instant)>,
+    /// Whether the last published share was the half of a broken pair.
+    pub(super) halved: bool,
+}
+
+impl Row {
+    pub(super) fn new(entry: &ServerEntry) -> Self {
+        Self {
+            name: ServerId::clone(&entry.id),
+            centre: DataCentre::clone(&entry.centre),
+            whole: whole(entry),
+            role: Role::START,
+            keep: true,
+            named: false,
+            successor: None,
+            offer: None,
+            pledge: None,
+            refused: None,
+            hint: None,
+            halved: false,
+        }
+    }
+
+    /// Returns whether another claimant than `from` was told lately that the server is free.
+    pub(super) fn is_pledged(&self, from: &Holder, now: Instant) -> bool {
+        let pledge = self.pledge.as_ref();
+        pledge.is_some_and(|(claimant, until)| claimant != from && now < *until)
+    }
+
+    /// Returns whether this process wants to take the server over from its owner `from`.
+    pub(super) fn is_wanted(&self, from: &Holder, now: Instant) -> bool {
+        let offered = self.offer.as_ref().is_some_and(|(owner, _)| owner == from);
+        offered && !self.is_pledged(from, now)
+    }
+}
+
+/// All slots and connections of a backend server.
+pub(super) fn whole(entry: &ServerEntry) -> Share {
+    Share {
+        slots: entry.slots,
+        connections: entry.connections,
+    }
+}
--- /dev/null
+++ b/crates/core/src/fleet/ownership/steps.rs
@@ -0,0 +1,184 @@
+//! What each role does in one tick.
+
+use std::{collections::BTreeMap, time::Instant};
+
+use super::{
+    Candidates, Holder, Ownership, OwnershipEvent, Role, candidate, role::Origin, row::Row,
+    targets::Target,
+};
+use crate::ids::{ServerId, VmId};
+
+impl Ownership {
+    pub(super) fn step(
+        &mut self,
+        row: &mut Row,
+        target: &Target,
+        handovers: &mut usize,
+        now: Instant,
+    ) {
+        let wanted = target.owner.as_ref() == Some(&self.own.vm);
+        let window = self.settings.window;
+        row.hint = row
+            .hint
+            .take()
+            .filter(|(_, at)| now.saturating_duration_since(*at) < window);
+        match &row.role {
+            Role::Vacant { .. } if wanted && self.state.ready && row.hint.is_none() => {
+                let free = BTreeMap::new();
+                row.role = Role::Claiming { since: now, free };
+            }
+            Role::Claiming { .. } if !wanted => row.role = Role::START,
+            Role::Claiming { .. } => self.step_claim(row, now),
+            Role::Vacant { .. } => {}
+            Role::Owner { .. } => self.step_owner(row, target, handovers, now),
+            Role::Standby { .. } => self.step_standby(row, now),
+        }
+    }
+
+    /// Ends a claim once every candidate denied holding the server or is gone.
+    fn step_claim(&mut self, row: &mut Row, now: Instant) {
+        let Role::Claiming { since, free } = &row.role else {
+            return;
+        };
+        let window = self.settings.window;
+        let answered = |vm: &VmId| {
+            free.get(vm)
+                .is_some_and(|at| now.saturating_duration_since(*at) < window)
+        };
+        let mut silent = self
+            .candidates
+            .iter()
+            .filter(|(vm, one)| !one.gone && !answered(vm));
+        let Some((vm, first)) = silent.next() else {
+            row.role = Role::Owner {
+                standby: None,
+                lease: None,
+            };
+            let server = ServerId::clone(&row.name);
+            self.events.push(OwnershipEvent::Claimed { server });
+            return;
+        };
+        let waited = now.saturating_duration_since(*since) >= self.settings.patience;
+        if waited && silent.next().is_none() {
+            // A single silent process may own the server; its half is left to it.
+            row.role = Role::Standby {
+                owner: Holder {
+                    vm: VmId::clone(vm),
+                    incarnation: first.incarnation.unwrap_or_default(),
+                },
+                // A standby that is gone may have promised its half until then.
+                promised: now + self.settings.lease,
+                origin: Origin::Presumed,
+            };
+        }
+    }
+
+    fn step_owner(&mut self, row: &mut Row, target: &Target, handovers: &mut usize, now: Instant) {
+        let period = self.settings.period;
+        let refused = row
+            .refused
+            .is_some_and(|at| now.saturating_duration_since(at) < period);
+        let former = row.successor.take();
+        let Role::Owner { standby, lease } = &mut row.role else {
+            return;
+        };
+        if standby
+            .as_ref()
+            .is_some_and(|holder| candidate::is_gone(&self.candidates, holder))
+        {
+            *standby = None;
+            *lease = None;
+        }
+        let own = Some(&self.own.vm);
+        let Some(successor) = target.owner.as_ref().filter(|vm| Some(*vm) != own) else {
+            let wanted = target.standby.as_ref();
+            if let Some(holder) = standby {
+                row.keep = wanted.is_none_or(|vm| *vm == holder.vm);
+            } else if !refused {
+                *standby = wanted.and_then(|vm| holder(&self.candidates, vm));
+                row.keep = true;
+                row.named = false;
+                self.urgent
+                    .extend(standby.iter().map(|holder| VmId::clone(&holder.vm)));
+            }
+            return;
+        };
+        if standby.as_ref().is_some_and(|one| one.vm != *successor) {
+            // The present standby must know that it is none before another process owns half.
+            row.keep = false;
+            return;
+        }
+        let successor = holder(&self.candidates, successor);
+        if successor.is_some() && successor == former {
+            row.successor = successor;
+        } else if *handovers > 0 {
+            *handovers -= 1;
+            row.successor = successor;
+        }
+    }
+
+    fn step_standby(&mut self, row: &mut Row, now: Instant) {
+        let Role::Standby { owner, origin, .. } = &mut row.role else {
+            return;
+        };
+        if let Origin::Woken { at } = *origin {
+            let over = now.saturating_duration_since(at) >= self.settings.window * 2;
+            if over || candidate::is_gone(&self.candidates, owner) {
+                row.role = Role::vacated(now);
+            }
+            return;
+        }
+        let known = self.candidates.get(&owner.vm);
+        let incarnation = known.and_then(|one| one.incarnation);
+        if let (Origin::Presumed, 0, Some(incarnation)) = (*origin, owner.incarnation, incarnation)
+        {
+            owner.incarnation = incarnation;
+        }
+        if candidate::is_gone(&self.candidates, owner) {
+            let (server, from) = (ServerId::clone(&row.name), VmId::clone(&owner.vm));
+            row.role = Role::Owner {
+                standby: None,
+                lease: None,
+            };
+            self.events.push(OwnershipEvent::TakenOver { server, from });
+        }
+    }
+
+    /// Reports when this process falls back to its half or leaves it.
+    pub(super) fn note_half(&mut self, row: &mut Row, now: Instant) {
+        let server = ServerId::clone(&row.name);
+        let event = match &row.role {
+            Role::Owner {
+                standby: Some(standby),
+                lease: Some(lease),
+            } if *lease <= now => {
+                let standby = VmId::clone(&standby.vm);
+                OwnershipEvent::LeaseLost { server, standby }
+            }
+            Role::Standby {
+                owner, promised, ..
+            } if *promised <= now => {
+                let owner = VmId::clone(&owner.vm);
+                OwnershipEvent::StoodIn { server, owner }
+            }
+            Role::Vacant { .. }
+            | Role::Claiming { .. }
+            | Role::Owner { .. }
+            | Role::Standby { .. } => {
+                row.halved = false;
+                return;
+            }
+        };
+        if !std::mem::replace(&mut row.halved, true) {
+            self.events.push(event);
+        }
+    }
+}
+
+/// Returns the known run of a VM's process.
+fn holder(candidates: &Candidates, vm: &VmId) -> Option<Holder> {
+    Some(Holder {
+        vm: VmId::clone(vm),
+        incarnation: candidates.get(vm)?.incarnation?,
+    })
+}
--- /dev/null
+++ b/crates/core/src/fleet/ownership/system.rs
@@ -0,0 +1,272 @@
+//! The ownership table and its tick.
+
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    time::{Duration, Instant},
+};
+
+use super::{
+    Candidate, Candidates, Holder, OwnershipEvent, OwnershipSettings, Role, ServerKey, Share,
+    role::Origin,
+    row::{Row, whole},
+    server_key,
+};
+use crate::{
+    ids::{DataCentre, VmId},
+    index::ServerEntry,
+};
+
+/// The state of this process.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct OwnState {
+    /// Whether it is leaving and hands over all that it owns.
+    pub leaving: bool,
+    /// Whether the candidates are known to be all; before that nothing is claimed.
+    pub ready: bool,
+    /// Whether it has been ready for long enough to be handed work.
+    pub settled: bool,
+}
+
+/// The part that this process plays for each backend server.
+#[derive(Debug)]
+pub struct Ownership {
+    pub(super) own: Holder,
+    pub(super) centre: DataCentre,
+    pub(super) state: OwnState,
+    pub(super) settings: OwnershipSettings,
+    pub(super) rows: BTreeMap<ServerKey, Row>,
+    pub(super) candidates: Candidates,
+    pub(super) asked: BTreeMap<VmId, u64>,
+    pub(super) answered: BTreeMap<VmId, (Holder, u64)>,
+    pub(super) events: Vec<OwnershipEvent>,
+    pub(super) woken: Option<Instant>,
+    pub(super) urgent: BTreeSet<VmId>,
+    ticked: Instant,
+}
+
+impl Ownership {
+    /// Makes the table of a process that owns nothing.
+    #[must_use]
+    pub fn new(own: Holder, centre: DataCentre, settings: OwnershipSettings, now: Instant) -> Self {
+        Self {
+            own,
+            centre,
+            state: OwnState::default(),
+            settings,
+            rows: BTreeMap::new(),
+            candidates: BTreeMap::new(),
+            asked: BTreeMap::new(),
+            answered: BTreeMap::new(),
+            events: Vec::new(),
+            woken: None,
+            urgent: BTreeSet::new(),
+            ticked: now,
+        }
+    }
+
+    /// Takes in the backend servers of the configuration in force.
+    pub fn set_servers<'a>(&mut self, servers: impl Iterator<Item = &'a ServerEntry>) {
+        let mut former = std::mem::take(&mut self.rows);
+        for entry in servers {
+            let key = server_key(&entry.id);
+            let mut row = former.remove(&key).unwrap_or_else(|| Row::new(entry));
+            row.whole = whole(entry);
+            self.rows.insert(key, row);
+        }
+    }
+
+    /// Takes in the other processes as membership sees them, and the state of this one.
+    pub fn set_candidates(&mut self, candidates: Candidates, state: OwnState) {
+        self.candidates = candidates;
+        self.state = state;
+    }
+
+    /// Takes in one process that was heard between two ticks.
+    pub fn set_candidate(&mut self, vm: VmId, candidate: Candidate) {
+        self.candidates.insert(vm, candidate);
+    }
+
+    /// Returns the role for a backend server.
+    #[must_use]
+    pub fn role(&self, server: &str) -> Option<&Role> {
+        Some(&self.rows.get(&server_key(server))?.role)
+    }
+
+    /// Returns the slots and connections of a backend server that this process may use at `now`.
+    #[must_use]
+    pub fn share(&self, server: &str, now: Instant) -> Share {
+        let Some(row) = self.rows.get(&server_key(server)) else {
+            return Share::default();
+        };
+        if self.is_frozen(now) {
+            return Share::default();
+        }
+        Share::of(&row.role, row.whole, self.is_alone(), now)
+    }
+
+    /// Returns whether every other process is gone.
+    fn is_alone(&self) -> bool {
+        self.candidates.values().all(|one| one.gone)
+    }
+
+    /// Returns the instant after which shares that were read now must not be used any more.
+    #[must_use]
+    pub fn fresh_until(&self) -> Instant {
+        self.ticked + self.settings.freeze
+    }
+
+    /// Returns the owner and the standby of a backend server as far as this process knows.
+    #[must_use]
+    pub fn route(&self, server: &str, now: Instant) -> (Option<VmId>, Option<VmId>) {
+        let key = server_key(server);
+        let Some(row) = self.rows.get(&key) else {
+            return (None, None);
+        };
+        let own = || Some(VmId::clone(&self.own.vm));
+        let target = self.target(key, row);
+        match &row.role {
+            Role::Owner { standby, .. } => (
+                own(),
+                standby.as_ref().map(|holder| VmId::clone(&holder.vm)),
+            ),
+            Role::Standby { owner, .. } => {
+                let share = Share::of(&row.role, row.whole, false, now);
+                if share.slots > 0 && !self.is_usable(&owner.vm) {
+                    return (own(), None);
+                }
+                (Some(VmId::clone(&owner.vm)), own())
+            }
+            Role::Vacant { .. } | Role::Claiming { .. } => match &row.hint {
+                Some((vm, _)) if self.is_usable(vm) => (Some(VmId::clone(vm)), target.owner),
+                Some(_) | None => (target.owner, target.standby),
+            },
+        }
+    }
+
+    fn is_usable(&self, vm: &VmId) -> bool {
+        self.candidates.get(vm).is_some_and(|one| one.usable)
+    }
+
+    /// Returns the processes to exchange asks with every period.
+    #[must_use]
+    pub fn partners(&self) -> BTreeSet<VmId> {
+        let mut partners = BTreeSet::new();
+        for row in self.rows.values() {
+            match &row.role {
+                Role::Claiming { .. }
+                | Role::Standby {
+                    origin: Origin::Presumed,
+                    ..
+                } => {
+                    let living = self.candidates.iter().filter(|(_, one)| !one.gone);
+                    partners.extend(living.map(|(vm, _)| VmId::clone(vm)));
+                }
+                Role::Owner {
+                    standby: Some(other),
+                    ..
+                }
+                | Role::Standby { owner: other, .. } => {
+                    partners.insert(VmId::clone(&other.vm));
+                }
+                Role::Vacant { .. } | Role::Owner { standby: None, .. } => {}
+            }
+            if let Some((vm, _)) = &row.hint {
+                partners.insert(VmId::clone(vm));
+            }
+            if let Some(successor) = &row.successor {
+                partners.insert(VmId::clone(&successor.vm));
+            }
+        }
+        partners.extend(self.urgent.iter().cloned());
+        partners.retain(|vm| self.candidates.contains_key(vm));
+        partners
+    }
+
+    /// Returns whether a partner is to be asked without waiting for the next period.
+    #[must_use]
+    pub fn is_urgent(&self, vm: &VmId) -> bool {
+        self.urgent.contains(vm)
+    }
+
+    /// Returns the time between two asks to the same partner.
+    #[must_use]
+    pub fn period(&self) -> Duration {
+        self.settings.period
+    }
+
+    /// Returns the changes since the last call.
+    pub fn take_events(&mut self) -> Vec<OwnershipEvent> {
+        std::mem::take(&mut self.events)
+    }
+
+    /// Advances every role; call it several times a second.
+    pub fn tick(&mut self, now: Instant) {
+        self.check_freeze(now);
+        self.ticked = now;
+        let mut handovers = self.settings.handovers;
+        let keys: Vec<_> = self.rows.keys().copied().collect();
+        for key in keys {
+            let Some(mut row) = self.rows.remove(&key) else {
+                continue;
+            };
+            let target = self.target(key, &row);
+            self.step(&mut row, &target, &mut handovers, now);
+            self.note_half(&mut row, now);
+            self.rows.insert(key, row);
+        }
+    }
+
+    pub(super) fn next_sequence(&mut self, to: &VmId) -> u64 {
+        let sequence = self.asked.entry(VmId::clone(to)).or_default();
+        *sequence += 1;
+        *sequence
+    }
+
+    /// Returns whether an ask of `from` was not overtaken by a later one.
+    pub(super) fn is_latest(&mut self, from: &Holder, sequence: u64) -> bool {
+        let known = self.candidates.get(&from.vm);
+        let incarnation = known.and_then(|one| one.incarnation);
+        if incarnation.is_some_and(|known| known != from.incarnation) {
+            return false;
+        }
+        let last = self.answered.get(&from.vm);
+        if last.is_some_and(|(holder, last)| holder == from && *last >= sequence) {
+            return false;
+        }
+        let entry = (from.clone(), sequence);
+        self.answered.insert(VmId::clone(&from.vm), entry);
+        true
+    }
+
+    fn is_frozen(&self, now: Instant) -> bool {
+        now.saturating_duration_since(self.ticked) > self.settings.freeze
+    }
+
+    /// Gives up every role after a freeze: others may have taken them over.
+    pub(super) fn check_freeze(&mut self, now: Instant) {
+        if !self.is_frozen(now) {
+            return;
+        }
+        let gap = now.saturating_duration_since(self.ticked);
+        self.ticked = now;
+        self.woken = Some(now);
+        for row in self.rows.values_mut() {
+            row.role = match std::mem::replace(&mut row.role, Role::START) {
+                Role::Vacant { since } => Role::Vacant { since },
+                Role::Claiming { .. } => Role::START,
+                Role::Owner {
+                    standby: Some(owner),
+                    ..
+                } => Role::Standby {
+                    owner,
+                    promised: now + self.settings.lease,
+                    origin: Origin::Woken { at: now },
+                },
+                Role::Owner { standby: None, .. } | Role::Standby { .. } => Role::vacated(now),
+            };
+            row.hint = None;
+            row.successor = None;
+        }
+        self.events.push(OwnershipEvent::Froze { gap });
+    }
+}
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -4,6 +4,7 @@
 //! randomness are passed in. That makes every decision testable with fixed seeds.
 
 pub mod config;
+pub mod fleet;
 pub mod ids;
 pub mod index;
 pub mod policy;
--- a/crates/wire/src/peer/control.rs
+++ b/crates/wire/src/peer/control.rs
@@ -1,52 +1,12 @@
 //! Heartbeats, membership and configuration between processes.
 
-use std::net::SocketAddr;
-
 use cassialift_core::{
     config::{ConfigNote, Document},
-    ids::{DataCentre, Incarnation, Revision, VmId},
+    fleet::members::{Contact, MemberUpdate},
+    ids::Revision,
 };
 use serde::{Deserialize, Serialize};
 
-/// How a process is reached and which run of it this is.
-#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
-pub struct Contact {
-    /// The VM.
-    pub vm: VmId,
-    /// The run of its process.
-    pub incarnation: Incarnation,
-    /// Its data centre.
-    pub centre: DataCentre,
-    /// Where it listens for peers.
-    pub peers: SocketAddr,
-    /// Where it listens for callers.
-    pub callers: SocketAddr,
-}
-
-/// What one process holds of another.
-#[derive(Clone, Copy, Debug, Deserialize, Eq, Hash, PartialEq, Serialize)]
-pub enum MemberState {
-    /// Answers.
-    Alive,
-    /// Did not answer lately; may yet refute it.
-    Suspect,
-    /// Taken to be gone.
-    Dead,
-    /// Said that it is leaving.
-    Leaving,
-}
-
-/// One piece of membership news, carried by pings and their replies.
-#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
-pub struct MemberUpdate {
-    /// Whom it is about.
-    pub contact: Contact,
-    /// The state.
-    pub state: MemberState,
-    /// Orders the states of one incarnation; raised only by the process itself.
-    pub version: u64,
-}
-
 /// A heartbeat.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Ping {
--- a/crates/wire/src/peer/mod.rs
+++ b/crates/wire/src/peer/mod.rs
@@ -8,8 +8,7 @@
 pub use cassialift_core::config::ConfigNote;
 
 pub use call::{CallFailure, CallRefusal, CallResult, ShardCall, ShardReply};
-pub use control::{
-    ConfigPull, ConfigPush, Contact, MemberState, MemberUpdate, Ping, PingReply, ProbeReply,
-};
+pub use cassialift_core::fleet::members::{Contact, MemberState, MemberUpdate};
+pub use control::{ConfigPull, ConfigPush, Ping, PingReply, ProbeReply};
 pub use job::{JobForward, JobReply};
 pub use service::{Peer, PeerClient, PeerRequest, PeerResponse, ServePeer};
