server: membership, ownership, addresses and draining in the running fleet

The control thread ran on the VM list alone: a killed VM kept its backend servers, address answers named every listed VM, and SIGTERM cut off what took longer than volo-http's 30 s.

Heartbeats now carry membership news and what is asked of ownership; the control thread sends them over its own connections, answers those of peers and publishes who owns what. A share is valid until its lease ends or the control thread has not run for a second, which is checked again right before a call is sent. A shard call that was proved not run for want of an owner goes on to the owner that was named, or to the standby.

A leaving process tells its peers, hands over, accepts until the longest time to live of an address answer is over, refuses then with better addresses, and exits once nothing is in flight; all that sits in a shutdown hook of volo-http, before it stops accepting.

The VM list is read every second, less often in a larger fleet, so that reading costs at most 2,000 bytes a second at any size.

--- a/crates/core/src/fleet/members/settings.rs
+++ b/crates/core/src/fleet/members/settings.rs
@@ -26,7 +26,7 @@
         Self {
             period: Duration::from_millis(500),
             suspicion: Duration::from_millis(1_500),
-            probing: Duration::from_millis(400),
+            probing: Duration::from_millis(800),
             probers: 2,
             updates: 6,
             freeze: Duration::from_secs(1),
--- a/crates/core/src/fleet/node.rs
+++ b/crates/core/src/fleet/node.rs
@@ -118,6 +118,12 @@
         &self.ownership
     }
 
+    /// Returns the number of requests in flight on this process.
+    #[must_use]
+    pub fn load(&self) -> u32 {
+        self.load
+    }
+
     /// Takes in the number of requests in flight on this process.
     pub fn set_load(&mut self, load: u32) {
         self.load = load;
@@ -135,6 +141,12 @@
         self.ownership.set_servers(servers);
     }
 
+    /// Returns the instant from which on the process counts as settled; none before it is ready.
+    #[must_use]
+    pub fn since(&self) -> Option<Instant> {
+        self.ready
+    }
+
     /// Declares that this process is leaving; there is no way back.
     pub fn leave(&mut self, now: Instant) {
         self.members.leave();
--- a/crates/core/src/fleet/ownership/system.rs
+++ b/crates/core/src/fleet/ownership/system.rs
@@ -109,10 +109,17 @@
         self.candidates.values().all(|one| one.gone)
     }
 
-    /// Returns the instant after which shares that were read now must not be used any more.
+    /// Returns the instant from which on a share that is read now must not be used any more.
     #[must_use]
-    pub fn fresh_until(&self) -> Instant {
-        self.ticked + self.settings.freeze
+    pub fn share_until(&self, server: &str, now: Instant) -> Instant {
+        let fresh = self.ticked + self.settings.freeze;
+        let row = self.rows.get(&server_key(server));
+        match row.map(|row| &row.role) {
+            Some(Role::Owner {
+                lease: Some(lease), ..
+            }) if now < *lease => fresh.min(*lease),
+            Some(_) | None => fresh,
+        }
     }
 
     /// Returns the owner and the standby of a backend server as far as this process knows.
--- a/crates/core/src/view/fleet.rs
+++ b/crates/core/src/view/fleet.rs
@@ -1,6 +1,6 @@
 //! The fleet, as traffic sees it.
 
-use std::{collections::HashMap, net::SocketAddr, sync::Arc};
+use std::{collections::HashMap, net::SocketAddr, sync::Arc, time::Instant};
 
 use serde::{Deserialize, Serialize};
 
@@ -48,6 +48,8 @@
     pub reach: Reach,
     /// The requests that it last said were in flight.
     pub load: u32,
+    /// Since when it has answered without a break; none while it does not.
+    pub since: Option<Instant>,
 }
 
 /// Whether a process can be used.
@@ -77,4 +79,6 @@
     pub slots: u32,
     /// The connections that this process may hold open itself.
     pub connections: u32,
+    /// The instant from which on no call may be started without a newer view.
+    pub until: Option<Instant>,
 }
--- /dev/null
+++ b/crates/server/src/control/beats.rs
@@ -0,0 +1,100 @@
+//! Sending heartbeats and indirect probes to peers.
+
+use std::{io, sync::Arc, time::Duration};
+
+use cassialift_core::{fleet::members::Failure, ids::VmId};
+use cassialift_wire::peer::{Ping, PingReply};
+use tarpc::{client::RpcError, context};
+use tokio::time::timeout;
+
+use super::{ConfigEvent, ControlHandle, Event, FleetEvent};
+use crate::{
+    peers::{PeerError, PeerTable},
+    timer::Timer,
+};
+
+/// How long a peer may take to answer a heartbeat.
+const BEAT_TIMEOUT: Duration = Duration::from_millis(500);
+
+/// How long an indirect probe may take: a heartbeat of another peer and the way there.
+const PROBE_TIMEOUT: Duration = Duration::from_millis(700);
+
+/// Sends a heartbeat, tells the control thread what came of it, and returns whether it answered.
+pub(super) async fn beat(
+    vm: VmId,
+    ping: Ping,
+    peers: Arc<PeerTable>,
+    control: ControlHandle,
+) -> bool {
+    let sent = Timer.now();
+    let answered = timeout(BEAT_TIMEOUT, exchange(&vm, &ping, &peers, &control)).await;
+    let result = answered.unwrap_or(Err(Failure::Timeout)).map(Box::new);
+    let answers = result.is_ok();
+    if let Ok(reply) = &result {
+        let event = ConfigEvent::Heard {
+            vm: VmId::clone(&vm),
+            note: reply.config.clone(),
+            sent: Some(sent),
+        };
+        control.tell(Event::Config(event)).await;
+    }
+    let beat = Box::new(ping.beat);
+    let event = FleetEvent::Beaten {
+        vm,
+        beat,
+        sent,
+        result,
+    };
+    control.tell(Event::Fleet(event)).await;
+    answers
+}
+
+/// Sends a heartbeat, a second time on a new connection when the old one turns out broken.
+async fn exchange(
+    vm: &VmId,
+    ping: &Ping,
+    peers: &PeerTable,
+    control: &ControlHandle,
+) -> Result<PingReply, Failure> {
+    let mut again = true;
+    loop {
+        let connected = peers.client(&control.pin(), vm).await;
+        let client = connected.map_err(|error| failure(&error))?;
+        match client.ping(context::current(), ping.clone()).await {
+            Ok(reply) => return Ok(reply),
+            Err(error) => {
+                peers.forget(vm, &error);
+                if !again || matches!(error, RpcError::DeadlineExceeded | RpcError::Server(_)) {
+                    return Err(Failure::Timeout);
+                }
+                again = false;
+            }
+        }
+    }
+}
+
+fn failure(error: &PeerError) -> Failure {
+    match error {
+        PeerError::Connect(cause) if cause.kind() == io::ErrorKind::ConnectionRefused => {
+            Failure::Refused
+        }
+        PeerError::Connect(_)
+        | PeerError::ConnectTimeout
+        | PeerError::Unknown
+        | PeerError::Call(_) => Failure::Timeout,
+    }
+}
+
+/// Asks `via` to ping `target` and tells the control thread what came of it.
+pub(super) async fn probe(via: VmId, target: VmId, peers: Arc<PeerTable>, control: ControlHandle) {
+    let asked = async {
+        let client = peers.client(&control.pin(), &via).await.ok()?;
+        let reply = client.probe(context::current(), VmId::clone(&target)).await;
+        reply.ok()
+    };
+    let reply = timeout(PROBE_TIMEOUT, asked).await.ok().flatten();
+    let answered = reply.is_some_and(|reply| reply.answered);
+    let vm = target;
+    let event = FleetEvent::Probed { vm, answered };
+    control.tell(Event::Fleet(event)).await;
+}
--- a/crates/server/src/control/config_send.rs
+++ b/crates/server/src/control/config_send.rs
@@ -1,9 +1,9 @@
-//! Sending what the configuration's part orders to peers.
+//! Pulling the configuration from peers.
 
 use std::{sync::Arc, time::Duration};
 
-use cassialift_core::{config::Order, ids::VmId};
-use cassialift_wire::peer::{ConfigPull, ConfigPush, Ping};
+use cassialift_core::ids::VmId;
+use cassialift_wire::peer::{ConfigPull, ConfigPush};
 use tarpc::context;
 
 use super::{ConfigEvent, ControlHandle, Event};
@@ -12,20 +12,15 @@
 /// How long a peer may take to answer.
 const ANSWER_TIMEOUT: Duration = Duration::from_secs(1);
 
-/// Sends one order and tells the control thread what came of it.
-pub(super) async fn send(order: Order, ping: Ping, peers: Arc<PeerTable>, control: ControlHandle) {
-    match order {
-        Order::Pull { vm, after } => {
-            let sent = Timer.now();
-            let push = pull(&peers, &control, &vm, after).await;
-            let event = ConfigEvent::Pushed { vm, push, sent };
-            control.tell(Event::Config(event)).await;
-        }
-        Order::Announce(vm) => announce(&peers, &control, vm, ping).await,
-    }
+/// Pulls from a peer and tells the control thread what came of it.
+pub(super) async fn pull(vm: VmId, after: u64, peers: Arc<PeerTable>, control: ControlHandle) {
+    let sent = Timer.now();
+    let push = ask(&peers, &control, &vm, after).await;
+    let event = ConfigEvent::Pushed { vm, push, sent };
+    control.tell(Event::Config(event)).await;
 }
 
-async fn pull(
+async fn ask(
     peers: &PeerTable,
     control: &ControlHandle,
     vm: &VmId,
@@ -43,24 +38,3 @@
         }
     }
 }
-
-/// Sends a heartbeat and takes in what the reply says of the configuration.
-async fn announce(peers: &PeerTable, control: &ControlHandle, vm: VmId, ping: Ping) {
-    let Ok(client) = peers.client(&control.pin(), &vm).await else {
-        return;
-    };
-    let sent = Timer.now();
-    let mut context = context::current();
-    context.deadline = sent + ANSWER_TIMEOUT;
-    match client.ping(context, ping).await {
-        Ok(reply) => {
-            let event = ConfigEvent::Heard {
-                vm,
-                note: reply.config,
-                sent: Some(sent),
-            };
-            control.tell(Event::Config(event)).await;
-        }
-        Err(error) => peers.forget(&vm, &error),
-    }
-}
--- a/crates/server/src/control/event.rs
+++ b/crates/server/src/control/event.rs
@@ -1,20 +1,22 @@
 //! What the control thread is told.
 
-use cassialift_wire::{
-    peer::{ConfigPull, ConfigPush},
-    platform::VmList,
-};
+use cassialift_core::ids::VmId;
+use cassialift_wire::peer::{ConfigPull, ConfigPush, Ping, PingReply};
 use tokio::sync::oneshot;
 
-use super::ConfigEvent;
+use super::{ConfigEvent, FleetEvent};
 
 /// What the control thread is told.
 #[derive(Debug)]
 pub enum Event {
     /// Something for the configuration's part.
     Config(ConfigEvent),
-    /// The VM list answered.
-    Vms(VmList),
+    /// Something for the fleet's part.
+    Fleet(FleetEvent),
+    /// A peer sent a heartbeat.
+    Ping(Box<Ping>, oneshot::Sender<PingReply>),
+    /// A peer asks whether another answers.
+    Probe(VmId, oneshot::Sender<bool>),
     /// A peer asks for configuration documents.
     Pull(ConfigPull, oneshot::Sender<ConfigPush>),
     /// The process is to leave.
--- /dev/null
+++ b/crates/server/src/control/fleet.rs
@@ -0,0 +1,263 @@
+//! Membership and ownership in the control thread.
+
+use std::{sync::Arc, time::Instant};
+
+use cassialift_core::{
+    fleet::{
+        Beat, BeatReply, Node, NodeSettings,
+        members::{Contact, Failure, Listed, MemberEvent, Orders},
+        ownership::OwnershipEvent,
+    },
+    ids::VmId,
+    view::{ConfigView, FleetView, Reach},
+};
+use cassialift_wire::{
+    peer::PingReply,
+    platform::{VmEntry, VmList, VmState},
+};
+
+use super::fleet_view;
+use crate::{
+    journal::{Journal, Part},
+    metrics::Metrics,
+};
+
+/// What the fleet's part is told.
+#[derive(Debug)]
+pub enum FleetEvent {
+    /// The VM list answered.
+    Listed(VmList),
+    /// A ping to a peer ended.
+    Beaten {
+        /// The peer.
+        vm: VmId,
+        /// What was sent.
+        beat: Box<Beat>,
+        /// When it was sent.
+        sent: Instant,
+        /// The reply, or how the ping failed.
+        result: Result<Box<PingReply>, Failure>,
+    },
+    /// An indirect probe ended.
+    Probed {
+        /// Who was to be pinged.
+        vm: VmId,
+        /// Whether it answered.
+        answered: bool,
+    },
+}
+
+/// Membership and ownership in the control thread.
+#[derive(Debug)]
+pub(super) struct FleetPart {
+    node: Node,
+    config: Option<Arc<ConfigView>>,
+    journal: Arc<Journal>,
+    metrics: Arc<Metrics>,
+}
+
+impl FleetPart {
+    pub(super) fn new(
+        own: Contact,
+        journal: Arc<Journal>,
+        metrics: Arc<Metrics>,
+        now: Instant,
+    ) -> Self {
+        let seed = rand::random();
+        Self {
+            node: Node::new(own, NodeSettings::default(), seed, now),
+            config: None,
+            journal,
+            metrics,
+        }
+    }
+
+    /// Takes in the configuration in force.
+    pub(super) fn set_config(&mut self, config: Option<&Arc<ConfigView>>) {
+        let Some(config) = config else {
+            return;
+        };
+        if self
+            .config
+            .as_ref()
+            .is_some_and(|known| Arc::ptr_eq(known, config))
+        {
+            return;
+        }
+        let servers = config.indexes.values().flat_map(|index| &index.servers);
+        self.node.set_servers(servers);
+        self.config = Some(Arc::clone(config));
+    }
+
+    /// Takes in the number of requests in flight on this process.
+    pub(super) fn set_load(&mut self, load: u32) {
+        self.node.set_load(load);
+    }
+
+    /// Advances all timers and returns what to send.
+    pub(super) fn tick(&mut self, now: Instant) -> Orders {
+        let orders = self.node.tick(now);
+        self.report();
+        orders
+    }
+
+    /// Makes the beat to send to a peer.
+    pub(super) fn beat(&mut self, to: &VmId, now: Instant) -> Beat {
+        self.node.beat(to, now)
+    }
+
+    /// Answers a peer's beat.
+    pub(super) fn hear(&mut self, beat: &Beat, now: Instant) -> BeatReply {
+        let reply = self.node.hear(beat, now);
+        self.report();
+        reply
+    }
+
+    pub(super) fn apply(&mut self, event: FleetEvent, now: Instant) {
+        match event {
+            FleetEvent::Listed(list) => {
+                let list: Vec<_> = list.vms.into_iter().map(listed).collect();
+                self.node.set_list(&list, now);
+            }
+            FleetEvent::Beaten {
+                vm,
+                beat,
+                sent,
+                result,
+            } => match result {
+                Ok(reply) => self.node.hear_reply(&vm, &beat, &reply.reply, sent, now),
+                Err(failure) => {
+                    self.metrics.count(match failure {
+                        Failure::Refused => "fleet.ping_refused",
+                        Failure::Timeout => "fleet.ping_timeout",
+                    });
+                    self.node.hear_failure(&vm, failure, now);
+                }
+            },
+            FleetEvent::Probed { vm, answered } => self.node.hear_probe(&vm, answered, now),
+        }
+        self.report();
+    }
+
+    /// Declares that this process is leaving, and returns whom to tell at once.
+    pub(super) fn leave(&mut self, now: Instant) -> Vec<VmId> {
+        self.node.leave(now);
+        self.journal.info(
+            Part::Fleet,
+            &"This VM is leaving and hands over what it owns.",
+        );
+        let usable = self
+            .node
+            .members()
+            .iter()
+            .filter(|(_, one)| one.is_usable());
+        usable.map(|(vm, _)| VmId::clone(vm)).collect()
+    }
+
+    /// Computes the view to publish.
+    pub(super) fn view(&self, now: Instant) -> FleetView {
+        fleet_view::build(&self.node, self.config.as_ref(), now)
+    }
+
+    fn report(&mut self) {
+        let (members, ownership) = self.node.take_events();
+        for event in members {
+            self.report_member(&event);
+        }
+        for event in ownership {
+            self.report_ownership(&event);
+        }
+    }
+
+    fn report_member(&self, event: &MemberEvent) {
+        let (counter, warns, text) = match event {
+            MemberEvent::Reached { vm, reach } => {
+                let (counter, text) = reached(*reach);
+                let warns = matches!(reach, Reach::Suspect | Reach::Dead);
+                (counter, warns, format!("{vm} {text}."))
+            }
+            MemberEvent::Restarted { vm, .. } => {
+                let text = format!("The process on {vm} was replaced by another run.");
+                ("fleet.member_restarted", false, text)
+            }
+            MemberEvent::Refuted { state } => {
+                let text = format!("This VM refuted that it is {state:?}.");
+                ("fleet.refuted", true, text)
+            }
+            MemberEvent::Froze { gap } => {
+                let millis = gap.as_millis();
+                let text = format!(
+                    "This process did not run for {millis} ms and distrusts all that it believed."
+                );
+                ("fleet.froze", true, text)
+            }
+        };
+        self.record(counter, warns, &text);
+    }
+
+    fn report_ownership(&self, event: &OwnershipEvent) {
+        let (counter, warns, text) = match event {
+            OwnershipEvent::Claimed { server } => {
+                let text = format!("Took {server}, which nobody owned.");
+                ("fleet.claimed", false, text)
+            }
+            OwnershipEvent::Accepted { server, from } => {
+                let text = format!("Took over {server}, which {from} handed over.");
+                ("fleet.accepted", false, text)
+            }
+            OwnershipEvent::HandedOver { server, to } => {
+                let text = format!("Handed {server} over to {to}.");
+                ("fleet.handed_over", false, text)
+            }
+            OwnershipEvent::TakenOver { server, from } => {
+                let text = format!("Took over {server}, whose owner {from} is gone.");
+                ("fleet.taken_over", true, text)
+            }
+            OwnershipEvent::StoodIn { server, owner } => {
+                let text = format!("Uses the standby's half of {server}: {owner} is silent.");
+                ("fleet.stood_in", true, text)
+            }
+            OwnershipEvent::LeaseLost { server, standby } => {
+                let text = format!("Uses the owner's half of {server} only: {standby} is silent.");
+                ("fleet.lease_lost", true, text)
+            }
+            OwnershipEvent::Froze { .. } => {
+                let text = "Gave up every backend server after the pause.".to_owned();
+                ("fleet.gave_up", true, text)
+            }
+        };
+        self.record(counter, warns, &text);
+    }
+
+    fn record(&self, counter: &str, warns: bool, text: &str) {
+        self.metrics.count(counter);
+        if warns {
+            self.journal.warn(Part::Fleet, &text);
+        } else {
+            self.journal.info(Part::Fleet, &text);
+        }
+    }
+}
+
+const fn reached(reach: Reach) -> (&'static str, &'static str) {
+    match reach {
+        Reach::Unknown => ("fleet.member_unknown", "is not known to answer"),
+        Reach::Alive => ("fleet.member_alive", "answers"),
+        Reach::Suspect => ("fleet.member_suspect", "does not answer this VM"),
+        Reach::Dead => ("fleet.member_dead", "is taken to be gone"),
+        Reach::Leaving => ("fleet.member_leaving", "is leaving"),
+    }
+}
+
+fn listed(entry: VmEntry) -> Listed {
+    Listed {
+        vm: entry.id,
+        centre: entry.centre,
+        peers: entry.peers,
+        callers: entry.callers,
+        leaving: match entry.state {
+            VmState::Live => false,
+            VmState::Leaving => true,
+        },
+    }
+}
--- a/crates/server/src/control/handle.rs
+++ b/crates/server/src/control/handle.rs
@@ -3,8 +3,8 @@
 use std::sync::Arc;
 
 use arc_swap::{ArcSwap, Guard};
-use cassialift_core::view::FleetView;
-use cassialift_wire::peer::{ConfigNote, ConfigPull, ConfigPush};
+use cassialift_core::{ids::VmId, view::FleetView};
+use cassialift_wire::peer::{ConfigNote, ConfigPull, ConfigPush, Ping, PingReply};
 use tokio::sync::{mpsc, oneshot};
 
 use super::{ConfigState, Event};
@@ -43,6 +43,20 @@
         drop(self.events.send(event).await);
     }
 
+    /// Answers a peer's heartbeat; none when the control thread has ended.
+    pub async fn ping(&self, ping: Ping) -> Option<PingReply> {
+        let (sender, receiver) = oneshot::channel();
+        self.tell(Event::Ping(Box::new(ping), sender)).await;
+        receiver.await.ok()
+    }
+
+    /// Pings a VM and returns whether it answered.
+    pub async fn probe(&self, target: VmId) -> bool {
+        let (sender, receiver) = oneshot::channel();
+        self.tell(Event::Probe(target, sender)).await;
+        receiver.await.unwrap_or_default()
+    }
+
     /// Returns the configuration documents changed after a revision.
     pub async fn pull(&self, pull: ConfigPull) -> ConfigPush {
         let (sender, receiver) = oneshot::channel();
--- a/crates/server/src/control/mod.rs
+++ b/crates/server/src/control/mod.rs
@@ -1,16 +1,20 @@
 //! The control thread: it owns all tables and publishes a view for the traffic threads.
 
+mod beats;
 mod config;
 mod config_read;
 mod config_send;
 mod config_state;
 mod event;
+mod fleet;
+mod fleet_view;
 mod handle;
-mod tables;
 mod thread;
+mod vm_list;
 
 pub use config::ConfigEvent;
 pub use config_state::ConfigState;
 pub use event::Event;
+pub use fleet::FleetEvent;
 pub use handle::ControlHandle;
 pub use thread::{ControlInput, start};
--- a/crates/server/src/control/thread.rs
+++ b/crates/server/src/control/thread.rs
@@ -7,14 +7,24 @@
 };
 
 use arc_swap::ArcSwap;
-use cassialift_core::view::OwnView;
-use cassialift_wire::peer::{Contact, Ping};
-use tokio::{runtime, sync::mpsc};
+use cassialift_core::{config::Order, fleet::members::Orders, ids::VmId, view::OwnView};
+use cassialift_wire::peer::{Contact, Ping, PingReply};
+use tokio::{
+    runtime,
+    sync::{mpsc, oneshot},
+};
 
-use super::{ControlHandle, Event, config::ConfigPart, config_read, config_send, tables::Tables};
+use super::{
+    ConfigEvent, ControlHandle, Event, beats, config::ConfigPart, config_read, config_send,
+    fleet::FleetPart, vm_list,
+};
 use crate::{
-    journal::Journal, metrics::Metrics, peers::PeerTable, platform::PlatformClient,
-    process::ProcessError, timer::Timer,
+    journal::Journal,
+    metrics::Metrics,
+    peers::PeerTable,
+    platform::PlatformClient,
+    process::{Drain, ProcessError},
+    timer::Timer,
 };
 
 /// How often the systems run.
@@ -23,9 +33,6 @@
 /// The time between two ticks from which the process counts as having been paused.
 const FREEZE: Duration = Duration::from_secs(1);
 
-/// How often the VM list is read.
-const READ_PERIOD: Duration = Duration::from_millis(500);
-
 /// The most events that wait for the control thread.
 const EVENT_QUEUE: usize = 1_024;
 
@@ -38,6 +45,8 @@
     pub platform: PlatformClient,
     /// How peers reach this process.
     pub contact: Contact,
+    /// The requests in flight, and the longest time that address answers are kept.
+    pub drain: Arc<Drain>,
     /// The counters.
     pub metrics: Arc<Metrics>,
     /// The journal.
@@ -54,9 +63,10 @@
         .build()
         .map_err(ProcessError::Runtime)?;
     let (metrics, journal) = (Arc::clone(&input.metrics), Arc::clone(&input.journal));
-    let config = ConfigPart::new(&input.own, journal, metrics, Instant::now());
-    let tables = Tables::new(input.own);
-    let view = Arc::new(ArcSwap::from_pointee(tables.view()));
+    let now = Timer.now();
+    let config = ConfigPart::new(&input.own, Arc::clone(&journal), Arc::clone(&metrics), now);
+    let fleet = FleetPart::new(input.contact, journal, metrics, now);
+    let view = Arc::new(ArcSwap::from_pointee(fleet.view(now)));
     let (sender, receiver) = mpsc::channel(EVENT_QUEUE);
     let handle = ControlHandle {
         view,
@@ -65,10 +75,10 @@
     };
     let control = handle.clone();
     let parts = Parts {
-        tables,
+        fleet,
         config,
+        drain: input.drain,
         peers: Arc::default(),
-        contact: input.contact,
         handle: handle.clone(),
     };
     let spawned = thread::Builder::new()
@@ -80,7 +90,7 @@
                     control.clone(),
                     Arc::clone(&input.metrics),
                 ));
-                tokio::spawn(list(input.platform, control, input.metrics));
+                tokio::spawn(vm_list::run(input.platform, control, input.metrics));
                 run(parts, receiver).await;
             });
         });
@@ -110,17 +120,20 @@
 
 /// The tables and what they publish and send through.
 struct Parts {
-    tables: Tables,
+    fleet: FleetPart,
     config: ConfigPart,
+    drain: Arc<Drain>,
     peers: Arc<PeerTable>,
-    contact: Contact,
     handle: ControlHandle,
 }
 
 impl Parts {
     fn tick(&mut self, now: Instant) {
+        self.fleet.set_load(self.drain.running());
+        let orders = self.fleet.tick(now);
         self.config.tick(now);
         self.publish(now);
+        self.send(orders, now);
     }
 
     fn apply(&mut self, event: Event) {
@@ -130,47 +143,91 @@
                 self.config.apply(event, now);
                 self.publish(now);
             }
-            Event::Vms(list) => self.tables.set_vms(list),
+            Event::Fleet(event) => self.fleet.apply(event, now),
+            Event::Ping(ping, reply) => {
+                // The peer may have hung up by now.
+                drop(reply.send(self.ping(*ping, now)));
+            }
+            Event::Probe(target, reply) => self.probe(target, reply, now),
             Event::Pull(pull, reply) => {
                 // The peer may have hung up by now.
                 drop(reply.send(self.config.pull(pull, now)));
             }
-            Event::Leave => self.tables.leave(),
+            Event::Leave => {
+                for vm in self.fleet.leave(now) {
+                    self.beat(vm, now);
+                }
+                self.publish(now);
+            }
         }
     }
 
-    /// Publishes what is held now and sends what is ordered.
+    fn ping(&mut self, ping: Ping, now: Instant) -> PingReply {
+        let event = ConfigEvent::Heard {
+            vm: VmId::clone(&ping.beat.from.vm),
+            note: ping.config,
+            sent: None,
+        };
+        self.config.apply(event, now);
+        PingReply {
+            reply: self.fleet.hear(&ping.beat, now),
+            config: self.handle.config().note(now),
+        }
+    }
+
+    fn probe(&mut self, target: VmId, reply: oneshot::Sender<bool>, now: Instant) {
+        let ping = self.next_ping(&target, now);
+        let (peers, handle) = (Arc::clone(&self.peers), self.handle.clone());
+        tokio::spawn(async move {
+            let answered = beats::beat(target, ping, peers, handle).await;
+            if reply.send(answered).is_err() {
+                log::debug!("fleet: The asker of an indirect probe hung up.");
+            }
+        });
+    }
+
+    fn next_ping(&mut self, to: &VmId, now: Instant) -> Ping {
+        Ping {
+            beat: self.fleet.beat(to, now),
+            config: self.handle.config().note(now),
+        }
+    }
+
+    fn beat(&mut self, vm: VmId, now: Instant) {
+        let ping = self.next_ping(&vm, now);
+        let (peers, handle) = (Arc::clone(&self.peers), self.handle.clone());
+        tokio::spawn(beats::beat(vm, ping, peers, handle));
+    }
+
+    fn send(&mut self, orders: Orders, now: Instant) {
+        for vm in orders.pings {
+            self.beat(vm, now);
+        }
+        for probe in orders.probes {
+            let (peers, handle) = (Arc::clone(&self.peers), self.handle.clone());
+            tokio::spawn(beats::probe(probe.via, probe.target, peers, handle));
+        }
+    }
+
+    /// Publishes what is held now and sends what the configuration's part orders.
     fn publish(&mut self, now: Instant) {
-        self.tables.set_config(self.config.node().view());
-        let view = self.tables.view();
+        let config = self.config.node().view();
+        if let Some(config) = config {
+            self.drain.note_ttl(config.policy.address_ttl);
+        }
+        self.fleet.set_config(config);
+        let view = self.fleet.view(now);
         self.config.set_members(&view);
-        let leaving = view.own.leaving;
         self.handle.view.store(Arc::new(view));
         let state = Arc::new(self.config.state(now));
-        self.handle.config.store(Arc::clone(&state));
+        self.handle.config.store(state);
         for order in self.config.take_orders() {
-            let ping = Ping {
-                from: self.contact.clone(),
-                leaving,
-                config: state.note(now),
-                load: 0,
-                updates: Vec::new(),
-            };
-            let (peers, handle) = (Arc::clone(&self.peers), self.handle.clone());
-            tokio::spawn(config_send::send(order, ping, peers, handle));
-        }
-    }
-}
-
-async fn list(platform: PlatformClient, control: ControlHandle, metrics: Arc<Metrics>) {
-    let mut ticks = Timer.subscribe(READ_PERIOD);
-    loop {
-        ticks.next().await;
-        match platform.vms().await {
-            Ok(list) => control.tell(Event::Vms(list)).await,
-            Err(error) => {
-                metrics.count("platform.vms_failed");
-                log::warn!("platform: the VM list gave no answer: {error}");
+            match order {
+                Order::Announce(vm) => self.beat(vm, now),
+                Order::Pull { vm, after } => {
+                    let (peers, handle) = (Arc::clone(&self.peers), self.handle.clone());
+                    tokio::spawn(config_send::pull(vm, after, peers, handle));
+                }
             }
         }
     }
--- /dev/null
+++ b/crates/server/src/control/vm_list.rs
@@ -0,0 +1,34 @@
+//! Reading the VM list.
+
+use std::{sync::Arc, time::Duration};
+
+use super::{ControlHandle, Event, FleetEvent};
+use crate::{metrics::Metrics, platform::PlatformClient, timer::Timer};
+
+/// The least time between two reads, and the time after a failed one.
+const READ_PERIOD: Duration = Duration::from_secs(1);
+
+/// The time between two reads for each VM of the list. An entry takes about 150 bytes, so that
+/// reading costs at most 2,000 bytes a second whatever the fleet's size; what the list does not
+/// tell in time, heartbeats do.
+const PERIOD_PER_VM: Duration = Duration::from_millis(75);
+
+/// Reads the VM list until the process ends.
+pub(super) async fn run(platform: PlatformClient, control: ControlHandle, metrics: Arc<Metrics>) {
+    loop {
+        let mut period = READ_PERIOD;
+        match platform.vms().await {
+            Ok(list) => {
+                let count = u32::try_from(list.vms.len()).unwrap_or(u32::MAX);
+                period = period.max(PERIOD_PER_VM.saturating_mul(count));
+                let event = FleetEvent::Listed(list);
+                control.tell(Event::Fleet(event)).await;
+            }
+            Err(error) => {
+                metrics.count("platform.vms_failed");
+                log::warn!("platform: the VM list gave no answer: {error}");
+            }
+        }
+        Timer.after(period).await;
+    }
+}
--- a/crates/server/src/entry/admit.rs
+++ b/crates/server/src/entry/admit.rs
@@ -34,9 +34,6 @@
     now: Instant,
 ) -> Result<Admitted, Refused> {
     let view = node.control.pin();
-    if view.own.leaving {
-        return Err(not_run(RefusalReason::Leaving, "this VM is leaving"));
-    }
     let Some(config) = view.config.clone() else {
         let detail = "no configuration has been accepted yet";
         return Err(not_run(RefusalReason::NoConfig, detail));
--- a/crates/server/src/entry/http.rs
+++ b/crates/server/src/entry/http.rs
@@ -4,7 +4,7 @@
 
 use cassialift_core::request::{Ran, RefusalReason};
 use cassialift_wire::{
-    caller::{ADDRESSES_PATH, SEARCH_PATH},
+    caller::{ADDRESSES_PATH, AddressQuery, SEARCH_PATH},
     operator::{COUNTERS_PATH, Counters, STATUS_PATH},
 };
 use serde::{Serialize, de::DeserializeOwned};
@@ -17,6 +17,7 @@
     response::Response,
     server::{
         Router, Server,
+        extract::Query,
         layer::BodyLimitLayer,
         route::{get, post},
     },
@@ -25,7 +26,7 @@
 use super::{addresses, refuse::Refused, search};
 use crate::{
     operator,
-    process::{Node, ProcessError},
+    process::{Node, ProcessError, drain},
 };
 
 /// Serves callers until the process is told to stop.
@@ -38,7 +39,9 @@
     let listener = listening.map_err(|cause| ProcessError::Listen(address, cause))?;
     let limits = &node.settings.limits;
     let mut http = Server::new(router(&node)).layer(BodyLimitLayer::new(limits.body));
+    let leaving = Arc::clone(&node);
     http.http1_config().set_max_headers(limits.headers);
+    let http = http.register_shutdown_hook(move || Box::pin(async move { drain(&leaving).await }));
     let served = http.run(DefaultIncoming::from(listener)).await;
     served.map_err(ProcessError::Serve)
 }
@@ -50,12 +53,15 @@
     Router::new()
         .route(
             ADDRESSES_PATH,
-            get(move || {
-                let answer = addresses::answer(&list);
+            get(move |Query(query): Query<AddressQuery>| {
+                let answer = addresses::answer(&list, query);
                 async move { reply(answer) }
             }),
         )
-        .route(SEARCH_PATH, post(handler(Arc::clone(node), search::run)))
+        .route(
+            SEARCH_PATH,
+            post(handler(Arc::clone(node), Ran::NotRun, search::run)),
+        )
         .route(
             STATUS_PATH,
             get(move || {
@@ -73,8 +79,11 @@
 }
 
 /// Makes a handler that reads a JSON body and replies with JSON.
+///
+/// Once the process has left it refuses, saying of the request what `ran` says.
 fn handler<Q, A, F, Fut>(
     node: Arc<Node>,
+    ran: Ran,
     run: F,
 ) -> impl FnOnce(Bytes) -> Pin<Box<dyn Future<Output = Response> + Send>> + Clone + Send + Sync
 where
@@ -84,7 +93,12 @@
     Fut: Future<Output = Result<A, Refused>> + Send,
 {
     move |body: Bytes| {
+        let running = node.drain.enter();
         Box::pin(async move {
+            let _running = running;
+            if node.drain.is_closed() {
+                return reply::<A>(Err(addresses::refuse_leaving(&node, ran)));
+            }
             match serde_json::from_slice::<Q>(&body) {
                 Ok(request) => reply(run(node, request).await),
                 Err(error) => reply::<A>(Err(Refused::new(
--- a/crates/server/src/owner/gate.rs
+++ b/crates/server/src/owner/gate.rs
@@ -19,6 +19,8 @@
     pub(super) slots: u32,
     /// The connections that this process may hold to it.
     pub(super) connections: u32,
+    /// The instant from which on no call may be started without a newer share.
+    pub(super) until: Option<Instant>,
     /// Whether the backend server is leaving.
     pub(super) leaving: bool,
     /// Who owns it, as far as this process knows.
@@ -82,7 +84,11 @@
 
     /// Takes a slot and what to send with; none when either is used up.
     pub(super) fn pass(&mut self) -> Option<Passage> {
-        if self.running >= self.share.slots {
+        let lapsed = self
+            .share
+            .until
+            .is_some_and(|until| Instant::now() >= until);
+        if lapsed || self.running >= self.share.slots {
             return None;
         }
         let passage = match self.take_idle() {
--- a/crates/server/src/owner/run.rs
+++ b/crates/server/src/owner/run.rs
@@ -115,7 +115,11 @@
         Some(Exchange {
             path: RUN_PATH,
             body: Bytes::from(body),
-            deadline: self.deadline,
+            deadline: self
+                .grant
+                .server()
+                .until()
+                .map_or(self.deadline, |until| until.min(self.deadline)),
             mark: Arc::clone(&self.mark),
             metrics: Arc::clone(&self.grant.server().metrics),
             counter: OwnerCounter::Sent,
--- a/crates/server/src/owner/server.rs
+++ b/crates/server/src/owner/server.rs
@@ -194,6 +194,11 @@
         reserved.then(|| OpenPermit(Arc::clone(self)))
     }
 
+    /// Returns the instant from which on the share allows no call to be sent.
+    pub(super) fn until(&self) -> Option<Instant> {
+        self.lock().share.until
+    }
+
     /// Keeps a lane for later use.
     pub(super) fn put_idle(self: &Arc<Self>, lane: Lane) {
         self.lock().put_idle(lane);
--- a/crates/server/src/peers/serve.rs
+++ b/crates/server/src/peers/serve.rs
@@ -19,10 +19,7 @@
 };
 
 use super::MAX_FRAME;
-use crate::{
-    control::{ConfigEvent, Event},
-    process::{Node, ProcessError},
-};
+use crate::process::{Node, ProcessError};
 
 /// Serves one peer's calls.
 #[derive(Clone, Debug)]
@@ -32,10 +29,12 @@
 
 impl Peer for PeerServer {
     async fn call_shard(self, _: Context, call: ShardCall) -> ShardReply {
+        let _running = self.node.drain.enter();
         self.node.owner.call(call).await
     }
 
     async fn forward_job(self, _: Context, _: Incarnation, _: JobForward) -> JobReply {
+        let _running = self.node.drain.enter();
         // This run of the process has issued no tickets.
         JobReply::Refused {
             reason: RefusalReason::UnknownTicket,
@@ -45,17 +44,15 @@
     }
 
     async fn ping(self, _: Context, ping: Ping) -> PingReply {
-        let event = ConfigEvent::Heard {
-            vm: ping.from.vm,
-            note: ping.config,
-            sent: None,
-        };
-        self.node.control.tell(Event::Config(event)).await;
-        self.node.ping_reply()
+        match self.node.control.ping(ping).await {
+            Some(reply) => reply,
+            // The process is ending; the peer sees the connection break.
+            None => std::future::pending().await,
+        }
     }
 
     async fn probe(self, _: Context, target: VmId) -> ProbeReply {
-        let answered = self.node.probe(&target).await;
+        let answered = self.node.control.probe(target).await;
         ProbeReply { answered }
     }
 
--- a/crates/server/src/process/node.rs
+++ b/crates/server/src/process/node.rs
@@ -10,9 +10,10 @@
     request::MissingReason,
     view::FleetView,
 };
-use cassialift_wire::peer::{Contact, Ping, PingReply, ShardCall, ShardReply};
+use cassialift_wire::peer::{CallRefusal, CallResult, ShardCall, ShardReply};
 use tarpc::context;
 
+use super::Drain;
 use crate::{
     control::ControlHandle,
     journal::Journal,
@@ -23,6 +24,9 @@
     timer::Timer,
 };
 
+/// The most VMs that one shard call is sent to in search of the owner.
+const MAX_HOPS: usize = 3;
+
 /// What the parts of one process share.
 #[derive(Debug)]
 pub struct Node {
@@ -38,6 +42,8 @@
     pub owner: Owner,
     /// The connections to peers.
     pub peers: PeerTable,
+    /// The requests in flight, which a leaving process waits for.
+    pub drain: Arc<Drain>,
     sequence: AtomicU64,
 }
 
@@ -50,6 +56,7 @@
         metrics: Arc<Metrics>,
         journal: Arc<Journal>,
         owner: Owner,
+        drain: Arc<Drain>,
     ) -> Self {
         Self {
             settings,
@@ -58,6 +65,7 @@
             journal,
             owner,
             peers: PeerTable::default(),
+            drain,
             sequence: AtomicU64::new(0),
         }
     }
@@ -73,6 +81,9 @@
 
     /// Sends a shard call to the owner of its backend server, in this process or another.
     ///
+    /// A VM that says that it does not own the server, or that could not be sent to, did not run
+    /// the call, so that it goes on to the owner that was named, or else to the standby.
+    ///
     /// # Errors
     /// Returns why there is no reply.
     pub async fn call_shard(
@@ -80,10 +91,32 @@
         view: &FleetView,
         call: ShardCall,
     ) -> Result<ShardReply, CallError> {
-        let owner = view.owners.get(&call.server);
-        let Some(vm) = owner.and_then(|owner| owner.owner.as_ref()) else {
+        let Some(known) = view.owners.get(&call.server) else {
             return Err(CallError::NoOwner);
         };
+        let mut next = known.owner.clone();
+        let mut asked: Vec<VmId> = Vec::new();
+        let mut result = Err(CallError::NoOwner);
+        while let Some(vm) = next.filter(|vm| asked.len() < MAX_HOPS && !asked.contains(vm)) {
+            result = self.call_owner(view, &vm, call.clone()).await;
+            let Turn::Elsewhere(named) = turn(&result) else {
+                return result;
+            };
+            self.metrics.count("entry.redirected");
+            asked.push(vm);
+            next = named
+                .filter(|vm| !asked.contains(vm))
+                .or_else(|| known.standby.clone());
+        }
+        result
+    }
+
+    async fn call_owner(
+        &self,
+        view: &FleetView,
+        vm: &VmId,
+        call: ShardCall,
+    ) -> Result<ShardReply, CallError> {
         if *vm == view.own.vm {
             return Ok(self.owner.call(call).await);
         }
@@ -97,45 +130,24 @@
             CallError::Peer(PeerError::Call(error))
         })
     }
+}
 
-    /// Returns this process's answer to a heartbeat.
-    #[must_use]
-    pub fn ping_reply(&self) -> PingReply {
-        let view = self.control.view();
-        PingReply {
-            from: self.contact(&view),
-            leaving: view.own.leaving,
-            config: self.control.config().note(Timer.now()),
-            load: 0,
-            updates: Vec::new(),
-        }
-    }
-
-    /// Pings a VM and returns whether it answered.
-    pub async fn probe(&self, target: &VmId) -> bool {
-        let view = self.control.pin();
-        let Ok(client) = self.peers.client(&view, target).await else {
-            return false;
-        };
-        let own = self.ping_reply();
-        let ping = Ping {
-            from: own.from,
-            leaving: own.leaving,
-            config: own.config,
-            load: own.load,
-            updates: own.updates,
-        };
-        client.ping(context::current(), ping).await.is_ok()
-    }
+/// Where a shard call goes after a VM was asked.
+enum Turn {
+    /// Nowhere: the result stands.
+    Back,
+    /// To another VM, as the call was proved not run for want of an owner; it may be named.
+    Elsewhere(Option<VmId>),
+}
 
-    fn contact(&self, view: &FleetView) -> Contact {
-        Contact {
-            vm: Arc::clone(&view.own.vm),
-            incarnation: view.own.incarnation,
-            centre: Arc::clone(&view.own.centre),
-            peers: self.settings.peers,
-            callers: self.settings.callers,
-        }
+fn turn(result: &Result<ShardReply, CallError>) -> Turn {
+    match result {
+        Ok(reply) => match &reply.result {
+            CallResult::NotRun(CallRefusal::NotOwner { owner }) => Turn::Elsewhere(owner.clone()),
+            CallResult::Done { .. } | CallResult::NotRun(_) | CallResult::Unknown(_) => Turn::Back,
+        },
+        Err(CallError::Peer(error)) if error.is_unsent() => Turn::Elsewhere(None),
+        Err(_) => Turn::Back,
     }
 }
 
--- a/crates/server/src/process/run.rs
+++ b/crates/server/src/process/run.rs
@@ -6,9 +6,9 @@
 use cassialift_wire::peer::Contact;
 use tokio::runtime;
 
-use super::{Node, ProcessError};
+use super::{Drain, Node, ProcessError};
 use crate::{
-    control::{self, ControlInput, Event},
+    control::{self, ControlInput},
     entry,
     journal::Journal,
     metrics::Metrics,
@@ -41,7 +41,9 @@
         centre: Arc::clone(&settings.centre),
         leaving: false,
     };
+    let drain = Arc::new(Drain::default());
     let control = control::start(ControlInput {
+        drain: Arc::clone(&drain),
         contact: Contact {
             vm: Arc::clone(&own.vm),
             incarnation: own.incarnation,
@@ -55,12 +57,10 @@
         metrics: Arc::clone(&metrics),
     })?;
     let owner = Owner::new(settings.owner, Arc::clone(&metrics));
-    let node = Arc::new(Node::new(settings, control, metrics, journal, owner));
+    let node = Arc::new(Node::new(settings, control, metrics, journal, owner, drain));
     let followed = Arc::clone(&node);
     tokio::spawn(async move { owner::follow(&followed.owner, &followed.control).await });
     peers::serve(Arc::clone(&node)).await?;
     log::info!("process: {} serves callers.", node.settings.vm);
-    let served = entry::serve(Arc::clone(&node)).await;
-    node.control.tell(Event::Leave).await;
-    served
+    entry::serve(node).await
 }
--- a/crates/server/tests/owner_support/mod.rs
+++ b/crates/server/tests/owner_support/mod.rs
@@ -242,6 +242,7 @@
         standby: None,
         slots,
         connections,
+        until: None,
     };
     FleetView {
         own: OwnView {
--- a/crates/wire/src/caller/mod.rs
+++ b/crates/wire/src/caller/mod.rs
@@ -1,6 +1,6 @@
 //! The callers' protocol: JSON over HTTP/1.1.
 //!
-//! - `GET /v1/addresses` gives an [`AddressAnswer`].
+//! - `GET /v1/addresses`, with an optional [`AddressQuery`], gives an [`AddressAnswer`].
 //! - `POST /v1/search` with a [`SearchRequest`] gives an [`Answer`].
 //! - `POST /v1/tickets` with a [`TicketRequest`] gives a [`TicketAnswer`].
 //! - `POST /v1/jobs` with a [`JobRequest`] gives a [`JobAnswer`].
@@ -11,7 +11,7 @@
 use std::net::SocketAddr;
 
 use cassialift_core::{
-    ids::{CallerId, IndexVersion, PresetId, Revision, ServiceId, ShardId},
+    ids::{CallerId, DataCentre, IndexVersion, PresetId, Revision, ServiceId, ShardId},
     request::{Coverage, Ran, RefusalReason, RequestKind},
     time::Millis,
 };
@@ -30,6 +30,15 @@
 /// The path that asks for a job's outcome.
 pub const OUTCOME_PATH: &str = "/v1/outcome";
 
+/// The query of `GET /v1/addresses`.
+#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct AddressQuery {
+    /// The data centre that the caller is in or nearest to; the answering VM's when missing.
+    #[serde(default)]
+    pub near: Option<DataCentre>,
+}
+
 /// The addresses that a caller may use, best first.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 #[serde(deny_unknown_fields)]
--- a/crates/wire/src/peer/control.rs
+++ b/crates/wire/src/peer/control.rs
@@ -2,7 +2,7 @@
 
 use cassialift_core::{
     config::{ConfigNote, Document},
-    fleet::members::{Contact, MemberUpdate},
+    fleet::{Beat, BeatReply},
     ids::Revision,
 };
 use serde::{Deserialize, Serialize};
@@ -10,31 +10,19 @@
 /// A heartbeat.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Ping {
-    /// Who pings.
-    pub from: Contact,
-    /// Whether it is leaving.
-    pub leaving: bool,
+    /// Who pings, and what it tells of itself and the fleet.
+    pub beat: Beat,
     /// What it holds of the configuration.
     pub config: ConfigNote,
-    /// Its load: requests in flight.
-    pub load: u32,
-    /// Membership news.
-    pub updates: Vec<MemberUpdate>,
 }
 
 /// The reply to a [`Ping`]; the same facts about the replier.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct PingReply {
-    /// Who replies.
-    pub from: Contact,
-    /// Whether it is leaving.
-    pub leaving: bool,
+    /// Who replies, and what it tells of itself and the fleet.
+    pub reply: BeatReply,
     /// What it holds of the configuration.
     pub config: ConfigNote,
-    /// Its load: requests in flight.
-    pub load: u32,
-    /// Membership news.
-    pub updates: Vec<MemberUpdate>,
 }
 
 /// What an indirect probe found.
