server: process tests of configuration; heartbeats of its own where none come

Eight cases over four processes: service down at restart and at start, stale replica, one process that can read, two operators at once, a frozen process, a rejected text between two good ones with all but one process restarted. A process that has had no note from a peer for 500 ms asks one, so ages spread whoever else sends heartbeats.

--- a/crates/core/src/config/node.rs
+++ b/crates/core/src/config/node.rs
@@ -20,6 +20,8 @@
 
 /// Failed reads in a row after which the service counts as unreachable.
 const FAILED_READS: u32 = 2;
+/// How long a process goes without a peer's note before it asks for one.
+const NOTE_PERIOD: Duration = Duration::from_millis(500);
 
 /// One process's part in the configuration.
 #[derive(Debug)]
@@ -36,6 +38,7 @@
     failed: u32,
     plan: ReadPlan,
     aged: bool,
+    exchanged: Instant,
     random: ChaCha8Rng,
     orders: Vec<Order>,
     events: Vec<ConfigEvent>,
@@ -69,6 +72,7 @@
             failed: 0,
             plan: ReadPlan::Idle,
             aged: false,
+            exchanged: now,
             random: ChaCha8Rng::seed_from_u64(seed),
             orders: Vec::new(),
             events: Vec::new(),
@@ -143,6 +147,9 @@
     /// `sent` is when this process sent the heartbeat that the peer replied to. Without it the
     /// note may have waited anywhere, so its age is not believed.
     pub fn heard(&mut self, vm: &VmId, note: &ConfigNote, sent: Option<Instant>, now: Instant) {
+        if sent.is_some() {
+            self.exchanged = now;
+        }
         self.said.insert(VmId::clone(vm), note.service);
         if let Some(peer) = self.peers.iter_mut().find(|peer| peer.vm == *vm) {
             peer.service = note.service;
@@ -160,6 +167,18 @@
         }
     }
 
+    /// Sends a heartbeat of its own when no reply to one has brought a note for a while.
+    fn ask_for_note(&mut self, now: Instant) {
+        if now.saturating_duration_since(self.exchanged) < NOTE_PERIOD {
+            return;
+        }
+        self.exchanged = now;
+        let usable: Vec<&Candidate> = self.peers.iter().filter(|peer| peer.usable).collect();
+        let chosen = usable.choose(&mut self.random);
+        let order = chosen.map(|peer| Order::Announce(VmId::clone(&peer.vm)));
+        self.orders.extend(order);
+    }
+
     /// Takes in a peer's answer to a pull that was sent at `sent`; none if it did not answer.
     pub fn pushed(
         &mut self,
@@ -215,6 +234,7 @@
     /// Advances all timers.
     pub fn tick(&mut self, now: Instant) {
         self.ask_peers(now);
+        self.ask_for_note(now);
         if let Some(vm) = self.spread.next(self.store.revision(), now) {
             self.order_pull(vm, now);
         }
--- /dev/null
+++ b/crates/server/tests/config_fleet.rs
@@ -0,0 +1,228 @@
+//! Configuration over a fleet of processes, with the platform failing in its usual ways.
+
+use std::sync::Arc;
+
+use cassialift_core::{
+    ids::{PresetId, Revision},
+    presets::Preset,
+};
+use cassialift_testkit::{
+    harness::{Fleet, FleetSettings, Signal},
+    standin::{ConfigMode, Edit},
+};
+use cassialift_wire::{
+    caller::ADDRESSES_PATH,
+    operator::{ConfigStatus, STATUS_PATH, Status},
+    platform::PRESETS_KEY,
+};
+use yare::parameterized;
+
+/// The VMs of each fleet here.
+const VMS: usize = 4;
+
+fn settings() -> FleetSettings {
+    FleetSettings {
+        vms: vec![2, 2],
+        servers: 2,
+        runners: 1,
+        shards: 2,
+        hosts: 1,
+        ..FleetSettings::default()
+    }
+}
+
+async fn status(fleet: &Fleet, vm: usize) -> Option<Status> {
+    let reply = fleet.get(vm, STATUS_PATH).await.ok()?;
+    reply.parse().ok()
+}
+
+async fn config(fleet: &Fleet, vm: usize) -> Option<ConfigStatus> {
+    Some(status(fleet, vm).await?.config)
+}
+
+/// Waits until every VM has this preset in force at this revision or a later one.
+async fn wait_in_force(fleet: &Fleet, preset: &str, revision: Revision) {
+    for vm in 0..VMS {
+        let what = format!("preset {preset} of revision {revision} on vm-{vm}");
+        let in_force = async || {
+            let Some(config) = config(fleet, vm).await else {
+                return false;
+            };
+            config.admits
+                && config.revision >= revision
+                && config.preset == Some(PresetId::from(preset))
+        };
+        fleet.wait_for(&what, in_force).await.unwrap();
+    }
+}
+
+async fn publish(fleet: &Fleet, preset: &str) -> Revision {
+    let published = fleet.publish_preset(preset, &Preset::default()).await;
+    published.unwrap()
+}
+
+async fn publish_bad(fleet: &Fleet) -> Revision {
+    let edit = Edit {
+        key: PRESETS_KEY.to_owned(),
+        text: Some("{ \"active\": \"peak\",\n \"presetz\": {} }".to_owned()),
+    };
+    fleet.publish(vec![edit]).await.unwrap()
+}
+
+async fn restart(fleet: &mut Fleet, vms: std::ops::Range<usize>) {
+    for vm in vms.clone() {
+        fleet.signal(vm, Signal::Kill).unwrap();
+        while !fleet.is_gone(vm).unwrap() {
+            tokio::task::yield_now().await;
+        }
+    }
+    for vm in vms {
+        fleet.start_vm(vm).unwrap();
+    }
+}
+
+#[tokio::test]
+async fn test_config_rejected_between_two_good() {
+    let mut fleet = Fleet::start(settings()).await.unwrap();
+    let good = publish(&fleet, "first").await;
+    wait_in_force(&fleet, "first", good).await;
+    let bad = publish_bad(&fleet).await;
+    wait_in_force(&fleet, "first", bad).await;
+    for vm in 0..VMS {
+        let config = config(&fleet, vm).await.unwrap();
+        assert_eq!(config.rejections.len(), 1);
+        let rejection = &config.rejections[0];
+        assert_eq!((rejection.revision, rejection.former), (bad, Some(good)));
+        assert_eq!((rejection.line, rejection.column), (2, 2));
+        assert_eq!(rejection.cause, "unknown key presetz");
+        assert_eq!(rejection.hint.as_deref(), Some("did you mean presets?"));
+    }
+    // The service no longer knows the accepted text; only the one that stayed does.
+    restart(&mut fleet, 1..VMS).await;
+    wait_in_force(&fleet, "first", bad).await;
+    let good = publish(&fleet, "second").await;
+    wait_in_force(&fleet, "second", good).await;
+    assert_eq!(config(&fleet, 0).await.unwrap().rejections, []);
+}
+
+#[tokio::test]
+async fn test_config_restart_while_the_service_is_down() {
+    let mut fleet = Fleet::start(settings()).await.unwrap();
+    let revision = publish(&fleet, "peak").await;
+    wait_in_force(&fleet, "peak", revision).await;
+    fleet.set_config_mode(ConfigMode::Down).await.unwrap();
+    restart(&mut fleet, 1..VMS).await;
+    wait_in_force(&fleet, "peak", revision).await;
+    for vm in 1..VMS {
+        let source = config(&fleet, vm).await.unwrap().source.unwrap();
+        assert!(source.starts_with("vm-"), "{source}");
+    }
+}
+
+#[tokio::test]
+async fn test_config_start_of_all_while_the_service_is_down() {
+    let mut fleet = Fleet::start(settings()).await.unwrap();
+    fleet.set_config_mode(ConfigMode::Down).await.unwrap();
+    restart(&mut fleet, 0..VMS).await;
+    for vm in 0..VMS {
+        let what = "the service to be called unreachable";
+        let lost = async || {
+            let status = status(&fleet, vm).await;
+            let said = |status: Status| {
+                let texts = status.events.into_iter().map(|event| event.text);
+                texts
+                    .into_iter()
+                    .any(|text| text.contains("cannot be read"))
+            };
+            status.is_some_and(said)
+        };
+        fleet.wait_for(what, lost).await.unwrap();
+        let addresses = fleet.get(vm, ADDRESSES_PATH).await.unwrap();
+        assert!(addresses.text.contains("no_config"), "{}", addresses.text);
+        let config = config(&fleet, vm).await.unwrap();
+        assert_eq!(
+            (config.admits, config.preset, config.age),
+            (false, None, None)
+        );
+    }
+    fleet.set_config_mode(ConfigMode::Serving).await.unwrap();
+    wait_in_force(&fleet, "ordinary", 1).await;
+}
+
+#[tokio::test]
+async fn test_config_stale_replica_reverts_nothing() {
+    let mut fleet = Fleet::start(settings()).await.unwrap();
+    publish(&fleet, "old").await;
+    let revision = publish(&fleet, "new").await;
+    wait_in_force(&fleet, "new", revision).await;
+    let stale = ConfigMode::Stale(revision - 1);
+    fleet.set_config_mode(stale).await.unwrap();
+    restart(&mut fleet, 1..VMS).await;
+    wait_in_force(&fleet, "new", revision).await;
+    let refused = async || {
+        let status = status(&fleet, 0).await.unwrap();
+        let mut texts = status.events.iter().map(|event| &event.text);
+        texts.any(|text| text.contains("The service answered with revision"))
+    };
+    fleet.wait_for("a stale answer", refused).await.unwrap();
+    wait_in_force(&fleet, "new", revision).await;
+    fleet.set_config_mode(ConfigMode::Serving).await.unwrap();
+    let revision = publish(&fleet, "newest").await;
+    wait_in_force(&fleet, "newest", revision).await;
+}
+
+#[parameterized(first = { 0 }, last = { 3 })]
+#[test_macro(tokio::test)]
+async fn test_config_one_process_reads(reader: usize) {
+    let settings = FleetSettings {
+        cut: (0..VMS).filter(|vm| *vm != reader).collect(),
+        ..settings()
+    };
+    let fleet = Fleet::start(settings).await.unwrap();
+    for preset in ["a", "b", "c"] {
+        let revision = publish(&fleet, preset).await;
+        wait_in_force(&fleet, preset, revision).await;
+    }
+    let name = format!("vm-{reader}");
+    for vm in (0..VMS).filter(|vm| *vm != reader) {
+        let what = format!("vm-{vm} to hear who reads");
+        let heard = async || {
+            let config = config(&fleet, vm).await;
+            config.is_some_and(|config| config.reader.as_deref() == Some(&name))
+        };
+        fleet.wait_for(&what, heard).await.unwrap();
+    }
+}
+
+#[tokio::test]
+async fn test_config_two_operators_at_once() {
+    let fleet = Fleet::start(settings()).await.unwrap();
+    for _ in 0..5 {
+        let (one, two) = tokio::join!(publish(&fleet, "one"), publish(&fleet, "two"));
+        let last = if one > two { "one" } else { "two" };
+        wait_in_force(&fleet, last, one.max(two)).await;
+    }
+}
+
+#[tokio::test]
+async fn test_config_frozen_process_catches_up() {
+    let mut fleet = Fleet::start(settings()).await.unwrap();
+    fleet.signal(2, Signal::Stop).unwrap();
+    let mut revision = 0;
+    // The others run on; the frozen process holds none of them up.
+    for preset in ["a", "b"] {
+        revision = publish(&fleet, preset).await;
+        for vm in [0, 1, 3] {
+            let what = format!("revision {revision} on vm-{vm}");
+            let held = async || {
+                let config = config(&fleet, vm).await;
+                config.is_some_and(|config| config.revision >= revision)
+            };
+            fleet.wait_for(&what, held).await.unwrap();
+        }
+    }
+    fleet.signal(2, Signal::Continue).unwrap();
+    wait_in_force(&fleet, "b", revision).await;
+    let preset: Option<PresetId> = config(&fleet, 2).await.unwrap().preset;
+    assert_eq!(preset, Some(Arc::from("b")));
+}
--- a/crates/testkit/src/harness/settings.rs
+++ b/crates/testkit/src/harness/settings.rs
@@ -14,6 +14,8 @@
 pub struct FleetSettings {
     /// The VMs of each data centre.
     pub vms: Vec<usize>,
+    /// The VMs that cannot reach the configuration service.
+    pub cut: Vec<usize>,
     /// The backend servers of the search service.
     pub servers: usize,
     /// The shards of the search service.
@@ -44,6 +46,7 @@
     fn default() -> Self {
         Self {
             vms: vec![2, 1],
+            cut: Vec::new(),
             servers: 4,
             shards: 8,
             replicas: 2,
--- a/crates/testkit/src/harness/vms.rs
+++ b/crates/testkit/src/harness/vms.rs
@@ -17,13 +17,19 @@
     /// # Errors
     /// Returns why it cannot be started.
     pub fn start_vm(&mut self, vm: usize) -> Result<(), HarnessError> {
+        // Nothing listens at the inner address of the configuration service.
+        let config = if self.settings.cut.contains(&vm) {
+            self.network.inner(CONFIG_HOST)
+        } else {
+            self.network.service(CONFIG_HOST)
+        };
         let settings = serde_json::json!({
             "vm": vm_name(vm),
             "centre": centre_of(&self.settings, vm),
             "callers": self.vm_address(vm),
             "peers": self.network.inner(host_number(VM_HOST, vm)),
             "platform": {
-                "config": self.network.service(CONFIG_HOST),
+                "config": config,
                 "vms": self.network.service(VMS_HOST),
             },
         });
