server: bound the platform's answers, page large pushes

A joiner's first pull can hold more than one 4 MiB frame between peers; it now comes in pages of at most 3 MiB that are applied as one batch. An answer of the platform is read up to 128 MiB and must have a status of success. A text above one megabyte is kept only as far as it shows that.

--- a/crates/core/src/config/document.rs
+++ b/crates/core/src/config/document.rs
@@ -2,7 +2,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::ids::Revision;
+use crate::{ids::Revision, text::MAX_BYTES};
 
 /// The key of the preset document.
 pub const PRESETS_KEY: &str = "presets";
@@ -20,3 +20,17 @@
     /// Its text, JSON with comments; none once it has been deleted.
     pub text: Option<String>,
 }
+
+impl Document {
+    /// Cuts off a text that is too large anyway, so that it can be kept and passed on.
+    ///
+    /// What is left is still too large, and thus rejected by every process.
+    pub(super) fn bound(&mut self) {
+        let Some(text) = &mut self.text else {
+            return;
+        };
+        if text.len() > MAX_BYTES {
+            text.truncate(text.ceil_char_boundary(MAX_BYTES + 1));
+        }
+    }
+}
--- a/crates/core/src/config/store.rs
+++ b/crates/core/src/config/store.rs
@@ -187,7 +187,8 @@
 
 fn merge(slots: &mut BTreeMap<String, Slot>, documents: Vec<Document>) -> Touched {
     let mut touched = Touched::default();
-    for document in documents {
+    for mut document in documents {
+        document.bound();
         let key = document.key.clone();
         let Some(slot) = slots.get_mut(&key) else {
             let slot = Slot::new(Version::new(document));
--- a/crates/core/tests/config/store.rs
+++ b/crates/core/tests/config/store.rs
@@ -138,3 +138,19 @@
     assert_eq!(first.digest(), second.digest());
     assert_eq!(length(&first), length(&second));
 }
+
+#[test]
+fn test_store_keeps_no_more_of_a_text_than_it_may_have() {
+    let mut batch = Platform::new(&[Edit::Presets(10)]).changes(0, 1);
+    let large = format!("// {}", "é".repeat(2 << 20));
+    batch.documents[0].text = Some(large);
+    let mut store = Store::default();
+    apply(&mut store, batch.clone());
+    let digest = store.digest();
+    let kept = &store.since(0).documents[0];
+    assert!(kept.text.as_ref().unwrap().len() < (1 << 20) + 8);
+    let cause = store.rejections()[0].fault.cause.to_string();
+    assert!(cause.ends_with("more than one megabyte"), "{cause}");
+    let again = apply(&mut store, batch);
+    assert_eq!((again, store.digest()), (Change::default(), digest));
+}
--- a/crates/server/src/control/config.rs
+++ b/crates/server/src/control/config.rs
@@ -3,7 +3,7 @@
 use std::{sync::Arc, time::Instant};
 
 use cassialift_core::{
-    config::{Batch, ConfigNode, ConfigNote, ConfigPeer, Order},
+    config::{Batch, ConfigNode, ConfigNote, ConfigPeer, Document, Order},
     ids::VmId,
     view::{FleetView, OwnView, Reach},
 };
@@ -18,6 +18,9 @@
     metrics::Metrics,
 };
 
+/// The bytes of texts after which a push is cut; with one more text it still fits a frame.
+const PAGE_BYTES: usize = 2 << 20;
+
 /// What the configuration's part is told.
 #[derive(Debug)]
 pub enum ConfigEvent {
@@ -93,10 +96,13 @@
 
     pub(super) fn pull(&self, pull: ConfigPull, now: Instant) -> ConfigPush {
         let batch = self.node.pull(pull.after);
+        let rest = batch.documents.into_iter().skip(pull.skip);
+        let (documents, more) = page(rest.collect());
         ConfigPush {
             note: self.node.note(now),
             after: batch.after,
-            documents: batch.documents,
+            documents,
+            more,
         }
     }
 
@@ -158,3 +164,15 @@
         }
     }
 }
+
+/// Cuts documents to what one frame holds, at least one, and tells whether any were cut off.
+pub(super) fn page(mut documents: Vec<Document>) -> (Vec<Document>, bool) {
+    let mut bytes = 0;
+    let full = documents.iter().position(|document| {
+        let full = bytes >= PAGE_BYTES;
+        bytes += document.text.as_ref().map_or(0, String::len);
+        full
+    });
+    documents.truncate(full.unwrap_or(documents.len()));
+    (documents, full.is_some())
+}
--- a/crates/server/src/control/config_send.rs
+++ b/crates/server/src/control/config_send.rs
@@ -32,18 +32,43 @@
     after: u64,
 ) -> Option<ConfigPush> {
     let client = peers.client(&control.pin(), vm).await.ok()?;
-    let mut context = context::current();
-    context.deadline = Timer.now() + ANSWER_TIMEOUT;
-    match client.pull_config(context, ConfigPull { after }).await {
-        Ok(push) => Some(push),
-        Err(error) => {
-            peers.forget(vm, &error);
-            log::debug!("config: {vm} did not push its configuration: {error}");
-            None
+    let mut whole: Option<ConfigPush> = None;
+    loop {
+        let skip = whole.as_ref().map_or(0, |whole| whole.documents.len());
+        let mut context = context::current();
+        context.deadline = Timer.now() + ANSWER_TIMEOUT;
+        let pulled = client
+            .pull_config(context, ConfigPull { after, skip })
+            .await;
+        let page = match pulled {
+            Ok(page) => page,
+            Err(error) => {
+                peers.forget(vm, &error);
+                log::debug!("config: {vm} did not push its configuration: {error}");
+                return None;
+            }
+        };
+        let more = page.more;
+        whole = Some(append(whole, page)?);
+        if !more {
+            return whole;
         }
     }
 }
 
+/// Joins the next page to those before it; none if the peer's documents changed in between.
+fn append(whole: Option<ConfigPush>, page: ConfigPush) -> Option<ConfigPush> {
+    let Some(mut whole) = whole else {
+        return Some(page);
+    };
+    let same = whole.note.revision == page.note.revision && whole.note.digest == page.note.digest;
+    if !same || page.documents.is_empty() {
+        return None;
+    }
+    whole.documents.extend(page.documents);
+    Some(whole)
+}
+
 /// Sends a heartbeat and takes in what the reply says of the configuration.
 async fn announce(peers: &PeerTable, control: &ControlHandle, vm: VmId, ping: Ping) {
     let Ok(client) = peers.client(&control.pin(), &vm).await else {
--- a/crates/server/src/control/handle.rs
+++ b/crates/server/src/control/handle.rs
@@ -51,6 +51,7 @@
             note: ConfigNote::default(),
             after: 0,
             documents: Vec::new(),
+            more: false,
         })
     }
 }
--- a/crates/server/src/control/mod.rs
+++ b/crates/server/src/control/mod.rs
@@ -14,3 +14,6 @@
 pub use event::Event;
 pub use handle::ControlHandle;
 pub use thread::{ControlInput, start};
+
+#[cfg(test)]
+mod config_tests;
--- a/crates/server/src/platform/client.rs
+++ b/crates/server/src/platform/client.rs
@@ -4,16 +4,17 @@
 
 use cassialift_core::{ids::Revision, time::Millis};
 use cassialift_wire::platform::{CHANGES_PATH, Changes, VMS_PATH, VmList};
+use http_body_util::{BodyExt, Limited};
 use serde::de::DeserializeOwned;
 use tokio::time::timeout;
-use volo_http::{
-    body::BodyConversion,
-    client::{Client, ClientBuilder},
-};
+use volo_http::client::{Client, ClientBuilder};
 
 use super::PlatformError;
 use crate::settings::PlatformSettings;
 
+/// The largest answer that is read, bytes: all documents in one answer, escaped.
+const MAX_BODY: usize = 128 << 20;
+
 /// How long an answer may take beyond the wait that was asked for.
 const ANSWER_TIMEOUT: Duration = Duration::from_secs(2);
 
@@ -71,8 +72,14 @@
             let uri = format!("http://{address}{path}");
             let sent = self.http.get(uri).send().await;
             let response = sent.map_err(|cause| PlatformError::Call(address, cause))?;
-            let body = response.into_json().await;
-            body.map_err(|cause| PlatformError::Body(address, cause))
+            let status = response.status();
+            if !status.is_success() {
+                return Err(PlatformError::Status(address, status.as_u16()));
+            }
+            let body = Limited::new(response.into_body(), MAX_BODY).collect().await;
+            let body = body.map_err(|cause| PlatformError::Body(address, cause))?;
+            let parsed = serde_json::from_slice(&body.to_bytes());
+            parsed.map_err(|cause| PlatformError::Parse(address, cause))
         };
         let answer = timeout(limit, call).await;
         answer.unwrap_or(Err(PlatformError::Timeout(address)))
--- a/crates/server/src/platform/error.rs
+++ b/crates/server/src/platform/error.rs
@@ -9,8 +9,12 @@
 pub enum PlatformError {
     /// {0} could not be called: {1}
     Call(SocketAddr, volo_http::error::ClientError),
+    /// {0} answered with status {1}
+    Status(SocketAddr, u16),
+    /// {0} broke off its answer, or the answer is too large: {1}
+    Body(SocketAddr, volo_http::error::BoxError),
     /// {0} sent an answer that cannot be read: {1}
-    Body(SocketAddr, volo_http::body::BodyConvertError),
+    Parse(SocketAddr, serde_json::Error),
     /// {0} gave no answer in time
     Timeout(SocketAddr),
     /// the HTTP client could not be built: {0}
--- a/crates/wire/src/peer/control.rs
+++ b/crates/wire/src/peer/control.rs
@@ -89,6 +89,8 @@
 pub struct ConfigPull {
     /// The revision that the asker holds.
     pub after: Revision,
+    /// How many documents of the answer it has already.
+    pub skip: usize,
 }
 
 /// Configuration documents from a peer.
@@ -99,6 +101,8 @@
     /// The revision after which it holds every change.
     pub after: Revision,
     /// The changed documents, rejected ones included; a document whose newest text is rejected
-    /// may stand twice, with its accepted and its newest text.
+    /// may stand twice, with its accepted and its newest text. Only as many as one frame holds.
     pub documents: Vec<Document>,
+    /// Whether there are more documents after these.
+    pub more: bool,
 }
