--- a/crates/server/src/control/mod.rs
+++ b/crates/server/src/control/mod.rs
@@ -18,3 +18,6 @@
 pub use fleet::FleetEvent;
 pub use handle::ControlHandle;
 pub use thread::{ControlInput, start};
+
+#[cfg(test)]
+mod config_tests;
