testkit: load generator, demonstration and randomised faults

The load generator sends at a fixed rate and counts latency from when a request was due, so that a slow fleet does not slow the load. The example `demo` is the README's main job; `faults` draws a schedule of faults from a seed, runs it under load and checks the history; `load` sends load to a fleet of its own. Each builds the programs that it runs as processes first.

--- /dev/null
+++ b/crates/testkit/examples/demo.rs
@@ -0,0 +1,28 @@
+//! Runs the README's main job and reports; fails when an invariant broke.
+
+use std::process::ExitCode;
+
+use cassialift_testkit::demo;
+
+#[tokio::main]
+async fn main() -> ExitCode {
+    env_logger::init();
+    if let Err(error) = demo::build_programs() {
+        eprintln!("demo: {error}");
+        return ExitCode::FAILURE;
+    }
+    match demo::run(|step| println!("{step}")).await {
+        Ok(report) => {
+            println!("\n{report}");
+            if report.violations.is_empty() {
+                ExitCode::SUCCESS
+            } else {
+                ExitCode::FAILURE
+            }
+        }
+        Err(error) => {
+            eprintln!("demo: {error}");
+            ExitCode::FAILURE
+        }
+    }
+}
--- /dev/null
+++ b/crates/testkit/src/faults/mod.rs
@@ -0,0 +1,9 @@
+//! Randomised schedules of faults against a fleet under load.
+
+mod action;
+mod run;
+mod schedule;
+
+pub use action::FaultAction;
+pub use run::{Outcome, run};
+pub use schedule::{FaultSettings, Schedule, Step};
--- /dev/null
+++ b/crates/testkit/src/faults/run.rs
@@ -0,0 +1,85 @@
+//! Runs a schedule of faults against a fleet under load and checks the history.
+
+use std::{fmt, sync::Arc, time::Duration};
+
+use tokio::time::Instant;
+
+use super::{FaultAction, FaultSettings, Schedule};
+use crate::{
+    harness::{Caller, Fleet, FleetSettings, HarnessError},
+    load::{LoadSettings, Report, generate},
+};
+
+/// What came of a schedule.
+#[derive(Debug)]
+pub struct Outcome {
+    /// The seed it was drawn from.
+    pub seed: u64,
+    /// The schedule.
+    pub schedule: Schedule,
+    /// The report, with the violations.
+    pub report: Report,
+}
+
+/// Runs the schedule that the settings draw.
+///
+/// # Errors
+/// Returns what the harness could not do.
+pub async fn run(settings: &FaultSettings, load: &LoadSettings) -> Result<Outcome, HarnessError> {
+    let schedule = Schedule::draw(settings);
+    let per_centre = settings.vms.div_ceil(2);
+    let mut fleet = Fleet::start(FleetSettings {
+        vms: vec![per_centre, settings.vms - per_centre],
+        servers: settings.servers,
+        shards: load.shards,
+        seed: settings.seed,
+        ..FleetSettings::default()
+    })
+    .await?;
+    let load = LoadSettings {
+        duration: settings.duration + settings.longest,
+        ..load.clone()
+    };
+    let (known, recorder) = (fleet.vm_addresses(), Arc::clone(&fleet.recorder));
+    let traffic = tokio::spawn(async move {
+        let make = |number| {
+            let name = format!("caller-{number}");
+            Caller::new(&name, known.clone(), Arc::clone(&recorder))
+        };
+        generate(&load, make).await
+    });
+    strike(&mut fleet, &schedule).await?;
+    let latencies = traffic.await.map_err(std::io::Error::other)??;
+    Ok(Outcome {
+        seed: settings.seed,
+        schedule,
+        report: Report::new(&fleet.history()?, &latencies),
+    })
+}
+
+/// Brings about and mends each fault at its time.
+async fn strike(fleet: &mut Fleet, schedule: &Schedule) -> Result<(), HarnessError> {
+    let mut moments: Vec<(Duration, bool, FaultAction)> = Vec::new();
+    for step in &schedule.steps {
+        moments.push((step.begin, true, step.action));
+        moments.push((step.end, false, step.action));
+    }
+    moments.sort_by_key(|(at, ..)| *at);
+    let start = Instant::now();
+    for (at, begins, action) in moments {
+        tokio::time::sleep_until(start + at).await;
+        if begins {
+            action.begin(fleet).await?;
+        } else {
+            action.end(fleet).await?;
+        }
+    }
+    Ok(())
+}
+
+impl fmt::Display for Outcome {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        writeln!(f, "seed {}", self.seed)?;
+        write!(f, "{}{}", self.schedule, self.report)
+    }
+}
--- a/crates/testkit/src/harness/fleet.rs
+++ b/crates/testkit/src/harness/fleet.rs
@@ -30,7 +30,7 @@
 /// How long the harness waits for anything.
 const WAIT_LIMIT: Duration = Duration::from_secs(30);
 /// How often it looks.
-const WAIT_STEP: Duration = Duration::from_millis(10);
+pub(super) const WAIT_STEP: Duration = Duration::from_millis(10);
 
 /// The host of the configuration service.
 pub(super) const CONFIG_HOST: u8 = 1;
--- a/crates/testkit/src/harness/vms.rs
+++ b/crates/testkit/src/harness/vms.rs
@@ -1,16 +1,23 @@
 //! The VMs of a fleet under test.
 
-use std::{net::SocketAddr, sync::Arc};
+use std::{
+    net::SocketAddr,
+    sync::Arc,
+    time::{Duration, Instant},
+};
 
 use cassialift_wire::caller::ADDRESSES_PATH;
 
 use super::{
     Caller, Child, Fleet, HarnessError, Signal,
-    fleet::{CONFIG_HOST, VM_HOST, VMS_HOST, host_number, vm_name},
+    fleet::{CONFIG_HOST, VM_HOST, VMS_HOST, WAIT_STEP, host_number, vm_name},
     publish::centre_of,
 };
 use crate::{client::Reply, history::Target};
 
+/// How long a process may take to stop gracefully.
+const GONE_LIMIT: Duration = Duration::from_mins(1);
+
 impl Fleet {
     /// Starts a VM's process, which may have run before.
     ///
@@ -94,6 +101,24 @@
         }
     }
 
+    /// Waits until a VM's process has ended, as it does some time after it was told to stop.
+    ///
+    /// # Errors
+    /// Returns that it has not in time.
+    pub async fn wait_gone(&mut self, vm: usize) -> Result<(), HarnessError> {
+        let deadline = Instant::now() + GONE_LIMIT;
+        while !self.is_gone(vm)? {
+            if Instant::now() >= deadline {
+                return Err(HarnessError::TimedOut {
+                    what: format!("the end of {}", vm_name(vm)),
+                    logs: self.folder.clone(),
+                });
+            }
+            tokio::time::sleep(WAIT_STEP).await;
+        }
+        Ok(())
+    }
+
     /// Makes a caller that knows all VMs.
     ///
     /// # Errors
--- a/crates/testkit/src/lib.rs
+++ b/crates/testkit/src/lib.rs
@@ -1,6 +1,9 @@
 //! Stand-ins, process harness, histories and load for testing cassialift; never shipped.
 
 pub mod client;
+pub mod demo;
+pub mod faults;
 pub mod harness;
 pub mod history;
+pub mod load;
 pub mod standin;
--- /dev/null
+++ b/crates/testkit/src/load/generate.rs
@@ -0,0 +1,103 @@
+//! Sends requests at a fixed rate, whether or not earlier ones have ended.
+
+use std::time::Duration;
+
+use cassialift_core::{ids::ShardId, request::RequestKind};
+use hdrhistogram::Histogram;
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use tokio::{task::JoinSet, time::Instant};
+
+use super::LoadSettings;
+use crate::{client::ClientError, harness::Caller, history::CallEnd};
+
+/// The precision of latencies, digits.
+const LATENCY_DIGITS: u8 = 3;
+/// How often a job whose ticket can't be had is tried.
+const TICKET_TRIES: u32 = 3;
+
+/// Sends load through callers that `make` makes; returns the latencies of answers in microseconds.
+///
+/// A request that should have been sent while its caller still waited counts from when it should
+/// have been sent, so that a slow fleet does not slow the load.
+///
+/// # Errors
+/// Returns why a caller cannot be made.
+pub async fn generate(
+    settings: &LoadSettings,
+    mut make: impl FnMut(usize) -> Result<Caller, ClientError>,
+) -> Result<Histogram<u64>, ClientError> {
+    let start = Instant::now();
+    let mut tasks = JoinSet::new();
+    for number in 0..settings.callers {
+        tasks.spawn(call(settings.clone(), make(number)?, number, start));
+    }
+    let mut latencies = histogram();
+    while let Some(result) = tasks.join_next().await {
+        if let Ok(found) = result {
+            latencies += found;
+        }
+    }
+    Ok(latencies)
+}
+
+#[expect(
+    clippy::cast_precision_loss,
+    reason = "numbers of callers are far below 2^52"
+)]
+async fn call(
+    settings: LoadSettings,
+    mut caller: Caller,
+    number: usize,
+    start: Instant,
+) -> Histogram<u64> {
+    let mut rng = ChaCha8Rng::seed_from_u64(settings.seed ^ (number as u64) << 32);
+    let period = Duration::from_secs_f64(settings.callers as f64 / settings.rate);
+    let mut due = start + period.mul_f64(number as f64 / settings.callers as f64);
+    let mut latencies = histogram();
+    while due < start + settings.duration {
+        tokio::time::sleep_until(due).await;
+        if rng.random::<f64>() < settings.jobs {
+            run_job(&mut caller).await;
+        } else {
+            let (kind, shards) = draw(&settings, &mut rng);
+            let end = caller.search(kind, shards).await;
+            if matches!(end, CallEnd::Answer(_)) {
+                let micros = due.elapsed().as_micros();
+                latencies.saturating_record(u64::try_from(micros).unwrap_or(u64::MAX));
+            }
+        }
+        due += period;
+    }
+    latencies
+}
+
+/// Submits a job and, as callers do that are in doubt, submits it again under its ticket.
+async fn run_job(caller: &mut Caller) {
+    for _ in 0..TICKET_TRIES {
+        let Some(ticket) = caller.ticket().await else {
+            continue;
+        };
+        let body = caller.next_body();
+        caller.submit(&ticket, &body).await;
+        caller.submit(&ticket, &body).await;
+        return;
+    }
+}
+
+fn draw(settings: &LoadSettings, rng: &mut ChaCha8Rng) -> (RequestKind, Option<Vec<ShardId>>) {
+    let kind = rng.random::<f64>();
+    let first = rng.random_range(0..settings.shards.max(1));
+    if kind < settings.wide {
+        (RequestKind::WideSearch, None)
+    } else if kind < f64::midpoint(settings.wide, 1.0) {
+        let second = (first + 1) % settings.shards.max(1);
+        (RequestKind::NarrowSearch, Some(vec![first, second]))
+    } else {
+        (RequestKind::Fetch, Some(vec![first]))
+    }
+}
+
+fn histogram() -> Histogram<u64> {
+    Histogram::new(LATENCY_DIGITS).unwrap_or_else(|_| unreachable!("three digits are allowed"))
+}
