tests: fleets of processes under kills, freezes, operators and stragglers

Each test starts stand-ins and three VMs, brings the fault about under load, waits until every shard is covered again, and asks the checker.

A connection that is refused is now told apart from one that broke: the HTTP library reports both as a failed request. A refused connection to an address in use breaks a rule of its own.

--- /dev/null
+++ b/crates/server/tests/processes/main.rs
@@ -0,0 +1,11 @@
+//! What must always hold, proved on fleets of processes under faults.
+//!
+//! Each module is a class of faults; the verdict comes from the checker of histories.
+
+mod combined;
+mod freezes;
+mod kills;
+mod operators;
+mod platform;
+mod stragglers;
+mod support;
--- /dev/null
+++ b/crates/server/tests/processes/stragglers.rs
@@ -0,0 +1,43 @@
+//! Backend servers that are slow, lost, or reply what they should not.
+
+use cassialift_core::time::Millis;
+use cassialift_testkit::standin::backend::{Fault, Faults};
+use cassialift_wire::backend::HealthState;
+use yare::parameterized;
+
+use super::support::{assert_whole, load, run_for, set_faults, start, wait_covered};
+
+#[parameterized(
+    slow = { Faults { slowdown: 50.0, ..Faults::default() } },
+    hanging = { Faults { hang: true, ..Faults::default() } },
+    lying = { Faults { health: Some(HealthState::Ill), ..Faults::default() } },
+    slow_to_connect = { Faults { connect: Some(Millis::new(300)), ..Faults::default() } },
+    dropping_before = { strike(Fault::DropBefore) },
+    dropping_after = { strike(Fault::DropAfter) },
+    crossing = { strike(Fault::Crossed) },
+    of_another_version = { strike(Fault::WrongVersion) },
+    garbled = { strike(Fault::Garbage) },
+    oversized = { strike(Fault::Oversized) },
+)]
+#[test_macro(tokio::test)]
+async fn test_straggler(faults: Faults) {
+    let fleet = start().await;
+    let traffic = load(&fleet);
+    run_for(300).await;
+    set_faults(&fleet, 0, faults).await;
+    run_for(1_500).await;
+    set_faults(&fleet, 0, Faults::default()).await;
+    for vm in 0..3 {
+        wait_covered(&fleet, vm).await;
+    }
+    traffic.stop().await.unwrap();
+    assert_whole(&fleet).await;
+}
+
+fn strike(fault: Fault) -> Faults {
+    Faults {
+        fault: Some(fault),
+        share: 0.5,
+        ..Faults::default()
+    }
+}
--- /dev/null
+++ b/crates/server/tests/processes/support.rs
@@ -0,0 +1,78 @@
+//! Set-up and verdict of process tests.
+
+use std::time::Duration;
+
+use cassialift_core::request::RequestKind;
+use cassialift_testkit::{
+    harness::{Fleet, FleetSettings, SEARCH_SERVICE},
+    history::CallEnd,
+    load::{LoadSettings, Traffic},
+    standin::backend::{BackendChange, Faults},
+};
+
+/// Starts a fleet of three VMs in two data centres.
+pub(crate) async fn start() -> Fleet {
+    start_with(FleetSettings::default()).await
+}
+
+/// Starts a fleet whose backend servers live in one process.
+pub(crate) async fn start_with(settings: FleetSettings) -> Fleet {
+    let settings = FleetSettings {
+        hosts: 1,
+        ..settings
+    };
+    Fleet::start(settings).await.unwrap()
+}
+
+/// Starts load of all kinds of request.
+pub(crate) fn load(fleet: &Fleet) -> Traffic {
+    Traffic::start(fleet, &LoadSettings::default())
+}
+
+/// Lets load run for a while with what the test has done.
+pub(crate) async fn run_for(millis: u64) {
+    tokio::time::sleep(Duration::from_millis(millis)).await;
+}
+
+/// Asserts that the history so far breaks no rule and no backend server closed a connection for
+/// its limit.
+pub(crate) async fn assert_whole(fleet: &Fleet) {
+    let violations = fleet.history().unwrap().check();
+    let text: String = violations.iter().map(ToString::to_string).collect();
+    assert!(violations.is_empty(), "{text}");
+    for (server, stats) in fleet.backend_stats().await.unwrap() {
+        assert_eq!(stats.refused_connections, 0, "{server}: {stats:?}");
+    }
+}
+
+/// Searches at one VM until an answer covers every shard.
+pub(crate) async fn wait_covered(fleet: &Fleet, vm: usize) {
+    let mut caller = fleet.caller(&format!("watcher-{vm}")).unwrap();
+    let covered = async || {
+        caller.hold(fleet.vm_address(vm));
+        let end = caller.search(RequestKind::WideSearch, None).await;
+        matches!(end, CallEnd::Answer(answer) if answer.coverage.missing.is_empty())
+    };
+    fleet.wait_for("full coverage", covered).await.unwrap();
+}
+
+/// Searches at one VM until an answer runs under a preset.
+pub(crate) async fn wait_preset(fleet: &Fleet, vm: usize, preset: &str) {
+    let mut caller = fleet.caller(&format!("preset-{vm}")).unwrap();
+    let in_force = async || {
+        caller.hold(fleet.vm_address(vm));
+        let end = caller.search(RequestKind::Fetch, Some(vec![0])).await;
+        matches!(end, CallEnd::Answer(answer) if &*answer.preset == preset)
+    };
+    fleet.wait_for(preset, in_force).await.unwrap();
+}
+
+/// Sets the faults of one backend server of the search service.
+pub(crate) async fn set_faults(fleet: &Fleet, server: usize, faults: Faults) {
+    let change = BackendChange {
+        server: Some(format!("{SEARCH_SERVICE}-{server}").into()),
+        faults: Some(faults),
+        ..BackendChange::default()
+    };
+    fleet.change_backends(&change).await.unwrap();
+}
--- a/crates/testkit/examples/load.rs
+++ b/crates/testkit/examples/load.rs
@@ -8,6 +8,7 @@
     load::{LoadSettings, Report, generate},
 };
 use getopts::{Matches, Options};
+use tokio_util::sync::CancellationToken;
 
 fn options() -> Options {
     let mut options = Options::new();
@@ -54,7 +55,7 @@
         let recorder = Arc::clone(&fleet.recorder);
         Caller::new(&format!("caller-{number}"), fleet.vm_addresses(), recorder)
     };
-    let latencies = generate(&load, make).await?;
+    let latencies = generate(&load, &CancellationToken::new(), make).await?;
     let report = Report::new(&fleet.history()?, &latencies);
     println!("{report}");
     Ok(report.violations.is_empty())
--- a/crates/testkit/src/client/mod.rs
+++ b/crates/testkit/src/client/mod.rs
@@ -2,7 +2,7 @@
 //!
 //! No connection is kept, so that no library layer can send a request a second time.
 
-use std::{net::SocketAddr, time::Duration};
+use std::{io, net::SocketAddr, time::Duration};
 
 use displaydoc::Display;
 use serde::{Serialize, de::DeserializeOwned};
@@ -36,6 +36,24 @@
 
 impl std::error::Error for ClientError {}
 
+impl ClientError {
+    /// Returns whether no connection could be opened, so that nothing was sent.
+    #[must_use]
+    pub fn is_refused(&self) -> bool {
+        let Self::Call(cause) = self else {
+            return false;
+        };
+        let mut source = std::error::Error::source(cause);
+        while let Some(error) = source {
+            if let Some(error) = error.downcast_ref::<io::Error>() {
+                return error.kind() == io::ErrorKind::ConnectionRefused;
+            }
+            source = error.source();
+        }
+        false
+    }
+}
+
 /// A reply of any status.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct Reply {
--- a/crates/testkit/src/harness/fleet.rs
+++ b/crates/testkit/src/harness/fleet.rs
@@ -1,7 +1,7 @@
 //! A fleet under test with its stand-ins.
 
 use std::{
-    fs,
+    fs, io,
     net::SocketAddr,
     path::PathBuf,
     process,
@@ -14,6 +14,7 @@
 
 use cassialift_core::{ids::ServerId, index::IndexDocument, time::Millis};
 use serde::Serialize;
+use tokio::sync::{Semaphore, SemaphorePermit};
 
 use super::{
     Child, FleetSettings, HarnessError, JOB_SERVICE, Network, Recorder, SEARCH_SERVICE,
@@ -43,6 +44,9 @@
 /// The first host of backend servers.
 const SERVER_HOST: u8 = 80;
 
+/// Bounds the fleets that run at once in one test program.
+static FLEETS: Semaphore = Semaphore::const_new(4);
+
 static FOLDERS: AtomicU32 = AtomicU32::new(0);
 
 /// A fleet, its stand-ins and the record of what happens; dropping it ends all its processes.
@@ -60,6 +64,7 @@
     pub(super) client: JsonClient,
     standins: Vec<Child>,
     pub(super) nodes: Vec<Option<Child>>,
+    _permit: SemaphorePermit<'static>,
 }
 
 impl Fleet {
@@ -68,7 +73,8 @@
     /// # Errors
     /// Returns what could not be started.
     pub async fn start(settings: FleetSettings) -> Result<Self, HarnessError> {
-        let mut fleet = Self::prepare(settings)?;
+        let permit = FLEETS.acquire().await.map_err(io::Error::other)?;
+        let mut fleet = Self::prepare(settings, permit)?;
         fleet.start_standins()?;
         fleet.wait_standins().await?;
         fleet.publish_all().await?;
@@ -82,7 +88,10 @@
         Ok(fleet)
     }
 
-    fn prepare(settings: FleetSettings) -> Result<Self, HarnessError> {
+    fn prepare(
+        settings: FleetSettings,
+        permit: SemaphorePermit<'static>,
+    ) -> Result<Self, HarnessError> {
         let number = FOLDERS.fetch_add(1, Ordering::Relaxed);
         let name = format!("cassialift-{}-{number}", process::id());
         let folder = std::env::temp_dir().join(name);
@@ -100,6 +109,7 @@
             standins: Vec::new(),
             nodes: (0..nodes).map(|_| None).collect(),
             settings,
+            _permit: permit,
         })
     }
 
--- a/crates/testkit/src/harness/platform.rs
+++ b/crates/testkit/src/harness/platform.rs
@@ -166,6 +166,19 @@
         taken(self.client.post(address, vms::CHANGE_PATH, &change).await?)
     }
 
+    /// Sets whether reads of the VM list fail.
+    ///
+    /// # Errors
+    /// Returns why the service did not take it.
+    pub async fn set_vms_down(&self, down: bool) -> Result<(), HarnessError> {
+        let change = VmChange {
+            down,
+            ..VmChange::default()
+        };
+        let address = self.network.service(VMS_HOST);
+        taken(self.client.post(address, vms::CHANGE_PATH, &change).await?)
+    }
+
     /// Changes backend servers in every process of them.
     ///
     /// # Errors
--- a/crates/testkit/src/harness/vms.rs
+++ b/crates/testkit/src/harness/vms.rs
@@ -116,6 +116,7 @@
             }
             tokio::time::sleep(WAIT_STEP).await;
         }
+        self.recorder.disturb(Target::Process(self.vm_address(vm)));
         Ok(())
     }
 
--- a/crates/testkit/src/history/violation.rs
+++ b/crates/testkit/src/history/violation.rs
@@ -20,6 +20,8 @@
     Refusal,
     /// nothing in flight is cut off
     Flight,
+    /// an address is served for as long as callers may use it
+    Address,
     /// a leaving backend server receives no new work
     Leaving,
     /// a configuration in force never reverts
--- a/crates/testkit/src/load/mod.rs
+++ b/crates/testkit/src/load/mod.rs
@@ -3,7 +3,9 @@
 mod generate;
 mod report;
 mod settings;
+mod traffic;
 
 pub use generate::generate;
 pub use report::Report;
 pub use settings::LoadSettings;
+pub use traffic::Traffic;
--- a/crates/testkit/tests/history/broken.rs
+++ b/crates/testkit/tests/history/broken.rs
@@ -224,6 +224,10 @@
     history(vec![search(broken)], Vec::new())
 }
 
+pub(crate) fn address_closed() -> History {
+    history(vec![search(CallEnd::NoConnection)], Vec::new())
+}
+
 pub(crate) fn unreadable() -> History {
     let garbage = CallEnd::Unreadable(String::from("{"));
     history(vec![search(garbage)], Vec::new())
--- a/crates/testkit/tests/history/main.rs
+++ b/crates/testkit/tests/history/main.rs
@@ -32,6 +32,7 @@
     job_refused_and_ran = { broken::job_refused_and_ran(), Rule::Refusal },
     search_refused_and_ran = { broken::search_refused_and_ran(), Rule::Refusal },
     cut_off = { broken::cut_off(), Rule::Flight },
+    address_closed = { broken::address_closed(), Rule::Address },
     unreadable = { broken::unreadable(), Rule::Flight },
     leaving_with_late_work = { broken::leaving_with_late_work(), Rule::Leaving },
     reverted = { broken::reverted(), Rule::Order },
