--- a/crates/server/tests/processes/combined.rs
+++ b/crates/server/tests/processes/combined.rs
@@ -1,8 +1,33 @@
 //! Faults together and twice.
 
-use cassialift_testkit::{harness::Signal, standin::backend::Faults};
+use cassialift_testkit::{
+    harness::Signal,
+    standin::{backend::Faults, config::ConfigMode},
+};
 
-use super::support::{assert_whole, load, run_for, set_faults, start, wait_covered};
+use super::support::{assert_whole, load, run_for, set_faults, start, wait_covered, wait_preset};
+
+#[tokio::test]
+async fn test_combined_stale_config_with_a_freeze_and_a_kill() {
+    let mut fleet = start().await;
+    let traffic = load(&fleet);
+    let preset = fleet.settings.preset.clone();
+    fleet.publish_preset("peak", &preset).await.unwrap();
+    for vm in 0..3 {
+        wait_preset(&fleet, vm, "peak").await;
+    }
+    fleet.set_config_mode(ConfigMode::Stale(1)).await.unwrap();
+    fleet.signal(1, Signal::Stop).unwrap();
+    fleet.signal(0, Signal::Kill).unwrap();
+    run_for(500).await;
+    fleet.start_vm(0).unwrap();
+    wait_preset(&fleet, 0, "peak").await;
+    fleet.signal(1, Signal::Continue).unwrap();
+    wait_covered(&fleet, 1).await;
+    fleet.set_config_mode(ConfigMode::Serving).await.unwrap();
+    traffic.stop().await.unwrap();
+    assert_whole(&fleet).await;
+}
 
 #[tokio::test]
 async fn test_combined_two_kills_with_a_hanging_server() {
--- a/crates/server/tests/processes/platform.rs
+++ b/crates/server/tests/processes/platform.rs
@@ -1,8 +1,40 @@
 //! The platform's services down, silent, stale or lagging.
 
-use cassialift_testkit::harness::Signal;
+use cassialift_testkit::{harness::Signal, standin::config::ConfigMode};
+use yare::parameterized;
 
-use super::support::{assert_whole, load, run_for, start, wait_covered};
+use super::support::{assert_whole, load, run_for, start, wait_covered, wait_preset};
+
+#[parameterized(
+    down = { ConfigMode::Down },
+    hanging = { ConfigMode::Hanging },
+    stale = { ConfigMode::Stale(1) },
+)]
+#[test_macro(tokio::test)]
+async fn test_platform_config(mode: ConfigMode) {
+    let mut fleet = start().await;
+    let preset = fleet.settings.preset.clone();
+    fleet.publish_preset("peak", &preset).await.unwrap();
+    for vm in 0..3 {
+        wait_preset(&fleet, vm, "peak").await;
+    }
+    fleet.set_config_mode(mode).await.unwrap();
+    let traffic = load(&fleet);
+    run_for(500).await;
+    // A process that starts now learns the configuration from its peers.
+    fleet.signal(0, Signal::Kill).unwrap();
+    run_for(200).await;
+    fleet.start_vm(0).unwrap();
+    wait_preset(&fleet, 0, "peak").await;
+    traffic.stop().await.unwrap();
+    assert_whole(&fleet).await;
+    fleet.set_config_mode(ConfigMode::Serving).await.unwrap();
+    fleet.publish_preset("ordinary", &preset).await.unwrap();
+    for vm in 0..3 {
+        wait_preset(&fleet, vm, "ordinary").await;
+    }
+    assert_whole(&fleet).await;
+}
 
 #[tokio::test]
 async fn test_platform_vm_list_down() {
