--- a/crates/core/src/fleet/members/hearing.rs
+++ b/crates/core/src/fleet/members/hearing.rs
@@ -2,12 +2,12 @@
 
 use std::time::Instant;
 
-use super::{Contact, Failure, Member, MemberEvent, MemberState, MemberUpdate, Members};
+use super::{Contact, Failure, Member, MemberEvent, MemberState, MemberUpdate, Members, Status};
 use crate::{ids::VmId, view::Reach};
 
 impl Members {
     /// Takes in a ping or a reply that came directly from `from`.
-    pub fn heard(&mut self, from: &Contact, leaving: bool, load: u32, now: Instant) {
+    pub fn heard(&mut self, from: &Contact, status: Status, now: Instant) {
         if from.vm == self.own.vm {
             return;
         }
@@ -27,8 +27,9 @@
             member.since = Some(now);
         }
         member.heard = Some(now);
-        member.load = load;
-        member.leaving |= leaving;
+        member.load = status.load;
+        member.serving = status.serving;
+        member.leaving |= status.leaving;
         member.refused = false;
         member.indirect = false;
         member.probed = None;
@@ -40,7 +41,7 @@
         if !known {
             self.gossip.push(&from.vm);
         }
-        let reach = if leaving {
+        let reach = if status.leaving {
             Reach::Leaving
         } else {
             Reach::Alive
--- a/crates/core/src/fleet/members/member.rs
+++ b/crates/core/src/fleet/members/member.rs
@@ -49,6 +49,8 @@
     pub known: bool,
     /// Whether the platform or the process itself says that it is leaving.
     pub leaving: bool,
+    /// Whether it last said that it can serve.
+    pub serving: bool,
     /// Whether its address refused a connection since it was last heard.
     pub refused: bool,
     /// Whether others reach it although this process does not.
@@ -80,6 +82,7 @@
             listed: true,
             known: true,
             leaving: entry.leaving,
+            serving: false,
             refused: false,
             indirect: false,
             version: 0,
@@ -122,7 +125,7 @@
     /// Returns whether new work may be given to the process.
     #[must_use]
     pub fn is_usable(&self) -> bool {
-        self.reach == Reach::Alive && !self.leaving
+        self.reach == Reach::Alive && self.serving && !self.leaving
     }
 
     pub(super) fn set_reach(&mut self, reach: Reach, now: Instant) -> bool {
--- a/crates/core/src/fleet/members/mod.rs
+++ b/crates/core/src/fleet/members/mod.rs
@@ -18,4 +18,4 @@
 pub use member::{Listed, Member};
 pub use settings::MemberSettings;
 pub use system::{Failure, MemberEvent, Members, Orders, Probe};
-pub use update::{Contact, MemberState, MemberUpdate};
+pub use update::{Contact, MemberState, MemberUpdate, Status};
--- a/crates/core/src/fleet/members/tests.rs
+++ b/crates/core/src/fleet/members/tests.rs
@@ -7,10 +7,16 @@
 
 use super::{
     Contact, Failure, Listed, MemberEvent, MemberSettings, MemberState, MemberUpdate, Members,
+    Status,
 };
 use crate::{ids::VmId, view::Reach};
 
 const STEP: Duration = Duration::from_millis(50);
+const SERVING: Status = Status {
+    leaving: false,
+    serving: true,
+    load: 0,
+};
 
 fn contact(index: u16, incarnation: u64) -> Contact {
     Contact {
@@ -39,7 +45,7 @@
     let list: Vec<_> = (0..=size).map(listed).collect();
     members.set_list(&list, now);
     for index in 1..=size {
-        members.heard(&contact(index, u64::from(index)), false, 0, now);
+        members.heard(&contact(index, u64::from(index)), SERVING, now);
     }
     members.take_events();
     members
@@ -145,7 +151,7 @@
     let victim = contact(1, 1).vm;
     members.failed(&victim, Failure::Refused, now);
     assert!(members.get(&victim).unwrap().is_gone());
-    members.heard(&contact(1, 55), false, 0, now);
+    members.heard(&contact(1, 55), SERVING, now);
     let member = members.get(&victim).unwrap();
     assert_eq!((member.is_gone(), member.incarnation), (false, Some(55)));
     assert!(members.take_events().contains(&MemberEvent::Restarted {
@@ -158,8 +164,9 @@
 fn test_former_run_is_never_believed_again() {
     let now = Instant::now();
     let mut members = heard(2, now);
-    members.heard(&contact(1, 55), false, 0, now);
-    members.heard(&contact(1, 1), false, 9, now);
+    members.heard(&contact(1, 55), SERVING, now);
+    let status = Status { load: 9, ..SERVING };
+    members.heard(&contact(1, 1), status, now);
     members.learn(&[update(contact(1, 1), MemberState::Alive, 9)], now);
     let member = members.get(&contact(1, 1).vm).unwrap();
     assert_eq!((member.incarnation, member.load), (Some(55), 0));
@@ -201,7 +208,7 @@
     let now = Instant::now();
     let mut members = heard(2, now);
     members.learn(&[update(contact(9, 9), MemberState::Alive, 1)], now);
-    members.heard(&contact(9, 9), false, 0, now);
+    members.heard(&contact(9, 9), SERVING, now);
     members.failed(&contact(1, 1).vm, Failure::Refused, now);
     members.set_list(&[listed(0), listed(1), listed(2)], now);
     assert!(members.get(&contact(9, 9).vm).unwrap().is_usable());
@@ -218,7 +225,11 @@
 fn test_leaving_is_a_state_of_its_own() {
     let now = Instant::now();
     let mut members = heard(2, now);
-    members.heard(&contact(1, 1), true, 0, now);
+    let status = Status {
+        leaving: true,
+        ..SERVING
+    };
+    members.heard(&contact(1, 1), status, now);
     let member = members.get(&contact(1, 1).vm).unwrap();
     assert_eq!(
         (member.reach, member.is_usable(), member.is_gone()),
--- a/crates/core/src/fleet/members/update.rs
+++ b/crates/core/src/fleet/members/update.rs
@@ -21,6 +21,17 @@
     pub callers: SocketAddr,
 }
 
+/// What a process says of itself with each heartbeat.
+#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Status {
+    /// Whether it is leaving.
+    pub leaving: bool,
+    /// Whether it holds a configuration that it can serve under.
+    pub serving: bool,
+    /// Its requests in flight.
+    pub load: u32,
+}
+
 /// What one process holds of another; of two states at one version the greater counts.
 #[derive(Clone, Copy, Debug, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize)]
 pub enum MemberState {
--- a/crates/core/src/fleet/node.rs
+++ b/crates/core/src/fleet/node.rs
@@ -10,7 +10,7 @@
 use super::{
     members::{
         Contact, Failure, Listed, Member, MemberEvent, MemberSettings, MemberUpdate, Members,
-        Orders,
+        Orders, Status,
     },
     ownership::{
         Answer, Ask, Candidate, Candidates, Holder, OwnState, Ownership, OwnershipEvent,
@@ -51,10 +51,8 @@
 pub struct Beat {
     /// Who sends it.
     pub from: Contact,
-    /// Whether the sender is leaving.
-    pub leaving: bool,
-    /// The sender's requests in flight.
-    pub load: u32,
+    /// What the sender says of itself.
+    pub status: Status,
     /// Membership news.
     pub updates: Vec<MemberUpdate>,
     /// What the sender asks about ownership.
@@ -66,10 +64,8 @@
 pub struct BeatReply {
     /// Who replies.
     pub from: Contact,
-    /// Whether the replier is leaving.
-    pub leaving: bool,
-    /// The replier's requests in flight.
-    pub load: u32,
+    /// What the replier says of itself.
+    pub status: Status,
     /// Membership news.
     pub updates: Vec<MemberUpdate>,
     /// What the replier answers about ownership; none if a later beat overtook this one.
@@ -83,6 +79,7 @@
     ownership: Ownership,
     settings: NodeSettings,
     load: u32,
+    serving: bool,
     started: Instant,
     ready: Option<Instant>,
     beaten: BTreeMap<VmId, Instant>,
@@ -100,6 +97,7 @@
             ownership,
             settings,
             load: 0,
+            serving: false,
             started: now,
             ready: None,
             beaten: BTreeMap::new(),
@@ -118,12 +116,6 @@
         &self.ownership
     }
 
-    /// Returns the number of requests in flight on this process.
-    #[must_use]
-    pub fn load(&self) -> u32 {
-        self.load
-    }
-
     /// Takes in the number of requests in flight on this process.
     pub fn set_load(&mut self, load: u32) {
         self.load = load;
@@ -136,9 +128,20 @@
         self.refresh(now);
     }
 
-    /// Takes in the backend servers of the configuration in force.
+    /// Takes in the backend servers of the configuration in force; from then on it can serve.
     pub fn set_servers<'a>(&mut self, servers: impl Iterator<Item = &'a ServerEntry>) {
         self.ownership.set_servers(servers);
+        self.serving = true;
+    }
+
+    /// Returns what this process says of itself.
+    #[must_use]
+    pub fn status(&self) -> Status {
+        Status {
+            leaving: self.members.is_leaving(),
+            serving: self.serving,
+            load: self.load,
+        }
     }
 
     /// Returns the instant from which on the process counts as settled; none before it is ready.
@@ -187,8 +190,7 @@
         };
         Beat {
             from: self.members.own().clone(),
-            leaving: self.members.is_leaving(),
-            load: self.load,
+            status: self.status(),
             ask: self.ownership.ask(&to, now),
             updates: self.members.updates(),
         }
@@ -196,12 +198,11 @@
 
     /// Takes in another process's beat and makes the reply.
     pub fn hear(&mut self, beat: &Beat, now: Instant) -> BeatReply {
-        self.meet(&beat.from, beat.leaving, beat.load, &beat.updates, now);
+        self.meet(&beat.from, beat.status, &beat.updates, now);
         let answer = self.ownership.answer(&holder(&beat.from), &beat.ask, now);
         BeatReply {
             from: self.members.own().clone(),
-            leaving: self.members.is_leaving(),
-            load: self.load,
+            status: self.status(),
             updates: self.members.updates(),
             answer,
         }
@@ -216,7 +217,7 @@
         sent: Instant,
         now: Instant,
     ) {
-        self.meet(&reply.from, reply.leaving, reply.load, &reply.updates, now);
+        self.meet(&reply.from, reply.status, &reply.updates, now);
         if reply.from.vm != *to {
             // Another VM has been given the address.
             self.members.failed(to, Failure::Refused, now);
@@ -244,15 +245,8 @@
         (self.members.take_events(), self.ownership.take_events())
     }
 
-    fn meet(
-        &mut self,
-        from: &Contact,
-        leaving: bool,
-        load: u32,
-        updates: &[MemberUpdate],
-        now: Instant,
-    ) {
-        self.members.heard(from, leaving, load, now);
+    fn meet(&mut self, from: &Contact, status: Status, updates: &[MemberUpdate], now: Instant) {
+        self.members.heard(from, status, now);
         self.members.learn(updates, now);
         self.refresh_one(&from.vm, now);
     }
--- a/crates/core/src/fleet/ownership/candidate.rs
+++ b/crates/core/src/fleet/ownership/candidate.rs
@@ -20,6 +20,13 @@
     pub gone: bool,
 }
 
+impl Candidate {
+    /// Returns what decides whether and how the process ranks.
+    pub(super) const fn rank_state(&self) -> (bool, bool) {
+        (self.usable, self.settled)
+    }
+}
+
 /// All processes that may own backend servers, without this one.
 pub type Candidates = BTreeMap<VmId, Candidate>;
 
--- a/crates/core/src/fleet/ownership/row.rs
+++ b/crates/core/src/fleet/ownership/row.rs
@@ -2,7 +2,7 @@
 
 use std::time::Instant;
 
-use super::{Holder, Role, Share};
+use super::{Holder, Role, Share, targets::Target};
 use crate::{
     ids::{DataCentre, ServerId, VmId},
     index::ServerEntry,
@@ -15,6 +15,8 @@
     pub(super) centre: DataCentre,
     pub(super) whole: Share,
     pub(super) role: Role,
+    /// Who should hold it, by rank over the usable VMs.
+    pub(super) target: Target,
     /// Whether the owner goes on naming its standby.
     pub(super) keep: bool,
     /// Whether the standby has acknowledged being named.
@@ -41,6 +43,7 @@
             centre: DataCentre::clone(&entry.centre),
             whole: whole(entry),
             role: Role::START,
+            target: Target::default(),
             keep: true,
             named: false,
             successor: None,
--- a/crates/core/src/fleet/ownership/system.rs
+++ b/crates/core/src/fleet/ownership/system.rs
@@ -41,6 +41,8 @@
     pub(super) events: Vec<OwnershipEvent>,
     pub(super) woken: Option<Instant>,
     pub(super) urgent: BTreeSet<VmId>,
+    /// Whether the rows' targets are to be computed anew.
+    pub(super) stale: bool,
     ticked: Instant,
 }
 
@@ -60,6 +62,7 @@
             events: Vec::new(),
             woken: None,
             urgent: BTreeSet::new(),
+            stale: false,
             ticked: now,
         }
     }
@@ -73,17 +76,30 @@
             row.whole = whole(entry);
             self.rows.insert(key, row);
         }
+        self.stale = true;
     }
 
     /// Takes in the other processes as membership sees them, and the state of this one.
     pub fn set_candidates(&mut self, candidates: Candidates, state: OwnState) {
+        let same = |(vm, one): (&VmId, &Candidate)| {
+            let known = candidates.get(vm);
+            known.is_some_and(|known| known.rank_state() == one.rank_state())
+        };
+        let unchanged = self.state == state
+            && self.candidates.len() == candidates.len()
+            && self.candidates.iter().all(same);
+        self.stale |= !unchanged;
         self.candidates = candidates;
         self.state = state;
+        self.update_targets();
     }
 
     /// Takes in one process that was heard between two ticks.
     pub fn set_candidate(&mut self, vm: VmId, candidate: Candidate) {
-        self.candidates.insert(vm, candidate);
+        let rank_state = candidate.rank_state();
+        let known = self.candidates.insert(vm, candidate);
+        self.stale |= known.is_none_or(|known| known.rank_state() != rank_state);
+        self.update_targets();
     }
 
     /// Returns the role for a backend server.
@@ -125,12 +141,11 @@
     /// Returns the owner and the standby of a backend server as far as this process knows.
     #[must_use]
     pub fn route(&self, server: &str, now: Instant) -> (Option<VmId>, Option<VmId>) {
-        let key = server_key(server);
-        let Some(row) = self.rows.get(&key) else {
+        let Some(row) = self.rows.get(&server_key(server)) else {
             return (None, None);
         };
         let own = || Some(VmId::clone(&self.own.vm));
-        let target = self.target(key, row);
+        let target = &row.target;
         match &row.role {
             Role::Owner { standby, .. } => (
                 own(),
@@ -144,8 +159,10 @@
                 (Some(VmId::clone(&owner.vm)), own())
             }
             Role::Vacant { .. } | Role::Claiming { .. } => match &row.hint {
-                Some((vm, _)) if self.is_usable(vm) => (Some(VmId::clone(vm)), target.owner),
-                Some(_) | None => (target.owner, target.standby),
+                Some((vm, _)) if self.is_usable(vm) => {
+                    (Some(VmId::clone(vm)), target.owner.clone())
+                }
+                Some(_) | None => (target.owner.clone(), target.standby.clone()),
             },
         }
     }
@@ -210,13 +227,14 @@
     pub fn tick(&mut self, now: Instant) {
         self.check_freeze(now);
         self.ticked = now;
+        self.update_targets();
         let mut handovers = self.settings.handovers;
         let keys: Vec<_> = self.rows.keys().copied().collect();
         for key in keys {
             let Some(mut row) = self.rows.remove(&key) else {
                 continue;
             };
-            let target = self.target(key, &row);
+            let target = row.target.clone();
             self.step(&mut row, &target, &mut handovers, now);
             self.note_half(&mut row, now);
             self.rows.insert(key, row);
--- a/crates/core/src/fleet/ownership/targets.rs
+++ b/crates/core/src/fleet/ownership/targets.rs
@@ -11,26 +11,40 @@
 }
 
 impl Ownership {
+    /// Computes all targets anew if the VMs or the servers have changed.
+    pub(super) fn update_targets(&mut self) {
+        if !std::mem::take(&mut self.stale) {
+            return;
+        }
+        let mut rows = std::mem::take(&mut self.rows);
+        for (key, row) in &mut rows {
+            row.target = self.target(*key, row);
+        }
+        self.rows = rows;
+    }
+
     /// Returns the two best ranked usable VMs, this one included unless it is leaving.
     ///
     /// VMs that joined lately come after all others.
-    pub(super) fn target(&self, key: ServerKey, row: &Row) -> Target {
-        let mut ranks = Vec::with_capacity(self.candidates.len() + 1);
-        for (vm, candidate) in &self.candidates {
-            if candidate.usable {
-                let rank = rank(key, &row.centre, vm, &candidate.centre);
-                ranks.push((candidate.settled, rank));
+    fn target(&self, key: ServerKey, row: &Row) -> Target {
+        let own = (!self.state.leaving).then_some((&self.own.vm, &self.centre, self.state.settled));
+        let usable = self.candidates.iter().filter(|(_, one)| one.usable);
+        let (mut first, mut second) = (None, None);
+        for (vm, centre, settled) in usable
+            .map(|(vm, one)| (vm, &one.centre, one.settled))
+            .chain(own)
+        {
+            let ranked = Some((settled, rank(key, &row.centre, vm, centre)));
+            if ranked > first {
+                second = std::mem::replace(&mut first, ranked);
+            } else if ranked > second {
+                second = ranked;
             }
         }
-        if !self.state.leaving {
-            let rank = rank(key, &row.centre, &self.own.vm, &self.centre);
-            ranks.push((self.state.settled, rank));
-        }
-        ranks.sort_unstable_by(|a, b| b.cmp(a));
-        let mut names = ranks.into_iter().map(|(_, (_, _, vm))| vm);
+        let name = |ranked: Option<(bool, (bool, u64, VmId))>| ranked.map(|(_, (_, _, vm))| vm);
         Target {
-            owner: names.next(),
-            standby: names.next(),
+            owner: name(first),
+            standby: name(second),
         }
     }
 
--- a/crates/server/src/control/fleet_view.rs
+++ b/crates/server/src/control/fleet_view.rs
@@ -3,7 +3,10 @@
 use std::{collections::HashMap, sync::Arc, time::Instant};
 
 use cassialift_core::{
-    fleet::{Node, members::Member},
+    fleet::{
+        Node,
+        members::{Member, Status},
+    },
     ids::{DataCentre, ServerId, VmId},
     index::ServerEntry,
     view::{ConfigView, FleetView, MemberView, OwnView, OwnerView, Reach},
@@ -31,13 +34,17 @@
 }
 
 fn member(member: &Member) -> MemberView {
-    let leaves = member.leaving && member.reach == Reach::Alive;
+    let reach = match member.reach {
+        Reach::Alive if member.leaving => Reach::Leaving,
+        Reach::Alive if !member.serving => Reach::Unknown,
+        reach => reach,
+    };
     MemberView {
         incarnation: member.incarnation,
         centre: DataCentre::clone(&member.centre),
         peers: member.peers,
         callers: member.callers,
-        reach: if leaves { Reach::Leaving } else { member.reach },
+        reach,
         load: member.load,
         since: member.since,
     }
@@ -45,18 +52,18 @@
 
 fn itself(node: &Node) -> MemberView {
     let own = node.members().own();
-    let leaving = node.members().is_leaving();
+    let status = node.status();
     MemberView {
         incarnation: Some(own.incarnation),
         centre: DataCentre::clone(&own.centre),
         peers: own.peers,
         callers: own.callers,
-        reach: if leaving {
-            Reach::Leaving
-        } else {
-            Reach::Alive
+        reach: match status {
+            Status { leaving: true, .. } => Reach::Leaving,
+            Status { serving: false, .. } => Reach::Unknown,
+            Status { .. } => Reach::Alive,
         },
-        load: node.load(),
+        load: status.load,
         since: node.since(),
     }
 }
--- a/crates/testkit/src/harness/vms.rs
+++ b/crates/testkit/src/harness/vms.rs
@@ -2,6 +2,7 @@
 
 use std::{
     net::SocketAddr,
+    process::ExitStatus,
     sync::Arc,
     time::{Duration, Instant},
 };
@@ -126,6 +127,23 @@
         Ok(())
     }
 
+    /// Returns how a VM's process ended; none while it runs or before it was started.
+    ///
+    /// # Errors
+    /// Returns why it cannot be asked.
+    pub fn ended(&mut self, vm: usize) -> Result<Option<ExitStatus>, HarnessError> {
+        match &mut self.nodes[vm] {
+            Some(child) => Ok(child.exited()?),
+            None => Ok(None),
+        }
+    }
+
+    /// Returns the number of a VM's process.
+    #[must_use]
+    pub fn pid(&self, vm: usize) -> Option<u32> {
+        self.nodes[vm].as_ref().map(Child::pid)
+    }
+
     /// Makes a caller that knows all VMs.
     ///
     /// # Errors
