--- a/crates/server/tests/processes/combined.rs
+++ b/crates/server/tests/processes/combined.rs
@@ -1,9 +1,14 @@
 //! Faults together and twice.
 
+use std::time::Duration;
+
 use cassialift_testkit::{
+    faults::{self, FaultSettings},
     harness::Signal,
+    load::LoadSettings,
     standin::{backend::Faults, config::ConfigMode},
 };
+use yare::parameterized;
 
 use super::support::{assert_whole, load, run_for, set_faults, start, wait_covered, wait_preset};
 
@@ -53,3 +58,21 @@
     traffic.stop().await.unwrap();
     assert_whole(&fleet).await;
 }
+
+#[parameterized(
+    seed_1 = { 1 },
+    seed_2 = { 2 },
+    seed_3 = { 3 },
+)]
+#[test_macro(tokio::test)]
+async fn test_combined_random_faults(seed: u64) {
+    let settings = FaultSettings {
+        seed,
+        duration: Duration::from_secs(5),
+        ..FaultSettings::default()
+    };
+    let outcome = faults::run(&settings, &LoadSettings::default())
+        .await
+        .unwrap();
+    assert!(outcome.report.violations.is_empty(), "{outcome}");
+}
--- /dev/null
+++ b/crates/server/tests/processes/hostile.rs
@@ -0,0 +1,122 @@
+//! Callers and peers that send what no honest one sends.
+
+use std::{fs, net::SocketAddr, time::Duration};
+
+use cassialift_core::request::{Ran, RefusalReason};
+use cassialift_testkit::{client::JsonClient, harness::Fleet};
+use cassialift_wire::caller::{Refusal, SEARCH_PATH};
+use tokio::{
+    io::{AsyncReadExt, AsyncWriteExt},
+    net::TcpStream,
+};
+use yare::parameterized;
+
+use super::support::{assert_whole, start, wait_covered};
+
+/// The most that a process's memory may grow under a hostile load, KiB.
+const MAX_GROWTH_KIB: u64 = 64 * 1024;
+/// How long the fleet may take to end what a hostile sender left open.
+const PATIENCE: Duration = Duration::from_secs(30);
+
+#[parameterized(
+    no_json = { r#"{"id": "#, 400, RefusalReason::Malformed },
+    unknown_field = { &search(r#""more":1,"kind":"fetch""#), 400, RefusalReason::Malformed },
+    unknown_kind = { &search(r#""kind":"sweep""#), 400, RefusalReason::Malformed },
+    job_as_search = { &search(r#""kind":"job""#), 400, RefusalReason::Malformed },
+    no_shards = { &search(r#""kind":"fetch","shards":[]"#), 400, RefusalReason::Malformed },
+    unknown_shard = { &search(r#""kind":"fetch","shards":[99]"#), 404, RefusalReason::UnknownShard },
+    past_deadline = { &search(r#""kind":"fetch","deadline":0"#), 400, RefusalReason::DeadlinePast },
+)]
+#[test_macro(tokio::test)]
+async fn test_hostile_request(body: &str, status: u16, reason: RefusalReason) {
+    let fleet = start().await;
+    let head = format!(
+        "POST {SEARCH_PATH} HTTP/1.1\r\nhost: vm\r\nconnection: close\r\ncontent-length: {}\r\n\r\n",
+        body.len()
+    );
+    let reply = exchange(
+        fleet.vm_address(0),
+        &[head.as_bytes(), body.as_bytes()].concat(),
+    )
+    .await;
+    let (found, refusal) = parse(&reply);
+    assert_eq!(
+        (found, refusal.reason, refusal.ran),
+        (status, reason, Ran::NotRun),
+        "{reply}"
+    );
+    assert_eq!(fleet.history().unwrap().runs, []);
+}
+
+/// Makes the body of a search with some fields of the test's.
+fn search(fields: &str) -> String {
+    format!(r#"{{"id":"1","caller":"c","service":"listings","query":"q",{fields}}}"#)
+}
+
+/// Sends bytes and returns all that comes back.
+async fn exchange(address: SocketAddr, bytes: &[u8]) -> String {
+    let mut stream = TcpStream::connect(address).await.unwrap();
+    // The process may answer and close before it has read everything.
+    let _sent = stream.write_all(bytes).await;
+    let mut reply = Vec::new();
+    let _read = stream.read_to_end(&mut reply).await;
+    String::from_utf8_lossy(&reply).into_owned()
+}
+
+fn parse(reply: &str) -> (u16, Refusal) {
+    let status = reply
+        .split(' ')
+        .nth(1)
+        .and_then(|status| status.parse().ok());
+    let body = reply.split("\r\n\r\n").nth(1).unwrap_or_default();
+    (status.unwrap(), serde_json::from_str(body).unwrap())
+}
+
+#[parameterized(
+    garbage = { b"GET / HTTP/1.1\r\n\r\n garbage garbage garbage" },
+    oversized_frame = { &[0xff, 0xff, 0xff, 0xff, 0, 0, 0, 0] },
+    truncated_frame = { &[0, 0, 1, 0, 7, 7, 7] },
+    empty_frame = { &[0, 0, 0, 0] },
+    unknown_call = { &[0, 0, 0, 8, 0xfe, 0xff, 0xff, 0xff, 1, 2, 3, 4] },
+)]
+#[test_macro(tokio::test)]
+async fn test_hostile_peer(bytes: &[u8]) {
+    let fleet = start().await;
+    wait_covered(&fleet, 0).await;
+    let before = memory(&fleet, 0);
+    let mut streams = Vec::new();
+    for _ in 0..100 {
+        let mut stream = TcpStream::connect(fleet.peer_address(0)).await.unwrap();
+        stream.write_all(bytes).await.unwrap();
+        streams.push(stream);
+    }
+    for vm in 0..3 {
+        wait_covered(&fleet, vm).await;
+    }
+    assert!(memory(&fleet, 0) < before + MAX_GROWTH_KIB);
+    assert_whole(&fleet).await;
+}
+
+#[tokio::test]
+async fn test_hostile_headers() {
+    let fleet = start().await;
+    let many = "x-more: 1\r\n".repeat(5_000);
+    let request = format!("GET /v1/addresses HTTP/1.1\r\nhost: vm\r\n{many}\r\n");
+    let reply = exchange(fleet.vm_address(0), request.as_bytes()).await;
+    assert!(!reply.starts_with("HTTP/1.1 200"), "{reply}");
+    let client = JsonClient::new(PATIENCE).unwrap();
+    let reply = client
+        .get(fleet.vm_address(0), "/v1/addresses")
+        .await
+        .unwrap();
+    assert_eq!(reply.status, 200);
+}
+
+/// Returns the memory that a VM's process holds, KiB.
+fn memory(fleet: &Fleet, vm: usize) -> u64 {
+    let pid = fleet.pid(vm).unwrap();
+    let status = fs::read_to_string(format!("/proc/{pid}/status")).unwrap();
+    let line = status.lines().find_map(|line| line.strip_prefix("VmRSS:"));
+    let size = line.and_then(|line| line.split_whitespace().next());
+    size.unwrap().parse().unwrap()
+}
--- a/crates/server/tests/processes/main.rs
+++ b/crates/server/tests/processes/main.rs
@@ -4,8 +4,10 @@
 
 mod combined;
 mod freezes;
+mod hostile;
 mod kills;
 mod operators;
 mod platform;
+mod shutdown;
 mod stragglers;
 mod support;
--- a/crates/server/tests/processes/platform.rs
+++ b/crates/server/tests/processes/platform.rs
@@ -1,5 +1,6 @@
 //! The platform's services down, silent, stale or lagging.
 
+use cassialift_core::time::Millis;
 use cassialift_testkit::{harness::Signal, standin::config::ConfigMode};
 use yare::parameterized;
 
@@ -50,3 +51,17 @@
     traffic.stop().await.unwrap();
     assert_whole(&fleet).await;
 }
+
+#[tokio::test]
+async fn test_platform_vm_list_lags_behind_a_leaving_vm() {
+    let mut fleet = start().await;
+    let traffic = load(&fleet);
+    run_for(300).await;
+    let lag = Millis::new(60_000);
+    fleet.set_vms(&[0], lag).await.unwrap();
+    fleet.signal(0, Signal::Terminate).unwrap();
+    fleet.wait_gone(0).await.unwrap();
+    wait_covered(&fleet, 1).await;
+    traffic.stop().await.unwrap();
+    assert_whole(&fleet).await;
+}
--- a/crates/testkit/src/harness/vms.rs
+++ b/crates/testkit/src/harness/vms.rs
@@ -70,6 +70,18 @@
         self.network.service(host_number(VM_HOST, vm))
     }
 
+    /// Returns the address at which a VM serves its peers.
+    #[must_use]
+    pub fn peer_address(&self, vm: usize) -> SocketAddr {
+        self.network.inner(host_number(VM_HOST, vm))
+    }
+
+    /// Returns the number of a VM's process; none when it was not started.
+    #[must_use]
+    pub fn pid(&self, vm: usize) -> Option<u32> {
+        self.nodes[vm].as_ref().map(Child::pid)
+    }
+
     /// Returns the addresses of all VMs.
     #[must_use]
     pub fn vm_addresses(&self) -> Vec<SocketAddr> {
