--- a/crates/testkit/src/harness/vms.rs
+++ b/crates/testkit/src/harness/vms.rs
@@ -150,12 +150,6 @@
         }
     }
 
-    /// Returns the number of a VM's process.
-    #[must_use]
-    pub fn pid(&self, vm: usize) -> Option<u32> {
-        self.nodes[vm].as_ref().map(Child::pid)
-    }
-
     /// Makes a caller that knows all VMs.
     ///
     /// # Errors
