testkit: end a VM's former process before the next starts

Ruled out: the successor's own start, whose log ends at the bind. The harness now ends the former process first, as the replacement of a VM would.

--- a/crates/testkit/src/harness/vms.rs
+++ b/crates/testkit/src/harness/vms.rs
@@ -41,6 +41,8 @@
                 "vms": self.network.service(VMS_HOST),
             },
         });
+        // A former process that still drains would hold the addresses.
+        self.nodes[vm] = None;
         let name = vm_name(vm);
         let path = self.write(&format!("{name}.json"), &settings)?;
         let args = ["--settings", &path.to_string_lossy()];
