tests: the long search of a graceful stop must run for 33 s

The search was sent before the fleet had agreed on owners, so that it was answered at once without its shard, and the test proved nothing. It now waits for coverage, slows the servers, waits until the run has begun, and checks that the shard is in the answer.

--- a/crates/server/tests/processes/shutdown.rs
+++ b/crates/server/tests/processes/shutdown.rs
@@ -1,12 +1,10 @@
 //! Graceful stops: nothing in flight is cut off.
 
-use std::time::Duration;
-
 use cassialift_core::{presets::KindPolicy, request::RequestKind, time::Millis};
 use cassialift_testkit::{
     harness::{FleetSettings, Signal},
     history::CallEnd,
-    standin::backend::ServiceTime,
+    standin::backend::{BackendChange, Faults, ServiceTime},
 };
 
 use super::support::{assert_whole, load, run_for, start, start_with, wait_covered};
@@ -26,10 +24,9 @@
 
 #[tokio::test]
 async fn test_shutdown_finishes_a_search_longer_than_the_librarys_patience() {
-    let millis = 33_000;
     let mut settings = FleetSettings {
         time: ServiceTime {
-            median: millis * 1_000,
+            median: 2_000,
             sigma: 0.0,
         },
         ..FleetSettings::default()
@@ -40,14 +37,30 @@
     };
     settings.preset.kinds.insert(RequestKind::Fetch, policy);
     let mut fleet = start_with(settings).await;
+    wait_covered(&fleet, 0).await;
+    let slow = Faults {
+        // Two milliseconds become 33 seconds.
+        slowdown: 16_500.0,
+        ..Faults::default()
+    };
+    let change = BackendChange {
+        faults: Some(slow),
+        ..BackendChange::default()
+    };
+    fleet.change_backends(&change).await.unwrap();
+    let before = fleet.history().unwrap().runs.len();
     let mut caller = fleet.caller("counter").unwrap();
     caller.hold(fleet.vm_address(0));
     let search =
         tokio::spawn(async move { caller.search(RequestKind::Fetch, Some(vec![1])).await });
-    tokio::time::sleep(Duration::from_millis(500)).await;
+    let runs = async || fleet.history().unwrap().runs.len() > before;
+    fleet.wait_for("the search to run", runs).await.unwrap();
     fleet.signal(0, Signal::Terminate).unwrap();
     let end = search.await.unwrap();
-    assert!(matches!(end, CallEnd::Answer(_)), "{end:?}");
+    let CallEnd::Answer(answer) = end else {
+        panic!("{end:?}");
+    };
+    assert_eq!(answer.coverage.included, [1], "{answer:?}");
     fleet.wait_gone(0).await.unwrap();
     assert_whole(&fleet).await;
 }
