--- a/crates/server/src/main.rs
+++ b/crates/server/src/main.rs
@@ -8,7 +8,7 @@
 static ALLOCATOR: mimalloc::MiMalloc = mimalloc::MiMalloc;
 
 fn main() -> ExitCode {
-    let filter = env_logger::Env::default().default_filter_or("info");
+    let filter = env_logger::Env::default().default_filter_or("info,tarpc=warn");
     env_logger::Builder::from_env(filter).init();
     let args: Vec<String> = std::env::args().skip(1).collect();
     match cli::run(&args) {
