core: tickets and the table of their outcomes

A ticket names the process run that may run its job, and is authenticated with HMAC-SHA256 (xxh3 is no authentication code), so an unused ticket takes no memory at its holder. The table refuses when it is full and never evicts an outcome before the ticket's forget time; a ticket without a record is then proved unused.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -10,6 +10,4 @@
 pub mod policy;
 pub mod presets;
 pub mod request;
-pub mod text;
-pub mod time;
-pub mod view;
+pub mod ticket;
--- /dev/null
+++ b/crates/core/src/ticket/error.rs
@@ -0,0 +1,63 @@
+//! Why a ticket is refused.
+
+use displaydoc::Display;
+
+use crate::request::{Ran, RefusalReason};
+
+/// Why a text is not a ticket.
+#[derive(Clone, Copy, Debug, Display, Eq, PartialEq)]
+pub enum TicketError {
+    /// the text is not a ticket
+    Malformed,
+    /// the ticket was not issued by this run of the process
+    Forged,
+    /// a name in the ticket is longer than 255 bytes
+    TooLong,
+}
+
+impl std::error::Error for TicketError {}
+
+/// Why a good ticket is refused.
+#[derive(Clone, Copy, Debug, Display, Eq, PartialEq)]
+pub enum TicketRefusal {
+    /// the ticket was issued to another caller
+    Foreign,
+    /// the ticket was used with another body
+    Reused,
+    /// the ticket expired before anything was submitted under it
+    ExpiredUnused,
+    /// the ticket expired, and what came of it is no longer known
+    Forgotten,
+    /// as many outcomes are remembered as the limits allow
+    Full,
+    /// as many outcomes of this caller are remembered as the limits allow
+    CallerFull,
+}
+
+impl TicketRefusal {
+    /// Returns the reason that the caller is told.
+    #[must_use]
+    pub const fn reason(self) -> RefusalReason {
+        match self {
+            Self::Foreign => RefusalReason::ForeignTicket,
+            Self::Reused => RefusalReason::TicketReused,
+            Self::ExpiredUnused | Self::Forgotten => RefusalReason::ExpiredTicket,
+            Self::Full => RefusalReason::Overloaded,
+            Self::CallerFull => RefusalReason::CallerShare,
+        }
+    }
+
+    /// Returns whether the request that met the refusal was run.
+    ///
+    /// A request with a foreign ticket or another body was not run itself, whatever came of the
+    /// one that the ticket was used for.
+    #[must_use]
+    pub const fn ran(self) -> Ran {
+        match self {
+            Self::Forgotten => Ran::Unknown,
+            Self::Foreign | Self::Reused | Self::ExpiredUnused | Self::Full | Self::CallerFull => {
+                Ran::NotRun
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/core/src/ticket/mod.rs
@@ -0,0 +1,16 @@
+//! Tickets of requests that may run at most once, and the table of their outcomes.
+//!
+//! A ticket names the one run of a process that may ever run its job. That process keeps the
+//! outcome of every submitted ticket until the ticket's `forget` time, and refuses the ticket from
+//! then on. Times are durations since the start of the holder, so no two clocks are compared.
+
+mod codec;
+mod error;
+mod table;
+
+pub use codec::{Ticket, TicketKey};
+pub use error::{TicketError, TicketRefusal};
+pub use table::{JobOutcome, JobTable, PinnedConfig, Submission, TableLimits, TicketState};
+
+/// The bytes of a ticket key.
+pub const KEY_BYTES: usize = 32;
