--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -10,4 +10,7 @@
 pub mod policy;
 pub mod presets;
 pub mod request;
+pub mod text;
 pub mod ticket;
+pub mod time;
+pub mod view;
--- a/crates/server/src/control/thread.rs
+++ b/crates/server/src/control/thread.rs
@@ -21,6 +21,7 @@
 use crate::{
     journal::Journal,
     metrics::Metrics,
+    owner::Owner,
     peers::PeerTable,
     platform::PlatformClient,
     process::{Drain, ProcessError},
@@ -47,6 +48,8 @@
     pub contact: Contact,
     /// The requests in flight, and the longest time that address answers are kept.
     pub drain: Arc<Drain>,
+    /// The edge to backend servers, which takes over the shares of each view.
+    pub owner: Arc<Owner>,
     /// The counters.
     pub metrics: Arc<Metrics>,
     /// The journal.
@@ -79,6 +82,7 @@
         config,
         drain: input.drain,
         peers: Arc::default(),
+        owner: input.owner,
         handle: handle.clone(),
     };
     let spawned = thread::Builder::new()
@@ -124,6 +128,7 @@
     config: ConfigPart,
     drain: Arc<Drain>,
     peers: Arc<PeerTable>,
+    owner: Arc<Owner>,
     handle: ControlHandle,
 }
 
@@ -218,6 +223,8 @@
         self.fleet.set_config(config);
         let view = self.fleet.view(now);
         self.config.set_members(&view);
+        // Before traffic sees the view, so that a call for a new share finds its gate.
+        self.owner.apply(&view);
         self.handle.view.store(Arc::new(view));
         let state = Arc::new(self.config.state(now));
         self.handle.config.store(state);
--- /dev/null
+++ b/crates/server/src/entry/http/connection.rs
@@ -0,0 +1,110 @@
+//! One connection of a caller.
+
+use std::{convert::Infallible, net::SocketAddr, sync::Arc};
+
+use cassialift_core::{
+    request::{Ran, RefusalReason},
+    time::Millis,
+};
+use hyper::{Method, Request, body::Incoming};
+use tokio::sync::Semaphore;
+use volo::{Service, net::Address};
+use volo_http::{
+    body::Body,
+    context::ServerContext,
+    http::{StatusCode, header},
+    response::Response,
+    server::Router,
+};
+
+use super::{
+    receive::receive,
+    respond::{json, refuse, typed},
+};
+use crate::{entry::refuse::Refused, metrics::Metrics, process::Node, settings::LimitSettings};
+
+/// When to come back after a refusal for too many requests in flight.
+const RETRY_OVERLOADED: Millis = Millis::new(200);
+
+/// What all connections share.
+#[derive(Clone)]
+pub(super) struct Shared {
+    router: Arc<Router>,
+    limits: LimitSettings,
+    requests: Arc<Semaphore>,
+    metrics: Arc<Metrics>,
+}
+
+impl Shared {
+    pub(super) fn new(node: &Node, router: Router) -> Self {
+        let limits = node.settings.limits.clone();
+        Self {
+            router: Arc::new(router),
+            requests: Arc::new(Semaphore::new(limits.requests)),
+            limits,
+            metrics: Arc::clone(&node.metrics),
+        }
+    }
+
+    /// Serves one request; dropping the future, as a hang-up does, cancels its work.
+    pub(super) async fn serve(
+        self,
+        peer: SocketAddr,
+        request: Request<Incoming>,
+    ) -> Result<Response, Infallible> {
+        let mut response = self.respond(peer, request).await;
+        if response.status().is_client_error() {
+            self.metrics.count("callers.client_error");
+        }
+        if ends_connection(response.status()) {
+            let close = header::HeaderValue::from_static("close");
+            response.headers_mut().insert(header::CONNECTION, close);
+        }
+        Ok(response)
+    }
+
+    async fn respond(&self, peer: SocketAddr, request: Request<Incoming>) -> Response {
+        if request.headers().len() > self.limits.headers {
+            return refuse(
+                StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE,
+                RefusalReason::TooLarge,
+                "the request has more headers than the settings allow",
+            );
+        }
+        // Pages that run nothing are served under load too.
+        let runs = request.method() == Method::POST;
+        let permit = self.requests.try_acquire();
+        if runs && permit.is_err() {
+            return self.overloaded();
+        }
+        let (parts, body) = request.into_parts();
+        let time = self.limits.receive.0;
+        let body = match receive(&parts.headers, body, self.limits.body, time).await {
+            Ok(body) => body,
+            Err(response) => return response,
+        };
+        let request = Request::from_parts(parts, Body::from(body));
+        let mut context = ServerContext::new(Address::from(peer));
+        match self.router.call(&mut context, request).await {
+            Ok(response) => typed(response),
+        }
+    }
+
+    fn overloaded(&self) -> Response {
+        self.metrics.count("refused.overloaded");
+        let detail = "too many requests are in flight".to_owned();
+        let mut refused = Refused::new(RefusalReason::Overloaded, Ran::NotRun, detail);
+        refused.refusal.retry = Some(RETRY_OVERLOADED);
+        json(refused.status(), &refused.refusal)
+    }
+}
+
+/// Returns whether the rest of the request may still be on its way, so that none can follow it.
+fn ends_connection(status: StatusCode) -> bool {
+    matches!(
+        status,
+        StatusCode::PAYLOAD_TOO_LARGE
+            | StatusCode::REQUEST_TIMEOUT
+            | StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE
+    )
+}
--- /dev/null
+++ b/crates/server/src/entry/http/respond.rs
@@ -0,0 +1,49 @@
+//! Responses: JSON answers and typed refusals.
+
+use cassialift_core::request::{Ran, RefusalReason};
+use serde::Serialize;
+use volo_http::{
+    body::Body,
+    http::{StatusCode, header},
+    response::Response,
+};
+
+use crate::entry::refuse::Refused;
+
+/// Makes a response of an answer or a refusal.
+pub(super) fn reply<A: Serialize>(result: Result<A, Refused>) -> Response {
+    match result {
+        Ok(answer) => json(StatusCode::OK, &answer),
+        Err(refused) => json(refused.status(), &refused.refusal),
+    }
+}
+
+/// Makes a JSON response.
+pub(super) fn json<T: Serialize>(status: StatusCode, value: &T) -> Response {
+    let body = serde_json::to_vec(value).unwrap_or_default();
+    let mut response = Response::new(Body::from(body));
+    *response.status_mut() = status;
+    let json = header::HeaderValue::from_static("application/json");
+    response.headers_mut().insert(header::CONTENT_TYPE, json);
+    response
+}
+
+/// Makes a refusal of a request that was not looked at further, with a status of its own.
+pub(super) fn refuse(status: StatusCode, reason: RefusalReason, detail: &str) -> Response {
+    let refused = Refused::new(reason, Ran::NotRun, detail.to_owned());
+    json(status, &refused.refusal)
+}
+
+/// Replaces the router's bare response for a path or method that it does not serve.
+pub(super) fn typed(response: Response) -> Response {
+    let detail = match response.status() {
+        StatusCode::NOT_FOUND => "no such path",
+        StatusCode::METHOD_NOT_ALLOWED => "the path does not take this method",
+        _ => "the request cannot be served",
+    };
+    let is_json = response.headers().contains_key(header::CONTENT_TYPE);
+    if is_json || response.status().is_success() {
+        return response;
+    }
+    refuse(response.status(), RefusalReason::Malformed, detail)
+}
--- a/crates/server/src/entry/http.rs
+++ b/crates/server/src/entry/http/routes.rs
@@ -1,52 +1,32 @@
-//! The callers' and operators' HTTP server.
+//! The routes of the callers' and operators' protocols.
 
 use std::{pin::Pin, sync::Arc};
 
 use cassialift_core::request::{Ran, RefusalReason};
 use cassialift_wire::{
-    caller::{ADDRESSES_PATH, AddressQuery, SEARCH_PATH},
+    caller::{ADDRESSES_PATH, AddressQuery, JOBS_PATH, OUTCOME_PATH, SEARCH_PATH, TICKETS_PATH},
     operator::{COUNTERS_PATH, Counters, STATUS_PATH},
 };
 use serde::{Serialize, de::DeserializeOwned};
-use tokio::net::TcpListener;
-use volo::net::incoming::DefaultIncoming;
 use volo_http::{
     Bytes,
-    body::Body,
-    http::{StatusCode, header},
+    http::StatusCode,
     response::Response,
     server::{
-        Router, Server,
+        Router,
         extract::Query,
-        layer::BodyLimitLayer,
         route::{get, post},
     },
 };
 
-use super::{addresses, refuse::Refused, search};
+use super::respond::{json, reply};
 use crate::{
+    entry::{addresses, jobs, refuse::Refused, search},
     operator,
-    process::{Node, ProcessError, drain},
+    process::Node,
 };
 
-/// Serves callers until the process is told to stop.
-///
-/// # Errors
-/// Returns why the address could not be listened on or the server stopped.
-pub async fn serve(node: Arc<Node>) -> Result<(), ProcessError> {
-    let address = node.settings.callers;
-    let listening = TcpListener::bind(address).await;
-    let listener = listening.map_err(|cause| ProcessError::Listen(address, cause))?;
-    let limits = &node.settings.limits;
-    let mut http = Server::new(router(&node)).layer(BodyLimitLayer::new(limits.body));
-    let leaving = Arc::clone(&node);
-    http.http1_config().set_max_headers(limits.headers);
-    let http = http.register_shutdown_hook(move || Box::pin(async move { drain(&leaving).await }));
-    let served = http.run(DefaultIncoming::from(listener)).await;
-    served.map_err(ProcessError::Serve)
-}
-
-fn router(node: &Arc<Node>) -> Router {
+pub(super) fn router(node: &Arc<Node>) -> Router {
     let counters = Arc::clone(node);
     let list = Arc::clone(node);
     let fleet = Arc::clone(node);
@@ -62,6 +42,18 @@
             SEARCH_PATH,
             post(handler(Arc::clone(node), Ran::NotRun, search::run)),
         )
+        .route(
+            TICKETS_PATH,
+            post(handler(Arc::clone(node), Ran::NotRun, jobs::issue)),
+        )
+        .route(
+            JOBS_PATH,
+            post(handler(Arc::clone(node), Ran::NotRun, jobs::submit)),
+        )
+        .route(
+            OUTCOME_PATH,
+            post(handler(Arc::clone(node), Ran::Unknown, jobs::ask)),
+        )
         .route(
             STATUS_PATH,
             get(move || {
@@ -110,19 +102,3 @@
         })
     }
 }
-
-fn reply<A: Serialize>(result: Result<A, Refused>) -> Response {
-    match result {
-        Ok(answer) => json(StatusCode::OK, &answer),
-        Err(refused) => json(refused.status(), &refused.refusal),
-    }
-}
-
-fn json<T: Serialize>(status: StatusCode, value: &T) -> Response {
-    let body = serde_json::to_vec(value).unwrap_or_default();
-    let mut response = Response::new(Body::from(body));
-    *response.status_mut() = status;
-    let json = header::HeaderValue::from_static("application/json");
-    response.headers_mut().insert(header::CONTENT_TYPE, json);
-    response
-}
--- /dev/null
+++ b/crates/server/src/entry/jobs/forward.rs
@@ -0,0 +1,160 @@
+//! Finding the holder of a ticket and passing a job or a question on to it.
+
+use std::{
+    sync::Arc,
+    time::{Duration, Instant},
+};
+
+use cassialift_core::{
+    request::{Ran, RefusalReason, RequestKind},
+    ticket::Ticket,
+    time::Millis,
+};
+use cassialift_wire::{
+    caller::{JobAnswer, JobRequest, OutcomeRequest},
+    peer::{JobForward, JobReply},
+};
+use tarpc::context;
+
+use super::hold;
+use crate::{entry::refuse::Refused, process::Node, timer::Timer};
+
+/// How much longer than the job's own deadline a holder's reply is awaited.
+const REPLY_MARGIN: Duration = Duration::from_millis(100);
+
+/// The longest wait for a holder's reply to a question, and the deadline without a configuration.
+const ASK_TIMEOUT: Duration = Duration::from_secs(2);
+
+/// When to come back when the holder could not be reached.
+const RETRY_UNREACHABLE: Millis = Millis::new(1_000);
+
+/// Submits a job under its ticket.
+pub(crate) async fn submit(node: Arc<Node>, request: JobRequest) -> Result<JobAnswer, Refused> {
+    if request.deadline.is_some_and(|asked| asked.0.is_zero()) {
+        let refused = Refused::new(
+            RefusalReason::DeadlinePast,
+            Ran::NotRun,
+            "the deadline is zero".to_owned(),
+        );
+        return Err(refused.with_id(&request.id));
+    }
+    let forward = JobForward {
+        id: request.id,
+        caller: request.caller,
+        ticket: request.ticket,
+        remaining: request.deadline,
+        body: Some(request.body),
+    };
+    send(&node, forward).await
+}
+
+/// Asks for the outcome of a ticket's job; runs nothing.
+pub(crate) async fn ask(node: Arc<Node>, request: OutcomeRequest) -> Result<JobAnswer, Refused> {
+    let forward = JobForward {
+        id: request.id,
+        caller: request.caller,
+        ticket: request.ticket,
+        remaining: None,
+        body: None,
+    };
+    send(&node, forward).await
+}
+
+async fn send(node: &Arc<Node>, forward: JobForward) -> Result<JobAnswer, Refused> {
+    let id = forward.id.clone();
+    let reply = route(node, forward).await;
+    match reply {
+        JobReply::Answer(answer) => Ok(answer),
+        JobReply::Refused { reason, ran, retry } => {
+            let mut refused = Refused::new(reason, ran, detail(reason).to_owned()).with_id(&id);
+            refused.refusal.retry = retry;
+            Err(refused)
+        }
+    }
+}
+
+async fn route(node: &Arc<Node>, forward: JobForward) -> JobReply {
+    let Ok(ticket) = Ticket::peek(&forward.ticket) else {
+        return refuse(RefusalReason::UnknownTicket, Ran::NotRun, None);
+    };
+    if ticket.incarnation == node.control.view().own.incarnation {
+        return hold(node, forward).await;
+    }
+    node.metrics.count("job.forwarded");
+    pass(node, &ticket, forward).await
+}
+
+/// Passes a request on once; whether an unanswered one was run is unknown.
+async fn pass(node: &Arc<Node>, ticket: &Ticket, forward: JobForward) -> JobReply {
+    let view = node.control.pin();
+    if !view.members.contains_key(&ticket.vm) {
+        return refuse(RefusalReason::HolderGone, Ran::Unknown, None);
+    }
+    let submission = forward.body.is_some();
+    let client = match node.peers.client(&view, &ticket.vm).await {
+        Ok(client) => client,
+        Err(error) => {
+            log::debug!("job: the holder of a ticket cannot be reached: {error}.");
+            // A question asks about a job that may have run before.
+            let ran = if submission {
+                Ran::NotRun
+            } else {
+                Ran::Unknown
+            };
+            return refuse(RefusalReason::Unreachable, ran, Some(RETRY_UNREACHABLE));
+        }
+    };
+    let mut context = context::current();
+    context.deadline = deadline(node, &forward) + REPLY_MARGIN;
+    let replied = client.forward_job(context, ticket.incarnation, forward);
+    match replied.await {
+        Ok(reply) => reply,
+        Err(error) => {
+            log::debug!("job: the holder of a ticket gave no reply: {error}.");
+            node.peers.forget(&ticket.vm, &error);
+            refuse(
+                RefusalReason::NoReply,
+                Ran::Unknown,
+                Some(RETRY_UNREACHABLE),
+            )
+        }
+    }
+}
+
+fn deadline(node: &Node, forward: &JobForward) -> Instant {
+    let view = node.control.view();
+    let preset = view.config.as_ref().map(|config| &config.policy);
+    let longest = preset.map_or(ASK_TIMEOUT, |preset| {
+        preset.kind(RequestKind::Job).deadline.0
+    });
+    let wait = if forward.body.is_none() {
+        ASK_TIMEOUT
+    } else {
+        forward
+            .remaining
+            .map_or(longest, |asked| asked.0.min(longest))
+    };
+    Timer.now() + wait
+}
+
+pub(super) const fn refuse(reason: RefusalReason, ran: Ran, retry: Option<Millis>) -> JobReply {
+    JobReply::Refused { reason, ran, retry }
+}
+
+const fn detail(reason: RefusalReason) -> &'static str {
+    match reason {
+        RefusalReason::UnknownTicket => "no such ticket was issued",
+        RefusalReason::ExpiredTicket => "the ticket has expired",
+        RefusalReason::ForeignTicket => "the ticket was issued to another caller",
+        RefusalReason::TicketReused => "the ticket was used with another body",
+        RefusalReason::HolderGone => "the process that holds the ticket is gone",
+        RefusalReason::Unreachable => "the process that holds the ticket cannot be reached",
+        RefusalReason::NoReply => "the process that holds the ticket gave no reply",
+        RefusalReason::Overloaded => "as many outcomes are remembered as the settings allow",
+        RefusalReason::CallerShare => "this caller has as many outcomes as the settings allow",
+        RefusalReason::NoConfig => "no configuration has been accepted yet",
+        RefusalReason::NotAdmitted => "the preset in force does not admit jobs",
+        RefusalReason::UnknownService => "no such service",
+        _ => "the job was refused",
+    }
+}
--- /dev/null
+++ b/crates/server/src/entry/jobs/issue.rs
@@ -0,0 +1,66 @@
+//! Issuing tickets.
+
+use std::sync::Arc;
+
+use cassialift_core::{
+    request::{Ran, RefusalReason, RequestKind},
+    ticket::Ticket,
+    view::{ConfigView, FleetView},
+};
+use cassialift_wire::caller::{TicketAnswer, TicketRequest};
+
+use crate::{
+    entry::{addresses::refuse_leaving, refuse::Refused},
+    process::Node,
+};
+
+/// Issues a ticket; it takes no memory until it is used.
+pub(crate) async fn issue(
+    node: Arc<Node>,
+    request: TicketRequest,
+) -> Result<TicketAnswer, Refused> {
+    let view = node.control.pin();
+    if view.own.leaving {
+        // It would not remember the outcome.
+        return Err(refuse_leaving(&node, Ran::NotRun));
+    }
+    let config = admitting(&view)?;
+    if !config.indexes.contains_key(&request.service) {
+        return Err(not_run(RefusalReason::UnknownService, "no such service"));
+    }
+    let ttl = config.policy.ticket_ttl.0;
+    let expiry = node.jobs.now() + ttl;
+    let ticket = Ticket {
+        vm: Arc::clone(&view.own.vm),
+        incarnation: view.own.incarnation,
+        sequence: node.jobs.next(),
+        caller: request.caller,
+        service: request.service,
+        expiry,
+        forget: expiry + ttl,
+    };
+    let sealed = node.jobs.key().seal(&ticket);
+    let ticket = sealed.map_err(|error| not_run(RefusalReason::Malformed, &error.to_string()))?;
+    node.metrics.count("job.ticket");
+    Ok(TicketAnswer {
+        ticket,
+        ttl: ttl.into(),
+    })
+}
+
+/// Returns the configuration in force if its preset admits jobs.
+pub(super) fn admitting(view: &FleetView) -> Result<Arc<ConfigView>, Refused> {
+    let Some(config) = view.config.clone() else {
+        let detail = "no configuration has been accepted yet";
+        return Err(not_run(RefusalReason::NoConfig, detail));
+    };
+    if !config.policy.kind(RequestKind::Job).admit {
+        let detail = "the preset in force does not admit jobs";
+        return Err(not_run(RefusalReason::NotAdmitted, detail));
+    }
+    Ok(config)
+}
+
+fn not_run(reason: RefusalReason, detail: &str) -> Refused {
+    Refused::new(reason, Ran::NotRun, detail.to_owned())
+}
--- /dev/null
+++ b/crates/server/src/entry/jobs/run.rs
@@ -0,0 +1,179 @@
+//! One run of a job: attempts on backend servers until one ran it or may have run it.
+
+use std::{
+    sync::Arc,
+    time::{Duration, Instant},
+};
+
+use cassialift_core::{
+    ids::{AttemptId, CallerId, RequestKey, ServerId, ServiceId},
+    index::{IndexDocument, ShardEntry},
+    request::{RefusalReason, RequestKind},
+    ticket::JobOutcome,
+    view::FleetView,
+};
+use cassialift_wire::{
+    backend::Row,
+    peer::{CallFailure, CallRefusal, CallResult, ShardCall},
+};
+
+use super::book::Rows;
+use crate::{
+    process::{CallError, Node},
+    timer::Timer,
+};
+
+/// The pause after every replica refused for the first time; doubled each round.
+const FIRST_PAUSE: Duration = Duration::from_millis(10);
+
+/// The longest pause between rounds.
+const LONGEST_PAUSE: Duration = Duration::from_millis(200);
+
+/// One run of a job.
+#[derive(Debug)]
+pub(super) struct Run {
+    pub(super) node: Arc<Node>,
+    pub(super) view: Arc<FleetView>,
+    pub(super) caller: CallerId,
+    pub(super) service: ServiceId,
+    pub(super) body: String,
+    pub(super) deadline: Instant,
+}
+
+/// What came of one attempt.
+enum Attempt {
+    Done(Vec<Row>),
+    NotRun(RefusalReason),
+    Unknown(RefusalReason),
+}
+
+impl Run {
+    /// Runs the job and returns its outcome with the bytes it takes to remember.
+    pub(super) async fn execute(self, sequence: u64) -> (JobOutcome<Rows>, usize) {
+        let outcome = self.attempt_all(sequence).await;
+        self.node.metrics.count(match &outcome {
+            JobOutcome::Done(_) => "job.done",
+            JobOutcome::NotRun(_) => "job.not_run",
+            JobOutcome::Unknown(_) => "job.unknown",
+        });
+        let bytes = match &outcome {
+            JobOutcome::Done(rows) => weigh(rows),
+            JobOutcome::NotRun(_) | JobOutcome::Unknown(_) => 0,
+        };
+        (outcome, bytes)
+    }
+
+    /// Goes on to the next backend server only after an attempt that was proved not run.
+    async fn attempt_all(&self, sequence: u64) -> JobOutcome<Rows> {
+        let index = self.index();
+        let Some((index, shard)) = index.as_deref().and_then(|index| pick(index, sequence)) else {
+            return JobOutcome::NotRun(RefusalReason::UnknownService);
+        };
+        let key = self.node.next_key();
+        let mut attempt = 0;
+        let mut pause = FIRST_PAUSE;
+        let mut last = RefusalReason::Unreachable;
+        loop {
+            for server in &shard.replicas {
+                if Timer.now() >= self.deadline {
+                    return JobOutcome::NotRun(last);
+                }
+                let call = self.call(index, shard, server, key, attempt);
+                attempt += 1;
+                match self.attempt(call).await {
+                    Attempt::Done(rows) => return JobOutcome::Done(Arc::new(rows)),
+                    Attempt::Unknown(reason) => return JobOutcome::Unknown(reason),
+                    Attempt::NotRun(reason) => last = reason,
+                }
+                self.node.metrics.count("job.retry");
+            }
+            let next = Timer.now() + pause;
+            if next >= self.deadline {
+                return JobOutcome::NotRun(last);
+            }
+            Timer.at(next).await;
+            pause = (pause * 2).min(LONGEST_PAUSE);
+        }
+    }
+
+    fn index(&self) -> Option<Arc<IndexDocument>> {
+        let config = self.view.config.as_ref()?;
+        config.indexes.get(&self.service).cloned()
+    }
+
+    fn call(
+        &self,
+        index: &IndexDocument,
+        shard: &ShardEntry,
+        server: &ServerId,
+        key: RequestKey,
+        attempt: AttemptId,
+    ) -> ShardCall {
+        let remaining = self.deadline.saturating_duration_since(Timer.now());
+        ShardCall {
+            request: key,
+            attempt,
+            caller: Arc::clone(&self.caller),
+            service: Arc::clone(&self.service),
+            shard: shard.shard,
+            server: Arc::clone(server),
+            version: index.version,
+            kind: RequestKind::Job,
+            urgency: RequestKind::Job.urgency(),
+            remaining: remaining.into(),
+            body: self.body.clone(),
+        }
+    }
+
+    async fn attempt(&self, call: ShardCall) -> Attempt {
+        // Owners change while a job waits; the shard map stays the pinned one.
+        let view = self.node.control.pin();
+        let expected = (call.request, call.attempt, call.shard);
+        match self.node.call_shard(&view, call).await {
+            Ok(reply) if (reply.request, reply.attempt, reply.shard) != expected => {
+                Attempt::Unknown(RefusalReason::NoReply)
+            }
+            Ok(reply) => match reply.result {
+                CallResult::Done { rows, .. } => Attempt::Done(rows),
+                CallResult::NotRun(refusal) => Attempt::NotRun(reason(&refusal)),
+                CallResult::Unknown(
+                    CallFailure::Broken | CallFailure::Timeout | CallFailure::BadReply,
+                ) => Attempt::Unknown(RefusalReason::NoReply),
+            },
+            Err(CallError::NoOwner) => Attempt::NotRun(RefusalReason::Unreachable),
+            Err(CallError::Peer(error)) if error.is_unsent() => {
+                Attempt::NotRun(RefusalReason::Unreachable)
+            }
+            Err(CallError::Peer(error)) => {
+                log::debug!("job: an owner gave no reply: {error}.");
+                Attempt::Unknown(RefusalReason::NoReply)
+            }
+        }
+    }
+}
+
+/// Spreads jobs over the shards by their ticket's sequence number.
+fn pick(index: &IndexDocument, sequence: u64) -> Option<(&IndexDocument, &ShardEntry)> {
+    let count = u64::try_from(index.shards.len()).ok()?;
+    let position = usize::try_from(sequence.checked_rem(count)?).ok()?;
+    index.shards.get(position).map(|shard| (index, shard))
+}
+
+const fn reason(refusal: &CallRefusal) -> RefusalReason {
+    match refusal {
+        CallRefusal::QueueFull | CallRefusal::Busy => RefusalReason::Overloaded,
+        CallRefusal::Infeasible | CallRefusal::Expired => RefusalReason::Infeasible,
+        CallRefusal::NotOwner { .. }
+        | CallRefusal::Leaving
+        | CallRefusal::VersionGone { .. }
+        | CallRefusal::UnknownShard
+        | CallRefusal::Connect
+        | CallRefusal::Cancelled => RefusalReason::Unreachable,
+    }
+}
+
+fn weigh(rows: &[Row]) -> usize {
+    rows.iter()
+        .map(|row| row.key.len() + row.value.len() + size_of::<Row>())
+        .sum()
+}
--- /dev/null
+++ b/crates/server/src/entry/jobs/submit.rs
@@ -0,0 +1,228 @@
+//! The holder's part: it starts the job of a ticket once and tells its outcome.
+
+use std::{sync::Arc, time::Instant};
+
+use cassialift_core::{
+    request::{Ran, RefusalReason, RequestKind},
+    ticket::{JobOutcome, PinnedConfig, Submission, Ticket, TicketRefusal, TicketState},
+    time::Millis,
+    view::FleetView,
+};
+use cassialift_wire::{
+    caller::{JobAnswer, JobState},
+    peer::{JobForward, JobReply},
+};
+use tokio::sync::watch;
+
+use super::{
+    book::{Ended, Rows},
+    forward::refuse,
+    issue::admitting,
+    run::Run,
+};
+use crate::{
+    process::{InFlight, Node},
+    timer::Timer,
+};
+
+/// When to come back after a refusal for want of room.
+const RETRY_FULL: Millis = Millis::new(1_000);
+
+/// Answers a submission or a question about a ticket that this run of the process holds.
+pub(crate) async fn hold(node: &Arc<Node>, forward: JobForward) -> JobReply {
+    let Ok(ticket) = node.jobs.key().open(&forward.ticket) else {
+        return refuse(RefusalReason::UnknownTicket, Ran::NotRun, None);
+    };
+    let reply = match &forward.body {
+        None => state(node, &ticket, &forward),
+        Some(body) => submit(node, &ticket, &forward, body).await,
+    };
+    if let JobReply::Refused { reason, .. } = &reply {
+        node.metrics.count(&format!("refused.{reason:?}"));
+    }
+    reply
+}
+
+async fn submit(node: &Arc<Node>, ticket: &Ticket, forward: &JobForward, body: &str) -> JobReply {
+    let view = node.control.pin();
+    let deadline = Timer.now() + wait(&view, forward);
+    let admitted = match admit(node, &view, ticket, forward, body, deadline) {
+        Ok(admitted) => admitted,
+        Err(reply) => return reply,
+    };
+    let mut ended = match admitted {
+        Admitted::Ended(reply) => return reply,
+        Admitted::Running(ended) => ended,
+    };
+    // The sender is dropped when the outcome has been recorded.
+    let waited = tokio::time::timeout_at(deadline.into(), ended.changed()).await;
+    if waited.is_err() {
+        node.metrics.count("job.late");
+    }
+    state(node, ticket, forward)
+}
+
+enum Admitted {
+    Running(Ended),
+    Ended(JobReply),
+}
+
+/// Admits a submission: starts the job, finds its run, or finds its outcome.
+fn admit(
+    node: &Arc<Node>,
+    view: &Arc<FleetView>,
+    ticket: &Ticket,
+    forward: &JobForward,
+    body: &str,
+    deadline: Instant,
+) -> Result<Admitted, JobReply> {
+    let now = node.jobs.now();
+    let mut state = node.jobs.lock();
+    let known = state.table.state(now, ticket, &forward.caller);
+    let pinned = match known.map_err(refused)? {
+        TicketState::Unused => pin(view, ticket)?,
+        TicketState::Running(pinned) | TicketState::Ended(pinned, _) => pinned,
+    };
+    let (caller, bytes) = (&*forward.caller, body.as_bytes());
+    let submitted = state
+        .table
+        .submit(now, ticket, caller, bytes, pinned)
+        .map_err(refused)?;
+    match submitted {
+        Submission::Recorded(pinned, outcome) => {
+            drop(state);
+            node.metrics.count("job.repeated");
+            let state = ended(outcome);
+            Ok(Admitted::Ended(answer(forward, state, Some(pinned))))
+        }
+        Submission::Wait(_) => {
+            let run = state.runs.get(&ticket.sequence).cloned();
+            drop(state);
+            node.metrics.count("job.repeated");
+            run.map(Admitted::Running)
+                .ok_or(refuse(RefusalReason::Internal, Ran::Unknown, None))
+        }
+        Submission::Start => {
+            let (sender, receiver) = watch::channel(());
+            state.runs.insert(ticket.sequence, receiver.clone());
+            drop(state);
+            start(node, view, ticket, body, deadline, sender);
+            Ok(Admitted::Running(receiver))
+        }
+    }
+}
+
+/// Runs a job in a task of its own, so that a caller who hangs up does not cancel it.
+fn start(
+    node: &Arc<Node>,
+    view: &Arc<FleetView>,
+    ticket: &Ticket,
+    body: &str,
+    deadline: Instant,
+    sender: watch::Sender<()>,
+) {
+    node.metrics.count("job.started");
+    let run = Run {
+        node: Arc::clone(node),
+        view: Arc::clone(view),
+        caller: Arc::clone(&ticket.caller),
+        service: Arc::clone(&ticket.service),
+        body: body.to_owned(),
+        deadline,
+    };
+    let mut recording = Recording {
+        node: Arc::clone(node),
+        sequence: ticket.sequence,
+        outcome: JobOutcome::Unknown(RefusalReason::Internal),
+        bytes: 0,
+        _sender: sender,
+        _running: node.drain.enter(),
+    };
+    tokio::spawn(async move {
+        (recording.outcome, recording.bytes) = run.execute(recording.sequence).await;
+        drop(recording);
+    });
+}
+
+/// Records an outcome when dropped, so that a run that panics ends as unknown.
+struct Recording {
+    node: Arc<Node>,
+    sequence: u64,
+    outcome: JobOutcome<Rows>,
+    bytes: usize,
+    _sender: watch::Sender<()>,
+    _running: InFlight,
+}
+
+impl Drop for Recording {
+    fn drop(&mut self) {
+        let outcome = self.outcome.clone();
+        self.node.jobs.finish(self.sequence, outcome, self.bytes);
+    }
+}
+
+fn pin(view: &FleetView, ticket: &Ticket) -> Result<PinnedConfig, JobReply> {
+    let config = admitting(view).map_err(|refused| {
+        let refusal = refused.refusal;
+        refuse(refusal.reason, refusal.ran, Some(RETRY_FULL))
+    })?;
+    if !config.indexes.contains_key(&ticket.service) {
+        return Err(refuse(RefusalReason::UnknownService, Ran::NotRun, None));
+    }
+    Ok(PinnedConfig {
+        preset: Arc::clone(&config.preset),
+        revision: config.revision,
+    })
+}
+
+fn wait(view: &FleetView, forward: &JobForward) -> std::time::Duration {
+    let preset = view.config.as_ref().map(|config| &config.policy);
+    let longest = preset
+        .map(|preset| preset.kind(RequestKind::Job).deadline.0)
+        .unwrap_or_default();
+    forward
+        .remaining
+        .map_or(longest, |asked| asked.0.min(longest))
+}
+
+fn state(node: &Node, ticket: &Ticket, forward: &JobForward) -> JobReply {
+    let now = node.jobs.now();
+    let known = node.jobs.lock().table.state(now, ticket, &forward.caller);
+    match known {
+        Ok(TicketState::Unused) => answer(forward, JobState::Unused, None),
+        Ok(TicketState::Running(pinned)) => answer(forward, JobState::Running, Some(pinned)),
+        Ok(TicketState::Ended(pinned, outcome)) => answer(forward, ended(outcome), Some(pinned)),
+        Err(refusal) => refused(refusal),
+    }
+}
+
+fn answer(forward: &JobForward, state: JobState, pinned: Option<PinnedConfig>) -> JobReply {
+    let (preset, revision) = pinned
+        .map(|pinned| (pinned.preset, pinned.revision))
+        .unzip();
+    JobReply::Answer(JobAnswer {
+        id: forward.id.clone(),
+        state,
+        preset,
+        revision,
+    })
+}
+
+fn ended(outcome: JobOutcome<Rows>) -> JobState {
+    match outcome {
+        JobOutcome::Done(rows) => JobState::Done(Vec::clone(&rows)),
+        JobOutcome::NotRun(reason) => JobState::NotRun(reason),
+        JobOutcome::Unknown(reason) => JobState::Unknown(reason),
+    }
+}
+
+fn refused(refusal: TicketRefusal) -> JobReply {
+    let retry = match refusal {
+        TicketRefusal::Full | TicketRefusal::CallerFull => Some(RETRY_FULL),
+        TicketRefusal::Foreign
+        | TicketRefusal::Reused
+        | TicketRefusal::ExpiredUnused
+        | TicketRefusal::Forgotten => None,
+    };
+    refuse(refusal.reason(), refusal.ran(), retry)
+}
--- a/crates/server/src/entry/mod.rs
+++ b/crates/server/src/entry/mod.rs
@@ -4,6 +4,7 @@
 mod admit;
 mod gather;
 mod http;
+pub mod jobs;
 mod refuse;
 mod search;
 
--- a/crates/server/src/owner/counters.rs
+++ b/crates/server/src/owner/counters.rs
@@ -27,11 +27,7 @@
     CancelSent,
     /// Cancellations not sent for want of a connection.
     CancelSkipped,
-    /// Calls refused because the queue was full or the caller had its share.
-    QueueFull,
-    /// Calls refused because their time would run out in the queue.
-    Infeasible,
-    /// Calls whose time ran out in the queue.
+    /// Calls whose time ran out before they were sent.
     Expired,
 }
 
@@ -50,8 +46,6 @@
             Self::Timeout => "owner.reply.timeout",
             Self::CancelSent => "owner.cancel.sent",
             Self::CancelSkipped => "owner.cancel.skipped",
-            Self::QueueFull => "owner.refused.queue_full",
-            Self::Infeasible => "owner.refused.infeasible",
             Self::Expired => "owner.refused.expired",
         }
     }
--- a/crates/server/src/owner/gate.rs
+++ b/crates/server/src/owner/gate.rs
@@ -1,14 +1,19 @@
 //! The gate of one backend server: its shares, what uses them, and the queue in front.
 
-use std::{collections::VecDeque, net::SocketAddr, time::Duration, time::Instant};
-
-use cassialift_core::{ids::VmId, presets::QueuePolicy};
+use std::{
+    collections::VecDeque,
+    net::SocketAddr,
+    time::{Duration, Instant},
+};
+
+use cassialift_core::{
+    ids::VmId,
+    policy::{latency::MovingAverage, limit::Limit, outcome::CallOutcome, queue::Service},
+    presets::QueuePolicy,
+};
 use cassialift_wire::{backend::ServerLoad, peer::CallRefusal};
 
-use super::{lane::Lane, queue::CallQueue};
-
-/// The weight of a new sample in the learned service time: one part in this many.
-const SAMPLE_WEIGHT: u32 = 8;
+use super::{lane::Lane, queue::WaitQueue};
 
 /// What a view grants this process of one backend server.
 #[derive(Clone, Debug)]
@@ -38,11 +43,13 @@
     pub(super) running: u32,
     pub(super) open: u32,
     pub(super) idle: VecDeque<Lane>,
-    pub(super) queue: CallQueue<W>,
+    pub(super) queue: WaitQueue<W>,
     pub(super) sequence: u64,
     pub(super) load: ServerLoad,
     pub(super) held: Option<Instant>,
-    service: Duration,
+    pub(super) warm_after: Option<Instant>,
+    limit: Limit,
+    service: MovingAverage,
 }
 
 /// What a granted call uses to send with.
@@ -56,17 +63,19 @@
 
 impl<W> Gate<W> {
     /// Makes a gate with nothing in use.
-    pub(super) fn new(share: Share) -> Self {
+    pub(super) fn new(share: Share, now: Instant) -> Self {
         Self {
+            limit: Limit::new(share.slots, now),
             share,
             running: 0,
             open: 0,
             idle: VecDeque::new(),
-            queue: CallQueue::new(),
+            queue: WaitQueue::new(),
             sequence: 0,
             load: ServerLoad::default(),
             held: None,
-            service: Duration::ZERO,
+            warm_after: None,
+            service: MovingAverage::default(),
         }
     }
 
@@ -88,7 +97,7 @@
             .share
             .until
             .is_some_and(|until| Instant::now() >= until);
-        if lapsed || self.running >= self.share.slots {
+        if lapsed || self.running >= self.allowed() {
             return None;
         }
         let passage = match self.take_idle() {
@@ -142,26 +151,42 @@
     }
 
     /// Returns how many connections are to be opened in advance.
-    pub(super) fn missing_warm(&self) -> u32 {
+    pub(super) fn missing_warm(&self, now: Instant) -> u32 {
+        if self.warm_after.is_some_and(|after| now < after) {
+            return 0;
+        }
         let wanted = self.share.slots.min(self.share.connections);
         wanted.saturating_sub(self.open)
     }
 
-    /// Learns from a reply.
-    pub(super) fn learn(&mut self, load: ServerLoad, took: Duration) {
-        self.load = load;
-        self.service = if self.service.is_zero() {
-            took
-        } else {
-            (self.service * (SAMPLE_WEIGHT - 1) + took) / SAMPLE_WEIGHT
-        };
+    /// Takes over a new share.
+    pub(super) fn set_share(&mut self, share: Share) {
+        if self.share.address != share.address {
+            self.warm_after = None;
+        }
+        self.limit.set_slots(share.slots);
+        self.share = share;
     }
 
-    /// Estimates the wait of a call with `ahead` calls before it; zero before the first reply.
-    pub(super) fn estimate(&self, ahead: usize) -> Duration {
-        let slots = self.share.slots.max(1);
-        let rounds = u32::try_from(ahead).unwrap_or(u32::MAX) / slots + 1;
-        self.service.saturating_mul(rounds)
+    /// Returns how many requests may run at once: the share, less while the server sheds.
+    pub(super) fn allowed(&self) -> u32 {
+        self.share.slots.min(self.limit.get())
+    }
+
+    /// Learns from what came of a request.
+    pub(super) fn learn(&mut self, outcome: CallOutcome, took: Duration, now: Instant) {
+        self.limit.on_reply(outcome, took, now);
+        if matches!(outcome, CallOutcome::Done(_)) {
+            self.service.add(took);
+        }
+    }
+
+    /// Returns how fast calls leave the queue; at once before the first reply.
+    pub(super) fn service(&self) -> Service {
+        Service {
+            time: self.service.get().unwrap_or_default(),
+            limit: self.allowed(),
+        }
     }
 
     /// Returns whether nothing is in use.
--- a/crates/server/src/owner/mod.rs
+++ b/crates/server/src/owner/mod.rs
@@ -11,6 +11,7 @@
 mod exchange;
 mod gate;
 mod lane;
+mod learn;
 mod mark;
 mod queue;
 mod run;
@@ -20,5 +21,5 @@
 #[cfg(test)]
 mod tests;
 
-pub use service::{Owner, follow};
+pub use service::Owner;
 pub use settings::OwnerSettings;
--- a/crates/server/src/owner/queue.rs
+++ b/crates/server/src/owner/queue.rs
@@ -1,129 +1,76 @@
-//! The queue in front of a backend server's gate.
+//! The calls that wait at a gate: the policy's queue with whom to wake.
 
-use std::{collections::BTreeMap, time::Instant};
+use std::{collections::HashMap, time::Instant};
 
-use cassialift_core::{ids::CallerId, presets::QueuePolicy, request::Urgency};
+use cassialift_core::{
+    policy::queue::{Queue, QueueEntry, QueueRefusal, Service},
+    presets::QueuePolicy,
+};
 
-/// Orders waiting calls by urgency, then deadline, then arrival.
-#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
-pub(super) struct QueueKey {
-    /// How the call ranks.
-    pub(super) urgency: Urgency,
-    /// When its time runs out.
-    pub(super) deadline: Instant,
-    /// Its place among arrivals.
-    pub(super) sequence: u64,
-}
-
-#[derive(Debug)]
-struct Waiting<T> {
-    caller: CallerId,
-    entered: Instant,
-    item: T,
-}
-
-/// Calls that wait for one backend server.
+/// The calls that wait at a gate, each with whom to wake.
 #[derive(Debug)]
-pub(super) struct CallQueue<T> {
-    waiting: BTreeMap<QueueKey, Waiting<T>>,
+pub(super) struct WaitQueue<W> {
+    queue: Queue,
+    waiters: HashMap<u64, W>,
 }
 
-impl<T> CallQueue<T> {
+impl<W> WaitQueue<W> {
     /// Makes an empty queue.
-    pub(super) const fn new() -> Self {
+    pub(super) fn new() -> Self {
         Self {
-            waiting: BTreeMap::new(),
+            queue: Queue::default(),
+            waiters: HashMap::new(),
         }
     }
 
     /// Returns how many calls wait.
-    pub(super) fn len(&self) -> usize {
-        self.waiting.len()
+    pub(super) fn len(&self) -> u32 {
+        self.queue.len()
     }
 
     /// Returns whether no call waits.
     pub(super) fn is_empty(&self) -> bool {
-        self.waiting.is_empty()
-    }
-
-    /// Returns whether the queue has room for a call of `caller`.
-    pub(super) fn has_room(&self, caller: &str, policy: &QueuePolicy) -> bool {
-        let length = policy.length as usize;
-        if self.waiting.len() >= length {
-            return false;
-        }
-        let of_caller = self
-            .waiting
-            .values()
-            .filter(|waiting| &*waiting.caller == caller)
-            .count();
-        of_caller < caller_limit(policy)
+        self.queue.is_empty()
     }
 
-    /// Returns how many calls would be served before `key`.
-    pub(super) fn ahead(&self, key: &QueueKey) -> usize {
-        self.waiting.range(..key).count()
-    }
-
-    /// Adds a call.
-    pub(super) fn push(&mut self, key: QueueKey, caller: CallerId, entered: Instant, item: T) {
-        let waiting = Waiting {
-            caller,
-            entered,
-            item,
-        };
-        self.waiting.insert(key, waiting);
+    /// Adds a call; returns whom it displaced.
+    pub(super) fn push(
+        &mut self,
+        entry: QueueEntry,
+        waiter: W,
+        service: Service,
+        policy: &QueuePolicy,
+    ) -> Result<Option<W>, QueueRefusal> {
+        let (id, now) = (entry.id, entry.queued);
+        let displaced = self.queue.push(entry, service, policy, now)?;
+        self.waiters.insert(id, waiter);
+        Ok(displaced.and_then(|entry| self.waiters.remove(&entry.id)))
     }
 
     /// Removes a call.
-    pub(super) fn remove(&mut self, key: &QueueKey) -> Option<T> {
-        self.waiting.remove(key).map(|waiting| waiting.item)
+    pub(super) fn remove(&mut self, id: u64) -> Option<W> {
+        let waiter = self.waiters.remove(&id)?;
+        self.queue.remove(id);
+        Some(waiter)
     }
 
-    /// Takes the next call: one that starves, else the most urgent with the earliest deadline.
-    pub(super) fn pop(&mut self, now: Instant, policy: &QueuePolicy) -> Option<T> {
-        let key = match self.starving(now, policy) {
-            Some(key) => key,
-            None => *self.waiting.first_key_value()?.0,
-        };
-        self.remove(&key)
+    /// Takes the call that goes next.
+    pub(super) fn pop(&mut self, policy: &QueuePolicy, now: Instant) -> Option<W> {
+        let entry = self.queue.pop(policy, now)?;
+        self.waiters.remove(&entry.id)
     }
 
     /// Takes all calls.
-    pub(super) fn drain(&mut self) -> Vec<T> {
-        std::mem::take(&mut self.waiting)
-            .into_values()
-            .map(|waiting| waiting.item)
-            .collect()
-    }
-
-    /// Takes the calls whose time has run out.
-    pub(super) fn drain_expired(&mut self, now: Instant) -> Vec<T> {
-        let expired: Vec<QueueKey> = self
-            .waiting
-            .keys()
-            .filter(|key| key.deadline <= now)
-            .copied()
-            .collect();
-        expired.iter().filter_map(|key| self.remove(key)).collect()
+    pub(super) fn drain(&mut self) -> Vec<W> {
+        self.queue = Queue::default();
+        self.waiters.drain().map(|(_, waiter)| waiter).collect()
     }
 
-    fn starving(&self, now: Instant, policy: &QueuePolicy) -> Option<QueueKey> {
-        self.waiting
-            .iter()
-            .filter(|(key, _)| key.urgency == Urgency::Ordinary)
-            .filter(|(_, waiting)| now.duration_since(waiting.entered) >= policy.starvation.0)
-            .min_by_key(|(_, waiting)| waiting.entered)
-            .map(|(key, _)| *key)
+    /// Takes the calls that can't be done in time any more.
+    pub(super) fn expire(&mut self, service: Service, now: Instant) -> Vec<(W, QueueRefusal)> {
+        let gone = self.queue.expire(service, now);
+        gone.into_iter()
+            .filter_map(|(entry, refusal)| Some((self.waiters.remove(&entry.id)?, refusal)))
+            .collect()
     }
 }
-
-fn caller_limit(policy: &QueuePolicy) -> usize {
-    #[expect(
-        clippy::cast_possible_truncation,
-        clippy::cast_sign_loss,
-        reason = "a share of at most one of a u32 length fits"
-    )]
-    let limit = (f64::from(policy.length) * policy.caller_share) as usize;
-    limit.max(1)
-}
--- a/crates/server/src/owner/run.rs
+++ b/crates/server/src/owner/run.rs
@@ -16,6 +16,7 @@
     counters::OwnerCounter,
     exchange::{Exchange, ExchangeError, exchange},
     lane::Lane,
+    learn::outcome,
     mark::SendMark,
     server::{Grant, Server},
 };
@@ -39,6 +40,14 @@
 impl Run {
     /// Runs the call; the slot is held until the returned future ends or is dropped.
     pub(super) async fn execute(mut self) -> CallResult {
+        let started = Instant::now();
+        let result = self.send().await;
+        let server = self.grant.server();
+        server.learn(outcome(&result), started.elapsed());
+        result
+    }
+
+    async fn send(&mut self) -> CallResult {
         let mut moves = 0;
         loop {
             let Some(mut lane) = self.lane().await else {
@@ -49,9 +58,8 @@
                 self.count(OwnerCounter::Withheld);
                 return CallResult::NotRun(CallRefusal::Expired);
             };
-            let sent = Instant::now();
             match exchange(&mut lane, request).await {
-                Ok(body) => return self.finish(lane, &body, sent.elapsed()),
+                Ok(body) => return self.finish(lane, &body),
                 Err(ExchangeError::Unsent) if moves < MOVES => {
                     self.count(OwnerCounter::Moved);
                     moves += 1;
@@ -127,13 +135,13 @@
         })
     }
 
-    fn finish(self, mut lane: Lane, body: &[u8], took: Duration) -> CallResult {
+    fn finish(&self, mut lane: Lane, body: &[u8]) -> CallResult {
         let server = Arc::clone(self.grant.server());
         let Some(reply) = self.parse(body) else {
             self.count(OwnerCounter::BadReply);
             return CallResult::Unknown(CallFailure::BadReply);
         };
-        server.learn(reply.load, took);
+        server.set_load(reply.load);
         let result = result(&server, reply.outcome);
         lane.used = Instant::now();
         server.put_idle(lane);
@@ -156,7 +164,12 @@
             ExchangeError::Unsent => CallResult::NotRun(CallRefusal::Connect),
             ExchangeError::Withheld => {
                 self.count(OwnerCounter::Withheld);
-                CallResult::NotRun(CallRefusal::Expired)
+                // With time left it was the lease that ran out.
+                CallResult::NotRun(if Instant::now() < self.deadline {
+                    CallRefusal::NotOwner { owner: None }
+                } else {
+                    CallRefusal::Expired
+                })
             }
             ExchangeError::Cancelled => CallResult::NotRun(CallRefusal::Cancelled),
             ExchangeError::Broken => {
--- a/crates/server/src/owner/server.rs
+++ b/crates/server/src/owner/server.rs
@@ -5,7 +5,13 @@
     time::{Duration, Instant},
 };
 
-use cassialift_core::ids::CallerId;
+use cassialift_core::{
+    ids::CallerId,
+    policy::{
+        outcome::CallOutcome,
+        queue::{QueueEntry, QueueRefusal},
+    },
+};
 use cassialift_wire::{
     backend::ServerLoad,
     peer::{CallRefusal, ShardCall},
@@ -13,14 +19,15 @@
 use tokio::{runtime::Handle, sync::oneshot};
 
 use super::{
-    counters::OwnerCounter,
     gate::{Gate, Passage, Share},
     lane::Lane,
-    queue::QueueKey,
     settings::OwnerSettings,
 };
 use crate::metrics::Metrics;
 
+/// How long no connection is opened in advance after one failed.
+const WARM_PAUSE: Duration = Duration::from_millis(500);
+
 type Waiter = oneshot::Sender<Result<Grant, CallRefusal>>;
 
 /// One backend server: its gate and what all servers share.
@@ -57,7 +64,7 @@
 #[derive(Debug)]
 pub(super) struct QueuePlace {
     server: Arc<Server>,
-    key: QueueKey,
+    id: u64,
     receiver: oneshot::Receiver<Result<Grant, CallRefusal>>,
 }
 
@@ -73,7 +80,7 @@
             settings,
             metrics,
             handle,
-            gate: Mutex::new(Gate::new(share)),
+            gate: Mutex::new(Gate::new(share, Instant::now())),
         }
     }
 
@@ -82,15 +89,15 @@
         let now = Instant::now();
         let (refused, warm) = {
             let mut gate = self.lock();
-            gate.share = share;
+            gate.set_share(share);
             gate.trim_idle();
             match gate.refusal(now) {
                 Some(refusal) => (Some((gate.queue.drain(), refusal)), 0),
-                None => (None, gate.missing_warm()),
+                None => (None, gate.missing_warm(now)),
             }
         };
         if let Some((waiters, refusal)) = refused {
-            refuse(waiters, &refusal);
+            refuse_all(waiters, &refusal);
         }
         self.dispatch();
         for _ in 0..warm {
@@ -115,41 +122,46 @@
             drop(gate);
             return Ok(Admission::Granted(self.grant(passage)));
         }
-        let key = QueueKey {
+        let id = gate.sequence;
+        gate.sequence += 1;
+        let entry = QueueEntry {
+            id,
+            caller: CallerId::clone(&call.caller),
             urgency: call.urgency,
             deadline,
-            sequence: gate.sequence,
+            queued: now,
         };
-        self.check_room(&gate, &key, &call.caller, now)?;
-        gate.sequence += 1;
         let (sender, receiver) = oneshot::channel();
-        gate.queue
-            .push(key, CallerId::clone(&call.caller), now, sender);
+        let (service, policy) = (gate.service(), gate.share.policy);
+        let pushed = gate.queue.push(entry, sender, service, &policy);
         drop(gate);
+        match pushed {
+            Ok(displaced) => self.refuse(displaced, QueueRefusal::Displaced),
+            Err(refusal) => return Err(self.refusal(refusal)),
+        }
         Ok(Admission::Waiting(QueuePlace {
             server: Arc::clone(self),
-            key,
+            id,
             receiver,
         }))
     }
 
-    fn check_room(
-        &self,
-        gate: &Gate<Waiter>,
-        key: &QueueKey,
-        caller: &str,
-        now: Instant,
-    ) -> Result<(), CallRefusal> {
-        if !gate.queue.has_room(caller, &gate.share.policy) {
-            OwnerCounter::QueueFull.add(&self.metrics);
-            return Err(CallRefusal::QueueFull);
+    /// Counts a refusal of the queue and returns what the entry is told.
+    fn refusal(&self, refusal: QueueRefusal) -> CallRefusal {
+        self.metrics.count(refusal.counter());
+        match refusal {
+            QueueRefusal::Full | QueueRefusal::CallerShare | QueueRefusal::Displaced => {
+                CallRefusal::QueueFull
+            }
+            QueueRefusal::Infeasible => CallRefusal::Infeasible,
+            QueueRefusal::Expired => CallRefusal::Expired,
         }
-        let wait = gate.estimate(gate.queue.ahead(key));
-        if now + wait >= key.deadline {
-            OwnerCounter::Infeasible.add(&self.metrics);
-            return Err(CallRefusal::Infeasible);
+    }
+
+    fn refuse(&self, waiters: impl IntoIterator<Item = Waiter>, refusal: QueueRefusal) {
+        for waiter in waiters {
+            drop(waiter.send(Err(self.refusal(refusal))));
         }
-        Ok(())
     }
 
     /// Lets waiting calls pass while there are slots and connections.
@@ -158,13 +170,14 @@
         let mut ready = Vec::new();
         let expired = {
             let mut gate = self.lock();
-            let expired = gate.queue.drain_expired(now);
+            let service = gate.service();
+            let expired = gate.queue.expire(service, now);
             while !gate.queue.is_empty() {
                 let Some(passage) = gate.pass() else {
                     break;
                 };
                 let policy = gate.share.policy;
-                if let Some(waiter) = gate.queue.pop(now, &policy) {
+                if let Some(waiter) = gate.queue.pop(&policy, now) {
                     ready.push((waiter, passage));
                 }
             }
@@ -174,7 +187,9 @@
         for (waiter, passage) in ready {
             drop(waiter.send(Ok(self.grant(passage))));
         }
-        refuse(expired, &CallRefusal::Expired);
+        for (waiter, refusal) in expired {
+            self.refuse([waiter], refusal);
+        }
     }
 
     /// Takes an idle lane or leave to open a connection, without a slot.
@@ -205,9 +220,14 @@
         self.dispatch();
     }
 
-    /// Learns from a reply.
-    pub(super) fn learn(&self, load: ServerLoad, took: Duration) {
-        self.lock().learn(load, took);
+    /// Learns from what came of a request.
+    pub(super) fn learn(&self, outcome: CallOutcome, took: Duration) {
+        self.lock().learn(outcome, took, Instant::now());
+    }
+
+    /// Notes the load that a reply told.
+    pub(super) fn set_load(&self, load: ServerLoad) {
+        self.lock().load = load;
     }
 
     /// Sends nothing for a while to a backend server that said it is leaving.
@@ -218,7 +238,7 @@
             gate.held = Some(until);
             gate.queue.drain()
         };
-        refuse(waiters, &CallRefusal::Leaving);
+        refuse_all(waiters, &CallRefusal::Leaving);
     }
 
     /// Returns where the backend server listens.
@@ -229,8 +249,7 @@
     /// Returns the calls that wait and the load last told.
     pub(super) fn report(&self) -> (u32, ServerLoad) {
         let gate = self.lock();
-        let queued = u32::try_from(gate.queue.len()).unwrap_or(u32::MAX);
-        (queued, gate.load)
+        (gate.queue.len(), gate.load)
     }
 
     /// Returns the slots in use and the connections that are open, opening or closing.
@@ -252,8 +271,9 @@
         self.handle.spawn(async move {
             let limit = server.settings.connect.0;
             let opened = Lane::open(server.address(), permit, limit, &server.handle).await;
-            if let Ok(lane) = opened {
-                server.put_idle(lane);
+            match opened {
+                Ok(lane) => server.put_idle(lane),
+                Err(_) => server.lock().warm_after = Some(Instant::now() + WARM_PAUSE),
             }
         });
     }
@@ -275,7 +295,7 @@
     }
 }
 
-fn refuse(waiters: Vec<Waiter>, refusal: &CallRefusal) {
+fn refuse_all(waiters: Vec<Waiter>, refusal: &CallRefusal) {
     for waiter in waiters {
         drop(waiter.send(Err(refusal.clone())));
     }
@@ -337,6 +357,6 @@
 
 impl Drop for QueuePlace {
     fn drop(&mut self) {
-        drop(self.server.lock().queue.remove(&self.key));
+        drop(self.server.lock().queue.remove(self.id));
     }
 }
--- a/crates/server/src/owner/service.rs
+++ b/crates/server/src/owner/service.rs
@@ -11,6 +11,8 @@
 use cassialift_core::{
     ids::ServerId,
     index::{ServerEntry, ServerState},
+    policy::outcome::{CallOutcome, UnknownCause},
+    presets::QueuePolicy,
     view::{ConfigView, FleetView, OwnerView},
 };
 use cassialift_wire::{
@@ -28,14 +30,11 @@
     server::{Admission, Grant, Server},
     settings::OwnerSettings,
 };
-use crate::{control::ControlHandle, metrics::Metrics, timer::Timer};
+use crate::metrics::Metrics;
 
 /// The longest deadline that a call may name.
 const LONGEST: Duration = Duration::from_hours(1);
 
-/// How often new views are looked for.
-const FOLLOW_PERIOD: Duration = Duration::from_millis(50);
-
 type Servers = HashMap<ServerId, Arc<Server>>;
 
 /// Serves shard calls on the backend servers that this process owns.
@@ -45,7 +44,7 @@
     metrics: Arc<Metrics>,
     handle: Handle,
     servers: ArcSwap<Servers>,
-    applying: Mutex<()>,
+    entries: Mutex<Entries>,
 }
 
 impl Owner {
@@ -61,24 +60,24 @@
             metrics,
             handle: Handle::current(),
             servers: ArcSwap::default(),
-            applying: Mutex::new(()),
+            entries: Mutex::default(),
         }
     }
 
     /// Takes over the shares of a newly published view, and replaces warm connections that broke.
     pub fn apply(&self, view: &FleetView) {
-        let _applying = self.applying.lock().unwrap_or_else(PoisonError::into_inner);
-        let mut shares = shares(view);
+        let mut entries = self.entries.lock().unwrap_or_else(PoisonError::into_inner);
+        entries.update(view.config.as_ref());
+        let mut shares = self.shares(view, &entries);
         let mut servers = Servers::clone(&self.servers.load());
-        servers.retain(|id, server| shares.contains_key(id) || !server.is_unused());
+        let owned = |id: &ServerId| shares.get(id).is_some_and(|share| share.slots > 0);
+        servers.retain(|id, server| owned(id) || !server.is_unused());
         for (id, server) in &servers {
             let share = shares.remove(id);
             server.apply(share.unwrap_or_else(|| lost(server.address(), view, id)));
         }
+        shares.retain(|_, share| share.slots > 0);
         for (id, share) in shares {
-            if share.slots == 0 {
-                continue;
-            }
             let server = Arc::new(self.server(share.clone()));
             server.apply(share);
             servers.insert(id, server);
@@ -134,21 +133,32 @@
         result
     }
 
+    /// Collects the shares of the backend servers that this process owns or has a gate for.
+    fn shares(&self, view: &FleetView, entries: &Entries) -> HashMap<ServerId, Share> {
+        let servers = self.servers.load();
+        let wanted = view
+            .owners
+            .iter()
+            .filter(|(id, owner)| owner.slots > 0 || servers.contains_key(*id));
+        let policy = view
+            .config
+            .as_ref()
+            .map(|config| config.policy.queue)
+            .unwrap_or_default();
+        wanted
+            .filter_map(|(id, owner)| {
+                let entry = entries.servers.get(id)?;
+                Some((Arc::clone(id), share(policy, entry, owner)))
+            })
+            .collect()
+    }
+
     fn server(&self, share: Share) -> Server {
         let metrics = Arc::clone(&self.metrics);
         Server::new(self.settings, metrics, self.handle.clone(), share)
     }
 }
 
-/// Applies each newly published view, until the process ends.
-pub async fn follow(owner: &Owner, control: &ControlHandle) {
-    let mut ticks = Timer.subscribe(FOLLOW_PERIOD);
-    loop {
-        ticks.next().await;
-        owner.apply(&control.pin());
-    }
-}
-
 /// Runs a granted call until its deadline.
 async fn execute(grant: Grant, call: &Arc<ShardCall>, deadline: Instant) -> CallResult {
     let mark = Arc::new(SendMark::default());
@@ -202,11 +212,15 @@
         }
         let server = Arc::clone(&self.server);
         let (request, attempt) = (self.call.request, self.call.attempt);
+        let sent = Instant::now();
         let give_up = self.deadline.max(Instant::now()) + server.settings.grace.0;
         self.server.handle.spawn(async move {
             let drained = tokio::time::timeout_at(give_up.into(), run);
             let (drained, ()) = tokio::join!(drained, cancel(&server, request, attempt));
-            if drained.is_ok() {
+            if drained.is_err() {
+                let took = sent.elapsed();
+                server.learn(CallOutcome::Unknown(UnknownCause::Timeout), took);
+            } else {
                 OwnerCounter::Late.add(&server.metrics);
             }
         });
@@ -225,29 +239,40 @@
     }
 }
 
-/// Collects the shares of all backend servers that a view knows.
-fn shares(view: &FleetView) -> HashMap<ServerId, Share> {
-    let Some(config) = &view.config else {
-        return HashMap::new();
-    };
-    let entries = config.indexes.values().flat_map(|index| &index.servers);
-    entries
-        .map(|entry| {
-            let owner = view.owners.get(&entry.id);
-            (Arc::clone(&entry.id), share(config, entry, owner))
-        })
-        .collect()
+/// The published entries of all backend servers, kept until the configuration changes.
+#[derive(Debug, Default)]
+struct Entries {
+    config: Option<Arc<ConfigView>>,
+    servers: HashMap<ServerId, ServerEntry>,
+}
+
+impl Entries {
+    fn update(&mut self, config: Option<&Arc<ConfigView>>) {
+        let Some(config) = config else {
+            return;
+        };
+        let known = self.config.as_ref();
+        if known.is_some_and(|known| Arc::ptr_eq(known, config)) {
+            return;
+        }
+        let indexes = config.indexes.values();
+        let entries = indexes.flat_map(|index| &index.servers);
+        self.servers = entries
+            .map(|entry| (Arc::clone(&entry.id), entry.clone()))
+            .collect();
+        self.config = Some(Arc::clone(config));
+    }
 }
 
-fn share(config: &ConfigView, entry: &ServerEntry, owner: Option<&OwnerView>) -> Share {
+fn share(policy: QueuePolicy, entry: &ServerEntry, owner: &OwnerView) -> Share {
     Share {
         address: entry.address,
-        slots: owner.map_or(0, |owner| owner.slots.min(entry.slots)),
-        connections: owner.map_or(0, |owner| owner.connections.min(entry.connections)),
-        until: owner.and_then(|owner| owner.until),
+        slots: owner.slots.min(entry.slots),
+        connections: owner.connections.min(entry.connections),
+        until: owner.until,
         leaving: entry.state == ServerState::Leaving,
-        owner: owner.and_then(|owner| owner.owner.clone()),
-        policy: config.policy.queue,
+        owner: owner.owner.clone(),
+        policy,
     }
 }
 
@@ -261,6 +286,6 @@
         until: None,
         leaving: true,
         owner,
-        policy: cassialift_core::presets::QueuePolicy::default(),
+        policy: QueuePolicy::default(),
     }
 }
--- a/crates/server/src/owner/tests.rs
+++ b/crates/server/src/owner/tests.rs
@@ -8,13 +8,11 @@
 };
 
 use bytes::Bytes;
-use cassialift_core::{presets::QueuePolicy, request::Urgency, time::Millis};
 use http_body::Body;
 
 use super::{
     body::{CallBody, Withheld},
     mark::{SendMark, SendState},
-    queue::{CallQueue, QueueKey},
 };
 
 fn poll(body: &mut CallBody) -> Poll<Option<Result<Bytes, Withheld>>> {
@@ -56,51 +54,3 @@
     assert!(!mark.cancel());
     assert_eq!(mark.state(), SendState::Sent);
 }
-
-fn key(urgency: Urgency, start: Instant, after: u64, sequence: u64) -> QueueKey {
-    QueueKey {
-        urgency,
-        deadline: start + Duration::from_secs(after),
-        sequence,
-    }
-}
-
-#[test]
-fn test_queue_serves_starving_ordinary_call() {
-    let start = Instant::now();
-    let policy = QueuePolicy {
-        starvation: Millis::new(500),
-        ..QueuePolicy::default()
-    };
-    let mut queue = CallQueue::new();
-    let entries = [
-        (Urgency::Ordinary, 9, "o1"),
-        (Urgency::Urgent, 5, "u2"),
-        (Urgency::Urgent, 3, "u1"),
-        (Urgency::Ordinary, 8, "o2"),
-    ];
-    for (sequence, (urgency, after, name)) in (0..).zip(entries) {
-        let key = key(urgency, start, after, sequence);
-        queue.push(key, "dealer".into(), start, name);
-    }
-    assert_eq!(queue.ahead(&key(Urgency::Urgent, start, 4, 9)), 1);
-    assert_eq!(queue.pop(start, &policy), Some("u1"));
-    let starved = start + Duration::from_millis(500);
-    assert_eq!(queue.pop(starved, &policy), Some("o2"));
-    assert_eq!(queue.pop(start, &policy), Some("u2"));
-    assert_eq!(queue.pop(start, &policy), Some("o1"));
-    assert_eq!(queue.pop(start, &policy), None);
-}
-
-#[test]
-fn test_queue_drops_expired_calls() {
-    let start = Instant::now();
-    let mut queue = CallQueue::new();
-    for sequence in 1..=4 {
-        let key = key(Urgency::Urgent, start, sequence, sequence);
-        queue.push(key, "dealer".into(), start, sequence);
-    }
-    let expired = queue.drain_expired(start + Duration::from_secs(2));
-    assert_eq!(expired, [1, 2]);
-    assert_eq!(queue.len(), 2);
-}
--- a/crates/server/src/peers/serve.rs
+++ b/crates/server/src/peers/serve.rs
@@ -7,8 +7,8 @@
     request::{Ran, RefusalReason},
 };
 use cassialift_wire::peer::{
-    ConfigPull, ConfigPush, JobForward, JobReply, Peer, Ping, PingReply, ProbeReply, ShardCall,
-    ShardReply,
+    CallRefusal, CallResult, ConfigPull, ConfigPush, JobForward, JobReply, Peer, Ping, PingReply,
+    ProbeReply, ShardCall, ShardReply,
 };
 use futures::StreamExt;
 use tarpc::{
@@ -19,7 +19,10 @@
 };
 
 use super::MAX_FRAME;
-use crate::process::{Node, ProcessError};
+use crate::{
+    entry::jobs::hold,
+    process::{Node, ProcessError},
+};
 
 /// Serves one peer's calls.
 #[derive(Clone, Debug)]
@@ -30,15 +33,28 @@
 impl Peer for PeerServer {
     async fn call_shard(self, _: Context, call: ShardCall) -> ShardReply {
         let _running = self.node.drain.enter();
-        self.node.owner.call(call).await
+        let server = Arc::clone(&call.server);
+        let mut reply = self.node.owner.call(call).await;
+        if let CallResult::NotRun(CallRefusal::NotOwner { owner }) = &mut reply.result
+            && owner.is_none()
+        {
+            let view = self.node.control.view();
+            *owner = view
+                .owners
+                .get(&server)
+                .and_then(|known| known.owner.clone());
+        }
+        reply
     }
 
-    async fn forward_job(self, _: Context, _: Incarnation, _: JobForward) -> JobReply {
+    async fn forward_job(self, _: Context, holder: Incarnation, job: JobForward) -> JobReply {
         let _running = self.node.drain.enter();
-        // This run of the process has issued no tickets.
+        if holder == self.node.control.view().own.incarnation {
+            return hold(&self.node, job).await;
+        }
         JobReply::Refused {
-            reason: RefusalReason::UnknownTicket,
-            ran: Ran::NotRun,
+            reason: RefusalReason::HolderGone,
+            ran: Ran::Unknown,
             retry: None,
         }
     }
--- a/crates/server/src/process/node.rs
+++ b/crates/server/src/process/node.rs
@@ -16,6 +16,7 @@
 use super::Drain;
 use crate::{
     control::ControlHandle,
+    entry::jobs::Jobs,
     journal::Journal,
     metrics::Metrics,
     owner::Owner,
@@ -39,11 +40,13 @@
     /// The journal of decisions.
     pub journal: Arc<Journal>,
     /// The edge to backend servers.
-    pub owner: Owner,
+    pub owner: Arc<Owner>,
     /// The connections to peers.
     pub peers: PeerTable,
     /// The requests in flight, which a leaving process waits for.
     pub drain: Arc<Drain>,
+    /// The tickets that this run of the process holds.
+    pub jobs: Jobs,
     sequence: AtomicU64,
 }
 
@@ -55,10 +58,11 @@
         control: ControlHandle,
         metrics: Arc<Metrics>,
         journal: Arc<Journal>,
-        owner: Owner,
+        owner: Arc<Owner>,
         drain: Arc<Drain>,
     ) -> Self {
         Self {
+            jobs: Jobs::new(settings.jobs),
             settings,
             control,
             metrics,
--- a/crates/server/src/process/run.rs
+++ b/crates/server/src/process/run.rs
@@ -4,15 +4,18 @@
 
 use cassialift_core::{ids::Incarnation, view::OwnView};
 use cassialift_wire::peer::Contact;
-use tokio::runtime;
+use tokio::{
+    runtime,
+    signal::unix::{SignalKind, signal},
+};
 
-use super::{Drain, Node, ProcessError};
+use super::{Drain, Node, ProcessError, drain};
 use crate::{
     control::{self, ControlInput},
     entry,
     journal::Journal,
     metrics::Metrics,
-    owner::{self, Owner},
+    owner::Owner,
     peers,
     platform::PlatformClient,
     settings::Settings,
@@ -34,6 +37,7 @@
 async fn serve(settings: Settings) -> Result<(), ProcessError> {
     let metrics = Arc::new(Metrics::new(settings.statsd).map_err(ProcessError::Metrics)?);
     let journal = Arc::new(Journal::default());
+    let owner = Arc::new(Owner::new(settings.owner, Arc::clone(&metrics)));
     let platform = PlatformClient::new(settings.platform.clone());
     let own = OwnView {
         vm: Arc::clone(&settings.vm),
@@ -53,14 +57,31 @@
         },
         own,
         journal: Arc::clone(&journal),
+        owner: Arc::clone(&owner),
         platform: platform.map_err(ProcessError::Platform)?,
         metrics: Arc::clone(&metrics),
     })?;
-    let owner = Owner::new(settings.owner, Arc::clone(&metrics));
     let node = Arc::new(Node::new(settings, control, metrics, journal, owner, drain));
-    let followed = Arc::clone(&node);
-    tokio::spawn(async move { owner::follow(&followed.owner, &followed.control).await });
     peers::serve(Arc::clone(&node)).await?;
     log::info!("process: {} serves callers.", node.settings.vm);
-    entry::serve(node).await
+    entry::serve(Arc::clone(&node), leave(&node)).await
+}
+
+/// Waits for the signal to stop, then until nothing is in flight.
+async fn leave(node: &Node) {
+    stop_signal().await;
+    log::info!("process: {} is leaving.", node.settings.vm);
+    drain(node).await;
+}
+
+async fn stop_signal() {
+    let signals = [SignalKind::terminate(), SignalKind::interrupt()].map(signal);
+    let [Ok(mut terminate), Ok(mut interrupt)] = signals else {
+        log::error!("process: signals cannot be received; only a kill stops this process.");
+        return std::future::pending().await;
+    };
+    tokio::select! {
+        _ = terminate.recv() => {}
+        _ = interrupt.recv() => {}
+    }
 }
--- a/crates/server/src/settings/document.rs
+++ b/crates/server/src/settings/document.rs
@@ -8,7 +8,7 @@
 };
 use serde::{Deserialize, Serialize};
 
-use crate::owner::OwnerSettings;
+use crate::{entry::jobs::JobSettings, owner::OwnerSettings};
 
 /// The settings of one process.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
@@ -33,6 +33,9 @@
     /// The edge to backend servers.
     #[serde(default)]
     pub owner: OwnerSettings,
+    /// The outcomes that are remembered.
+    #[serde(default)]
+    pub jobs: JobSettings,
 }
 
 /// Where the platform is.
--- /dev/null
+++ b/crates/server/tests/callers_jobs.rs
@@ -0,0 +1,306 @@
+//! Jobs at a small fleet of processes: each runs at most once, and its outcome is told truthfully.
+
+use std::net::SocketAddr;
+
+use cassialift_core::{
+    presets::Preset,
+    request::{Ran, RefusalReason, RequestKind},
+    time::Millis,
+};
+use cassialift_testkit::{
+    harness::{Caller, Fleet, FleetSettings, Signal},
+    history::CallEnd,
+    standin::backend::ServiceTime,
+};
+use cassialift_wire::caller::{
+    JOBS_PATH, JobAnswer, JobRequest, JobState, OUTCOME_PATH, OutcomeRequest, SEARCH_PATH,
+    SearchRequest,
+};
+use tokio::{io::AsyncWriteExt, net::TcpStream};
+
+/// How long a slow job runs, in microseconds.
+const SLOW_MICROS: u64 = 300_000;
+
+async fn fleet(job_time: u64, preset: Preset) -> Fleet {
+    Fleet::start(FleetSettings {
+        vms: vec![2],
+        servers: 1,
+        shards: 1,
+        replicas: 1,
+        runners: 1,
+        hosts: 1,
+        job_time: ServiceTime {
+            median: job_time,
+            sigma: 0.0,
+        },
+        preset,
+        ..FleetSettings::default()
+    })
+    .await
+    .unwrap()
+}
+
+fn caller(fleet: &Fleet, name: &str, vm: usize) -> Caller {
+    let mut caller = fleet.caller(name).unwrap();
+    caller.hold(fleet.vm_address(vm));
+    caller
+}
+
+async fn ticket(caller: &mut Caller) -> String {
+    for _ in 0..1_000 {
+        if let Some(ticket) = caller.ticket().await {
+            return ticket;
+        }
+        tokio::time::sleep(std::time::Duration::from_millis(10)).await;
+    }
+    panic!("no ticket was given");
+}
+
+async fn started(fleet: &Fleet) -> u64 {
+    let stats = fleet.backend_stats().await.unwrap();
+    let runners = stats.iter().filter(|(id, _)| id.starts_with("press"));
+    runners.map(|(_, stats)| stats.started).sum()
+}
+
+fn refusal(end: CallEnd) -> (RefusalReason, Ran) {
+    match end {
+        CallEnd::Refused(refusal) => (refusal.reason, refusal.ran),
+        end => panic!("not a refusal: {end:?}"),
+    }
+}
+
+fn is_done(end: &CallEnd) -> bool {
+    matches!(
+        end,
+        CallEnd::Job(JobAnswer {
+            state: JobState::Done(_),
+            ..
+        })
+    )
+}
+
+/// Submits until the job was sent; a fleet that has just started may refuse for want of an owner.
+async fn submit_done(caller: &mut Caller, ticket: &str, body: &str) {
+    let end = caller.submit(ticket, body).await;
+    assert!(is_done(&end), "{end:?}");
+}
+
+/// Waits until the fleet runs jobs.
+async fn warm_up(fleet: &Fleet) -> u64 {
+    for vm in 0..2 {
+        let mut caller = caller(fleet, "warm-up", vm);
+        fleet
+            .wait_for("a job that runs", async || {
+                let ticket = ticket(&mut caller).await;
+                is_done(&caller.submit(&ticket, "warm-up").await)
+            })
+            .await
+            .unwrap();
+    }
+    started(fleet).await
+}
+
+#[tokio::test]
+async fn test_job_submitted_again_runs_once() {
+    let fleet = fleet(1_000, Preset::default()).await;
+    let before = warm_up(&fleet).await;
+    let mut near = caller(&fleet, "promoter", 0);
+    let mut far = caller(&fleet, "promoter", 1);
+    let ticket = ticket(&mut near).await;
+    let unused = near.outcome(&ticket).await;
+    assert!(matches!(
+        unused,
+        CallEnd::Job(JobAnswer {
+            state: JobState::Unused,
+            ..
+        })
+    ));
+    submit_done(&mut far, &ticket, "print 500 bands").await;
+    submit_done(&mut near, &ticket, "print 500 bands").await;
+    assert!(is_done(&far.outcome(&ticket).await));
+    assert_eq!(started(&fleet).await, before + 1);
+    let other_body = far.submit(&ticket, "print 900 bands").await;
+    assert_eq!(
+        refusal(other_body),
+        (RefusalReason::TicketReused, Ran::NotRun)
+    );
+    let mut stranger = caller(&fleet, "stranger", 1);
+    let foreign = stranger.submit(&ticket, "print 500 bands").await;
+    assert_eq!(
+        refusal(foreign),
+        (RefusalReason::ForeignTicket, Ran::NotRun)
+    );
+    assert_eq!(started(&fleet).await, before + 1);
+}
+
+#[tokio::test]
+async fn test_job_concurrent_duplicates_run_once() {
+    let fleet = fleet(SLOW_MICROS, Preset::default()).await;
+    let before = warm_up(&fleet).await;
+    let ticket = ticket(&mut caller(&fleet, "promoter", 0)).await;
+    let submissions = (0..12).map(|number| {
+        let (ticket, mut caller) = (ticket.clone(), caller(&fleet, "promoter", number % 2));
+        async move { caller.submit(&ticket, "print 500 bands").await }
+    });
+    for end in futures::future::join_all(submissions).await {
+        assert!(is_done(&end), "{end:?}");
+    }
+    assert_eq!(started(&fleet).await, before + 1);
+}
+
+#[tokio::test]
+async fn test_job_holder_gone_is_unknown() {
+    let mut fleet = fleet(1_000, Preset::default()).await;
+    let before = warm_up(&fleet).await;
+    let mut far = caller(&fleet, "promoter", 1);
+    let ticket = ticket(&mut caller(&fleet, "promoter", 0)).await;
+    fleet.signal(0, Signal::Kill).unwrap();
+    let unreachable = far.submit(&ticket, "print").await;
+    let reason = refusal(unreachable).0;
+    assert!(
+        matches!(reason, RefusalReason::Unreachable | RefusalReason::NoReply),
+        "{reason:?}"
+    );
+    fleet.start_vm(0).unwrap();
+    fleet.wait_vm(0).await.unwrap();
+    fleet
+        .wait_for("the new run of the holder", async || {
+            refusal(far.submit(&ticket, "print").await) == (RefusalReason::HolderGone, Ran::Unknown)
+        })
+        .await
+        .unwrap();
+    let asked = refusal(far.outcome(&ticket).await);
+    assert_eq!(asked, (RefusalReason::HolderGone, Ran::Unknown));
+    assert_eq!(started(&fleet).await, before);
+}
+
+#[tokio::test]
+async fn test_job_frozen_holder_refuses_expired_ticket() {
+    let preset = Preset {
+        ticket_ttl: Millis::new(2_000),
+        ..Preset::default()
+    };
+    let mut fleet = fleet(1_000, preset).await;
+    let before = warm_up(&fleet).await;
+    let mut near = caller(&fleet, "promoter", 0);
+    let ticket = ticket(&mut near).await;
+    fleet.signal(0, Signal::Stop).unwrap();
+    // The ticket's expiry is what is tested, so its time has to pass.
+    tokio::time::sleep(std::time::Duration::from_millis(2_100)).await;
+    fleet.signal(0, Signal::Continue).unwrap();
+    let (reason, _) = refusal(near.submit(&ticket, "print").await);
+    assert_eq!(reason, RefusalReason::ExpiredTicket);
+    assert_eq!(started(&fleet).await, before);
+}
+
+async fn hang_up<T: serde::Serialize>(address: SocketAddr, path: &str, message: &T) -> TcpStream {
+    let body = serde_json::to_string(message).unwrap();
+    let length = body.len();
+    let request =
+        format!("POST {path} HTTP/1.1\r\nhost: x\r\ncontent-length: {length}\r\n\r\n{body}");
+    let mut stream = TcpStream::connect(address).await.unwrap();
+    stream.write_all(request.as_bytes()).await.unwrap();
+    stream
+}
+
+#[tokio::test]
+async fn test_job_caller_hangs_up_runs_to_its_end() {
+    let fleet = fleet(SLOW_MICROS, Preset::default()).await;
+    let before = warm_up(&fleet).await;
+    let mut near = caller(&fleet, "promoter", 0);
+    let ticket = ticket(&mut near).await;
+    let job = JobRequest {
+        id: "hang-up".to_owned(),
+        caller: "promoter".into(),
+        ticket: ticket.clone(),
+        deadline: None,
+        body: "print".to_owned(),
+    };
+    let stream = hang_up(fleet.vm_address(1), JOBS_PATH, &job).await;
+    fleet
+        .wait_for("the job's start", async || {
+            started(&fleet).await == before + 1
+        })
+        .await
+        .unwrap();
+    drop(stream);
+    fleet
+        .wait_for("the job's end", async || {
+            is_done(&near.outcome(&ticket).await)
+        })
+        .await
+        .unwrap();
+    assert_eq!(started(&fleet).await, before + 1);
+}
+
+#[tokio::test]
+async fn test_search_caller_hangs_up_cancels() {
+    let fleet = Fleet::start(FleetSettings {
+        vms: vec![2],
+        servers: 2,
+        shards: 4,
+        replicas: 1,
+        hosts: 1,
+        time: ServiceTime {
+            median: 20_000_000,
+            sigma: 0.0,
+        },
+        preset: slow_searches(),
+        ..FleetSettings::default()
+    })
+    .await
+    .unwrap();
+    let search = SearchRequest {
+        id: "hang-up".to_owned(),
+        caller: "dealer".into(),
+        service: "listings".into(),
+        kind: RequestKind::WideSearch,
+        shards: None,
+        deadline: None,
+        query: "reference 116610".to_owned(),
+    };
+    let stats = async || {
+        let stats = fleet.backend_stats().await.unwrap();
+        let sum = |count: fn(&_) -> u64| stats.values().map(count).sum::<u64>();
+        (sum(|stats| stats.started), sum(|stats| stats.cancelled))
+    };
+    fleet.wait_owned().await.unwrap();
+    let stream = hang_up(fleet.vm_address(0), SEARCH_PATH, &search).await;
+    fleet
+        .wait_for("four runs", async || stats().await.0 == 4)
+        .await
+        .unwrap();
+    drop(stream);
+    fleet
+        .wait_for("four cancellations", async || stats().await.1 == 4)
+        .await
+        .unwrap();
+}
+
+fn slow_searches() -> Preset {
+    let policy = cassialift_core::presets::KindPolicy {
+        deadline: Millis::new(30_000),
+        ..Default::default()
+    };
+    Preset {
+        kinds: [(RequestKind::WideSearch, policy)].into(),
+        ..Preset::default()
+    }
+}
+
+#[tokio::test]
+async fn test_outcome_of_no_ticket_refused() {
+    let fleet = fleet(1_000, Preset::default()).await;
+    let client = cassialift_testkit::client::JsonClient::new(std::time::Duration::from_secs(20));
+    let request = OutcomeRequest {
+        id: "a".to_owned(),
+        caller: "promoter".into(),
+        ticket: "no ticket".to_owned(),
+    };
+    let reply = client
+        .unwrap()
+        .post(fleet.vm_address(0), OUTCOME_PATH, &request)
+        .await
+        .unwrap();
+    assert_eq!(reply.status, 404);
+}
--- a/crates/testkit/src/harness/settings.rs
+++ b/crates/testkit/src/harness/settings.rs
@@ -38,6 +38,8 @@
     pub job_time: ServiceTime,
     /// The preset in force.
     pub preset: Preset,
+    /// Further settings of each VM, by their names in its settings file.
+    pub node: serde_json::Map<String, serde_json::Value>,
     /// The seed of all stand-ins.
     pub seed: u64,
 }
@@ -58,6 +60,7 @@
             time: ServiceTime::default(),
             job_time: ServiceTime::default(),
             preset: Preset::default(),
+            node: serde_json::Map::new(),
             seed: 1,
         }
     }
--- a/crates/testkit/src/harness/vms.rs
+++ b/crates/testkit/src/harness/vms.rs
@@ -1,12 +1,16 @@
 //! The VMs of a fleet under test.
 
 use std::{
+    collections::BTreeMap,
     net::SocketAddr,
     sync::Arc,
     time::{Duration, Instant},
 };
 
-use cassialift_wire::caller::ADDRESSES_PATH;
+use cassialift_wire::{
+    caller::ADDRESSES_PATH,
+    operator::{STATUS_PATH, Status},
+};
 
 use super::{
     Caller, Child, Fleet, HarnessError, Signal,
@@ -30,7 +34,7 @@
         } else {
             self.network.service(CONFIG_HOST)
         };
-        let settings = serde_json::json!({
+        let mut settings = serde_json::json!({
             "vm": vm_name(vm),
             "centre": centre_of(&self.settings, vm),
             "callers": self.vm_address(vm),
@@ -40,6 +44,9 @@
                 "vms": self.network.service(VMS_HOST),
             },
         });
+        if let Some(settings) = settings.as_object_mut() {
+            settings.extend(self.settings.node.clone());
+        }
         let name = vm_name(vm);
         let path = self.write(&format!("{name}.json"), &settings)?;
         let args = ["--settings", &path.to_string_lossy()];
@@ -64,6 +71,31 @@
         Ok(())
     }
 
+    /// Waits until the VMs together may use every slot of every backend server.
+    ///
+    /// # Errors
+    /// Returns that it does not come about in time.
+    pub async fn wait_owned(&self) -> Result<(), HarnessError> {
+        self.wait_for("owners of all slots", async || {
+            self.unowned().await.is_some_and(|slots| slots == 0)
+        })
+        .await
+    }
+
+    /// Counts the slots that no VM may use; none when a VM does not tell or knows no server.
+    async fn unowned(&self) -> Option<u64> {
+        let mut owned: BTreeMap<String, u64> = BTreeMap::new();
+        for vm in 0..self.nodes.len() {
+            let status: Status = self.get(vm, STATUS_PATH).await.ok()?.parse().ok()?;
+            for server in status.servers {
+                *owned.entry(server.server).or_default() += u64::from(server.slots);
+            }
+        }
+        let all = u64::from(self.settings.slots);
+        let missing = owned.values().map(|slots| all.saturating_sub(*slots));
+        (!owned.is_empty()).then(|| missing.sum())
+    }
+
     /// Returns the address at which a VM serves callers.
     #[must_use]
     pub fn vm_address(&self, vm: usize) -> SocketAddr {
