--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -11,5 +11,6 @@
 pub mod presets;
 pub mod request;
 pub mod text;
+pub mod ticket;
 pub mod time;
 pub mod view;
