--- a/crates/core/src/config/node.rs
+++ b/crates/core/src/config/node.rs
@@ -157,6 +157,7 @@
         let held = self.store.revision();
         self.spread.heard(vm, note.revision, held);
         if note.revision != held {
+            self.pull_next(now);
             return;
         }
         if note.digest != self.store.digest() && self.spread.reconciles(vm, now) {
@@ -235,9 +236,7 @@
     pub fn tick(&mut self, now: Instant) {
         self.ask_peers(now);
         self.ask_for_note(now);
-        if let Some(vm) = self.spread.next(self.store.revision(), now) {
-            self.order_pull(vm, now);
-        }
+        self.pull_next(now);
         self.update_gate(now);
         self.update_plan(now);
         self.update_age(now);
@@ -291,6 +290,13 @@
         self.orders.extend(orders);
     }
 
+    /// Pulls from the peer that is furthest ahead, if there is one and no pull is under way.
+    fn pull_next(&mut self, now: Instant) {
+        if let Some(vm) = self.spread.next(self.store.revision(), now) {
+            self.order_pull(vm, now);
+        }
+    }
+
     fn order_pull(&mut self, vm: VmId, now: Instant) {
         let after = self.store.revision();
         self.spread.pulled(VmId::clone(&vm), now);
--- a/crates/server/src/control/thread.rs
+++ b/crates/server/src/control/thread.rs
@@ -169,6 +169,7 @@
             sent: None,
         };
         self.config.apply(event, now);
+        self.send_config(now);
         PingReply {
             reply: self.fleet.hear(&ping.beat, now),
             config: self.handle.config().note(now),
@@ -221,6 +222,11 @@
         self.handle.view.store(Arc::new(view));
         let state = Arc::new(self.config.state(now));
         self.handle.config.store(state);
+        self.send_config(now);
+    }
+
+    /// Sends what the configuration's part orders.
+    fn send_config(&mut self, now: Instant) {
         for order in self.config.take_orders() {
             match order {
                 Order::Announce(vm) => self.beat(vm, now),
--- /dev/null
+++ b/crates/testkit/src/config_spread/mod.rs
@@ -0,0 +1,7 @@
+//! Measures how often a fleet reads the configuration service and how fast a change spreads.
+
+mod report;
+mod run;
+
+pub use report::SpreadReport;
+pub use run::{SpreadSettings, run};
--- /dev/null
+++ b/crates/testkit/src/config_spread/run.rs
@@ -0,0 +1,115 @@
+//! Running a fleet and publishing to it.
+
+use std::time::{Duration, Instant};
+
+use cassialift_core::{ids::Revision, presets::Preset};
+use cassialift_wire::operator::{STATUS_PATH, Status};
+use futures::future::join_all;
+use tokio::time::sleep;
+
+use super::SpreadReport;
+use crate::{
+    harness::{Fleet, FleetSettings, HarnessError},
+    standin::ConfigMode,
+};
+
+/// How long reads are counted.
+const COUNT_TIME: Duration = Duration::from_secs(10);
+/// How long a fleet is left alone before reads are counted.
+const SETTLE_TIME: Duration = Duration::from_secs(5);
+/// How often a process is asked what it has in force.
+const ASK_PERIOD: Duration = Duration::from_millis(5);
+
+/// What is measured.
+#[derive(Clone, Debug)]
+pub struct SpreadSettings {
+    /// The VMs of each data centre.
+    pub vms: Vec<usize>,
+    /// The processes that can reach the service; none for all.
+    pub reaching: Option<usize>,
+    /// The changes that are published, one after the other.
+    pub changes: usize,
+    /// The pause between two changes.
+    pub pause: Duration,
+}
+
+impl Default for SpreadSettings {
+    fn default() -> Self {
+        Self {
+            vms: vec![2; 4],
+            reaching: None,
+            changes: 100,
+            pause: Duration::from_millis(130),
+        }
+    }
+}
+
+/// Runs a fleet and measures it.
+///
+/// # Errors
+/// Returns what could not be started, or that a change did not get through.
+pub async fn run(settings: &SpreadSettings) -> Result<SpreadReport, HarnessError> {
+    let processes = settings.vms.iter().sum();
+    let reaching = settings.reaching.unwrap_or(processes);
+    let fleet = Fleet::start(FleetSettings {
+        vms: settings.vms.clone(),
+        cut: (reaching..processes).collect(),
+        servers: 2,
+        runners: 1,
+        shards: 2,
+        hosts: 1,
+        ..FleetSettings::default()
+    })
+    .await?;
+    sleep(SETTLE_TIME).await;
+    let idle_rate = rate(&fleet).await?;
+    let mut spread = Vec::new();
+    for _ in 0..settings.changes {
+        spread.push(change(&fleet, processes).await?);
+        sleep(settings.pause).await;
+    }
+    spread.sort_unstable();
+    fleet.set_config_mode(ConfigMode::Down).await?;
+    sleep(SETTLE_TIME).await;
+    let down_rate = rate(&fleet).await?;
+    Ok(SpreadReport {
+        processes,
+        reaching,
+        idle_rate,
+        down_rate,
+        spread,
+    })
+}
+
+/// Returns the reads a second.
+async fn rate(fleet: &Fleet) -> Result<f64, HarnessError> {
+    let (began, before) = (Instant::now(), fleet.config_stats().await?);
+    sleep(COUNT_TIME).await;
+    let after = fleet.config_stats().await?;
+    let reads = u32::try_from(after.reads - before.reads).unwrap_or(u32::MAX);
+    Ok(f64::from(reads) / began.elapsed().as_secs_f64())
+}
+
+/// Publishes once and returns how long it took until every process had it in force.
+async fn change(fleet: &Fleet, processes: usize) -> Result<Duration, HarnessError> {
+    let began = Instant::now();
+    let revision = fleet.publish_preset("ordinary", &Preset::default()).await?;
+    let waits = (0..processes).map(|vm| in_force(fleet, vm, revision));
+    for wait in join_all(waits).await {
+        wait?;
+    }
+    Ok(began.elapsed())
+}
+
+async fn in_force(fleet: &Fleet, vm: usize, revision: Revision) -> Result<(), HarnessError> {
+    let held = async || {
+        sleep(ASK_PERIOD).await;
+        let Ok(reply) = fleet.get(vm, STATUS_PATH).await else {
+            return false;
+        };
+        let status = reply.parse::<Status>();
+        status.is_ok_and(|status| status.config.admits && status.config.revision >= revision)
+    };
+    let what = format!("revision {revision} on vm-{vm}");
+    fleet.wait_for(&what, held).await
+}
--- a/crates/testkit/src/lib.rs
+++ b/crates/testkit/src/lib.rs
@@ -1,6 +1,7 @@
 //! Stand-ins, process harness, histories and load for testing cassialift; never shipped.
 
 pub mod client;
+pub mod config_spread;
 pub mod demo;
 pub mod faults;
 pub mod harness;
