--- a/crates/server/src/settings/validate.rs
+++ b/crates/server/src/settings/validate.rs
@@ -5,6 +5,7 @@
 use cassialift_core::{index::MAX_NAME, text::Path, time::Millis};
 
 use super::{LimitSettings, Settings, SettingsCause};
+use crate::owner::OwnerSettings;
 
 /// The largest request body that may be allowed, bytes.
 const MAX_BODY: u64 = 16 << 20;
@@ -12,6 +13,10 @@
 const MAX_HEADERS: u64 = 1_024;
 /// The most connections or requests that may be allowed.
 const MAX_COUNT: u64 = 1_000_000;
+/// The largest reply body of a backend server that may be allowed, bytes.
+const MAX_REPLY: u64 = 64 << 20;
+/// The longest wait on the edge towards backend servers.
+const MAX_WAIT: Millis = Millis::new(60_000);
 /// The longest that a caller may be given to send a request.
 const MAX_RECEIVE: Millis = Millis::new(600_000);
 
@@ -35,7 +40,8 @@
         if let Some(statsd) = self.statsd {
             calling("statsd", statsd)?;
         }
-        self.limits.validate()
+        self.limits.validate()?;
+        validate_owner(&self.owner)
     }
 }
 
@@ -49,6 +55,16 @@
     }
 }
 
+fn validate_owner(owner: &OwnerSettings) -> Checked {
+    let longest = MAX_WAIT.into();
+    within("owner.connect", owner.connect.into(), longest)?;
+    within("owner.cancel", owner.cancel.into(), longest)?;
+    at_most("owner.grace", owner.grace.into(), longest)?;
+    at_most("owner.fresh", owner.fresh.into(), longest)?;
+    at_most("owner.hold", owner.hold.into(), longest)?;
+    within("owner.reply", owner.reply as u64, MAX_REPLY)
+}
+
 fn name(keys: &str, name: &str) -> Checked {
     if (1..=MAX_NAME).contains(&name.len()) {
         return Ok(());
@@ -74,9 +90,15 @@
 fn within(keys: &str, value: u64, limit: u64) -> Checked {
     match value {
         0 => fail(keys, SettingsCause::Zero),
-        _ if value > limit => fail(keys, SettingsCause::TooLarge { value, limit }),
-        _ => Ok(()),
+        _ => at_most(keys, value, limit),
+    }
+}
+
+fn at_most(keys: &str, value: u64, limit: u64) -> Checked {
+    if value <= limit {
+        return Ok(());
     }
+    fail(keys, SettingsCause::TooLarge { value, limit })
 }
 
 fn fail(keys: &str, cause: SettingsCause) -> Checked {
