--- a/crates/core/src/config/node.rs
+++ b/crates/core/src/config/node.rs
@@ -18,8 +18,6 @@
     view::ConfigView,
 };
 
-/// Failed reads in a row after which the service counts as unreachable.
-const FAILED_READS: u32 = 2;
 /// How long a process goes without a peer's note before it asks for one.
 const NOTE_PERIOD: Duration = Duration::from_millis(500);
 
@@ -35,7 +33,6 @@
     peers: Vec<Candidate>,
     said: HashMap<VmId, ServiceReach>,
     service: ServiceReach,
-    failed: u32,
     plan: ReadPlan,
     aged: bool,
     exchanged: Instant,
@@ -69,7 +66,6 @@
             peers: Vec::new(),
             said: HashMap::new(),
             service: ServiceReach::Untried,
-            failed: 0,
             plan: ReadPlan::Idle,
             aged: false,
             exchanged: now,
@@ -157,6 +153,7 @@
         let held = self.store.revision();
         self.spread.heard(vm, note.revision, held);
         if note.revision != held {
+            self.pull_next(now);
             return;
         }
         if note.digest != self.store.digest() && self.spread.reconciles(vm, now) {
@@ -217,7 +214,6 @@
             self.read_failed();
             return;
         }
-        self.failed = 0;
         if self.service != ServiceReach::Reached {
             self.service = ServiceReach::Reached;
             self.events.push(ConfigEvent::ServiceReached);
@@ -235,9 +231,7 @@
     pub fn tick(&mut self, now: Instant) {
         self.ask_peers(now);
         self.ask_for_note(now);
-        if let Some(vm) = self.spread.next(self.store.revision(), now) {
-            self.order_pull(vm, now);
-        }
+        self.pull_next(now);
         self.update_gate(now);
         self.update_plan(now);
         self.update_age(now);
@@ -291,6 +285,13 @@
         self.orders.extend(orders);
     }
 
+    /// Pulls from the peer that is furthest ahead, if there is one and no pull is under way.
+    fn pull_next(&mut self, now: Instant) {
+        if let Some(vm) = self.spread.next(self.store.revision(), now) {
+            self.order_pull(vm, now);
+        }
+    }
+
     fn order_pull(&mut self, vm: VmId, now: Instant) {
         let after = self.store.revision();
         self.spread.pulled(VmId::clone(&vm), now);
@@ -326,8 +327,7 @@
     }
 
     fn read_failed(&mut self) {
-        self.failed = self.failed.saturating_add(1);
-        if self.failed >= FAILED_READS && self.service != ServiceReach::Unreachable {
+        if self.service != ServiceReach::Unreachable {
             self.service = ServiceReach::Unreachable;
             self.events.push(ConfigEvent::ServiceLost);
         }
