testkit: relays that lose what VMs send each other

A relay stands at the address that peers are told; the VM listens behind it, by the new setting `listen`, which also serves VMs behind an address translation. A cut direction holds its bytes back, as TCP does while packets are lost, and the connections stay open. With one VM in each of two data centres a cut is exact, in one direction or both. No rule of the machine's network is touched.

A whole cut through a new preset passes.

--- a/crates/server/src/peers/serve.rs
+++ b/crates/server/src/peers/serve.rs
@@ -66,7 +66,7 @@
 /// # Errors
 /// Returns why the address could not be listened on.
 pub async fn serve(node: Arc<Node>) -> Result<(), ProcessError> {
-    let address = node.settings.peers;
+    let address = node.settings.listen.unwrap_or(node.settings.peers);
     let listening = tcp::listen(address, Bincode::default).await;
     let mut listener = listening.map_err(|cause| ProcessError::Listen(address, cause))?;
     listener.config_mut().max_frame_length(MAX_FRAME);
--- a/crates/server/src/settings/document.rs
+++ b/crates/server/src/settings/document.rs
@@ -20,8 +20,11 @@
     pub centre: DataCentre,
     /// Where to listen for callers and operators.
     pub callers: SocketAddr,
-    /// Where to listen for peers.
+    /// The address that peers are told; they reach this process there.
     pub peers: SocketAddr,
+    /// Where to listen for peers, when they reach this process through another address.
+    #[serde(default)]
+    pub listen: Option<SocketAddr>,
     /// Where the platform is.
     pub platform: PlatformSettings,
     /// Where to send statsd metrics; nowhere when missing.
--- /dev/null
+++ b/crates/server/tests/processes/cuts.rs
@@ -0,0 +1,42 @@
+//! Links between VMs that lose what they carry, in one direction or both.
+
+use cassialift_testkit::harness::{Cut, Fleet, FleetSettings};
+
+use super::support::{assert_whole, load, run_for, start_with, wait_covered, wait_preset};
+
+/// Starts one VM in each of two data centres, with relays between them.
+async fn start_pair() -> Fleet {
+    start_with(FleetSettings {
+        vms: vec![1, 1],
+        relays: true,
+        ..FleetSettings::default()
+    })
+    .await
+}
+
+#[tokio::test]
+async fn test_cut_both_ways_through_a_new_preset() {
+    let fleet = start_pair().await;
+    for vm in 0..2 {
+        wait_covered(&fleet, vm).await;
+    }
+    let traffic = load(&fleet);
+    for vm in 0..2 {
+        fleet.cut(vm, Cut::Both);
+    }
+    let preset = fleet.settings.preset.clone();
+    fleet.publish_preset("peak", &preset).await.unwrap();
+    for vm in 0..2 {
+        wait_preset(&fleet, vm, "peak").await;
+        wait_covered(&fleet, vm).await;
+    }
+    for vm in 0..2 {
+        fleet.cut(vm, Cut::None);
+    }
+    run_for(500).await;
+    for vm in 0..2 {
+        wait_covered(&fleet, vm).await;
+    }
+    traffic.stop().await.unwrap();
+    assert_whole(&fleet).await;
+}
--- a/crates/server/tests/processes/main.rs
+++ b/crates/server/tests/processes/main.rs
@@ -3,6 +3,7 @@
 //! Each module is a class of faults; the verdict comes from the checker of histories.
 
 mod combined;
+mod cuts;
 mod freezes;
 mod hostile;
 mod kills;
--- a/crates/testkit/src/harness/fleet.rs
+++ b/crates/testkit/src/harness/fleet.rs
@@ -18,7 +18,7 @@
 
 use super::{
     Child, FleetSettings, HarnessError, JOB_SERVICE, Network, Recorder, SEARCH_SERVICE,
-    binaries::Binaries, publish::index,
+    binaries::Binaries, publish::index, relay::Relay,
 };
 use crate::{
     client::JsonClient,
@@ -64,6 +64,7 @@
     pub(super) client: JsonClient,
     standins: Vec<Child>,
     pub(super) nodes: Vec<Option<Child>>,
+    pub(super) relays: Vec<Relay>,
     _permit: SemaphorePermit<'static>,
 }
 
@@ -79,6 +80,7 @@
         fleet.wait_standins().await?;
         fleet.publish_all().await?;
         fleet.set_vms(&[], Millis::default()).await?;
+        fleet.start_relays().await?;
         for vm in 0..fleet.nodes.len() {
             fleet.start_vm(vm)?;
         }
@@ -109,6 +111,7 @@
             standins: Vec::new(),
             nodes: (0..nodes).map(|_| None).collect(),
             settings,
+            relays: Vec::new(),
             _permit: permit,
         })
     }
--- a/crates/testkit/src/harness/mod.rs
+++ b/crates/testkit/src/harness/mod.rs
@@ -9,6 +9,7 @@
 mod platform;
 mod publish;
 mod recorder;
+mod relay;
 mod settings;
 mod vms;
 
@@ -19,4 +20,5 @@
 pub use network::Network;
 pub use publish::{JOB_SERVICE, SEARCH_SERVICE};
 pub use recorder::Recorder;
+pub use relay::Cut;
 pub use settings::FleetSettings;
--- a/crates/testkit/src/harness/network.rs
+++ b/crates/testkit/src/harness/network.rs
@@ -16,6 +16,9 @@
 /// The port of what a host serves to its peers or its tests.
 const INNER_PORT: u16 = 1;
 
+/// The port at which a host listens for its peers behind a relay.
+const RELAYED_PORT: u16 = 2;
+
 static FLEETS: AtomicU16 = AtomicU16::new(0);
 
 /// The addresses of one fleet: a /24 of its process and a range of ports of its own.
@@ -50,6 +53,12 @@
         self.address(host, INNER_PORT)
     }
 
+    /// Returns the address at which a host listens for its peers behind a relay.
+    #[must_use]
+    pub fn relayed(self, host: u8) -> SocketAddr {
+        self.address(host, RELAYED_PORT)
+    }
+
     fn address(self, host: u8, offset: u16) -> SocketAddr {
         let [a, b, c] = self.subnet;
         SocketAddr::from(([a, b, c, host], self.port + offset))
--- a/crates/testkit/src/harness/settings.rs
+++ b/crates/testkit/src/harness/settings.rs
@@ -38,6 +38,8 @@
     pub job_time: ServiceTime,
     /// The preset in force.
     pub preset: Preset,
+    /// Whether the VMs reach each other through relays that can be cut.
+    pub relays: bool,
     /// The seed of all stand-ins.
     pub seed: u64,
 }
@@ -58,6 +60,7 @@
             time: ServiceTime::default(),
             job_time: ServiceTime::default(),
             preset: Preset::default(),
+            relays: false,
             seed: 1,
         }
     }
--- a/crates/testkit/src/harness/vms.rs
+++ b/crates/testkit/src/harness/vms.rs
@@ -12,6 +12,7 @@
     Caller, Child, Fleet, HarnessError, Signal,
     fleet::{CONFIG_HOST, VM_HOST, VMS_HOST, WAIT_STEP, host_number, vm_name},
     publish::centre_of,
+    relay::{Cut, Relay},
 };
 use crate::{client::Reply, history::Target};
 
@@ -19,6 +20,39 @@
 const GONE_LIMIT: Duration = Duration::from_mins(1);
 
 impl Fleet {
+    /// Starts a relay before each VM, if the settings ask for them.
+    pub(super) async fn start_relays(&mut self) -> Result<(), HarnessError> {
+        if !self.settings.relays {
+            return Ok(());
+        }
+        for vm in 0..self.nodes.len() {
+            let relay = Relay::start(self.peer_address(vm), self.listen_address(vm)).await?;
+            self.relays.push(relay);
+        }
+        Ok(())
+    }
+
+    /// Loses what peers send to a VM, or what it replies to them, and records the disturbance.
+    pub fn cut(&self, vm: usize, cut: Cut) {
+        if cut == Cut::None {
+            self.recorder.calm(&Target::Platform);
+        } else {
+            self.recorder.disturb(Target::Platform);
+        }
+        if let Some(relay) = self.relays.get(vm) {
+            relay.set(cut);
+        }
+    }
+
+    fn listen_address(&self, vm: usize) -> SocketAddr {
+        let host = host_number(VM_HOST, vm);
+        if self.settings.relays {
+            self.network.relayed(host)
+        } else {
+            self.network.inner(host)
+        }
+    }
+
     /// Starts a VM's process, which may have run before.
     ///
     /// # Errors
@@ -34,7 +68,8 @@
             "vm": vm_name(vm),
             "centre": centre_of(&self.settings, vm),
             "callers": self.vm_address(vm),
-            "peers": self.network.inner(host_number(VM_HOST, vm)),
+            "peers": self.peer_address(vm),
+            "listen": self.listen_address(vm),
             "platform": {
                 "config": config,
                 "vms": self.network.service(VMS_HOST),
