--- a/crates/testkit/src/harness/settings.rs
+++ b/crates/testkit/src/harness/settings.rs
@@ -40,6 +40,8 @@
     pub preset: Preset,
     /// Further settings of each VM, by their names in its settings file.
     pub node: serde_json::Map<String, serde_json::Value>,
+    /// Whether the VMs reach each other through relays that can be cut.
+    pub relays: bool,
     /// The seed of all stand-ins.
     pub seed: u64,
 }
@@ -61,6 +63,7 @@
             job_time: ServiceTime::default(),
             preset: Preset::default(),
             node: serde_json::Map::new(),
+            relays: false,
             seed: 1,
         }
     }
