testkit: measure what control decisions cost at growing sizes of the fleet

One process's tables run with passed-in time against peers that answer, up to 1,100 VMs and 5,100 backend servers.

--- /dev/null
+++ b/crates/testkit/examples/capacity.rs
@@ -0,0 +1,65 @@
+//! Prints what the control decisions of one process cost at growing sizes of the fleet.
+
+use std::{error::Error, process::ExitCode};
+
+use cassialift_testkit::capacity::{FleetSize, config_cost, fleet_cost};
+
+/// The sizes measured: VMs and backend servers.
+const SIZES: [(u32, u32); 6] = [
+    (8, 37),
+    (32, 148),
+    (128, 593),
+    (256, 1_187),
+    (550, 2_550),
+    (1_100, 5_100),
+];
+/// The services that the backend servers are spread over.
+const SERVICES: u32 = 20;
+
+fn main() -> ExitCode {
+    match run() {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("capacity: {error}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+fn run() -> Result<(), Box<dyn Error>> {
+    println!(
+        "| VMs | backend servers | owned | core % | of it view % | heartbeats sent/s | received/s | bytes/s | VM lost, ms | memory, KB |"
+    );
+    println!("| --- | --- | --- | --- | --- | --- | --- | --- | --- | --- |");
+    for (vms, servers) in SIZES {
+        let cost = fleet_cost(FleetSize { vms, servers })?;
+        println!(
+            "| {vms} | {servers} | {} | {:.3} | {:.3} | {:.1} | {:.1} | {:.0} | {:.2} | {} |",
+            cost.owned,
+            cost.busy.as_secs_f64() * 100.0,
+            cost.view.as_secs_f64() * 100.0,
+            cost.sent,
+            cost.received,
+            cost.bytes,
+            cost.loss.as_secs_f64() * 1_000.0,
+            cost.memory / 1_024,
+        );
+    }
+    println!();
+    println!(
+        "| backend servers | bytes, all documents | bytes, one document | change, ms | memory, KB |"
+    );
+    println!("| --- | --- | --- | --- | --- |");
+    for (_, servers) in SIZES {
+        let cost = config_cost(SERVICES, servers)?;
+        println!(
+            "| {} | {} | {} | {:.2} | {} |",
+            cost.servers,
+            cost.bytes,
+            cost.document,
+            cost.change.as_secs_f64() * 1_000.0,
+            cost.memory / 1_024,
+        );
+    }
+    Ok(())
+}
--- /dev/null
+++ b/crates/testkit/src/capacity/fleet.rs
@@ -0,0 +1,360 @@
+//! What membership and ownership cost one process.
+
+use std::{
+    collections::{BTreeMap, HashMap},
+    io,
+    net::{Ipv4Addr, SocketAddr},
+    time::{Duration, Instant},
+};
+
+use cassialift_core::{
+    fleet::{
+        Beat, BeatReply, Node, NodeSettings,
+        members::{Contact, Listed, MemberSettings, Status},
+        ownership::{Answer, Ask, OwnershipSettings, Role, ServerKey, rank, server_key},
+    },
+    ids::{DataCentre, ServerId, VmId},
+    index::ServerEntry,
+};
+
+use super::{config, memory::resident_bytes};
+
+/// The data centres that VMs and backend servers are spread over.
+pub(super) const CENTRES: u32 = 10;
+/// The time between two ticks.
+const TICK: Duration = Duration::from_millis(50);
+/// The simulated time before the measurement.
+const WARM_UP: Duration = Duration::from_secs(120);
+/// The simulated time of the measurement.
+const SPAN: Duration = Duration::from_secs(30);
+
+/// A size of the fleet.
+#[derive(Clone, Copy, Debug)]
+pub struct FleetSize {
+    /// The VMs.
+    pub vms: u32,
+    /// The backend servers.
+    pub servers: u32,
+}
+
+/// What membership and ownership cost one process, for each second unless said otherwise.
+#[derive(Clone, Copy, Debug)]
+pub struct FleetCost {
+    /// The size.
+    pub size: FleetSize,
+    /// The backend servers that the process owns.
+    pub owned: usize,
+    /// Processor time of ticks, messages and the published view.
+    pub busy: Duration,
+    /// Processor time of the published view alone.
+    pub view: Duration,
+    /// Heartbeats sent.
+    pub sent: f64,
+    /// Heartbeats received.
+    pub received: f64,
+    /// Bytes of heartbeats and replies, both ways, without TCP and IP.
+    pub bytes: f64,
+    /// Processor time after one VM has died, until every backend server is ranked anew; once.
+    pub loss: Duration,
+    /// Resident memory of the tables, bytes.
+    pub memory: u64,
+}
+
+/// Measures one process of a fleet in which everybody answers.
+///
+/// # Errors
+/// Returns why the memory cannot be read.
+pub fn fleet_cost(size: FleetSize) -> io::Result<FleetCost> {
+    let before = resident_bytes()?;
+    let mut run = Run::new(size);
+    run.advance(WARM_UP);
+    run.reset();
+    run.advance(SPAN);
+    let memory = resident_bytes()?.saturating_sub(before);
+    let seconds = SPAN.as_secs_f64();
+    let span = u32::try_from(SPAN.as_secs()).unwrap_or(u32::MAX);
+    let (busy, view) = (run.busy / span, run.view / span);
+    #[expect(clippy::cast_precision_loss, reason = "far below 2^52")]
+    let [sent, received, bytes] =
+        [run.sent, run.received, run.bytes].map(|count| count as f64 / seconds);
+    Ok(FleetCost {
+        size,
+        owned: run.owned(),
+        busy,
+        view,
+        sent,
+        received,
+        bytes,
+        loss: run.lose_one(),
+        memory,
+    })
+}
+
+/// One process under measurement and the peers that answer it.
+struct Run {
+    node: Node,
+    contacts: BTreeMap<VmId, Contact>,
+    listed: Vec<Listed>,
+    servers: Vec<ServerEntry>,
+    /// The servers for which this process is the standby, by their owner.
+    stands: BTreeMap<VmId, Vec<ServerKey>>,
+    sequences: BTreeMap<VmId, u64>,
+    now: Instant,
+    due: Duration,
+    next_peer: usize,
+    busy: Duration,
+    view: Duration,
+    sent: u64,
+    received: u64,
+    bytes: u64,
+}
+
+impl Run {
+    fn new(size: FleetSize) -> Self {
+        let now = Instant::now();
+        let all: Vec<Contact> = (0..size.vms).map(contact).collect();
+        let servers: Vec<ServerEntry> = (0..size.servers)
+            .map(|number| config::server(0, number))
+            .collect();
+        let listed: Vec<Listed> = all.iter().map(listed).collect();
+        let mut node = Node::new(all[0].clone(), NodeSettings::default(), 1, now);
+        node.set_servers(servers.iter());
+        node.set_list(&listed, now);
+        let stands = stands(&all, &servers);
+        Self {
+            node,
+            contacts: all
+                .into_iter()
+                .skip(1)
+                .map(|one| (VmId::clone(&one.vm), one))
+                .collect(),
+            listed,
+            servers,
+            stands,
+            sequences: BTreeMap::new(),
+            now,
+            due: Duration::ZERO,
+            next_peer: 0,
+            busy: Duration::ZERO,
+            view: Duration::ZERO,
+            sent: 0,
+            received: 0,
+            bytes: 0,
+        }
+    }
+
+    fn reset(&mut self) {
+        self.busy = Duration::ZERO;
+        self.view = Duration::ZERO;
+        self.sent = 0;
+        self.received = 0;
+        self.bytes = 0;
+    }
+
+    fn owned(&self) -> usize {
+        let ownership = self.node.ownership();
+        let owned = self.servers.iter().filter(|server| {
+            let role = ownership.role(&server.id);
+            matches!(role, Some(Role::Owner { .. }))
+        });
+        owned.count()
+    }
+
+    fn advance(&mut self, span: Duration) {
+        // In the first round every peer makes itself known.
+        let all: Vec<Contact> = self.contacts.values().cloned().collect();
+        for contact in all {
+            if self
+                .node
+                .members()
+                .get(&contact.vm)
+                .is_none_or(|one| one.heard.is_none())
+            {
+                self.receive(&contact, Vec::new());
+            }
+        }
+        let end = self.now + span;
+        while self.now < end {
+            self.now += TICK;
+            self.tick();
+            self.publish();
+            self.hear_others();
+        }
+    }
+
+    fn tick(&mut self) {
+        let began = Instant::now();
+        let orders = self.node.tick(self.now);
+        self.busy += began.elapsed();
+        for vm in orders.pings {
+            self.exchange(&vm);
+        }
+        drop(self.node.take_events());
+    }
+
+    /// Sends a heartbeat and takes in the reply of a peer that agrees to everything.
+    fn exchange(&mut self, vm: &VmId) {
+        let Some(contact) = self.contacts.get(vm).cloned() else {
+            return;
+        };
+        let began = Instant::now();
+        let beat = self.node.beat(vm, self.now);
+        let mut stands = beat.ask.holds.clone();
+        stands.extend(&beat.ask.wants);
+        let reply = BeatReply {
+            from: contact,
+            status: status(),
+            updates: Vec::new(),
+            answer: Some(Answer {
+                stands,
+                denies: Vec::new(),
+            }),
+        };
+        self.node.hear_reply(vm, &beat, &reply, self.now, self.now);
+        self.busy += began.elapsed();
+        self.sent += 1;
+        self.bytes += encoded(&beat) + encoded(&reply);
+    }
+
+    /// Takes in the heartbeats of partners and of members whose turn it is.
+    fn hear_others(&mut self) {
+        let members = MemberSettings::default().period;
+        let partners = OwnershipSettings::default().period;
+        let before = self.due;
+        self.due += TICK;
+        if periods(before, members) != periods(self.due, members) {
+            let peers = self.contacts.len();
+            let peer = self.contacts.values().nth(self.next_peer % peers).cloned();
+            self.next_peer += 1;
+            if let Some(contact) = peer {
+                let holds = self.stands.get(&contact.vm).cloned();
+                self.receive(&contact, holds.unwrap_or_default());
+            }
+        }
+        if periods(before, partners) != periods(self.due, partners) {
+            for (vm, holds) in self.stands.clone() {
+                if let Some(contact) = self.contacts.get(&vm).cloned() {
+                    self.receive(&contact, holds);
+                }
+            }
+        }
+    }
+
+    fn receive(&mut self, from: &Contact, holds: Vec<ServerKey>) {
+        let sequence = self.sequences.entry(VmId::clone(&from.vm)).or_default();
+        *sequence += 1;
+        let beat = Beat {
+            from: from.clone(),
+            status: status(),
+            updates: Vec::new(),
+            ask: Ask {
+                sequence: *sequence,
+                holds,
+                ..Ask::default()
+            },
+        };
+        let began = Instant::now();
+        let reply = self.node.hear(&beat, self.now);
+        self.busy += began.elapsed();
+        self.received += 1;
+        self.bytes += encoded(&beat) + encoded(&reply);
+    }
+
+    /// Makes what the control thread publishes each tick.
+    fn publish(&mut self) {
+        let began = Instant::now();
+        let ownership = self.node.ownership();
+        let routes: HashMap<ServerId, _> = self
+            .servers
+            .iter()
+            .map(|server| {
+                let route = ownership.route(&server.id, self.now);
+                let share = ownership.share(&server.id, self.now);
+                let until = ownership.share_until(&server.id, self.now);
+                (ServerId::clone(&server.id), (route, share, until))
+            })
+            .collect();
+        let members: HashMap<VmId, _> = self
+            .node
+            .members()
+            .iter()
+            .map(|(vm, member)| (VmId::clone(vm), member.clone()))
+            .collect();
+        let spent = began.elapsed();
+        drop((routes, members));
+        self.busy += spent;
+        self.view += spent;
+    }
+
+    /// Takes one VM off the list and returns what following it costs.
+    fn lose_one(&mut self) -> Duration {
+        let Some(lost) = self.contacts.keys().next().cloned() else {
+            return Duration::ZERO;
+        };
+        self.listed.retain(|one| one.vm != lost);
+        let began = Instant::now();
+        let refused = cassialift_core::fleet::members::Failure::Refused;
+        self.node.hear_failure(&lost, refused, self.now);
+        self.node.set_list(&self.listed, self.now);
+        drop(self.node.tick(self.now));
+        began.elapsed()
+    }
+}
+
+/// Returns the servers for which the first VM is the standby, by their owner.
+fn stands(all: &[Contact], servers: &[ServerEntry]) -> BTreeMap<VmId, Vec<ServerKey>> {
+    let mut stands: BTreeMap<VmId, Vec<ServerKey>> = BTreeMap::new();
+    for server in servers {
+        let key = server_key(&server.id);
+        let mut ranked: Vec<_> = all
+            .iter()
+            .map(|one| rank(key, &server.centre, &one.vm, &one.centre))
+            .collect();
+        ranked.sort_unstable_by(|a, b| b.cmp(a));
+        if let [(.., owner), (.., standby), ..] = ranked.as_slice()
+            && *standby == all[0].vm
+        {
+            stands.entry(VmId::clone(owner)).or_default().push(key);
+        }
+    }
+    stands
+}
+
+const fn status() -> Status {
+    Status {
+        leaving: false,
+        serving: true,
+        load: 10,
+    }
+}
+
+fn contact(number: u32) -> Contact {
+    let [_, _, high, low] = number.to_be_bytes();
+    let ip = Ipv4Addr::new(10, 255, high, low);
+    Contact {
+        vm: format!("vm-{number}").into(),
+        incarnation: u64::from(number) + 1,
+        centre: config::centre(number),
+        peers: SocketAddr::from((ip, 8_001)),
+        callers: SocketAddr::from((ip, 8_000)),
+    }
+}
+
+fn listed(contact: &Contact) -> Listed {
+    Listed {
+        vm: VmId::clone(&contact.vm),
+        centre: DataCentre::clone(&contact.centre),
+        peers: contact.peers,
+        callers: contact.callers,
+        leaving: false,
+    }
+}
+
+fn periods(time: Duration, period: Duration) -> u128 {
+    time.as_nanos() / period.as_nanos()
+}
+
+/// Returns the bytes that a message takes between processes.
+fn encoded<T: serde::Serialize>(message: &T) -> u64 {
+    bincode::serialized_size(message).unwrap_or_default()
+}
--- a/crates/testkit/src/lib.rs
+++ b/crates/testkit/src/lib.rs
@@ -1,5 +1,6 @@
 //! Stand-ins, process harness, histories and load for testing cassialift; never shipped.
 
+pub mod capacity;
 pub mod client;
 pub mod config_spread;
 pub mod demo;
