server: one place counts refusals and remembers why

Refusals were counted where they arose, under two spellings (refused.Coverage, refused.overloaded), and some not at all, such as malformed requests. A refusal now marks its response, and the connection counts it once under the reason's own name and keeps the sentence for explain.

--- a/crates/core/src/request/refusal.rs
+++ b/crates/core/src/request/refusal.rs
@@ -57,3 +57,32 @@
     /// An internal fault; the log has the cause.
     Internal,
 }
+
+impl RefusalReason {
+    /// Returns the name that messages and counters use.
+    #[must_use]
+    pub const fn name(self) -> &'static str {
+        match self {
+            Self::Malformed => "malformed",
+            Self::TooLarge => "too_large",
+            Self::UnknownService => "unknown_service",
+            Self::UnknownShard => "unknown_shard",
+            Self::DeadlinePast => "deadline_past",
+            Self::Infeasible => "infeasible",
+            Self::NotAdmitted => "not_admitted",
+            Self::Overloaded => "overloaded",
+            Self::CallerShare => "caller_share",
+            Self::NoConfig => "no_config",
+            Self::Leaving => "leaving",
+            Self::Coverage => "coverage",
+            Self::UnknownTicket => "unknown_ticket",
+            Self::ExpiredTicket => "expired_ticket",
+            Self::ForeignTicket => "foreign_ticket",
+            Self::TicketReused => "ticket_reused",
+            Self::HolderGone => "holder_gone",
+            Self::Unreachable => "unreachable",
+            Self::NoReply => "no_reply",
+            Self::Internal => "internal",
+        }
+    }
+}
--- a/crates/server/src/entry/http/connection.rs
+++ b/crates/server/src/entry/http/connection.rs
@@ -19,9 +19,15 @@
 
 use super::{
     receive::receive,
-    respond::{json, refuse, typed},
+    respond::{RefusalMark, refuse, refused_response, typed},
+};
+use crate::{
+    entry::refuse::Refused,
+    journal::{Journal, Part},
+    metrics::Metrics,
+    process::Node,
+    settings::LimitSettings,
 };
-use crate::{entry::refuse::Refused, metrics::Metrics, process::Node, settings::LimitSettings};
 
 /// When to come back after a refusal for too many requests in flight.
 const RETRY_OVERLOADED: Millis = Millis::new(200);
@@ -33,6 +39,7 @@
     limits: LimitSettings,
     requests: Arc<Semaphore>,
     metrics: Arc<Metrics>,
+    journal: Arc<Journal>,
 }
 
 impl Shared {
@@ -43,6 +50,7 @@
             requests: Arc::new(Semaphore::new(limits.requests)),
             limits,
             metrics: Arc::clone(&node.metrics),
+            journal: Arc::clone(&node.journal),
         }
     }
 
@@ -56,6 +64,9 @@
         if response.status().is_client_error() {
             self.metrics.count("callers.client_error");
         }
+        if let Some(mark) = response.extensions_mut().remove::<RefusalMark>() {
+            self.note_refusal(&mark);
+        }
         if ends_connection(response.status()) {
             let close = header::HeaderValue::from_static("close");
             response.headers_mut().insert(header::CONNECTION, close);
@@ -75,7 +86,7 @@
         let runs = request.method() == Method::POST;
         let permit = self.requests.try_acquire();
         if runs && permit.is_err() {
-            return self.overloaded();
+            return Self::overloaded();
         }
         let (parts, body) = request.into_parts();
         let time = self.limits.receive.0;
@@ -90,12 +101,19 @@
         }
     }
 
-    fn overloaded(&self) -> Response {
-        self.metrics.count("refused.overloaded");
+    /// Counts a refusal and remembers why, for operators who ask.
+    fn note_refusal(&self, mark: &RefusalMark) {
+        let reason = mark.reason.name();
+        self.metrics.count(&format!("refused.{reason}"));
+        let text = format!("Refused a request with {reason}: {}.", mark.detail);
+        self.journal.keep(Part::Entry, &text);
+    }
+
+    fn overloaded() -> Response {
         let detail = "too many requests are in flight".to_owned();
         let mut refused = Refused::new(RefusalReason::Overloaded, Ran::NotRun, detail);
         refused.refusal.retry = Some(RETRY_OVERLOADED);
-        json(refused.status(), &refused.refusal)
+        refused_response(&refused)
     }
 }
 
--- a/crates/server/src/entry/http/respond.rs
+++ b/crates/server/src/entry/http/respond.rs
@@ -1,6 +1,7 @@
 //! Responses: JSON answers and typed refusals.
 
 use cassialift_core::request::{Ran, RefusalReason};
+use cassialift_wire::caller::Refusal;
 use serde::Serialize;
 use volo_http::{
     body::Body,
@@ -10,14 +11,35 @@
 
 use crate::entry::refuse::Refused;
 
+/// Why a response is a refusal, for the counters and the journal.
+#[derive(Clone, Debug)]
+pub(super) struct RefusalMark {
+    pub(super) reason: RefusalReason,
+    pub(super) detail: String,
+}
+
 /// Makes a response of an answer or a refusal.
 pub(super) fn reply<A: Serialize>(result: Result<A, Refused>) -> Response {
     match result {
         Ok(answer) => json(StatusCode::OK, &answer),
-        Err(refused) => json(refused.status(), &refused.refusal),
+        Err(refused) => refused_response(&refused),
     }
 }
 
+/// Makes a response of a refusal that names its reason to the journal and the counters.
+pub(super) fn refused_response(refused: &Refused) -> Response {
+    marked(refused.status(), &refused.refusal)
+}
+
+fn marked(status: StatusCode, refusal: &Refusal) -> Response {
+    let mut response = json(status, refusal);
+    response.extensions_mut().insert(RefusalMark {
+        reason: refusal.reason,
+        detail: refusal.detail.clone(),
+    });
+    response
+}
+
 /// Makes a JSON response.
 pub(super) fn json<T: Serialize>(status: StatusCode, value: &T) -> Response {
     let body = serde_json::to_vec(value).unwrap_or_default();
@@ -31,7 +53,7 @@
 /// Makes a refusal of a request that was not looked at further, with a status of its own.
 pub(super) fn refuse(status: StatusCode, reason: RefusalReason, detail: &str) -> Response {
     let refused = Refused::new(reason, Ran::NotRun, detail.to_owned());
-    json(status, &refused.refusal)
+    marked(status, &refused.refusal)
 }
 
 /// Replaces the router's bare response for a path or method that it does not serve.
--- a/crates/server/src/entry/search.rs
+++ b/crates/server/src/entry/search.rs
@@ -9,14 +9,10 @@
 use crate::{process::Node, timer::Timer};
 
 pub(super) async fn run(node: Arc<Node>, request: SearchRequest) -> Result<Answer, Refused> {
-    let admitted = admit(&node, &request, Timer.now()).map_err(|refused| {
-        node.metrics
-            .count(&format!("refused.{:?}", refused.refusal.reason));
-        refused.with_id(&request.id)
-    })?;
+    let admitted =
+        admit(&node, &request, Timer.now()).map_err(|refused| refused.with_id(&request.id))?;
     let gathered = gather(&node, &request, &admitted).await;
     if gathered.coverage.share() < admitted.policy.coverage {
-        node.metrics.count("refused.Coverage");
         let detail = "fewer shards replied than the preset demands".to_owned();
         // Searches are reads: some shards ran it, which the coverage tells.
         let refused = Refused::new(RefusalReason::Coverage, Ran::Unknown, detail);
--- a/crates/server/src/journal/mod.rs
+++ b/crates/server/src/journal/mod.rs
@@ -1,16 +1,25 @@
 //! The journal: recent decisions of all parts, for the log and for `cassialiftctl explain`.
 
-use std::{collections::VecDeque, fmt::Display, sync::Mutex, time::Instant};
+use std::{
+    collections::{BTreeMap, VecDeque},
+    fmt::Display,
+    sync::Mutex,
+    time::Instant,
+};
 
 use cassialift_wire::operator::Event;
 
 use crate::timer::Timer;
 
-/// The decisions that are kept.
-const CAPACITY: usize = 512;
+/// The decisions that are kept of each part.
+const CAPACITY: usize = 128;
+/// The newest decisions among which a repeated one is only counted.
+const REPEATS: usize = 8;
+/// The most characters of a decision, since it may quote a caller.
+const MAX_TEXT: usize = 300;
 
 /// The part that took a decision; its name is the prefix of its log lines.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
 pub enum Part {
     /// Configuration and presets.
     Config,
@@ -41,16 +50,15 @@
     }
 }
 
-/// Recent decisions; the oldest make room for new ones.
+/// Recent decisions; the oldest of a part make room for its new ones.
 #[derive(Debug, Default)]
 pub struct Journal {
-    entries: Mutex<VecDeque<Entry>>,
+    entries: Mutex<BTreeMap<Part, VecDeque<Entry>>>,
 }
 
 #[derive(Debug)]
 struct Entry {
     at: Instant,
-    part: Part,
     text: String,
     count: u32,
 }
@@ -59,31 +67,29 @@
     /// Logs and keeps a decision.
     pub fn info(&self, part: Part, text: &dyn Display) {
         log::info!("{}: {text}", part.name());
-        self.keep(part, text.to_string());
+        self.keep(part, &text.to_string());
     }
 
     /// Logs and keeps a decision that an operator may have to look at.
     pub fn warn(&self, part: Part, text: &dyn Display) {
         log::warn!("{}: {text}", part.name());
-        self.keep(part, text.to_string());
+        self.keep(part, &text.to_string());
     }
 
     /// Keeps a decision that is too frequent to be logged.
     ///
     /// # Panics
     /// Panics when another thread panicked while it held the journal.
-    pub fn keep(&self, part: Part, text: String) {
+    pub fn keep(&self, part: Part, text: &str) {
+        let text = printable(text);
         let mut entries = self
             .entries
             .lock()
             .expect("no thread panics holding the lock");
+        let entries = entries.entry(part).or_default();
         let at = Timer.now();
-        let repeated = entries
-            .iter_mut()
-            .rev()
-            .take(8)
-            .find(|entry| entry.part == part && entry.text == text);
-        if let Some(entry) = repeated {
+        let mut newest = entries.iter_mut().rev().take(REPEATS);
+        if let Some(entry) = newest.find(|entry| entry.text == text) {
             entry.at = at;
             entry.count = entry.count.saturating_add(1);
             return;
@@ -91,12 +97,8 @@
         if entries.len() == CAPACITY {
             entries.pop_front();
         }
-        entries.push_back(Entry {
-            at,
-            part,
-            text,
-            count: 1,
-        });
+        let count = 1;
+        entries.push_back(Entry { at, text, count });
     }
 
     /// Returns the decisions kept, oldest first.
@@ -110,11 +112,13 @@
             .entries
             .lock()
             .expect("no thread panics holding the lock");
-        let mut events: Vec<Event> = entries
+        let entries = entries
             .iter()
-            .map(|entry| Event {
+            .flat_map(|(part, entries)| entries.iter().map(move |entry| (part, entry)));
+        let mut events: Vec<Event> = entries
+            .map(|(part, entry)| Event {
                 age: now.saturating_duration_since(entry.at).into(),
-                part: entry.part.name().to_owned(),
+                part: part.name().to_owned(),
                 text: entry.text.clone(),
                 count: entry.count,
             })
@@ -124,5 +128,13 @@
     }
 }
 
+/// Drops control characters, which could drive an operator's terminal, and cuts what is long.
+fn printable(text: &str) -> String {
+    text.chars()
+        .filter(|c| !c.is_control())
+        .take(MAX_TEXT)
+        .collect()
+}
+
 #[cfg(test)]
 mod tests;
