--- a/crates/server/src/settings/tests.rs
+++ b/crates/server/src/settings/tests.rs
@@ -30,6 +30,7 @@
     empty_name = { "lagos-1", "", "line 3, column 3: a name must have 1 to 256 bytes", None },
     bad_address = { "127.0.0.1:9000", "localhost", "line 7, column 27: invalid socket address syntax", None },
     owner_zero = { "\"limits\"", "\"owner\": {\"connect\": 0}, \"limits\"", "line 8, column 13: must not be zero", None },
+    jobs_zero = { "\"limits\"", "\"jobs\": {\"records\": 5, \"caller\": 0}, \"limits\"", "line 8, column 26: must not be zero", None },
     missing = { "\"vm\": \"lagos-1\",", "", "line 1, column 1: missing field `vm`", None },
     syntax = { "\"vm\":", "\"vm\"", "line 3, column 8: syntax: Expected colon after the string or word in object property", None },
 )]
--- a/crates/server/src/settings/validate.rs
+++ b/crates/server/src/settings/validate.rs
@@ -5,7 +5,7 @@
 use cassialift_core::{index::MAX_NAME, text::Path, time::Millis};
 
 use super::{LimitSettings, Settings, SettingsCause};
-use crate::owner::OwnerSettings;
+use crate::{entry::jobs::JobSettings, owner::OwnerSettings};
 
 /// The largest request body that may be allowed, bytes.
 const MAX_BODY: u64 = 16 << 20;
@@ -15,6 +15,8 @@
 const MAX_COUNT: u64 = 1_000_000;
 /// The largest reply body of a backend server that may be allowed, bytes.
 const MAX_REPLY: u64 = 64 << 20;
+/// The most bytes of remembered outcomes that may be allowed.
+const MAX_OUTCOMES: u64 = 4 << 30;
 /// The longest wait on the edge towards backend servers.
 const MAX_WAIT: Millis = Millis::new(60_000);
 /// The longest that a caller may be given to send a request.
@@ -41,7 +43,8 @@
             calling("statsd", statsd)?;
         }
         self.limits.validate()?;
-        validate_owner(&self.owner)
+        validate_owner(&self.owner)?;
+        validate_jobs(&self.jobs)
     }
 }
 
@@ -65,6 +68,12 @@
     within("owner.reply", owner.reply as u64, MAX_REPLY)
 }
 
+fn validate_jobs(jobs: &JobSettings) -> Checked {
+    within("jobs.records", jobs.records as u64, MAX_COUNT)?;
+    within("jobs.caller", jobs.caller as u64, MAX_COUNT)?;
+    within("jobs.bytes", jobs.bytes as u64, MAX_OUTCOMES)
+}
+
 fn name(keys: &str, name: &str) -> Checked {
     if (1..=MAX_NAME).contains(&name.len()) {
         return Ok(());
