--- a/crates/server/tests/config_fleet.rs
+++ b/crates/server/tests/config_fleet.rs
@@ -226,3 +226,36 @@
     let preset: Option<PresetId> = config(&fleet, 2).await.unwrap().preset;
     assert_eq!(preset, Some(Arc::from("b")));
 }
+
+#[tokio::test]
+async fn test_config_joiner_pulls_more_than_one_frame() {
+    let mut fleet = Fleet::start(settings()).await.unwrap();
+    // Six documents, rejected ones, so that their accepted texts travel as well: 5.4 MB.
+    let mut revision = 0;
+    for number in 0..6 {
+        for text in ["// good\n", "{ // bad\n"] {
+            let mut index = fleet.index.clone();
+            index.service = format!("bulk-{number}").into();
+            let padding = "x".repeat(450_000);
+            let body = serde_json::to_string(&index).unwrap();
+            let edit = Edit {
+                key: format!("index/bulk-{number}"),
+                text: Some(format!("// {padding}\n{text}{body}")),
+            };
+            revision = fleet.publish(vec![edit]).await.unwrap();
+            wait_in_force(&fleet, "ordinary", revision).await;
+        }
+    }
+    fleet.set_config_mode(ConfigMode::Down).await.unwrap();
+    restart(&mut fleet, 3..VMS).await;
+    wait_in_force(&fleet, "ordinary", revision).await;
+    let joined = config(&fleet, 3).await.unwrap();
+    assert_eq!(joined.rejections.len(), 6);
+    assert!(
+        joined
+            .rejections
+            .iter()
+            .all(|rejection| rejection.former.is_some())
+    );
+    assert!(joined.source.unwrap().starts_with("vm-"));
+}
