--- a/crates/core/src/config/mod.rs
+++ b/crates/core/src/config/mod.rs
@@ -27,7 +27,7 @@
 pub use reach::ServiceReach;
 pub use readers::{
     Candidate, FALLBACK_PERIOD, FALLBACK_RATE, READERS, ReadInput, ReadPlan, STALE_AGE,
-    WATCH_PERIOD, WATCH_WAIT, fallback_period, plan_reads,
+    WATCH_PERIOD, WATCH_WAIT, fallback_period, outranks, plan_reads,
 };
 pub use spread::{FANOUT, Order, PULL_PATIENCE};
 pub use store::{Origin, Source, Store};
--- a/crates/core/src/config/node.rs
+++ b/crates/core/src/config/node.rs
@@ -11,7 +11,8 @@
 
 use super::{
     Batch, Candidate, ConfigEvent, ConfigNote, Confirmation, FANOUT, Freshness, Order, ReadInput,
-    ReadPlan, STALE_AGE, ServiceReach, Source, StartGate, Store, plan_reads, spread::Spread,
+    ReadPlan, STALE_AGE, ServiceReach, Source, StartGate, Store, outranks, plan_reads,
+    spread::Spread,
 };
 use crate::{
     ids::{DataCentre, Revision, VmId},
@@ -36,6 +37,7 @@
     plan: ReadPlan,
     aged: bool,
     exchanged: Instant,
+    outranked: Option<Instant>,
     random: ChaCha8Rng,
     orders: Vec<Order>,
     events: Vec<ConfigEvent>,
@@ -69,6 +71,7 @@
             plan: ReadPlan::Idle,
             aged: false,
             exchanged: now,
+            outranked: None,
             random: ChaCha8Rng::seed_from_u64(seed),
             orders: Vec::new(),
             events: Vec::new(),
@@ -224,6 +227,7 @@
     /// Forgets what may have changed during a pause of the process.
     pub fn distrust(&mut self) {
         self.freshness.forget();
+        self.outranked = None;
         self.events.push(ConfigEvent::Distrusted);
     }
 
@@ -321,9 +325,13 @@
         let (Some(age), Some(reader)) = (note.age, &note.reader) else {
             return;
         };
-        if let Some(at) = sent.checked_sub(Duration::from(age)) {
-            self.freshness.confirm(at, VmId::clone(reader));
+        let Some(at) = sent.checked_sub(Duration::from(age)) else {
+            return;
+        };
+        if outranks(reader, &self.own) {
+            self.outranked = self.outranked.max(Some(at));
         }
+        self.freshness.confirm(at, VmId::clone(reader));
     }
 
     fn read_failed(&mut self) {
@@ -351,8 +359,8 @@
             centre: &self.centre,
             service: self.service,
             others: &self.peers,
-            newest: self.freshness.newest(),
             age: self.freshness.age(now),
+            outranked: self.outranked.map(|at| now.saturating_duration_since(at)),
             plan: former,
         });
         match (former, self.plan) {
--- a/crates/core/src/config/readers.rs
+++ b/crates/core/src/config/readers.rs
@@ -9,7 +9,7 @@
 
 use xxhash_rust::xxh3::Xxh3;
 
-use super::{Confirmation, ServiceReach};
+use super::ServiceReach;
 use crate::ids::{DataCentre, VmId};
 
 /// The elected readers of each data centre.
@@ -64,10 +64,10 @@
     pub service: ServiceReach,
     /// The other processes of the fleet.
     pub others: &'a [Candidate],
-    /// The newest confirmation.
-    pub newest: Option<&'a Confirmation>,
-    /// How old that is.
+    /// How old the newest confirmation is.
     pub age: Option<Duration>,
+    /// How old the newest confirmation by a reader that ranks before this process is.
+    pub outranked: Option<Duration>,
     /// The plan so far.
     pub plan: ReadPlan,
 }
@@ -115,11 +115,15 @@
     input.plan != ReadPlan::Idle && input.service == ServiceReach::Reached
 }
 
-/// A total order of readers: of two that hear of each other only one stops.
 fn stands_down(input: &ReadInput<'_>) -> bool {
-    input
-        .newest
-        .is_some_and(|newest| score(&newest.reader) > score(input.own))
+    input.outranked.is_some_and(|age| age <= STALE_AGE)
+}
+
+/// Returns whether a reader ranks before another; a total order, so that of two readers that hear
+/// of each other only one stops.
+#[must_use]
+pub fn outranks(reader: &VmId, other: &VmId) -> bool {
+    score(reader) > score(other)
 }
 
 fn score(vm: &str) -> (u64, &str) {
--- a/crates/core/tests/config/node.rs
+++ b/crates/core/tests/config/node.rs
@@ -4,7 +4,8 @@
 
 use cassialift_core::{
     config::{
-        ConfigEvent, ConfigNode, ConfigNote, ConfigPeer, Order, ReadPlan, START_WAIT, ServiceReach,
+        ConfigEvent, ConfigNode, ConfigNote, ConfigPeer, Order, READERS, ReadPlan, STALE_AGE,
+        START_WAIT, ServiceReach, outranks,
     },
     ids::{DataCentre, VmId},
     time::Millis,
@@ -231,3 +232,34 @@
     bench.step(&[]);
     assert!(matches!(bench.nodes[0].plan(), ReadPlan::Fallback { .. }));
 }
+
+#[test]
+fn test_node_extra_reader_stops_although_it_reads_more_often() {
+    let platform = platform(1);
+    let mut bench = Bench::new(8);
+    for i in 0..8 {
+        bench.read(i, &platform, 1);
+    }
+    // Nobody was confirmed for a while: all read by themselves.
+    bench.now += STALE_AGE * 2;
+    bench.step(&[]);
+    assert!(bench.nodes.iter().all(|node| node.plan() != ReadPlan::Idle));
+    let first = (0..8)
+        .find(|i| (0..8).all(|j| *i == j || outranks(&peer(*i).vm, &peer(j).vm)))
+        .unwrap();
+    bench.read(first, &platform, 1);
+    let told = bench.nodes[first].note(bench.now);
+    for i in (0..8).filter(|i| *i != first) {
+        let (vm, now) = (peer(first).vm, bench.now);
+        bench.nodes[i].heard(&vm, &told, Some(now), now);
+        // Its own confirmation is the newest one again before it decides.
+        bench.now += TICK;
+        bench.read(i, &platform, 1);
+        bench.nodes[i].tick(bench.now);
+    }
+    let idle = bench
+        .nodes
+        .iter()
+        .filter(|node| node.plan() == ReadPlan::Idle);
+    assert_eq!(idle.count(), 8 - READERS);
+}
--- a/crates/core/tests/config/readers.rs
+++ b/crates/core/tests/config/readers.rs
@@ -1,11 +1,11 @@
 //! Tests of who reads the configuration service.
 
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use cassialift_core::{
     config::{
-        Candidate, Confirmation, FALLBACK_RATE, READERS, ReadInput, ReadPlan, STALE_AGE,
-        ServiceReach, WATCH_PERIOD, WATCH_WAIT, plan_reads,
+        Candidate, FALLBACK_RATE, READERS, ReadInput, ReadPlan, STALE_AGE, ServiceReach,
+        WATCH_PERIOD, WATCH_WAIT, outranks, plan_reads,
     },
     ids::{DataCentre, VmId},
 };
@@ -29,7 +29,7 @@
     fleet: &[Candidate],
     age: Option<Duration>,
     former: ReadPlan,
-    newest: Option<&Confirmation>,
+    outranked: Option<Duration>,
 ) -> Vec<ReadPlan> {
     let plan = |(i, own): (usize, &Candidate)| {
         let mut others = fleet.to_vec();
@@ -39,8 +39,8 @@
             centre: &own.centre,
             service: own.service,
             others: &others,
-            newest,
             age,
+            outranked,
             plan: former,
         })
     };
@@ -130,33 +130,30 @@
 }
 
 #[test]
-fn test_readers_last_extra_reader_stays() {
-    // Everyone reads by itself and hears of one reader; only those that rank before it stay.
+fn test_readers_of_two_that_hear_of_each_other_one_stops() {
     let mut fleet = fleet(40, 1);
     for candidate in &mut fleet {
         candidate.service = ServiceReach::Reached;
     }
-    let former = ReadPlan::Fallback {
-        period: Duration::from_secs(1),
-    };
-    let mut staying: Vec<VmId> = fleet.iter().map(|own| VmId::clone(&own.vm)).collect();
-    while staying.len() > 1 {
-        let newest = Confirmation {
-            at: Instant::now(),
-            reader: VmId::clone(&staying[staying.len() / 2]),
-        };
-        let plans = plans(&fleet, Some(Duration::ZERO), former, Some(&newest));
-        let left: Vec<VmId> = fleet
-            .iter()
-            .zip(&plans)
-            .filter(|(own, plan)| **plan != ReadPlan::Idle && staying.contains(&own.vm))
-            .map(|(own, _)| VmId::clone(&own.vm))
-            .collect();
-        assert!(left.contains(&newest.reader));
-        if left.len() == staying.len() {
-            break;
+    let names: Vec<VmId> = fleet.iter().map(|own| VmId::clone(&own.vm)).collect();
+    for one in &names {
+        for other in names.iter().filter(|other| *other != one) {
+            assert!(outranks(one, other) != outranks(other, one));
         }
-        staying = left;
     }
-    assert!(!staying.is_empty());
+    // An extra reader stops for one that ranks before it, and for that one's last word only so
+    // long; one that hears of none goes on.
+    let extra = |outranked| {
+        let former = ReadPlan::Fallback {
+            period: Duration::from_secs(1),
+        };
+        let plans = plans(&fleet, Some(Duration::ZERO), former, outranked);
+        plans
+            .iter()
+            .filter(|plan| matches!(plan, ReadPlan::Fallback { .. }))
+            .count()
+    };
+    assert_eq!(extra(Some(STALE_AGE)), 0);
+    assert_eq!(extra(Some(STALE_AGE * 2)), 40 - READERS);
+    assert_eq!(extra(None), 40 - READERS);
 }
