--- a/crates/testkit/src/lib.rs
+++ b/crates/testkit/src/lib.rs
@@ -7,4 +7,5 @@
 pub mod harness;
 pub mod history;
 pub mod load;
+pub mod overhead;
 pub mod standin;
--- /dev/null
+++ b/crates/testkit/src/overhead/latency.rs
@@ -0,0 +1,108 @@
+//! Latency over direct calls.
+
+use std::time::{Duration, Instant};
+
+use cassialift_wire::backend::{RUN_PATH, RunReply};
+use hdrhistogram::Histogram;
+
+use super::setup::{OverheadError, client, fleet, part, search, send, warm_up};
+use crate::{client::JsonClient, harness::Fleet};
+
+/// The largest latency that is told apart, in microseconds.
+const LONGEST_MICROS: u64 = 60_000_000;
+
+/// Latencies of direct calls and of searches, in one run.
+#[derive(Debug)]
+pub struct LatencyReport {
+    /// One call to one stand-in.
+    pub single: Histogram<u64>,
+    /// One call to the stand-in of each shard, all at once, until the last replied.
+    pub direct: Histogram<u64>,
+    /// One search of all shards.
+    pub search: Histogram<u64>,
+}
+
+impl LatencyReport {
+    /// Returns how much longer searches took than direct calls at a quantile, in microseconds.
+    #[must_use]
+    pub fn added(&self, quantile: f64) -> i64 {
+        let at = |histogram: &Histogram<u64>| {
+            i64::try_from(histogram.value_at_quantile(quantile)).unwrap_or(i64::MAX)
+        };
+        at(&self.search) - at(&self.direct)
+    }
+}
+
+/// Measures `rounds` rounds of a single call, direct calls and a search, one after the other.
+///
+/// # Errors
+/// Returns what failed.
+pub async fn measure_latency(
+    vms: usize,
+    shards: u32,
+    rounds: u64,
+) -> Result<LatencyReport, OverheadError> {
+    let fleet = fleet(vms, shards, 0).await?;
+    let client = client()?;
+    let search = search(shards);
+    warm_up(&client, &fleet, &search).await?;
+    let mut report = LatencyReport {
+        single: histogram(),
+        direct: histogram(),
+        search: histogram(),
+    };
+    for round in 0..rounds {
+        report
+            .single
+            .saturating_record(time(async || call(&client, &fleet, round, 0).await).await?);
+        report
+            .direct
+            .saturating_record(time(async || direct(&client, &fleet, round, shards).await).await?);
+        report
+            .search
+            .saturating_record(time(async || send(&client, &fleet, 0, &search).await).await?);
+    }
+    Ok(report)
+}
+
+async fn time(work: impl AsyncFnOnce() -> Result<(), OverheadError>) -> Result<u64, OverheadError> {
+    let started = Instant::now();
+    work().await?;
+    Ok(micros(started.elapsed()))
+}
+
+async fn direct(
+    client: &JsonClient,
+    fleet: &Fleet,
+    round: u64,
+    shards: u32,
+) -> Result<(), OverheadError> {
+    let calls = (0..shards).map(|shard| call(client, fleet, round, shard));
+    futures::future::try_join_all(calls).await?;
+    Ok(())
+}
+
+async fn call(
+    client: &JsonClient,
+    fleet: &Fleet,
+    round: u64,
+    shard: u32,
+) -> Result<(), OverheadError> {
+    let index = &fleet.index;
+    let entry = index.shard(shard).and_then(|entry| entry.replicas.first());
+    let Some(server) = entry.and_then(|id| index.server(id)) else {
+        return Err(OverheadError::Partial(format!("no shard {shard}")));
+    };
+    let request = part(round, shard);
+    let reply = client.post(server.address, RUN_PATH, &request).await?;
+    reply.parse::<RunReply>()?;
+    Ok(())
+}
+
+fn histogram() -> Histogram<u64> {
+    Histogram::new_with_bounds(1, LONGEST_MICROS, 3).expect("constant bounds are valid")
+}
+
+fn micros(duration: Duration) -> u64 {
+    u64::try_from(duration.as_micros()).unwrap_or(u64::MAX)
+}
--- /dev/null
+++ b/crates/testkit/src/overhead/memory.rs
@@ -0,0 +1,60 @@
+//! Memory of an idle process and of requests in flight.
+
+use cassialift_wire::caller::SEARCH_PATH;
+use futures::{StreamExt, stream::FuturesUnordered};
+
+use super::{
+    setup::{OverheadError, client, fleet, search},
+    usage::resident_bytes,
+};
+
+/// The shards of each request in flight.
+const SHARDS: u32 = 1;
+
+/// How long a backend server takes, in microseconds: longer than the measurement.
+const SLOW_MICROS: u64 = 25_000_000;
+
+/// The shards, and thus half as many backend servers, that the requests are spread over.
+const FLEET_SHARDS: u32 = 20;
+
+/// Memory of one process in bytes.
+#[derive(Clone, Copy, Debug)]
+pub struct MemoryReport {
+    /// With nothing to do.
+    pub idle: u64,
+    /// With the requests in flight.
+    pub loaded: u64,
+    /// The requests in flight.
+    pub requests: u64,
+}
+
+/// Measures a process that is idle and then has `requests` narrow searches in flight.
+///
+/// # Errors
+/// Returns what failed.
+pub async fn measure_memory(requests: u64) -> Result<MemoryReport, OverheadError> {
+    let fleet = fleet(1, FLEET_SHARDS, SLOW_MICROS).await?;
+    let client = client()?;
+    let Some(pid) = fleet.pid(0) else {
+        return Err(OverheadError::Partial("no process".to_owned()));
+    };
+    let idle = resident_bytes(pid)?;
+    let mut pending = FuturesUnordered::new();
+    for number in 0..requests {
+        let mut search = search(SHARDS);
+        let shard = u32::try_from(number).unwrap_or_default() % FLEET_SHARDS;
+        search.shards = Some(vec![shard]);
+        let (client, address) = (client.clone(), fleet.vm_address(0));
+        pending.push(async move { client.post(address, SEARCH_PATH, &search).await });
+    }
+    let settle = std::time::Duration::from_secs(5);
+    let early = tokio::time::timeout(settle, pending.next()).await;
+    if let Ok(Some(ended)) = early {
+        return Err(OverheadError::Partial(format!("{ended:?}")));
+    }
+    Ok(MemoryReport {
+        idle,
+        loaded: resident_bytes(pid)?,
+        requests,
+    })
+}
--- /dev/null
+++ b/crates/testkit/src/overhead/processor.rs
@@ -0,0 +1,65 @@
+//! Processor time of a shard call.
+
+use std::time::Duration;
+
+use super::{
+    setup::{OverheadError, client, fleet, search, send, warm_up},
+    usage::processor_time,
+};
+
+/// The processor time of searches of some width.
+#[derive(Clone, Copy, Debug)]
+pub struct ProcessorReport {
+    /// The shards of a search.
+    pub shards: u32,
+    /// The searches.
+    pub searches: u32,
+    /// What the VM used for all of them.
+    pub used: Duration,
+}
+
+impl ProcessorReport {
+    /// Returns the processor time of one search.
+    #[must_use]
+    pub fn per_search(&self) -> Duration {
+        self.used / self.searches
+    }
+
+    /// Returns the processor time of one shard call.
+    #[must_use]
+    pub fn per_call(&self) -> Duration {
+        self.per_search() / self.shards
+    }
+}
+
+/// Measures searches of each width at one VM that is entry and owner, `calls` shard calls each.
+///
+/// # Errors
+/// Returns what failed.
+pub async fn measure_processor(
+    widths: &[u32],
+    calls: u32,
+) -> Result<Vec<ProcessorReport>, OverheadError> {
+    let widest = widths.iter().copied().max().unwrap_or(1);
+    let fleet = fleet(1, widest, 0).await?;
+    let client = client()?;
+    warm_up(&client, &fleet, &search(widest)).await?;
+    let Some(pid) = fleet.pid(0) else {
+        return Ok(Vec::new());
+    };
+    let mut reports = Vec::new();
+    for &shards in widths {
+        let search = search(shards);
+        let searches = calls.div_ceil(shards);
+        let before = processor_time(pid)?;
+        for _ in 0..searches {
+            send(&client, &fleet, 0, &search).await?;
+        }
+        reports.push(ProcessorReport {
+            shards,
+            searches,
+            used: processor_time(pid)?.saturating_sub(before),
+        });
+    }
+    Ok(reports)
+}
--- /dev/null
+++ b/crates/testkit/src/overhead/setup.rs
@@ -0,0 +1,168 @@
+//! Fleets to measure, and the requests that are sent to them.
+
+use std::{sync::Arc, time::Duration};
+
+use cassialift_core::{
+    ids::RequestKey,
+    presets::{KindPolicy, Preset, QueuePolicy},
+    request::{RequestKind, Urgency},
+    time::Millis,
+};
+use cassialift_wire::{
+    backend::RunRequest,
+    caller::{Answer, SEARCH_PATH, SearchRequest},
+};
+use displaydoc::Display;
+
+use crate::{
+    client::{ClientError, JsonClient},
+    harness::{Fleet, FleetSettings, HarnessError, SEARCH_SERVICE},
+    standin::backend::ServiceTime,
+};
+
+/// The deadline of all requests.
+pub(super) const DEADLINE: Millis = Millis::new(30_000);
+
+/// Why a measurement failed.
+#[derive(Debug, Display)]
+pub enum OverheadError {
+    /// the fleet failed: {0}
+    Fleet(HarnessError),
+    /// a call failed: {0}
+    Call(ClientError),
+    /// the system does not tell what a process uses: {0}
+    Usage(std::io::Error),
+    /// a search was not answered in full: {0}
+    Partial(String),
+}
+
+impl std::error::Error for OverheadError {}
+
+impl From<HarnessError> for OverheadError {
+    fn from(error: HarnessError) -> Self {
+        Self::Fleet(error)
+    }
+}
+
+impl From<ClientError> for OverheadError {
+    fn from(error: ClientError) -> Self {
+        Self::Call(error)
+    }
+}
+
+impl From<std::io::Error> for OverheadError {
+    fn from(error: std::io::Error) -> Self {
+        Self::Usage(error)
+    }
+}
+
+/// Starts a fleet whose backend servers take `median` microseconds, two shards a server.
+pub(super) async fn fleet(vms: usize, shards: u32, median: u64) -> Result<Fleet, OverheadError> {
+    let servers = usize::try_from(shards.div_ceil(2)).unwrap_or(usize::MAX);
+    let fleet = Fleet::start(FleetSettings {
+        vms: vec![vms],
+        servers,
+        shards,
+        replicas: 1,
+        runners: 1,
+        slots: 4,
+        time: ServiceTime { median, sigma: 0.0 },
+        preset: preset(),
+        ..FleetSettings::default()
+    })
+    .await?;
+    fleet.wait_owned().await?;
+    Ok(fleet)
+}
+
+fn preset() -> Preset {
+    let kind = KindPolicy {
+        deadline: DEADLINE,
+        ..KindPolicy::default()
+    };
+    Preset {
+        kinds: RequestKind::ALL.map(|name| (name, kind.clone())).into(),
+        queue: QueuePolicy {
+            length: 4_000,
+            caller_share: 1.0,
+            ..QueuePolicy::default()
+        },
+        ..Preset::default()
+    }
+}
+
+/// Makes a client that keeps its connections.
+pub(super) fn client() -> Result<JsonClient, OverheadError> {
+    Ok(JsonClient::with_idle(Duration::from_mins(1), 4_096)?)
+}
+
+/// Makes a search of the first `shards` shards.
+pub(super) fn search(shards: u32) -> SearchRequest {
+    SearchRequest {
+        id: "overhead".to_owned(),
+        caller: "overhead".into(),
+        service: SEARCH_SERVICE.into(),
+        kind: RequestKind::WideSearch,
+        shards: Some((0..shards).collect()),
+        deadline: None,
+        query: "reference 116610".to_owned(),
+    }
+}
+
+/// Makes the part of a search that goes to one backend server.
+pub(super) fn part(sequence: u64, shard: u32) -> RunRequest {
+    RunRequest {
+        request: RequestKey {
+            incarnation: 1,
+            sequence,
+        },
+        attempt: shard,
+        service: SEARCH_SERVICE.into(),
+        shard,
+        version: 1,
+        kind: RequestKind::WideSearch,
+        urgency: Urgency::Urgent,
+        remaining: DEADLINE,
+        body: "reference 116610".to_owned(),
+    }
+}
+
+/// Sends a search to a VM and checks that every shard replied.
+pub(super) async fn send(
+    client: &JsonClient,
+    fleet: &Fleet,
+    vm: usize,
+    search: &SearchRequest,
+) -> Result<(), OverheadError> {
+    let address = fleet.vm_address(vm);
+    let reply = client.post(address, SEARCH_PATH, search).await?;
+    if reply.status != 200 {
+        return Err(OverheadError::Partial(reply.text));
+    }
+    let answer: Answer = reply.parse()?;
+    if answer.coverage.missing.is_empty() {
+        return Ok(());
+    }
+    Err(OverheadError::Partial(format!("{:?}", answer.coverage)))
+}
+
+/// Sends searches until the fleet has answered some in a row in full.
+pub(super) async fn warm_up(
+    client: &JsonClient,
+    fleet: &Fleet,
+    search: &SearchRequest,
+) -> Result<(), OverheadError> {
+    let row = std::sync::atomic::AtomicU32::new(0);
+    let count = Arc::new(row);
+    fleet
+        .wait_for("answers in full", async || {
+            let answered = send(client, fleet, 0, search).await.is_ok();
+            let order = std::sync::atomic::Ordering::Relaxed;
+            if !answered {
+                count.store(0, order);
+            }
+            count.fetch_add(u32::from(answered), order) >= 20
+        })
+        .await?;
+    Ok(())
+}
--- /dev/null
+++ b/crates/testkit/src/overhead/usage.rs
@@ -0,0 +1,35 @@
+//! What processes use, as the system tells.
+
+use std::{fs, io, time::Duration};
+
+/// The clock ticks of a second in the system's process statistics.
+const TICKS_PER_SECOND: u64 = 100;
+
+/// The position of user time among the fields that follow the program's name.
+const USER_TIME_FIELD: usize = 11;
+
+/// Returns the processor time that a process has used.
+pub(super) fn processor_time(pid: u32) -> io::Result<Duration> {
+    let text = fs::read_to_string(format!("/proc/{pid}/stat"))?;
+    let Some((_, fields)) = text.rsplit_once(") ") else {
+        return Err(io::ErrorKind::InvalidData.into());
+    };
+    let ticks: u64 = fields
+        .split(' ')
+        .skip(USER_TIME_FIELD)
+        .take(2)
+        .filter_map(|field| field.parse::<u64>().ok())
+        .sum();
+    Ok(Duration::from_millis(ticks * 1_000 / TICKS_PER_SECOND))
+}
+
+/// Returns the memory of a process that is in use, in bytes.
+pub(super) fn resident_bytes(pid: u32) -> io::Result<u64> {
+    let text = fs::read_to_string(format!("/proc/{pid}/status"))?;
+    let line = text.lines().find_map(|line| line.strip_prefix("VmRSS:"));
+    let kibibytes = line.and_then(|line| line.trim().strip_suffix(" kB"));
+    let Some(kibibytes) = kibibytes.and_then(|number| number.trim().parse::<u64>().ok()) else {
+        return Err(io::ErrorKind::InvalidData.into());
+    };
+    Ok(kibibytes * 1_024)
+}
