peers: send without delay

tarpc's TCP transports leave Nagle's algorithm on. Ruled out: the owner's queue and the backend connections, which one VM uses alike.

--- a/crates/server/src/peers/serve.rs
+++ b/crates/server/src/peers/serve.rs
@@ -89,6 +89,11 @@
     tokio::spawn(async move {
         while let Some(accepted) = listener.next().await {
             let Ok(transport) = accepted else { continue };
+            // Frames are small: held back for the peer's acknowledgement, a reply would wait 40 ms.
+            if let Err(error) = transport.get_ref().set_nodelay(true) {
+                log::debug!("peers: a connection broke at once: {error}.");
+                continue;
+            }
             let server = PeerServer {
                 node: Arc::clone(&node),
             };
--- a/crates/server/src/peers/table.rs
+++ b/crates/server/src/peers/table.rs
@@ -91,6 +91,9 @@
         return Err(PeerError::ConnectTimeout);
     };
     let transport = connected.map_err(PeerError::Connect)?;
+    // Frames are small: held back for the peer's acknowledgement, a call would wait 40 ms.
+    let sending = transport.get_ref().set_nodelay(true);
+    sending.map_err(PeerError::Connect)?;
     let mut config = Config::default();
     config.max_in_flight_requests = MAX_IN_FLIGHT;
     config.pending_request_buffer = MAX_IN_FLIGHT;
