callers: count each refusal by its reason

Refusals of form (405, 408, 413, 431), malformed bodies, tickets and jobs were not counted or counted under another spelling, jobs at the holder instead of the VM that answers. One spelling now, refused.REASON, counted where the caller is answered.

--- a/crates/server/src/entry/http/connection.rs
+++ b/crates/server/src/entry/http/connection.rs
@@ -19,13 +19,19 @@
 
 use super::{
     receive::receive,
-    respond::{json, refuse, typed},
+    respond::{FormFault, json, typed},
 };
 use crate::{entry::refuse::Refused, metrics::Metrics, process::Node, settings::LimitSettings};
 
 /// When to come back after a refusal for too many requests in flight.
 const RETRY_OVERLOADED: Millis = Millis::new(200);
 
+const HEADERS: FormFault = FormFault {
+    status: StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE,
+    reason: RefusalReason::TooLarge,
+    detail: "the request has more headers than the settings allow",
+};
+
 /// What all connections share.
 #[derive(Clone)]
 pub(super) struct Shared {
@@ -53,9 +59,6 @@
         request: Request<Incoming>,
     ) -> Result<Response, Infallible> {
         let mut response = self.respond(peer, request).await;
-        if response.status().is_client_error() {
-            self.metrics.count("callers.client_error");
-        }
         if ends_connection(response.status()) {
             let close = header::HeaderValue::from_static("close");
             response.headers_mut().insert(header::CONNECTION, close);
@@ -65,11 +68,7 @@
 
     async fn respond(&self, peer: SocketAddr, request: Request<Incoming>) -> Response {
         if request.headers().len() > self.limits.headers {
-            return refuse(
-                StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE,
-                RefusalReason::TooLarge,
-                "the request has more headers than the settings allow",
-            );
+            return HEADERS.refuse(&self.metrics);
         }
         // Pages that run nothing are served under load too.
         let runs = request.method() == Method::POST;
@@ -81,17 +80,18 @@
         let time = self.limits.receive.0;
         let body = match receive(&parts.headers, body, self.limits.body, time).await {
             Ok(body) => body,
-            Err(response) => return response,
+            Err(fault) => return fault.refuse(&self.metrics),
         };
         let request = Request::from_parts(parts, Body::from(body));
         let mut context = ServerContext::new(Address::from(peer));
         match self.router.call(&mut context, request).await {
-            Ok(response) => typed(response),
+            Ok(response) => typed(response, &self.metrics),
         }
     }
 
     fn overloaded(&self) -> Response {
-        self.metrics.count("refused.overloaded");
+        self.metrics
+            .count(&format!("refused.{:?}", RefusalReason::Overloaded));
         let detail = "too many requests are in flight".to_owned();
         let mut refused = Refused::new(RefusalReason::Overloaded, Ran::NotRun, detail);
         refused.refusal.retry = Some(RETRY_OVERLOADED);
--- a/crates/server/src/entry/http/receive.rs
+++ b/crates/server/src/entry/http/receive.rs
@@ -2,16 +2,33 @@
 
 use std::time::Duration;
 
+use cassialift_core::request::RefusalReason;
 use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::{body::Incoming, header::CONTENT_LENGTH};
 use volo_http::{
     Bytes,
     http::{HeaderMap, StatusCode},
-    response::Response,
 };
 
-use super::respond::refuse;
-use cassialift_core::request::RefusalReason;
+use super::respond::FormFault;
+
+const TOO_LARGE: FormFault = FormFault {
+    status: StatusCode::PAYLOAD_TOO_LARGE,
+    reason: RefusalReason::TooLarge,
+    detail: "the body is larger than the settings allow",
+};
+
+const BROKEN: FormFault = FormFault {
+    status: StatusCode::BAD_REQUEST,
+    reason: RefusalReason::Malformed,
+    detail: "the body broke off",
+};
+
+const LATE: FormFault = FormFault {
+    status: StatusCode::REQUEST_TIMEOUT,
+    reason: RefusalReason::Malformed,
+    detail: "the body did not come in time",
+};
 
 /// Reads a body of at most `limit` bytes that comes within `time`.
 pub(super) async fn receive(
@@ -19,35 +36,19 @@
     body: Incoming,
     limit: usize,
     time: Duration,
-) -> Result<Bytes, Response> {
+) -> Result<Bytes, FormFault> {
     if length(headers).is_some_and(|length| length > limit) {
-        return Err(too_large());
+        return Err(TOO_LARGE);
     }
     let collecting = Limited::new(body, limit).collect();
     match tokio::time::timeout(time, collecting).await {
         Ok(Ok(collected)) => Ok(collected.to_bytes()),
-        Ok(Err(error)) if error.is::<LengthLimitError>() => Err(too_large()),
-        Ok(Err(_)) => Err(refuse(
-            StatusCode::BAD_REQUEST,
-            RefusalReason::Malformed,
-            "the body broke off",
-        )),
-        Err(_) => Err(refuse(
-            StatusCode::REQUEST_TIMEOUT,
-            RefusalReason::Malformed,
-            "the body did not come in time",
-        )),
+        Ok(Err(error)) if error.is::<LengthLimitError>() => Err(TOO_LARGE),
+        Ok(Err(_)) => Err(BROKEN),
+        Err(_) => Err(LATE),
     }
 }
 
 fn length(headers: &HeaderMap) -> Option<usize> {
     headers.get(CONTENT_LENGTH)?.to_str().ok()?.parse().ok()
 }
-
-fn too_large() -> Response {
-    refuse(
-        StatusCode::PAYLOAD_TOO_LARGE,
-        RefusalReason::TooLarge,
-        "the body is larger than the settings allow",
-    )
-}
--- a/crates/server/src/entry/http/respond.rs
+++ b/crates/server/src/entry/http/respond.rs
@@ -8,7 +8,7 @@
     response::Response,
 };
 
-use crate::entry::refuse::Refused;
+use crate::{entry::refuse::Refused, metrics::Metrics};
 
 /// Makes a response of an answer or a refusal.
 pub(super) fn reply<A: Serialize>(result: Result<A, Refused>) -> Response {
@@ -28,14 +28,28 @@
     response
 }
 
-/// Makes a refusal of a request that was not looked at further, with a status of its own.
-pub(super) fn refuse(status: StatusCode, reason: RefusalReason, detail: &str) -> Response {
-    let refused = Refused::new(reason, Ran::NotRun, detail.to_owned());
-    json(status, &refused.refusal)
+/// What is wrong with a request's form; its content was not looked at.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct FormFault {
+    /// The status of the refusal.
+    pub(super) status: StatusCode,
+    /// The reason.
+    pub(super) reason: RefusalReason,
+    /// One sentence for a person.
+    pub(super) detail: &'static str,
+}
+
+impl FormFault {
+    /// Makes the refusal and counts it.
+    pub(super) fn refuse(self, metrics: &Metrics) -> Response {
+        metrics.count(&format!("refused.{:?}", self.reason));
+        let refused = Refused::new(self.reason, Ran::NotRun, self.detail.to_owned());
+        json(self.status, &refused.refusal)
+    }
 }
 
 /// Replaces the router's bare response for a path or method that it does not serve.
-pub(super) fn typed(response: Response) -> Response {
+pub(super) fn typed(response: Response, metrics: &Metrics) -> Response {
     let detail = match response.status() {
         StatusCode::NOT_FOUND => "no such path",
         StatusCode::METHOD_NOT_ALLOWED => "the path does not take this method",
@@ -45,5 +59,10 @@
     if is_json || response.status().is_success() {
         return response;
     }
-    refuse(response.status(), RefusalReason::Malformed, detail)
+    let fault = FormFault {
+        status: response.status(),
+        reason: RefusalReason::Malformed,
+        detail,
+    };
+    fault.refuse(metrics)
 }
--- a/crates/server/src/entry/http/routes.rs
+++ b/crates/server/src/entry/http/routes.rs
@@ -93,11 +93,12 @@
             }
             match serde_json::from_slice::<Q>(&body) {
                 Ok(request) => reply(run(node, request).await),
-                Err(error) => reply::<A>(Err(Refused::new(
-                    RefusalReason::Malformed,
-                    Ran::NotRun,
-                    error.to_string(),
-                ))),
+                Err(error) => {
+                    let reason = RefusalReason::Malformed;
+                    node.metrics.count(&format!("refused.{reason:?}"));
+                    let refused = Refused::new(reason, Ran::NotRun, error.to_string());
+                    reply::<A>(Err(refused))
+                }
             }
         })
     }
--- a/crates/server/src/entry/jobs/forward.rs
+++ b/crates/server/src/entry/jobs/forward.rs
@@ -66,6 +66,7 @@
     match reply {
         JobReply::Answer(answer) => Ok(answer),
         JobReply::Refused { reason, ran, retry } => {
+            node.metrics.count(&format!("refused.{reason:?}"));
             let mut refused = Refused::new(reason, ran, detail(reason).to_owned()).with_id(&id);
             refused.refusal.retry = retry;
             Err(refused)
--- a/crates/server/src/entry/jobs/issue.rs
+++ b/crates/server/src/entry/jobs/issue.rs
@@ -19,10 +19,19 @@
     node: Arc<Node>,
     request: TicketRequest,
 ) -> Result<TicketAnswer, Refused> {
+    let drawn = draw(&node, request);
+    node.metrics.count(&match &drawn {
+        Ok(_) => "job.ticket".to_owned(),
+        Err(refused) => format!("refused.{:?}", refused.refusal.reason),
+    });
+    drawn
+}
+
+fn draw(node: &Node, request: TicketRequest) -> Result<TicketAnswer, Refused> {
     let view = node.control.pin();
     if view.own.leaving {
         // It would not remember the outcome.
-        return Err(refuse_leaving(&node, Ran::NotRun));
+        return Err(refuse_leaving(node, Ran::NotRun));
     }
     let config = admitting(&view)?;
     if !config.indexes.contains_key(&request.service) {
@@ -41,7 +50,6 @@
     };
     let sealed = node.jobs.key().seal(&ticket);
     let ticket = sealed.map_err(|error| not_run(RefusalReason::Malformed, &error.to_string()))?;
-    node.metrics.count("job.ticket");
     Ok(TicketAnswer {
         ticket,
         ttl: ttl.into(),
--- a/crates/server/src/entry/jobs/submit.rs
+++ b/crates/server/src/entry/jobs/submit.rs
@@ -33,14 +33,10 @@
     let Ok(ticket) = node.jobs.key().open(&forward.ticket) else {
         return refuse(RefusalReason::UnknownTicket, Ran::NotRun, None);
     };
-    let reply = match &forward.body {
+    match &forward.body {
         None => state(node, &ticket, &forward),
         Some(body) => submit(node, &ticket, &forward, body).await,
-    };
-    if let JobReply::Refused { reason, .. } = &reply {
-        node.metrics.count(&format!("refused.{reason:?}"));
     }
-    reply
 }
 
 async fn submit(node: &Arc<Node>, ticket: &Ticket, forward: &JobForward, body: &str) -> JobReply {
--- a/crates/server/tests/callers_http.rs
+++ b/crates/server/tests/callers_http.rs
@@ -11,7 +11,10 @@
     harness::{Fleet, FleetSettings, Signal},
     standin::backend::ServiceTime,
 };
-use cassialift_wire::caller::{ADDRESSES_PATH, Answer, Refusal};
+use cassialift_wire::{
+    caller::{ADDRESSES_PATH, Answer, Refusal},
+    operator::{COUNTERS_PATH, Counters},
+};
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
     net::TcpStream,
@@ -229,6 +232,11 @@
         assert_eq!(refusal.ran, Ran::NotRun, "{name}");
     }
     assert_eq!(received(&fleet).await, before);
+    let page = fleet.get(0, COUNTERS_PATH).await.unwrap();
+    let counters = page.parse::<Counters>().unwrap().counters;
+    assert_eq!(counters["refused.TooLarge"], 3);
+    assert_eq!(counters["refused.UnknownTicket"], 2);
+    assert_eq!(counters["refused.UnknownService"], 2);
     let huge = format!(r#""kind":"wide_search","deadline":{}"#, u64::MAX);
     let (status, body) = send(address, &search(&huge)).await;
     assert_eq!(status, 200, "{body}");
