testkit: measure what an idle fleet spends on control

The bytes between a process and its peers are counted below tarpc's frames and shown as counters; the example 'cost' starts fleets of several sizes, reads these counters and /proc, kills a VM, waits until its backend servers are used in full by others, and draws the line through the sizes.

--- a/crates/server/src/peers/mod.rs
+++ b/crates/server/src/peers/mod.rs
@@ -3,10 +3,12 @@
 mod error;
 mod serve;
 mod table;
+mod traffic;
 
 pub use error::PeerError;
 pub use serve::{PeerServer, serve};
 pub use table::PeerTable;
+pub use traffic::Traffic;
 
 /// The largest frame between peers, bytes: a configuration document and its envelope.
 const MAX_FRAME: usize = 4 * 1024 * 1024;
--- a/crates/server/src/peers/serve.rs
+++ b/crates/server/src/peers/serve.rs
@@ -1,6 +1,6 @@
 //! What this process offers its peers.
 
-use std::sync::Arc;
+use std::{sync::Arc, time::Duration};
 
 use cassialift_core::{
     ids::{Incarnation, VmId},
@@ -13,17 +13,21 @@
 use futures::StreamExt;
 use tarpc::{
     context::Context,
-    serde_transport::tcp,
+    serde_transport,
     server::{BaseChannel, Channel},
     tokio_serde::formats::Bincode,
 };
+use tokio::net::TcpListener;
 
-use super::MAX_FRAME;
 use crate::{
     entry::jobs::hold,
     process::{Node, ProcessError},
+    timer::Timer,
 };
 
+/// How long to wait after a connection could not be accepted, as when descriptors run out.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+
 /// Serves one peer's calls.
 #[derive(Clone, Debug)]
 pub struct PeerServer {
@@ -83,12 +87,24 @@
 /// Returns why the address could not be listened on.
 pub async fn serve(node: Arc<Node>) -> Result<(), ProcessError> {
     let address = node.settings.listen.unwrap_or(node.settings.peers);
-    let listening = tcp::listen(address, Bincode::default).await;
-    let mut listener = listening.map_err(|cause| ProcessError::Listen(address, cause))?;
-    listener.config_mut().max_frame_length(MAX_FRAME);
+    let listening = TcpListener::bind(address).await;
+    let listener = listening.map_err(|cause| ProcessError::Listen(address, cause))?;
     tokio::spawn(async move {
-        while let Some(accepted) = listener.next().await {
-            let Ok(transport) = accepted else { continue };
+        loop {
+            let stream = match listener.accept().await {
+                Ok((stream, _)) => stream,
+                Err(error) => {
+                    log::warn!("peers: A connection could not be accepted: {error}.");
+                    Timer.after(ACCEPT_PAUSE).await;
+                    continue;
+                }
+            };
+            if let Err(error) = stream.set_nodelay(true) {
+                log::debug!("peers: A connection broke at once: {error}.");
+                continue;
+            }
+            let frames = node.peers.traffic().frames(stream);
+            let transport = serde_transport::new(frames, Bincode::default());
             let server = PeerServer {
                 node: Arc::clone(&node),
             };
--- a/crates/server/src/peers/table.rs
+++ b/crates/server/src/peers/table.rs
@@ -11,12 +11,12 @@
 use cassialift_wire::peer::PeerClient;
 use tarpc::{
     client::{Config, RpcError},
-    serde_transport::tcp,
+    serde_transport,
     tokio_serde::formats::Bincode,
 };
-use tokio::{sync::OnceCell, time::timeout};
+use tokio::{net::TcpStream, sync::OnceCell, time::timeout};
 
-use super::{MAX_FRAME, PeerError};
+use super::{PeerError, Traffic};
 
 /// How long opening a connection to a peer may take.
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
@@ -25,8 +25,9 @@
 const MAX_IN_FLIGHT: usize = 16_384;
 
 /// Open connections to peers.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct PeerTable {
+    traffic: Arc<Traffic>,
     entries: Mutex<HashMap<VmId, Arc<Entry>>>,
 }
 
@@ -37,6 +38,17 @@
 }
 
 impl PeerTable {
+    /// Makes a table without connections, whose bytes `traffic` counts.
+    #[must_use]
+    pub fn new(traffic: Arc<Traffic>) -> Self {
+        let entries = Mutex::default();
+        Self { traffic, entries }
+    }
+
+    pub(super) fn traffic(&self) -> &Arc<Traffic> {
+        &self.traffic
+    }
+
     /// Returns a connection to a VM, opening one when there is none.
     ///
     /// # Errors
@@ -46,7 +58,9 @@
             return Err(PeerError::Unknown);
         };
         let entry = self.entry(vm, member.peers);
-        let client = entry.client.get_or_try_init(|| connect(entry.address));
+        let client = entry
+            .client
+            .get_or_try_init(|| connect(entry.address, &self.traffic));
         client.await.cloned()
     }
 
@@ -84,13 +98,13 @@
     }
 }
 
-async fn connect(address: SocketAddr) -> Result<PeerClient, PeerError> {
-    let mut connecting = tcp::connect(address, Bincode::default);
-    connecting.config_mut().max_frame_length(MAX_FRAME);
-    let Ok(connected) = timeout(CONNECT_TIMEOUT, connecting).await else {
+async fn connect(address: SocketAddr, traffic: &Arc<Traffic>) -> Result<PeerClient, PeerError> {
+    let Ok(connected) = timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await else {
         return Err(PeerError::ConnectTimeout);
     };
-    let transport = connected.map_err(PeerError::Connect)?;
+    let stream = connected.map_err(PeerError::Connect)?;
+    stream.set_nodelay(true).map_err(PeerError::Connect)?;
+    let transport = serde_transport::new(traffic.frames(stream), Bincode::default());
     let mut config = Config::default();
     config.max_in_flight_requests = MAX_IN_FLIGHT;
     config.pending_request_buffer = MAX_IN_FLIGHT;
--- /dev/null
+++ b/crates/server/src/peers/traffic.rs
@@ -0,0 +1,104 @@
+//! Counting the bytes between this process and its peers.
+
+use std::{
+    io,
+    pin::Pin,
+    sync::{
+        Arc,
+        atomic::{AtomicU64, Ordering},
+    },
+    task::{Context, Poll},
+};
+
+use tarpc::tokio_util::codec::{Framed, LengthDelimitedCodec};
+use tokio::{
+    io::{AsyncRead, AsyncWrite, ReadBuf},
+    net::TcpStream,
+};
+
+use super::MAX_FRAME;
+use crate::metrics::Metrics;
+
+/// Counts the bytes between this process and its peers, without those of TCP and IP.
+#[derive(Debug, Default)]
+pub struct Traffic {
+    sent: AtomicU64,
+    received: AtomicU64,
+}
+
+impl Traffic {
+    /// Moves what was counted since the last call to the counters.
+    pub fn report(&self, metrics: &Metrics) {
+        let counts = [
+            ("peers.sent_bytes", &self.sent),
+            ("peers.received_bytes", &self.received),
+        ];
+        for (name, count) in counts {
+            let bytes = count.swap(0, Ordering::Relaxed);
+            if bytes > 0 {
+                metrics.add(name, bytes);
+            }
+        }
+    }
+
+    /// Makes the frames of a connection to a peer.
+    pub(super) fn frames(
+        self: &Arc<Self>,
+        stream: TcpStream,
+    ) -> Framed<CountedStream, LengthDelimitedCodec> {
+        let counted = CountedStream {
+            stream,
+            traffic: Arc::clone(self),
+        };
+        LengthDelimitedCodec::builder()
+            .max_frame_length(MAX_FRAME)
+            .new_framed(counted)
+    }
+}
+
+/// A connection whose bytes are counted.
+#[derive(Debug)]
+pub(super) struct CountedStream {
+    stream: TcpStream,
+    traffic: Arc<Traffic>,
+}
+
+impl AsyncRead for CountedStream {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        let before = buf.filled().len();
+        let polled = Pin::new(&mut self.stream).poll_read(cx, buf);
+        let read = buf.filled().len() - before;
+        self.traffic
+            .received
+            .fetch_add(read as u64, Ordering::Relaxed);
+        polled
+    }
+}
+
+impl AsyncWrite for CountedStream {
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        let polled = Pin::new(&mut self.stream).poll_write(cx, buf);
+        if let Poll::Ready(Ok(written)) = &polled {
+            self.traffic
+                .sent
+                .fetch_add(*written as u64, Ordering::Relaxed);
+        }
+        polled
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_flush(cx)
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_shutdown(cx)
+    }
+}
--- a/crates/server/src/process/run.rs
+++ b/crates/server/src/process/run.rs
@@ -16,7 +16,7 @@
     journal::Journal,
     metrics::Metrics,
     owner::Owner,
-    peers,
+    peers::{self, PeerTable, Traffic},
     platform::PlatformClient,
     settings::Settings,
 };
@@ -46,8 +46,10 @@
         leaving: false,
     };
     let drain = Arc::new(Drain::default());
+    let traffic = Arc::new(Traffic::default());
     let control = control::start(ControlInput {
         drain: Arc::clone(&drain),
+        traffic: Arc::clone(&traffic),
         contact: Contact {
             vm: Arc::clone(&own.vm),
             incarnation: own.incarnation,
@@ -61,7 +63,15 @@
         platform: platform.map_err(ProcessError::Platform)?,
         metrics: Arc::clone(&metrics),
     })?;
-    let node = Arc::new(Node::new(settings, control, metrics, journal, owner, drain));
+    let node = Arc::new(Node::new(
+        settings,
+        control,
+        metrics,
+        journal,
+        owner,
+        PeerTable::new(traffic),
+        drain,
+    ));
     peers::serve(Arc::clone(&node)).await?;
     log::info!("process: {} serves callers.", node.settings.vm);
     entry::serve(Arc::clone(&node), leave(&node)).await
--- /dev/null
+++ b/crates/testkit/examples/cost.rs
@@ -0,0 +1,61 @@
+//! Measures what idle fleets spend on control: `cost --sizes 4,8,16,32 --seconds 20`.
+//!
+//! The programs must have been built in the same profile.
+
+use std::{process::ExitCode, time::Duration};
+
+use cassialift_testkit::cost::{self, Cost, CostSettings};
+use getopts::Options;
+
+/// The processes of the fleet that is built towards.
+const TARGET: f64 = 1_100.0;
+
+async fn run(args: &[String]) -> Result<(), Box<dyn std::error::Error>> {
+    let mut options = Options::new();
+    options.optopt(
+        "",
+        "sizes",
+        "the processes of each fleet, multiples of 4",
+        "N,N",
+    );
+    options.optopt("", "seconds", "how long each fleet is measured", "N");
+    let matches = options.parse(args)?;
+    let sizes = matches.opt_get_default("sizes", "4,8,16,32".to_owned())?;
+    let seconds = matches.opt_get_default("seconds", 20)?;
+    println!("| processes | bytes/s | core % | memory MiB | takeover s |");
+    println!("| --- | --- | --- | --- | --- |");
+    let mut costs = Vec::new();
+    for size in sizes.split(',') {
+        let settings = CostSettings {
+            size: size.parse()?,
+            window: Duration::from_secs(seconds),
+            ..CostSettings::default()
+        };
+        let cost = cost::run(settings).await?;
+        println!("{cost}");
+        costs.push(cost);
+    }
+    for (name, value) in [
+        ("bytes/s", (|cost| cost.bytes) as fn(&Cost) -> f64),
+        ("core %", |cost| cost.processor * 100.0),
+        ("memory MiB", |cost| cost.memory / 1_048_576.0),
+    ] {
+        let (slope, base) = cost::slope(&costs, value);
+        let target = base + slope * TARGET;
+        println!("{name}: {slope:.4} for each process, {base:.2} at none, {target:.2} at {TARGET}");
+    }
+    Ok(())
+}
+
+#[tokio::main]
+async fn main() -> ExitCode {
+    env_logger::init();
+    let args: Vec<String> = std::env::args().skip(1).collect();
+    match run(&args).await {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("cost: {error}");
+            ExitCode::FAILURE
+        }
+    }
+}
--- /dev/null
+++ b/crates/testkit/src/cost/fleet.rs
@@ -0,0 +1,123 @@
+//! Starts an idle fleet, measures it and kills one of its VMs.
+
+use std::{
+    collections::BTreeMap,
+    time::{Duration, Instant},
+};
+
+use cassialift_wire::operator::{COUNTERS_PATH, Counters, STATUS_PATH, Status};
+
+use super::{
+    Cost,
+    process::{Usage, usage},
+};
+use crate::harness::{Fleet, FleetSettings, HarnessError, Signal};
+
+/// The data centres of a fleet.
+const CENTRES: usize = 4;
+/// The slots of each backend server.
+const SLOTS: u32 = 2;
+
+/// How a fleet is measured.
+#[derive(Clone, Copy, Debug)]
+pub struct CostSettings {
+    /// The processes of the fleet, a multiple of four.
+    pub size: usize,
+    /// The backend servers for each process.
+    pub servers: usize,
+    /// How long the idle fleet is measured.
+    pub window: Duration,
+}
+
+impl Default for CostSettings {
+    fn default() -> Self {
+        Self {
+            size: 8,
+            servers: 5,
+            window: Duration::from_secs(20),
+        }
+    }
+}
+
+/// Measures one fleet.
+///
+/// # Errors
+/// Returns what could not be started or asked.
+pub async fn run(settings: CostSettings) -> Result<Cost, HarnessError> {
+    let mut fleet = Fleet::start(FleetSettings {
+        vms: vec![settings.size / CENTRES; CENTRES],
+        servers: settings.size * settings.servers,
+        slots: SLOTS,
+        ..FleetSettings::default()
+    })
+    .await?;
+    let all: Vec<usize> = (0..settings.size).collect();
+    wait_whole(&fleet, &all).await?;
+    // Long enough for handovers to processes that started last to be over.
+    tokio::time::sleep(Duration::from_secs(5)).await;
+    wait_whole(&fleet, &all).await?;
+    let (before, started) = (sum(&fleet, &all).await?, Instant::now());
+    tokio::time::sleep(settings.window).await;
+    let (after, took) = (sum(&fleet, &all).await?, started.elapsed().as_secs_f64());
+    let count = f64::from(u32::try_from(settings.size).unwrap_or(u32::MAX));
+    let processor = after.usage.processor.saturating_sub(before.usage.processor);
+    let killed = Instant::now();
+    fleet.signal(0, Signal::Kill)?;
+    wait_whole(&fleet, &all[1..]).await?;
+    Ok(Cost {
+        size: settings.size,
+        bytes: number(after.bytes - before.bytes) / took / count,
+        processor: processor.as_secs_f64() / took / count,
+        memory: number(after.usage.memory) / count,
+        takeover: killed.elapsed(),
+    })
+}
+
+#[derive(Clone, Copy, Debug, Default)]
+struct Sum {
+    bytes: u64,
+    usage: Usage,
+}
+
+async fn sum(fleet: &Fleet, vms: &[usize]) -> Result<Sum, HarnessError> {
+    let mut sum = Sum::default();
+    for vm in vms {
+        let page: Counters = fleet.get(*vm, COUNTERS_PATH).await?.parse()?;
+        let peers = page.counters.iter();
+        let bytes =
+            peers.filter(|(name, _)| name.starts_with("peers.") && name.ends_with("_bytes"));
+        sum.bytes += bytes.map(|(_, count)| count).sum::<u64>();
+        if let Some(pid) = fleet.pid(*vm) {
+            let usage = usage(pid)?;
+            sum.usage.processor += usage.processor;
+            sum.usage.memory += usage.memory;
+        }
+    }
+    Ok(sum)
+}
+
+/// Waits until each backend server is used in full by exactly one of the VMs.
+async fn wait_whole(fleet: &Fleet, vms: &[usize]) -> Result<(), HarnessError> {
+    let whole = async || is_whole(fleet, vms).await.unwrap_or(false);
+    fleet.wait_for("one owner for each server", whole).await
+}
+
+async fn is_whole(fleet: &Fleet, vms: &[usize]) -> Result<bool, HarnessError> {
+    let mut used: BTreeMap<String, Vec<u32>> = BTreeMap::new();
+    for vm in vms {
+        let page: Status = fleet.get(*vm, STATUS_PATH).await?.parse()?;
+        for server in page.servers {
+            let entry = used.entry(server.server).or_default();
+            if server.slots > 0 {
+                entry.push(server.slots);
+            }
+        }
+    }
+    Ok(!used.is_empty() && used.values().all(|slots| slots[..] == [SLOTS]))
+}
+
+fn number(value: u64) -> f64 {
+    #[expect(clippy::cast_precision_loss, reason = "counts stay far below 2^52")]
+    let value = value as f64;
+    value
+}
--- /dev/null
+++ b/crates/testkit/src/cost/report.rs
@@ -0,0 +1,49 @@
+//! What was measured, and the line through it.
+
+use std::{fmt, time::Duration};
+
+/// What one process of a fleet of `size` spent on control, on the mean of all.
+#[derive(Clone, Copy, Debug)]
+pub struct Cost {
+    /// The processes of the fleet.
+    pub size: usize,
+    /// Bytes a second sent to and received from peers.
+    pub bytes: f64,
+    /// The share of one core, 0 to 1.
+    pub processor: f64,
+    /// Resident memory, bytes.
+    pub memory: f64,
+    /// From the kill of a VM until other VMs used all its backend servers in full.
+    pub takeover: Duration,
+}
+
+impl fmt::Display for Cost {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(
+            f,
+            "| {} | {:.0} | {:.2} | {:.1} | {:.2} |",
+            self.size,
+            self.bytes,
+            self.processor * 100.0,
+            self.memory / 1_048_576.0,
+            self.takeover.as_secs_f64(),
+        )
+    }
+}
+
+/// Returns slope and value at zero of the line of least squares through the costs.
+#[must_use]
+pub fn slope(costs: &[Cost], value: impl Fn(&Cost) -> f64) -> (f64, f64) {
+    let (mut count, mut x, mut y, mut xx, mut xy) = (0.0, 0.0, 0.0, 0.0, 0.0);
+    for cost in costs {
+        let size = f64::from(u32::try_from(cost.size).unwrap_or(u32::MAX));
+        let measured = value(cost);
+        count += 1.0;
+        x += size;
+        y += measured;
+        xx += size * size;
+        xy += size * measured;
+    }
+    let slope = (count * xy - x * y) / (count * xx - x * x);
+    (slope, (y - slope * x) / count)
+}
--- a/crates/testkit/src/lib.rs
+++ b/crates/testkit/src/lib.rs
@@ -1,7 +1,8 @@
-//! Stand-ins, process harness, histories and load for testing cassialift; never shipped.
+//! Stand-ins, process harness, histories, load and cost for testing cassialift; never shipped.
 
 pub mod client;
 pub mod config_spread;
+pub mod cost;
 pub mod demo;
 pub mod faults;
 pub mod harness;
