owner: warm standbys, health replies that say leaving

A standby has a share of connections and no slots; its gate dropped all connections without slots, so that a takeover opened them anew. It now keeps half as many as the server has slots.

The owner asks each backend server for its health every 700 ms, on an idle connection only: opening one for it took the connection of a call in a test. Only 'leaving' is taken from the reply; everything else may mislead.

--- a/crates/server/src/owner/cancel.rs
+++ b/crates/server/src/owner/cancel.rs
@@ -5,6 +5,7 @@
 use bytes::Bytes;
 use cassialift_core::ids::{AttemptId, RequestKey};
 use cassialift_wire::backend::{CANCEL_PATH, CancelRequest};
+use hyper::Method;
 
 use super::{
     counters::OwnerCounter,
@@ -36,6 +37,7 @@
     let body = serde_json::to_vec(&CancelRequest { request, attempt })
         .expect("a cancellation of numbers is valid JSON");
     let cancellation = Exchange {
+        method: Method::POST,
         path: CANCEL_PATH,
         body: Bytes::from(body),
         deadline: Instant::now() + server.settings.cancel.0,
--- a/crates/server/src/owner/counters.rs
+++ b/crates/server/src/owner/counters.rs
@@ -29,6 +29,10 @@
     CancelSkipped,
     /// Calls whose time ran out before they were sent.
     Expired,
+    /// Questions for a backend server's health.
+    HealthAsked,
+    /// Replies to them that said the backend server is leaving.
+    HealthLeaving,
 }
 
 impl OwnerCounter {
@@ -47,6 +51,8 @@
             Self::CancelSent => "owner.cancel.sent",
             Self::CancelSkipped => "owner.cancel.skipped",
             Self::Expired => "owner.refused.expired",
+            Self::HealthAsked => "owner.health.asked",
+            Self::HealthLeaving => "owner.health.leaving",
         }
     }
 
--- a/crates/server/src/owner/exchange.rs
+++ b/crates/server/src/owner/exchange.rs
@@ -6,7 +6,7 @@
 use displaydoc::Display;
 use http_body_util::BodyExt;
 use hyper::{
-    Request, Response,
+    Method, Request, Response,
     body::Incoming,
     header::{CONTENT_TYPE, HOST},
 };
@@ -37,6 +37,8 @@
 /// A request for one exchange.
 #[derive(Debug)]
 pub(super) struct Exchange {
+    /// The method.
+    pub(super) method: Method,
     /// The path.
     pub(super) path: &'static str,
     /// The body.
@@ -58,6 +60,7 @@
 /// On an error the lane must not be used again.
 pub(super) async fn exchange(lane: &mut Lane, exchange: Exchange) -> Result<Bytes, ExchangeError> {
     let Exchange {
+        method,
         path,
         body,
         deadline,
@@ -70,7 +73,7 @@
         return Err(unsent(&mark));
     }
     let body = CallBody::new(body, deadline, Arc::clone(&mark));
-    let request = build(lane.address, path, body);
+    let request = build(lane.address, method, path, body);
     let sent = lane.sender.try_send_request(request).await;
     if mark.state() == SendState::Sent {
         counter.add(&metrics);
@@ -81,8 +84,15 @@
     read(response, limit).await
 }
 
-fn build(address: SocketAddr, path: &'static str, body: CallBody) -> Request<CallBody> {
-    Request::post(path)
+fn build(
+    address: SocketAddr,
+    method: Method,
+    path: &'static str,
+    body: CallBody,
+) -> Request<CallBody> {
+    Request::builder()
+        .method(method)
+        .uri(path)
         .header(HOST, address.to_string())
         .header(CONTENT_TYPE, "application/json")
         .body(body)
--- a/crates/server/src/owner/gate.rs
+++ b/crates/server/src/owner/gate.rs
@@ -15,6 +15,10 @@
 
 use super::{lane::Lane, queue::WaitQueue};
 
+/// The time between two questions for a backend server's health; shorter than the time that a
+/// server which said it is leaving is sent nothing.
+const HEALTH_PERIOD: Duration = Duration::from_millis(700);
+
 /// What a view grants this process of one backend server.
 #[derive(Clone, Debug)]
 pub(super) struct Share {
@@ -24,6 +28,8 @@
     pub(super) slots: u32,
     /// The connections that this process may hold to it.
     pub(super) connections: u32,
+    /// The connections to open in advance; a standby keeps them without slots.
+    pub(super) warm: u32,
     /// The instant from which on no call may be started without a newer share.
     pub(super) until: Option<Instant>,
     /// Whether the backend server is leaving.
@@ -34,6 +40,13 @@
     pub(super) policy: QueuePolicy,
 }
 
+impl Share {
+    /// Returns whether this process may hold connections to the backend server.
+    pub(super) const fn is_some(&self) -> bool {
+        self.slots > 0 || self.connections > 0
+    }
+}
+
 /// The state of one backend server's gate.
 ///
 /// The number of open sockets counts those that are being opened and those that are being closed.
@@ -48,6 +61,7 @@
     pub(super) load: ServerLoad,
     pub(super) held: Option<Instant>,
     pub(super) warm_after: Option<Instant>,
+    checked: Instant,
     limit: Limit,
     service: MovingAverage,
 }
@@ -75,6 +89,7 @@
             load: ServerLoad::default(),
             held: None,
             warm_after: None,
+            checked: now,
             service: MovingAverage::default(),
         }
     }
@@ -130,7 +145,7 @@
 
     /// Keeps a lane for later use, or drops it when the share shrank or the server moved.
     pub(super) fn put_idle(&mut self, lane: Lane) {
-        let fits = self.open <= self.share.connections && self.share.slots > 0;
+        let fits = self.open <= self.share.connections;
         if fits && !lane.is_closed() && lane.address == self.share.address {
             self.idle.push_back(lane);
         }
@@ -142,23 +157,29 @@
         self.idle
             .retain(|lane| !lane.is_closed() && lane.address == address);
         let excess = self.open.saturating_sub(self.share.connections) as usize;
-        let dropped = if self.share.slots == 0 {
-            self.idle.len()
-        } else {
-            excess.min(self.idle.len())
-        };
-        self.idle.drain(..dropped);
+        self.idle.drain(..excess.min(self.idle.len()));
     }
 
     /// Returns how many connections are to be opened in advance.
     pub(super) fn missing_warm(&self, now: Instant) -> u32 {
-        if self.warm_after.is_some_and(|after| now < after) {
+        let held = self.held.is_some_and(|until| now < until);
+        if held || self.share.leaving || self.warm_after.is_some_and(|after| now < after) {
             return 0;
         }
-        let wanted = self.share.slots.min(self.share.connections);
+        let wanted = self.share.warm.min(self.share.connections);
         wanted.saturating_sub(self.open)
     }
 
+    /// Returns whether the server's health is to be asked now, and notes that it is.
+    pub(super) fn take_check(&mut self, now: Instant) -> bool {
+        let due = now.saturating_duration_since(self.checked) >= HEALTH_PERIOD;
+        if self.share.slots == 0 || !due {
+            return false;
+        }
+        self.checked = now;
+        true
+    }
+
     /// Takes over a new share.
     pub(super) fn set_share(&mut self, share: Share) {
         if self.share.address != share.address {
--- a/crates/server/src/owner/run.rs
+++ b/crates/server/src/owner/run.rs
@@ -11,6 +11,7 @@
     backend::{RUN_PATH, RunOutcome, RunRefusal, RunReply, RunRequest},
     peer::{CallFailure, CallRefusal, CallResult, ShardCall},
 };
+use hyper::Method;
 
 use super::{
     counters::OwnerCounter,
@@ -121,6 +122,7 @@
         let body =
             serde_json::to_vec(&request).expect("a request of strings and numbers is valid JSON");
         Some(Exchange {
+            method: Method::POST,
             path: RUN_PATH,
             body: Bytes::from(body),
             deadline: self
--- a/crates/server/src/owner/server.rs
+++ b/crates/server/src/owner/server.rs
@@ -20,6 +20,7 @@
 
 use super::{
     gate::{Gate, Passage, Share},
+    health,
     lane::Lane,
     settings::OwnerSettings,
 };
@@ -87,15 +88,18 @@
     /// Applies a new share: refuses the queue when the server is lost, opens connections else.
     pub(super) fn apply(self: &Arc<Self>, share: Share) {
         let now = Instant::now();
-        let (refused, warm) = {
+        let (refused, warm, check) = {
             let mut gate = self.lock();
             gate.set_share(share);
             gate.trim_idle();
-            match gate.refusal(now) {
-                Some(refusal) => (Some((gate.queue.drain(), refusal)), 0),
-                None => (None, gate.missing_warm(now)),
-            }
+            let refused = gate
+                .refusal(now)
+                .map(|refusal| (gate.queue.drain(), refusal));
+            (refused, gate.missing_warm(now), gate.take_check(now))
         };
+        if check {
+            self.handle.spawn(health::check(Arc::clone(self)));
+        }
         if let Some((waiters, refusal)) = refused {
             refuse_all(waiters, &refusal);
         }
@@ -192,6 +196,11 @@
         }
     }
 
+    /// Takes an idle lane.
+    pub(super) fn take_idle(&self) -> Option<Lane> {
+        self.lock().take_idle()
+    }
+
     /// Takes an idle lane or leave to open a connection, without a slot.
     pub(super) fn side_passage(self: &Arc<Self>) -> Option<Result<Lane, OpenPermit>> {
         let mut gate = self.lock();
--- a/crates/server/src/owner/service.rs
+++ b/crates/server/src/owner/service.rs
@@ -70,13 +70,13 @@
         entries.update(view.config.as_ref());
         let mut shares = self.shares(view, &entries);
         let mut servers = Servers::clone(&self.servers.load());
-        let owned = |id: &ServerId| shares.get(id).is_some_and(|share| share.slots > 0);
+        let owned = |id: &ServerId| shares.get(id).is_some_and(Share::is_some);
         servers.retain(|id, server| owned(id) || !server.is_unused());
         for (id, server) in &servers {
             let share = shares.remove(id);
             server.apply(share.unwrap_or_else(|| lost(server.address(), view, id)));
         }
-        shares.retain(|_, share| share.slots > 0);
+        shares.retain(|_, share| share.is_some());
         for (id, share) in shares {
             let server = Arc::new(self.server(share.clone()));
             server.apply(share);
@@ -139,7 +139,7 @@
         let wanted = view
             .owners
             .iter()
-            .filter(|(id, owner)| owner.slots > 0 || servers.contains_key(*id));
+            .filter(|(id, owner)| owner.connections > 0 || servers.contains_key(*id));
         let policy = view
             .config
             .as_ref()
@@ -269,6 +269,12 @@
         address: entry.address,
         slots: owner.slots.min(entry.slots),
         connections: owner.connections.min(entry.connections),
+        warm: if owner.slots > 0 {
+            owner.slots
+        } else {
+            // What a standby may use once its promise has lapsed.
+            entry.slots.div_ceil(2)
+        },
         until: owner.until,
         leaving: entry.state == ServerState::Leaving,
         owner: owner.owner.clone(),
@@ -283,6 +289,7 @@
         address,
         slots: 0,
         connections: 0,
+        warm: 0,
         until: None,
         leaving: true,
         owner,
--- a/crates/server/tests/owner_edge.rs
+++ b/crates/server/tests/owner_edge.rs
@@ -14,7 +14,7 @@
     time::Millis,
 };
 use cassialift_wire::{
-    backend::RunRefusal,
+    backend::{HealthState, RunRefusal},
     peer::{CallFailure, CallRefusal, CallResult, ShardCall, ShardReply},
 };
 use owner_support::{Backend, Behaviour, SERVER, call, owner, view, wait_until};
@@ -275,6 +275,40 @@
     .await;
 }
 
+#[tokio::test]
+async fn test_leaving_health_reply_stops_new_work() {
+    let backend = Backend::start(Behaviour::Answer).await;
+    *backend.health.lock().unwrap() = HealthState::Leaving;
+    let (owner, metrics) = owner(settings());
+    let shares = view(backend.address, 1, 2);
+    let told = || metrics.snapshot().contains_key("owner.health.leaving");
+    wait_until("the reply", || {
+        owner.apply(&shares);
+        told()
+    })
+    .await;
+    owner.apply(&shares);
+    let reply = owner.call(call(1, RequestKind::WideSearch)).await;
+    assert_eq!(reply.result, CallResult::NotRun(CallRefusal::Leaving));
+    assert_eq!(backend.seen(1), 0);
+}
+
+#[tokio::test]
+async fn test_standby_keeps_warm_connections_and_runs_nothing() {
+    let backend = Backend::start(Behaviour::Answer).await;
+    let (owner, _metrics) = owner(settings());
+    let mut shares = view(backend.address, 2, 4);
+    shares.owners.get_mut(SERVER).unwrap().slots = 0;
+    owner.apply(&shares);
+    wait_until("a warm connection", || owner.usage(SERVER) == Some((0, 1))).await;
+    let reply = owner.call(call(1, RequestKind::WideSearch)).await;
+    assert!(matches!(
+        reply.result,
+        CallResult::NotRun(CallRefusal::NotOwner { .. })
+    ));
+    assert_eq!(backend.seen(1), 0);
+}
+
 #[tokio::test]
 async fn test_apply_leaving_server_gets_nothing() {
     let backend = Backend::start(Behaviour::Answer).await;
--- a/crates/server/tests/owner_support/mod.rs
+++ b/crates/server/tests/owner_support/mod.rs
@@ -24,8 +24,8 @@
 };
 use cassialift_wire::{
     backend::{
-        CANCEL_PATH, CancelReply, CancelRequest, Row, RunOutcome, RunRefusal, RunReply, RunRequest,
-        ServerLoad,
+        CANCEL_PATH, CancelReply, CancelRequest, HEALTH_PATH, HealthReply, HealthState, Row,
+        RunOutcome, RunRefusal, RunReply, RunRequest, ServerLoad,
     },
     peer::ShardCall,
 };
@@ -68,6 +68,7 @@
 pub(crate) struct Backend {
     pub(crate) address: SocketAddr,
     pub(crate) behaviour: Mutex<Behaviour>,
+    pub(crate) health: Mutex<HealthState>,
     pub(crate) runs: Mutex<Vec<RunRequest>>,
     pub(crate) cancels: Mutex<Vec<CancelRequest>>,
     pub(crate) release: Notify,
@@ -87,6 +88,7 @@
             cancels: Mutex::default(),
             release: Notify::new(),
             connections: AtomicUsize::new(0),
+            health: Mutex::new(HealthState::Ready),
             peak: AtomicUsize::new(0),
             running: AtomicUsize::new(0),
             busiest: AtomicUsize::new(0),
@@ -116,10 +118,10 @@
         let open = self.connections.fetch_add(1, Ordering::SeqCst) + 1;
         self.peak.fetch_max(open, Ordering::SeqCst);
         while let Some((path, body)) = read_request(&mut stream).await {
-            let done = if path == CANCEL_PATH {
-                self.cancel(&mut stream, &body).await
-            } else {
-                self.run(&mut stream, &body).await
+            let done = match &*path {
+                CANCEL_PATH => self.cancel(&mut stream, &body).await,
+                HEALTH_PATH => self.health(&mut stream).await,
+                _ => self.run(&mut stream, &body).await,
             };
             if done.is_none() {
                 break;
@@ -134,6 +136,12 @@
         write_reply(stream, &CancelReply { stopped: true }).await
     }
 
+    async fn health(&self, stream: &mut TcpStream) -> Option<()> {
+        let state = *self.health.lock().unwrap();
+        let load = ServerLoad::default();
+        write_reply(stream, &HealthReply { state, load }).await
+    }
+
     async fn run(&self, stream: &mut TcpStream, body: &[u8]) -> Option<()> {
         let request: RunRequest = serde_json::from_slice(body).unwrap();
         self.runs.lock().unwrap().push(request.clone());
