fleet: no calls to a VM that does not know the others yet

A process now says that it can serve once every known process was heard or failed to answer, and ranks are computed together with the configuration. A change of membership or ownership is published at once, not at the next tick.

A shard call that finds a server changing hands looks once more after 60 ms; each hop carries the time that is left, not the time at the first one.

An offer in an answer that a later ask overtook was dropped, which left a server without user until the next ask; it counts unless the asker gave the role up since.

--- a/crates/core/src/fleet/node.rs
+++ b/crates/core/src/fleet/node.rs
@@ -20,6 +20,7 @@
 use crate::{
     ids::{DataCentre, VmId},
     index::ServerEntry,
+    view::Reach,
 };
 
 /// Periods and bounds of a process's part in the fleet.
@@ -80,6 +81,7 @@
     settings: NodeSettings,
     load: u32,
     serving: bool,
+    aware: bool,
     started: Instant,
     ready: Option<Instant>,
     beaten: BTreeMap<VmId, Instant>,
@@ -98,6 +100,7 @@
             settings,
             load: 0,
             serving: false,
+            aware: false,
             started: now,
             ready: None,
             beaten: BTreeMap::new(),
@@ -128,7 +131,8 @@
         self.refresh(now);
     }
 
-    /// Takes in the backend servers of the configuration in force; from then on it can serve.
+    /// Takes in the backend servers of the configuration in force; from then on it can serve, once
+    /// it knows the other processes.
     pub fn set_servers<'a>(&mut self, servers: impl Iterator<Item = &'a ServerEntry>) {
         self.ownership.set_servers(servers);
         self.serving = true;
@@ -139,7 +143,7 @@
     pub fn status(&self) -> Status {
         Status {
             leaving: self.members.is_leaving(),
-            serving: self.serving,
+            serving: self.serving && self.aware,
             load: self.load,
         }
     }
@@ -162,6 +166,7 @@
             self.ready.get_or_insert(now);
         }
         let mut orders = self.members.tick(now);
+        self.aware |= self.is_aware(now);
         self.refresh(now);
         self.ownership.tick(now);
         let mut pings: BTreeSet<_> = orders.pings.drain(..).collect();
@@ -172,6 +177,14 @@
         orders
     }
 
+    /// Returns whether every process that is known of has been heard or has failed to answer, or
+    /// enough time has passed for that.
+    fn is_aware(&self, now: Instant) -> bool {
+        let mut others = self.members.iter();
+        let heard = others.all(|(_, member)| member.reach != Reach::Unknown);
+        self.ready.is_some() && heard || self.is_settled(self.ready, now)
+    }
+
     fn is_due(&self, vm: &VmId, now: Instant) -> bool {
         let urgent = self.ownership.is_urgent(vm);
         urgent
--- a/crates/core/src/fleet/ownership/exchange.rs
+++ b/crates/core/src/fleet/ownership/exchange.rs
@@ -236,8 +236,8 @@
             self.accept_claim(from, *key, denied, sent, now);
         }
         for key in &answer.stands {
-            if latest && !ask.holds.contains(key) {
-                self.accept_offer(from, *key, sent, now);
+            if !ask.holds.contains(key) {
+                self.accept_offer(from, *key, latest, sent, now);
             }
         }
     }
@@ -313,9 +313,17 @@
     }
 
     /// Becomes owner of a server that `from` says it is only the standby for.
-    fn accept_offer(&mut self, from: &Holder, key: ServerKey, sent: Instant, now: Instant) {
-        // The offering process keeps its role for at least this long after it answered.
-        if now.saturating_duration_since(sent) >= self.settings.window {
+    fn accept_offer(
+        &mut self,
+        from: &Holder,
+        key: ServerKey,
+        latest: bool,
+        sent: Instant,
+        now: Instant,
+    ) {
+        // The offering process keeps others out for at least this long after it answered.
+        let window = self.settings.window;
+        if now.saturating_duration_since(sent) >= window {
             return;
         }
         let Some(row) = self.rows.get_mut(&key) else {
@@ -326,7 +334,9 @@
             Role::Owner { .. } => false,
             Role::Standby { owner, .. } => owner == from,
         };
-        if !free {
+        // An overtaken answer may speak of a role that was given up since.
+        let outdated = !latest && row.role.vacated_within(window, now);
+        if !free || outdated {
             return;
         }
         // The offering process may use its half already, so that the lease starts out lapsed.
--- a/crates/core/src/fleet/ownership/system.rs
+++ b/crates/core/src/fleet/ownership/system.rs
@@ -77,6 +77,7 @@
             self.rows.insert(key, row);
         }
         self.stale = true;
+        self.update_targets();
     }
 
     /// Takes in the other processes as membership sees them, and the state of this one.
--- a/crates/server/src/control/fleet.rs
+++ b/crates/server/src/control/fleet.rs
@@ -54,6 +54,7 @@
     config: Option<Arc<ConfigView>>,
     journal: Arc<Journal>,
     metrics: Arc<Metrics>,
+    changed: bool,
 }
 
 impl FleetPart {
@@ -69,6 +70,7 @@
             config: None,
             journal,
             metrics,
+            changed: false,
         }
     }
 
@@ -154,6 +156,11 @@
         usable.map(|(vm, _)| VmId::clone(vm)).collect()
     }
 
+    /// Returns whether anything changed since the last call that traffic should know at once.
+    pub(super) fn take_changed(&mut self) -> bool {
+        std::mem::take(&mut self.changed)
+    }
+
     /// Computes the view to publish.
     pub(super) fn view(&self, now: Instant) -> FleetView {
         fleet_view::build(&self.node, self.config.as_ref(), now)
@@ -161,6 +168,7 @@
 
     fn report(&mut self) {
         let (members, ownership) = self.node.take_events();
+        self.changed |= !members.is_empty() || !ownership.is_empty();
         for event in members {
             self.report_member(&event);
         }
--- a/crates/server/src/control/thread.rs
+++ b/crates/server/src/control/thread.rs
@@ -22,7 +22,7 @@
     journal::Journal,
     metrics::Metrics,
     owner::Owner,
-    peers::PeerTable,
+    peers::{PeerTable, Traffic},
     platform::PlatformClient,
     process::{Drain, ProcessError},
     timer::Timer,
@@ -50,6 +50,8 @@
     pub drain: Arc<Drain>,
     /// The edge to backend servers, which takes over the shares of each view.
     pub owner: Arc<Owner>,
+    /// Counts the bytes between this process and its peers.
+    pub traffic: Arc<Traffic>,
     /// The counters.
     pub metrics: Arc<Metrics>,
     /// The journal.
@@ -81,8 +83,10 @@
         fleet,
         config,
         drain: input.drain,
-        peers: Arc::default(),
         owner: input.owner,
+        peers: Arc::new(PeerTable::new(Arc::clone(&input.traffic))),
+        traffic: input.traffic,
+        metrics: Arc::clone(&input.metrics),
         handle: handle.clone(),
     };
     let spawned = thread::Builder::new()
@@ -127,6 +131,8 @@
     fleet: FleetPart,
     config: ConfigPart,
     drain: Arc<Drain>,
+    traffic: Arc<Traffic>,
+    metrics: Arc<Metrics>,
     peers: Arc<PeerTable>,
     owner: Arc<Owner>,
     handle: ControlHandle,
@@ -135,6 +141,7 @@
 impl Parts {
     fn tick(&mut self, now: Instant) {
         self.fleet.set_load(self.drain.running());
+        self.traffic.report(&self.metrics);
         let orders = self.fleet.tick(now);
         self.config.tick(now);
         self.publish(now);
@@ -165,6 +172,9 @@
                 self.publish(now);
             }
         }
+        if self.fleet.take_changed() {
+            self.publish(now);
+        }
     }
 
     fn ping(&mut self, ping: Ping, now: Instant) -> PingReply {
--- a/crates/server/src/process/node.rs
+++ b/crates/server/src/process/node.rs
@@ -1,8 +1,11 @@
 //! What the parts of one process share.
 
-use std::sync::{
-    Arc,
-    atomic::{AtomicU64, Ordering},
+use std::{
+    sync::{
+        Arc,
+        atomic::{AtomicU64, Ordering},
+    },
+    time::{Duration, Instant},
 };
 
 use cassialift_core::{
@@ -25,6 +28,9 @@
     timer::Timer,
 };
 
+/// How long to wait for a backend server that is changing hands.
+const HANDOVER_PAUSE: Duration = Duration::from_millis(60);
+
 /// The most VMs that one shard call is sent to in search of the owner.
 const MAX_HOPS: usize = 3;
 
@@ -59,6 +65,7 @@
         metrics: Arc<Metrics>,
         journal: Arc<Journal>,
         owner: Arc<Owner>,
+        peers: PeerTable,
         drain: Arc<Drain>,
     ) -> Self {
         Self {
@@ -68,7 +75,7 @@
             metrics,
             journal,
             owner,
-            peers: PeerTable::default(),
+            peers,
             drain,
             sequence: AtomicU64::new(0),
         }
@@ -86,7 +93,8 @@
     /// Sends a shard call to the owner of its backend server, in this process or another.
     ///
     /// A VM that says that it does not own the server, or that could not be sent to, did not run
-    /// the call, so that it goes on to the owner that was named, or else to the standby.
+    /// the call, so that it goes on to the owner that was named, or else to the standby. While the
+    /// server changes hands nobody owns it for a moment; the newest view is then tried once more.
     ///
     /// # Errors
     /// Returns why there is no reply.
@@ -94,15 +102,37 @@
         &self,
         view: &FleetView,
         call: ShardCall,
+    ) -> Result<ShardReply, CallError> {
+        let deadline = Timer.now() + call.remaining.0;
+        let result = self.search_owner(view, &call, deadline).await;
+        let again = Timer.now() + HANDOVER_PAUSE;
+        if matches!(turn(&result), Turn::Back) || again >= deadline {
+            return result;
+        }
+        Timer.at(again).await;
+        self.metrics.count("entry.owner_searched_again");
+        self.search_owner(&self.control.pin(), &call, deadline)
+            .await
+    }
+
+    async fn search_owner(
+        &self,
+        view: &FleetView,
+        call: &ShardCall,
+        deadline: Instant,
     ) -> Result<ShardReply, CallError> {
         let Some(known) = view.owners.get(&call.server) else {
             return Err(CallError::NoOwner);
         };
-        let mut next = known.owner.clone();
+        let mut next = known.owner.clone().or_else(|| known.standby.clone());
         let mut asked: Vec<VmId> = Vec::new();
         let mut result = Err(CallError::NoOwner);
         while let Some(vm) = next.filter(|vm| asked.len() < MAX_HOPS && !asked.contains(vm)) {
-            result = self.call_owner(view, &vm, call.clone()).await;
+            let call = ShardCall {
+                remaining: deadline.saturating_duration_since(Timer.now()).into(),
+                ..call.clone()
+            };
+            result = self.call_owner(view, &vm, call).await;
             let Turn::Elsewhere(named) = turn(&result) else {
                 return result;
             };
@@ -151,7 +181,8 @@
             CallResult::Done { .. } | CallResult::NotRun(_) | CallResult::Unknown(_) => Turn::Back,
         },
         Err(CallError::Peer(error)) if error.is_unsent() => Turn::Elsewhere(None),
-        Err(_) => Turn::Back,
+        Err(CallError::NoOwner) => Turn::Elsewhere(None),
+        Err(CallError::Peer(_)) => Turn::Back,
     }
 }
 
