--- a/crates/testkit/src/lib.rs
+++ b/crates/testkit/src/lib.rs
@@ -1,8 +1,9 @@
-//! Stand-ins, process harness, histories and load for testing cassialift; never shipped.
+//! Stand-ins, process harness, histories, load and cost for testing cassialift; never shipped.
 
 pub mod capacity;
 pub mod client;
 pub mod config_spread;
+pub mod cost;
 pub mod demo;
 pub mod faults;
 pub mod harness;
