--- a/crates/testkit/src/capacity/fleet.rs
+++ b/crates/testkit/src/capacity/fleet.rs
@@ -24,7 +24,7 @@
 /// The time between two ticks.
 const TICK: Duration = Duration::from_millis(50);
 /// The simulated time before the measurement.
-const WARM_UP: Duration = Duration::from_secs(120);
+const WARM_UP: Duration = Duration::from_mins(2);
 /// The simulated time of the measurement.
 const SPAN: Duration = Duration::from_secs(30);
 
