--- a/crates/core/src/policy/gather/recover.rs
+++ b/crates/core/src/policy/gather/recover.rs
@@ -17,7 +17,9 @@
 
 /// The wait before replicas that all failed are tried again, as a share of the time left.
 const ROUND_PAUSE: f64 = 0.05;
-/// The longest such wait.
+/// The least wait before a hedge is tried again that found its replica busy.
+const HEDGE_PAUSE: Duration = Duration::from_millis(1);
+/// The longest wait before replicas that all failed are tried again.
 const ROUND_PAUSE_MAX: Duration = Duration::from_millis(50);
 
 impl Gather {
@@ -72,6 +74,10 @@
             self.pause(index, reason, context);
             return;
         }
+        if is_shed(reason) && self.is_crowded(index, context) {
+            self.give_up(index, MissingReason::Busy);
+            return;
+        }
         if !context.tables.retrier.allow() {
             self.give_up(index, MissingReason::Budget);
             return;
@@ -82,6 +88,16 @@
         }
     }
 
+    /// Returns whether the entry is overloaded and calls wait for each untried replica.
+    fn is_crowded(&self, index: usize, context: &Context<'_>) -> bool {
+        let (tables, now) = (&context.tables, context.now);
+        let shard = &self.shards[index];
+        let mut untried = shard.target.replicas.iter();
+        tables.admission.in_overload(now)
+            && untried
+                .all(|server| shard.tried.contains(server) || tables.replicas.is_busy(server, now))
+    }
+
     /// Opens another round over the replicas, unless they are all in bad standing.
     fn pause(&mut self, index: usize, reason: RetryReason, context: &Context<'_>) {
         let left = self.spec.deadline.saturating_duration_since(context.now);
@@ -165,9 +181,15 @@
         if !context.tables.hedger.allow() {
             return;
         }
-        if !self.send(index, AttemptCause::Hedge, context, actions) {
-            context.tables.hedger.refund();
+        if self.send(index, AttemptCause::Hedge, context, actions) {
+            return;
         }
+        // The other replica is busy now; it may have time before this call gets its reply.
+        context.tables.hedger.refund();
+        let hedger = &context.tables.hedger;
+        let delay = hedger.delay(&self.spec.service, self.spec.kind, &self.spec.hedge);
+        let again = delay.map(|delay| context.now + (delay / 2).max(HEDGE_PAUSE));
+        self.shards[index].hedge_at = again;
     }
 
     /// Gives up shards whose replicas are all in bad standing once their calls are long overdue.
@@ -195,6 +217,14 @@
     }
 }
 
+/// Returns whether a reason tells of too much load, which a retry would add to.
+const fn is_shed(reason: RetryReason) -> bool {
+    matches!(
+        reason,
+        RetryReason::QueueFull | RetryReason::Infeasible | RetryReason::Busy | RetryReason::Timeout
+    )
+}
+
 /// Returns an outcome as a failure: rows of another version count as that version's refusal.
 const fn as_failure(outcome: CallOutcome) -> CallOutcome {
     match outcome {
--- a/crates/core/src/policy/latency/average.rs
+++ b/crates/core/src/policy/latency/average.rs
@@ -2,21 +2,38 @@
 
 use std::time::Duration;
 
-/// The weight of a new sample once the average has settled.
+/// The weight of a new sample once a default average has settled.
 const SAMPLE_WEIGHT: f64 = 0.1;
 
 /// An exponentially weighted moving average; the first samples weigh more, so that it settles fast.
-#[derive(Clone, Copy, Debug, Default)]
+#[derive(Clone, Copy, Debug)]
 pub struct MovingAverage {
     value: Duration,
     samples: u32,
+    weight: f64,
+}
+
+impl Default for MovingAverage {
+    fn default() -> Self {
+        Self::new(SAMPLE_WEIGHT)
+    }
 }
 
 impl MovingAverage {
+    /// Makes an average in which a new sample has this weight, 0 to 1, once it has settled.
+    #[must_use]
+    pub const fn new(weight: f64) -> Self {
+        Self {
+            value: Duration::ZERO,
+            samples: 0,
+            weight,
+        }
+    }
+
     /// Adds a sample.
     pub fn add(&mut self, sample: Duration) {
         self.samples = self.samples.saturating_add(1);
-        let weight = SAMPLE_WEIGHT.max(1.0 / f64::from(self.samples));
+        let weight = self.weight.max(1.0 / f64::from(self.samples));
         self.value = self.value.mul_f64(1.0 - weight) + sample.mul_f64(weight);
     }
 
@@ -36,7 +53,7 @@
     }
 
     /// Forgets all samples.
-    pub fn reset(&mut self) {
-        *self = Self::default();
+    pub const fn reset(&mut self) {
+        *self = Self::new(self.weight);
     }
 }
--- a/crates/core/src/policy/latency/histogram.rs
+++ b/crates/core/src/policy/latency/histogram.rs
@@ -11,7 +11,7 @@
 /// The number of buckets.
 const BUCKETS: usize = (DOUBLINGS << SUB_BITS) as usize;
 /// The sample count at which all buckets are halved.
-const WINDOW_SAMPLES: u32 = 4_096;
+const WINDOW_SAMPLES: u32 = 1_024;
 
 /// A histogram with eight buckets a doubling, halved whenever its window is full.
 #[derive(Clone, Debug)]
--- a/crates/core/src/policy/limit.rs
+++ b/crates/core/src/policy/limit.rs
@@ -16,8 +16,10 @@
 const REST_MAX: Duration = Duration::from_secs(8);
 /// The factor over the lowest average service time from which latency counts as overload.
 const SLOW_FACTOR: f64 = 3.0;
+/// The weight of a call in the average service time; a noisy average has too low a floor.
+const SERVICE_WEIGHT: f64 = 0.02;
 /// The service times seen below which latency decides nothing.
-const SLOW_SAMPLES: u32 = 20;
+const SLOW_SAMPLES: u32 = 50;
 /// How fast the remembered lowest service time rises, a share a call.
 const FLOOR_RISE: f64 = 0.000_2;
 
@@ -44,7 +46,7 @@
         Self {
             slots,
             level: f64::from(slots),
-            service: MovingAverage::default(),
+            service: MovingAverage::new(SERVICE_WEIGHT),
             floor: None,
             updated: now,
             decreased: None,
@@ -76,7 +78,7 @@
         self.grow(now);
         match outcome {
             CallOutcome::Done(_) => self.on_service(service, now),
-            _ if outcome.is_shed() || outcome.is_fault() => self.decrease(now),
+            _ if outcome.is_shed() => self.decrease(now),
             CallOutcome::NotRun(_) | CallOutcome::Unknown(_) => {}
         }
     }
@@ -100,10 +102,12 @@
         let Some(average) = self.service.get() else {
             return;
         };
+        if self.service.samples() < SLOW_SAMPLES {
+            return;
+        }
         let floor = self.floor.map_or(average, |floor| floor.min(average));
         self.floor = Some(floor.mul_f64(1.0 + FLOOR_RISE));
-        let slow = average > floor.mul_f64(SLOW_FACTOR);
-        if slow && self.service.samples() >= SLOW_SAMPLES {
+        if average > floor.mul_f64(SLOW_FACTOR) {
             self.decrease(now);
         }
     }
@@ -113,7 +117,10 @@
             if now.saturating_duration_since(at) < DECREASE_PAUSE {
                 return;
             }
-            self.rest = (self.rest * 2).min(REST_MAX);
+            // Only a growth that proved too much is answered by a longer rest.
+            if now > at + self.rest {
+                self.rest = (self.rest * 2).min(REST_MAX);
+            }
         }
         self.decreased = Some(now);
         self.level = (self.level * DECREASE).max(1.0);
--- a/crates/core/src/policy/replica/choose.rs
+++ b/crates/core/src/policy/replica/choose.rs
@@ -55,10 +55,17 @@
                 least_bad: true,
             });
         }
+        // A replica that returns is spared only while the others have time for its calls.
+        let full = |server: &&ServerId| self.ramp(server, now) >= 1.0;
+        let spare = sound
+            .iter()
+            .copied()
+            .filter(full)
+            .any(|server| !self.is_busy(server, now));
         let ramped: Vec<_> = sound
             .iter()
             .copied()
-            .filter(|server| rng.random::<f64>() < self.ramp(server, now))
+            .filter(|server| !spare || rng.random::<f64>() < self.ramp(server, now))
             .collect();
         let field = if ramped.is_empty() { sound } else { ramped };
         let scored = field.into_iter().map(|server| {
--- a/crates/core/src/policy/replica/stats.rs
+++ b/crates/core/src/policy/replica/stats.rs
@@ -6,10 +6,12 @@
 
 /// The successive faults or overdue calls after which a backend server is ejected.
 const EJECT_FAULTS: u32 = 3;
+/// The successive calls that lost against their hedge after which a backend server is ejected.
+const EJECT_LOSSES: u32 = 4;
 /// How long an ejected backend server waits for its first probe.
 const PROBE_DELAY: Duration = Duration::from_millis(500);
 /// The longest wait between two probes.
-const PROBE_DELAY_MAX: Duration = Duration::from_secs(8);
+const PROBE_DELAY_MAX: Duration = Duration::from_secs(2);
 /// How long a returning backend server takes to get its full share of calls.
 const RAMP_TIME: Duration = Duration::from_secs(3);
 /// The share of calls that a returning backend server starts with.
@@ -66,6 +68,7 @@
     queued: u32,
     told: Option<Instant>,
     faults: u32,
+    losses: u32,
     probe_delay: Duration,
     left: Option<Instant>,
     claim: Option<(HealthClaim, Instant)>,
@@ -84,23 +87,35 @@
             queued: 0,
             told: None,
             faults: 0,
+            losses: 0,
             probe_delay: PROBE_DELAY,
             left: None,
             claim: None,
         }
     }
 
-    /// Notes the queue that the owner told with a reply.
-    pub(crate) fn on_queue(&mut self, queued: u32, now: Instant) {
+    /// Notes the queue that the owner told with a reply; returns whether calls waited there
+    /// before it or with it.
+    pub(crate) fn on_queue(&mut self, queued: u32, now: Instant) -> bool {
+        let waited = self.queue(now) >= 1.0;
         self.queued = queued;
         self.told = Some(now);
+        waited || queued > 0
     }
 
-    /// Notes a call that gave rows.
-    pub(crate) fn on_done(&mut self, latency: Duration, now: Instant) {
+    /// Notes a call that gave rows, and whether it waited in the owner's queue.
+    ///
+    /// The latency of a call that waited tells of the queue, not of the backend server, so that it
+    /// counts only while nothing better is known.
+    pub(crate) fn on_done(&mut self, latency: Duration, waited: bool, now: Instant) {
         self.faults = 0;
+        self.losses = 0;
         self.proved = Some(now);
-        self.add_sample(latency.div_f64(1.0 + self.queue_turns(now)), now);
+        if !waited {
+            self.add_sample(latency, now);
+        } else if self.service.samples() == 0 {
+            self.add_sample(latency.div_f64(1.0 + self.queue_turns(now)), now);
+        }
     }
 
     /// Notes a fault or an overdue call.
@@ -117,9 +132,13 @@
     pub(crate) fn on_cancelled(&mut self, elapsed: Duration, now: Instant) {
         let least = elapsed * CENSORED_FACTOR;
         let known = self.service.get().unwrap_or_default();
-        let normal = least.div_f64(1.0 + self.queue_turns(now));
-        if normal > known && known > Duration::ZERO {
-            self.add_sample(normal, now);
+        if least <= known || known.is_zero() || self.queue(now) >= 1.0 {
+            return;
+        }
+        self.add_sample(least, now);
+        self.losses += 1;
+        if self.losses >= EJECT_LOSSES {
+            self.eject(now);
         }
     }
 
@@ -145,6 +164,7 @@
     /// Lets calls return, a growing share of them.
     pub(crate) fn readmit(&mut self, now: Instant) {
         self.faults = 0;
+        self.losses = 0;
         self.probe_delay = PROBE_DELAY;
         self.service.reset();
         self.standing = Standing::Ramp(now);
--- a/crates/core/src/policy/replica/table.rs
+++ b/crates/core/src/policy/replica/table.rs
@@ -83,17 +83,19 @@
 
     /// Notes what came of a call.
     pub fn on_report(&mut self, server: &ServerId, report: &CallReport, now: Instant) {
-        let usual = self.usual();
+        let standing = self.standing(server);
+        let ejected = matches!(standing, Some(Standing::Ejected(_)));
+        let usual = if ejected { self.usual() } else { FIRST_GUESS };
         let Some(stats) = self.servers.get_mut(server) else {
             return;
         };
         stats.in_flight = stats.in_flight.saturating_sub(1);
-        if let Some(queued) = report.queued {
-            stats.on_queue(queued, now);
-        }
+        let waited = report
+            .queued
+            .is_some_and(|queued| stats.on_queue(queued, now));
         match report.outcome {
             CallOutcome::Done(_) => {
-                stats.on_done(report.latency, now);
+                stats.on_done(report.latency, waited, now);
                 review_probe(stats, report.latency, usual, now);
             }
             CallOutcome::NotRun(NotRunCause::Leaving) => stats.on_leaving(now),
@@ -111,8 +113,12 @@
     }
 
     /// Notes that a call is overdue; it stays in flight.
+    ///
+    /// While calls wait for the backend server that is no fault of its own.
     pub fn on_overdue(&mut self, server: &ServerId, now: Instant) {
-        if let Some(stats) = self.servers.get_mut(server) {
+        if let Some(stats) = self.servers.get_mut(server)
+            && stats.queue(now) < 1.0
+        {
             stats.on_fault(now);
         }
     }
--- a/crates/core/src/policy/replica/tests.rs
+++ b/crates/core/src/policy/replica/tests.rs
@@ -215,6 +215,43 @@
     assert!(!table.is_busy(&"a".into(), later));
 }
 
+#[test]
+fn test_replica_is_not_ejected_for_its_queue() {
+    let now = Instant::now();
+    let (mut table, replicas) = table(now);
+    settle(&mut table, "a", FAST, now);
+    settle(&mut table, "b", FAST, now);
+    // Calls that waited at b come back slowly while its queue drains.
+    for queued in (0..40).rev() {
+        table.on_send(&"b".into());
+        let told = CallReport {
+            outcome: CallOutcome::Done(1),
+            latency: SLOW,
+            queued: Some(queued),
+        };
+        table.on_report(&"b".into(), &told, now);
+        share(&mut table, &replicas, "b", now);
+        assert_eq!(table.standing(&"b".into()), Some(Standing::Active));
+    }
+}
+
+#[test]
+fn test_replica_that_keeps_losing_to_hedges_is_ejected() {
+    let now = Instant::now();
+    let (mut table, _) = table(now);
+    settle(&mut table, "b", FAST, now);
+    let server = ServerId::from("b");
+    for loss in 1..=4 {
+        assert_eq!(table.standing(&server), Some(Standing::Active), "{loss}");
+        table.on_send(&server);
+        table.on_cancelled(&server, FAST * 10, now);
+    }
+    assert!(matches!(
+        table.standing(&server),
+        Some(Standing::Ejected(_))
+    ));
+}
+
 #[test]
 fn test_replica_new_server_ramps_up() {
     let now = Instant::now();
--- a/crates/core/src/policy/tests.rs
+++ b/crates/core/src/policy/tests.rs
@@ -5,6 +5,8 @@
     time::{Duration, Instant},
 };
 
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
 use yare::parameterized;
 
 use super::{
@@ -239,6 +241,26 @@
     assert!(changes <= 20, "{changes}");
 }
 
+#[test]
+fn test_limit_keeps_all_slots_with_noisy_latency() {
+    let start = Instant::now();
+    let mut limit = Limit::new(2, start);
+    let mut rng = ChaCha8Rng::seed_from_u64(5);
+    for step in 0..50_000_u64 {
+        // One call in fifty takes ten times as long, the others from 2 ms to 8 ms; the first is
+        // quickest of all.
+        let pause = if step % 50 == 49 { 10 } else { 1 };
+        let millis = if step == 0 {
+            1
+        } else {
+            rng.random_range(2..=8) * pause
+        };
+        let now = start + Duration::from_millis(step * 5);
+        limit.on_reply(CallOutcome::Done(1), Duration::from_millis(millis), now);
+        assert_eq!(limit.get(), 2, "call {step}");
+    }
+}
+
 #[test]
 fn test_limit_falls_with_latency() {
     let start = Instant::now();
--- /dev/null
+++ b/crates/testkit/examples/policy_bench.rs
@@ -0,0 +1,94 @@
+//! Runs the policy benchmark: a line a figure, a report under `target/policy_bench`.
+//!
+//! Exits with 1 when a figure breaks its bound.
+
+use std::{path::Path, process::ExitCode, thread};
+
+use cassialift_testkit::policy_bench::{
+    BenchSettings, Deployment, Outcome, SCENARIOS, Scenario, write_report,
+};
+use getopts::Options;
+
+/// The folder of the report.
+const REPORT_FOLDER: &str = "target/policy_bench";
+
+fn main() -> ExitCode {
+    let mut options = Options::new();
+    options.optopt("", "seed", "the seed of all runs, 1 when missing", "NUMBER");
+    options.optopt(
+        "",
+        "seconds",
+        "the seconds measured in each run, 20 when missing",
+        "NUMBER",
+    );
+    options.optopt("", "deployment", "run only this deployment", "NAME");
+    options.optopt("", "only", "run only the scenario of this name", "NAME");
+    let Ok(matches) = options.parse(std::env::args().skip(1)) else {
+        eprint!("{}", options.usage("Usage: policy_bench [options]"));
+        return ExitCode::from(2);
+    };
+    let number = |name| matches.opt_get_default(name, 0).unwrap_or_default();
+    let settings = BenchSettings {
+        seed: number("seed").max(1),
+        seconds: if number("seconds") == 0 {
+            20
+        } else {
+            number("seconds")
+        },
+        deployments: Deployment::all().to_vec(),
+    };
+    let only = matches.opt_str("only").unwrap_or_default();
+    let mut parts = Vec::new();
+    let mut scenarios = SCENARIOS.to_vec();
+    scenarios.retain(|scenario| only.is_empty() || scenario.name == only);
+    let chosen = matches.opt_str("deployment").unwrap_or_default();
+    for deployment in &settings.deployments {
+        if !chosen.is_empty() && deployment.name != chosen {
+            continue;
+        }
+        for outcome in run_all(&settings, deployment, &scenarios) {
+            print(deployment.name, &outcome);
+            parts.push((deployment.name.to_owned(), outcome));
+        }
+    }
+    let heading = format!(
+        "Seed {}, {} s measured a run.",
+        settings.seed, settings.seconds
+    );
+    if let Err(error) = write_report(Path::new(REPORT_FOLDER), &heading, &parts) {
+        eprintln!("policy_bench: {error}");
+        return ExitCode::from(2);
+    }
+    let figures = parts.iter().flat_map(|(_, outcome)| &outcome.figures);
+    let failed = figures.filter(|figure| !figure.holds()).count();
+    println!("{failed} figures broke their bounds; report in {REPORT_FOLDER}/report.md");
+    ExitCode::from(u8::from(failed > 0))
+}
+
+/// Runs the scenarios, two at a time.
+fn run_all(
+    settings: &BenchSettings,
+    deployment: &Deployment,
+    scenarios: &[Scenario],
+) -> Vec<Outcome> {
+    let mut outcomes = Vec::new();
+    for pair in scenarios.chunks(2) {
+        let run = |scenario: &Scenario| scenario.outcome(settings, deployment);
+        thread::scope(|scope| {
+            let running: Vec<_> = pair
+                .iter()
+                .map(|one| scope.spawn(move || run(one)))
+                .collect();
+            for thread in running {
+                outcomes.push(thread.join().expect("a scenario panicked"));
+            }
+        });
+    }
+    outcomes
+}
+
+fn print(deployment: &str, outcome: &Outcome) {
+    for figure in &outcome.figures {
+        println!("{deployment:<8} {figure}");
+    }
+}
--- a/crates/testkit/src/lib.rs
+++ b/crates/testkit/src/lib.rs
@@ -1,4 +1,4 @@
-//! Stand-ins, process harness, histories and load for testing cassialift; never shipped.
+//! Stand-ins, process harness, histories, load and benchmarks for cassialift; never shipped.
 
 pub mod client;
 pub mod config_spread;
@@ -7,4 +7,6 @@
 pub mod harness;
 pub mod history;
 pub mod load;
+pub mod naive;
+pub mod policy_bench;
 pub mod standin;
--- /dev/null
+++ b/crates/testkit/src/naive/gather.rs
@@ -0,0 +1,267 @@
+//! The naive search.
+
+use std::time::{Duration, Instant};
+
+use cassialift_core::{
+    ids::{AttemptId, IndexVersion, ServerId},
+    policy::{
+        gather::{Action, AttemptCause, GatherEnd, ShardTarget, Verdict},
+        outcome::{CallOutcome, NotRunCause},
+        retry::RetryReason,
+    },
+    request::{Coverage, MissingReason, MissingShard},
+};
+use rand::{Rng, RngCore};
+
+/// How the naive search picks a replica.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum ReplicaOrder {
+    /// At random.
+    Random,
+    /// Starting at another one for each request.
+    Turn(u64),
+}
+
+/// What the naive search is given.
+#[derive(Clone, Debug)]
+pub struct NaiveSettings {
+    /// The index version.
+    pub version: IndexVersion,
+    /// The shards asked for.
+    pub shards: Vec<ShardTarget>,
+    /// When the request must be answered.
+    pub deadline: Instant,
+    /// The least share of shards that an answer must cover.
+    pub coverage: f64,
+    /// Whether a call without a reply may be repeated.
+    pub repeatable: bool,
+    /// How long to wait for one call; until the deadline when missing.
+    pub timeout: Option<Duration>,
+    /// How a replica is picked.
+    pub order: ReplicaOrder,
+}
+
+#[derive(Clone, Debug)]
+struct NaiveShard {
+    target: ShardTarget,
+    first: usize,
+    attempts: u32,
+    live: Option<(AttemptId, ServerId, Option<Instant>)>,
+    result: Option<Result<(), MissingReason>>,
+}
+
+/// A search that fans out to one replica a shard and tries each shard at most twice.
+#[derive(Clone, Debug)]
+pub struct NaiveGather {
+    settings: NaiveSettings,
+    shards: Vec<NaiveShard>,
+    next_attempt: AttemptId,
+    may_have_run: bool,
+    ended: bool,
+}
+
+impl NaiveGather {
+    /// Makes a search; [`Self::start`] must follow.
+    #[must_use]
+    pub fn new(settings: NaiveSettings, rng: &mut dyn RngCore) -> Self {
+        let order = settings.order;
+        let shards = settings.shards.iter().cloned().map(|target| {
+            let count = target.replicas.len().max(1);
+            let first = match order {
+                ReplicaOrder::Random => rng.random_range(0..count),
+                ReplicaOrder::Turn(turn) => usize::try_from(turn).unwrap_or_default() % count,
+            };
+            NaiveShard {
+                target,
+                first,
+                attempts: 0,
+                live: None,
+                result: None,
+            }
+        });
+        Self {
+            shards: shards.collect(),
+            settings,
+            next_attempt: 0,
+            may_have_run: false,
+            ended: false,
+        }
+    }
+
+    /// Sends the first call of each shard.
+    pub fn start(&mut self, now: Instant) -> Vec<Action> {
+        let mut actions = Vec::new();
+        for index in 0..self.shards.len() {
+            self.send(index, AttemptCause::First, now, &mut actions);
+        }
+        self.conclude(now, &mut actions);
+        actions
+    }
+
+    /// Takes in the outcome of a call; returns whether its rows enter the answer.
+    pub fn on_reply(
+        &mut self,
+        attempt: AttemptId,
+        outcome: CallOutcome,
+        now: Instant,
+        actions: &mut Vec<Action>,
+    ) -> bool {
+        let of_attempt =
+            |shard: &NaiveShard| shard.live.as_ref().is_some_and(|live| live.0 == attempt);
+        let Some(index) = self.shards.iter().position(of_attempt) else {
+            return false;
+        };
+        self.shards[index].live = None;
+        let included = outcome == CallOutcome::Done(self.settings.version);
+        if included {
+            self.shards[index].result = Some(Ok(()));
+        } else {
+            self.on_failure(index, outcome, now, actions);
+        }
+        self.conclude(now, actions);
+        included
+    }
+
+    /// Times calls out and ends the search at its deadline.
+    pub fn on_timer(&mut self, now: Instant) -> Vec<Action> {
+        let mut actions = Vec::new();
+        if self.ended {
+            return actions;
+        }
+        for index in 0..self.shards.len() {
+            let live = self.shards[index].live.as_ref();
+            let late = live.is_some_and(|live| live.2.is_some_and(|at| at <= now));
+            if late {
+                self.cancel(index, &mut actions);
+                self.retry(
+                    index,
+                    RetryReason::Timeout,
+                    MissingReason::Deadline,
+                    now,
+                    &mut actions,
+                );
+            }
+        }
+        self.conclude(now, &mut actions);
+        actions
+    }
+
+    /// Returns when [`Self::on_timer`] is due; none after the end.
+    #[must_use]
+    pub fn next_timer(&self) -> Option<Instant> {
+        if self.ended {
+            return None;
+        }
+        let live = self.shards.iter().filter_map(|shard| shard.live.as_ref());
+        let timeouts = live.filter_map(|live| live.2);
+        timeouts.chain([self.settings.deadline]).min()
+    }
+
+    /// Returns the index version that the rows are drawn from.
+    #[must_use]
+    pub const fn version(&self) -> IndexVersion {
+        self.settings.version
+    }
+
+    fn on_failure(
+        &mut self,
+        index: usize,
+        outcome: CallOutcome,
+        now: Instant,
+        actions: &mut Vec<Action>,
+    ) {
+        let (reason, missing) = match outcome {
+            CallOutcome::Done(_) | CallOutcome::NotRun(NotRunCause::VersionGone(_)) => {
+                (RetryReason::VersionGone, MissingReason::VersionGone)
+            }
+            CallOutcome::NotRun(NotRunCause::Busy) => (RetryReason::Busy, MissingReason::Busy),
+            CallOutcome::NotRun(_) => (RetryReason::Connect, MissingReason::Unreachable),
+            CallOutcome::Unknown(_) => (RetryReason::Broken, MissingReason::Unreachable),
+        };
+        let not_run = matches!(outcome, CallOutcome::NotRun(_));
+        self.may_have_run |= !not_run;
+        if not_run || self.settings.repeatable {
+            self.retry(index, reason, missing, now, actions);
+        } else {
+            self.shards[index].result = Some(Err(missing));
+        }
+    }
+
+    fn retry(
+        &mut self,
+        index: usize,
+        reason: RetryReason,
+        missing: MissingReason,
+        now: Instant,
+        actions: &mut Vec<Action>,
+    ) {
+        if self.shards[index].attempts > 1 {
+            self.shards[index].result = Some(Err(missing));
+            return;
+        }
+        self.send(index, AttemptCause::Retry(reason), now, actions);
+    }
+
+    fn send(&mut self, index: usize, cause: AttemptCause, now: Instant, actions: &mut Vec<Action>) {
+        let attempt = self.next_attempt;
+        self.next_attempt += 1;
+        let timeout = self.settings.timeout.filter(|_| self.settings.repeatable);
+        let shard = &mut self.shards[index];
+        let replicas = &shard.target.replicas;
+        let turn = shard.first + shard.attempts as usize;
+        let server = ServerId::clone(&replicas[turn % replicas.len()]);
+        shard.attempts += 1;
+        let late = timeout.map(|timeout| now + timeout);
+        shard.live = Some((attempt, ServerId::clone(&server), late));
+        actions.push(Action::Send {
+            attempt,
+            shard: shard.target.shard,
+            server,
+            cause,
+        });
+    }
+
+    fn cancel(&mut self, index: usize, actions: &mut Vec<Action>) {
+        if let Some((attempt, server, _)) = self.shards[index].live.take() {
+            self.may_have_run = true;
+            actions.push(Action::Cancel { attempt, server });
+        }
+    }
+
+    fn conclude(&mut self, now: Instant, actions: &mut Vec<Action>) {
+        let open = self.shards.iter().any(|shard| shard.result.is_none());
+        if self.ended || (open && now < self.settings.deadline) {
+            return;
+        }
+        for index in 0..self.shards.len() {
+            self.cancel(index, actions);
+        }
+        self.ended = true;
+        actions.push(Action::Finish(self.summary()));
+    }
+
+    fn summary(&self) -> GatherEnd {
+        let mut coverage = Coverage::default();
+        for shard in &self.shards {
+            let number = shard.target.shard;
+            match shard.result.unwrap_or(Err(MissingReason::Deadline)) {
+                Ok(()) => coverage.included.push(number),
+                Err(reason) => coverage.missing.push(MissingShard {
+                    shard: number,
+                    reason,
+                }),
+            }
+        }
+        let enough = coverage.share() >= self.settings.coverage && !coverage.included.is_empty();
+        let verdict = match (enough, self.may_have_run || !coverage.included.is_empty()) {
+            (true, _) => Verdict::Answer,
+            (false, true) => Verdict::Unknown,
+            (false, false) => Verdict::NotRun,
+        };
+        GatherEnd {
+            verdict,
+            coverage,
+            version: self.settings.version,
+        }
+    }
+}
--- /dev/null
+++ b/crates/testkit/src/policy_bench/entry_side.rs
@@ -0,0 +1,404 @@
+//! The entries of a run: they admit requests, drive their machines and take replies.
+
+use std::{collections::HashMap, sync::Arc, time::Duration};
+
+use cassialift_core::{
+    ids::{CallerId, ServerId, ShardId},
+    policy::{
+        admission::AdmissionRequest,
+        gather::{
+            Action, AttemptCause, Context, Gather, GatherEnd, GatherSpec, ShardTarget, Verdict,
+        },
+        outcome::CallOutcome,
+        replica::CallReport,
+    },
+    request::RequestKind,
+};
+use rand::Rng;
+
+use super::{
+    event::Event,
+    record::{End, Ended},
+    search::{Machine, Search},
+    world::{Call, Strategy, World},
+};
+use crate::naive::{NaiveGather, NaiveSettings, ReplicaOrder};
+
+/// The callers of a run.
+const CALLERS: u32 = 40;
+
+impl World {
+    pub(super) fn on_arrival(&mut self, service: usize) {
+        let entry = self.load_rng.random_range(0..self.entries.len());
+        let caller = format!("caller-{}", self.load_rng.random_range(0..CALLERS));
+        let (kind, shards, whole) = self.draw_request(service, entry);
+        let id = self.new_id();
+        self.record.offered += 1;
+        let allowed = Duration::from(self.preset.kind(kind).deadline);
+        let mut search = Search {
+            machine: self.machine(service, entry, kind, shards.clone(), id),
+            entry,
+            service,
+            kind,
+            caller: caller.into(),
+            started: self.now,
+            deadline: self.now + allowed,
+            whole,
+            asked: shards.iter().map(|target| target.shard).collect(),
+            calls: HashMap::new(),
+            rows: Vec::new(),
+            ran: 0,
+            timer: None,
+            stalled: false,
+        };
+        if !self.admit(&search, &shards) {
+            self.record_end(&search, End::Shed, 0);
+            return;
+        }
+        let actions = self.step(&mut search, Machine::start);
+        self.searches.insert(id, search);
+        self.act(id, actions);
+    }
+
+    pub(super) fn on_reply(&mut self, call_id: u64, outcome: CallOutcome, queued: u32) {
+        let Some(call) = self.calls.remove(&call_id) else {
+            return;
+        };
+        if call.cancelled {
+            return;
+        }
+        let Some(mut search) = self.searches.remove(&call.search) else {
+            return;
+        };
+        search.calls.remove(&call.attempt);
+        self.report(&search, &call, outcome, queued);
+        let mut actions = Vec::new();
+        let included = self.step(&mut search, |machine, context| {
+            machine.on_reply(call.attempt, outcome, context, &mut actions)
+        });
+        if included && let CallOutcome::Done(version) = outcome {
+            search.rows.push((call.shard, version));
+        }
+        // An ended request stays only until the replies to its probes have come.
+        if search.machine.next_timer().is_none() && actions.is_empty() && search.calls.is_empty() {
+            return;
+        }
+        self.searches.insert(call.search, search);
+        self.act(call.search, actions);
+    }
+
+    pub(super) fn on_timer(&mut self, id: u64) {
+        let now = self.now;
+        let Some(mut search) = self.searches.remove(&id) else {
+            return;
+        };
+        if search.timer != Some(now) {
+            self.searches.insert(id, search);
+            return;
+        }
+        search.timer = None;
+        let actions = self.step(&mut search, Machine::on_timer);
+        self.searches.insert(id, search);
+        self.act(id, actions);
+    }
+
+    /// Starts a stalled request over, if its entry knows a newer index version.
+    pub(super) fn restart(&mut self, id: u64) {
+        let Some(mut search) = self.searches.remove(&id) else {
+            return;
+        };
+        let document = Arc::clone(&self.entries[search.entry].documents[search.service]);
+        let newer = match &search.machine {
+            Machine::Policy(gather) => document.version > gather.version(),
+            Machine::Naive(_) => false,
+        };
+        search.stalled = !newer;
+        let mut actions = Vec::new();
+        if newer {
+            let whole = search.whole;
+            let entries = document.shards.iter();
+            let kept = entries.filter(|entry| whole || search.asked.contains(&entry.shard));
+            let targets: Vec<_> = kept.map(target).collect();
+            search.asked = targets.iter().map(|target| target.shard).collect();
+            search.rows.clear();
+            self.record.restarts += 1;
+            actions = self.step(&mut search, |machine, context| match machine {
+                Machine::Policy(gather) => gather.restart(document.version, targets, context),
+                Machine::Naive(_) => Vec::new(),
+            });
+        }
+        self.searches.insert(id, search);
+        self.act(id, actions);
+    }
+
+    fn new_id(&mut self) -> u64 {
+        self.next_id += 1;
+        self.next_id
+    }
+
+    fn draw_request(
+        &mut self,
+        service: usize,
+        entry: usize,
+    ) -> (RequestKind, Vec<ShardTarget>, bool) {
+        let streams = &self.settings.deployment.services[service].streams;
+        let weight: f64 = streams.iter().map(|stream| stream.weight).sum();
+        let mut drawn = self.load_rng.random::<f64>() * weight;
+        let found = streams.iter().find(|stream| {
+            drawn -= stream.weight;
+            drawn < 0.0
+        });
+        let stream = found.or(streams.last()).expect("a service has a stream");
+        let document = &self.entries[entry].documents[service];
+        let whole = stream.kind == RequestKind::WideSearch;
+        let total = document.shards.len();
+        let wanted = if whole {
+            total
+        } else {
+            (stream.shards as usize).min(total)
+        };
+        let first = self.load_rng.random_range(0..total);
+        let chosen = (0..wanted).map(|step| &document.shards[(first + step) % total]);
+        let mut targets: Vec<_> = chosen.map(target).collect();
+        targets.sort_unstable_by_key(|target| target.shard);
+        (stream.kind, targets, whole)
+    }
+
+    fn machine(
+        &mut self,
+        service: usize,
+        entry: usize,
+        kind: RequestKind,
+        shards: Vec<ShardTarget>,
+        id: u64,
+    ) -> Machine {
+        let policy = self.preset.kind(kind);
+        let deadline = self.now + Duration::from(policy.deadline);
+        let document = &self.entries[entry].documents[service];
+        let (timeout, order) = match self.settings.strategy {
+            Strategy::Policy => {
+                return Machine::Policy(Box::new(Gather::new(GatherSpec {
+                    service: Arc::clone(&document.service),
+                    kind,
+                    version: document.version,
+                    shards,
+                    started: self.now,
+                    deadline,
+                    policy,
+                    hedge: self.preset.hedge,
+                    retry: self.preset.retry,
+                })));
+            }
+            Strategy::Naive => (Some(self.settings.deployment.timeout), ReplicaOrder::Random),
+            Strategy::Thin => (None, ReplicaOrder::Turn(id)),
+        };
+        let settings = NaiveSettings {
+            version: document.version,
+            shards,
+            deadline,
+            coverage: policy.coverage,
+            repeatable: kind.is_repeatable(),
+            timeout,
+            order,
+        };
+        Machine::Naive(Box::new(NaiveGather::new(settings, &mut self.entry_rng)))
+    }
+
+    fn admit(&mut self, search: &Search, shards: &[ShardTarget]) -> bool {
+        if self.settings.strategy != Strategy::Policy {
+            return true;
+        }
+        let tables = &mut self.entries[search.entry].tables;
+        let sets = shards.iter().map(|target| target.replicas.as_slice());
+        let request = AdmissionRequest {
+            caller: CallerId::clone(&search.caller),
+            kind: search.kind,
+            remaining: search.deadline - self.now,
+            estimate: tables.estimate(sets, self.now),
+        };
+        let policy = self.preset.kind(search.kind);
+        let admitted = tables
+            .admission
+            .admit(&request, &policy, &self.preset.queue, self.now);
+        admitted.is_ok()
+    }
+
+    fn step<R>(
+        &mut self,
+        search: &mut Search,
+        run: impl FnOnce(&mut Machine, &mut Context<'_>) -> R,
+    ) -> R {
+        let mut context = Context {
+            tables: &mut self.entries[search.entry].tables,
+            now: self.now,
+            rng: &mut self.entry_rng,
+        };
+        run(&mut search.machine, &mut context)
+    }
+
+    fn report(&mut self, search: &Search, call: &Call, outcome: CallOutcome, queued: u32) {
+        if self.settings.strategy != Strategy::Policy {
+            return;
+        }
+        let server = ServerId::clone(&self.servers[call.server].id);
+        let service = Arc::clone(&self.newest[search.service].service);
+        let report = CallReport {
+            outcome,
+            latency: self.now - call.sent,
+            queued: Some(queued),
+        };
+        let tables = &mut self.entries[search.entry].tables;
+        tables.on_report(&service, search.kind, &server, &report, self.now);
+    }
+
+    fn act(&mut self, id: u64, actions: Vec<Action>) {
+        let mut end = None;
+        let mut stalled = false;
+        for action in actions {
+            match action {
+                Action::Send {
+                    attempt,
+                    shard,
+                    server,
+                    cause,
+                } => self.send(id, attempt, shard, &server, cause),
+                Action::Cancel { attempt, .. } => self.cancel(id, attempt),
+                Action::Stall { .. } => stalled = true,
+                Action::Finish(found) => end = Some(found),
+            }
+        }
+        if let Some(end) = end {
+            self.finish(id, &end);
+        } else if stalled {
+            self.restart(id);
+        }
+        self.set_timer(id);
+    }
+
+    fn send(
+        &mut self,
+        id: u64,
+        attempt: u32,
+        shard: ShardId,
+        server: &ServerId,
+        cause: AttemptCause,
+    ) {
+        let second = (self.now - self.base).as_secs();
+        let counts = match cause {
+            AttemptCause::First => &mut self.record.first,
+            _ => &mut self.record.extra,
+        };
+        *counts.entry(second).or_default() += 1;
+        let call_id = self.new_id();
+        let Some(search) = self.searches.get_mut(&id) else {
+            return;
+        };
+        let version = match &search.machine {
+            Machine::Policy(gather) => gather.version(),
+            Machine::Naive(gather) => gather.version(),
+        };
+        search.calls.insert(attempt, call_id);
+        let call = Call {
+            search: id,
+            attempt,
+            shard,
+            server: self.names[server],
+            version,
+            sent: self.now,
+            began: None,
+            replied: false,
+            cancelled: false,
+        };
+        self.calls.insert(call_id, call);
+        let hop = self.settings.deployment.hop;
+        self.events.push(self.now + hop, Event::AtOwner(call_id));
+    }
+
+    fn cancel(&mut self, id: u64, attempt: u32) {
+        let search = self.searches.get_mut(&id);
+        let Some(call_id) = search.and_then(|search| search.calls.remove(&attempt)) else {
+            return;
+        };
+        if let Some(call) = self.calls.get_mut(&call_id) {
+            call.cancelled = true;
+            let hop = self.settings.deployment.hop;
+            self.events
+                .push(self.now + hop, Event::CancelAtOwner(call_id));
+        }
+    }
+
+    fn set_timer(&mut self, id: u64) {
+        let Some(search) = self.searches.get_mut(&id) else {
+            return;
+        };
+        let next = search.machine.next_timer().map(|at| at.max(self.now));
+        if next != search.timer
+            && let Some(at) = next
+        {
+            self.events.push(at, Event::Timer(id));
+        }
+        search.timer = next;
+    }
+
+    fn finish(&mut self, id: u64, end: &GatherEnd) {
+        let Some(search) = self.searches.get(&id).cloned() else {
+            return;
+        };
+        let included = u32::try_from(end.coverage.included.len()).unwrap_or(u32::MAX);
+        let how = match end.verdict {
+            Verdict::Answer => End::Answered,
+            Verdict::NotRun => End::NotRun,
+            Verdict::Unknown => End::Failed,
+        };
+        self.check(&search, end);
+        if self.settings.strategy == Strategy::Policy {
+            let tables = &mut self.entries[search.entry].tables;
+            tables.admission.on_end(&search.caller);
+        }
+        self.record_end(&search, how, included);
+        // Probes may still be under way; their replies are reported, and then it is forgotten.
+        if search.calls.is_empty() {
+            self.searches.remove(&id);
+        }
+    }
+
+    /// Checks what must always hold.
+    fn check(&mut self, search: &Search, end: &GatherEnd) {
+        let record = &mut self.record;
+        let mixed = search
+            .rows
+            .iter()
+            .any(|(_, version)| *version != end.version);
+        record.mixed += u64::from(mixed);
+        let mut rows: Vec<_> = search.rows.iter().map(|(shard, _)| *shard).collect();
+        rows.sort_unstable();
+        let mut stated = end.coverage.included.clone();
+        let whole = stated.len() + end.coverage.missing.len() == search.asked.len();
+        record.uncovered += u64::from(rows != stated || !whole);
+        stated.dedup();
+        record.uncovered += u64::from(stated.len() != rows.len());
+        record.untrue += u64::from(end.verdict == Verdict::NotRun && search.ran > 0);
+        record.repeated += u64::from(!search.kind.is_repeatable() && search.ran > 1);
+        record.late += u64::from(self.now > search.deadline);
+    }
+
+    fn record_end(&mut self, search: &Search, end: End, included: u32) {
+        self.record.ended.push(Ended {
+            service: search.service,
+            kind: search.kind,
+            started: search.started - self.base,
+            latency: self.now - search.started,
+            allowed: search.deadline - search.started,
+            end,
+            included,
+            total: u32::try_from(search.asked.len()).unwrap_or(u32::MAX),
+        });
+    }
+}
+
+fn target(entry: &cassialift_core::index::ShardEntry) -> ShardTarget {
+    ShardTarget {
+        shard: entry.shard,
+        replicas: entry.replicas.clone(),
+    }
+}
--- /dev/null
+++ b/crates/testkit/src/policy_bench/event.rs
@@ -0,0 +1,87 @@
+//! The event queue of a run.
+
+use std::{
+    cmp::{Ordering, Reverse},
+    collections::BinaryHeap,
+    time::Instant,
+};
+
+use cassialift_core::policy::outcome::CallOutcome;
+
+use super::fault::Fault;
+
+/// Something that happens at one time of a run.
+#[derive(Clone, Copy, Debug)]
+pub(super) enum Event {
+    /// A request comes to a service.
+    Arrive(usize),
+    /// A call reaches its owner.
+    AtOwner(u64),
+    /// A cancellation reaches the owner of its call.
+    CancelAtOwner(u64),
+    /// Calls in the queue of a backend server may have run out of time.
+    Expire(usize),
+    /// A backend server is done with a call.
+    Done(u64),
+    /// A reply reaches its entry.
+    AtEntry(u64, CallOutcome, u32),
+    /// A request's timer is due.
+    Timer(u64),
+    /// Something goes wrong.
+    Fault(Fault),
+    /// An entry learns of the newest index version.
+    Learn(usize),
+    /// Entries read the health endpoints.
+    Health,
+}
+
+#[derive(Clone, Debug)]
+struct Entry {
+    at: Instant,
+    sequence: u64,
+    event: Event,
+}
+
+impl PartialEq for Entry {
+    fn eq(&self, other: &Self) -> bool {
+        self.cmp(other) == Ordering::Equal
+    }
+}
+
+impl Eq for Entry {}
+
+impl PartialOrd for Entry {
+    fn partial_cmp(&self, other: &Self) -> Option<Ordering> {
+        Some(self.cmp(other))
+    }
+}
+
+impl Ord for Entry {
+    fn cmp(&self, other: &Self) -> Ordering {
+        (self.at, self.sequence).cmp(&(other.at, other.sequence))
+    }
+}
+
+/// Events by time, those of the same time in the order in which they were added.
+#[derive(Clone, Debug, Default)]
+pub(super) struct EventQueue {
+    heap: BinaryHeap<Reverse<Entry>>,
+    sequence: u64,
+}
+
+impl EventQueue {
+    pub(super) fn push(&mut self, at: Instant, event: Event) {
+        let sequence = self.sequence;
+        self.sequence += 1;
+        self.heap.push(Reverse(Entry {
+            at,
+            sequence,
+            event,
+        }));
+    }
+
+    pub(super) fn pop(&mut self) -> Option<(Instant, Event)> {
+        let Reverse(entry) = self.heap.pop()?;
+        Some((entry.at, entry.event))
+    }
+}
--- /dev/null
+++ b/crates/testkit/src/policy_bench/fault.rs
@@ -0,0 +1,57 @@
+//! What goes wrong in a run, and when.
+
+use std::time::Duration;
+
+/// What happens at one time of a run.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Fault {
+    /// A backend server takes this many times as long.
+    Slow(usize, f64),
+    /// A backend server takes calls and never replies.
+    Silent(usize),
+    /// A backend server refuses connections.
+    Refusing(usize),
+    /// A backend server is well again.
+    Recover(usize),
+    /// The load becomes this share of the capacity.
+    Load(f64),
+    /// The first service gets a new index version with this many shards.
+    Publish(u32),
+    /// A backend server drops all but the newest index version.
+    DropOld(usize),
+    /// Health endpoints begin to claim this.
+    Claims(ClaimMode),
+    /// Hedging and early answers follow another preset.
+    Preset(PresetChoice),
+}
+
+/// What health endpoints claim.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum ClaimMode {
+    /// Nothing.
+    None,
+    /// The truth.
+    True,
+    /// All are ready.
+    Ready,
+    /// All are ill.
+    Ill,
+    /// The ill claim to be ready, and the others to be ill.
+    Swapped,
+    /// What was true at the beginning.
+    Frozen,
+}
+
+/// A preset of a run.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum PresetChoice {
+    /// The deployment's own.
+    Ordinary,
+    /// More hedges, early answers.
+    Peak,
+    /// No hedges, all shards.
+    Maintenance,
+}
+
+/// What goes wrong in a run, in ascending order of time.
+pub type Schedule = Vec<(Duration, Fault)>;
--- /dev/null
+++ b/crates/testkit/src/policy_bench/outcome.rs
@@ -0,0 +1,132 @@
+//! What comes of a scenario: figures and plots.
+
+use super::{
+    deployment::Deployment,
+    fault::Schedule,
+    figure::{Bound, Figure},
+    record::{Record, Window, ratio},
+    scenario::{BenchSettings, run_settings, window},
+    world::{Strategy, run},
+};
+
+/// A run that is kept for the report's plots.
+#[derive(Clone, Debug)]
+pub struct Series {
+    /// What was run.
+    pub name: String,
+    /// The 99th percentile of wide searches in each second, in milliseconds.
+    pub p99: Vec<f64>,
+    /// The mean coverage of wide searches in each second.
+    pub coverage: Vec<f64>,
+}
+
+/// The figures and plots of one scenario.
+#[derive(Clone, Debug, Default)]
+pub struct Outcome {
+    /// The scenario's title.
+    pub title: String,
+    /// The figures.
+    pub figures: Vec<Figure>,
+    /// The plots.
+    pub series: Vec<Series>,
+}
+
+/// The same run under each strategy.
+pub(super) struct Trio {
+    pub(super) policy: Record,
+    pub(super) naive: Record,
+    pub(super) thin: Record,
+    pub(super) window: Window,
+    deployment: &'static str,
+}
+
+impl Trio {
+    pub(super) fn run(
+        settings: &BenchSettings,
+        deployment: &Deployment,
+        load: f64,
+        faults: &Schedule,
+    ) -> Self {
+        let run_as = |strategy| run(run_settings(settings, deployment, strategy, load, faults));
+        Self {
+            policy: run_as(Strategy::Policy),
+            naive: run_as(Strategy::Naive),
+            thin: run_as(Strategy::Thin),
+            window: window(settings),
+            deployment: deployment.name,
+        }
+    }
+
+    /// Makes an outcome with the measures that the users weigh, for each strategy.
+    pub(super) fn outcome(&self, title: &str) -> Outcome {
+        let mut outcome = Outcome::titled(title);
+        let runs = [
+            ("policy", &self.policy),
+            ("naive", &self.naive),
+            ("thin", &self.thin),
+        ];
+        for (name, record) in runs {
+            let p99 = record.wide_quantile(0.99, self.window);
+            outcome.add(&format!("{name}: p99 ms"), p99, Bound::None);
+            let coverage = record.coverage(self.window);
+            outcome.add(&format!("{name}: coverage"), coverage, Bound::None);
+            let extra = record.extra_share(self.window);
+            outcome.add(&format!("{name}: extra calls"), extra, Bound::None);
+            let deployment = self.deployment;
+            let label = format!("{deployment} {title}, {name}");
+            outcome.series.push(Series::of(label, record, self.window));
+        }
+        outcome
+    }
+
+    pub(super) fn over_naive(&self, quantile: f64) -> f64 {
+        self.policy.wide_quantile(quantile, self.window)
+            / self.naive.wide_quantile(quantile, self.window)
+    }
+}
+
+impl Series {
+    fn of(name: String, record: &Record, window: Window) -> Self {
+        let seconds = 0..window.to.as_secs();
+        let each = |second| Window::secs(second, second + 1);
+        Self {
+            name,
+            p99: seconds
+                .clone()
+                .map(|second| record.wide_quantile(0.99, each(second)))
+                .collect(),
+            coverage: seconds
+                .map(|second| record.coverage(each(second)))
+                .collect(),
+        }
+    }
+}
+
+impl Outcome {
+    pub(super) fn titled(title: &str) -> Self {
+        Self {
+            title: title.to_owned(),
+            ..Self::default()
+        }
+    }
+
+    pub(super) fn add(&mut self, name: &str, value: f64, bound: Bound) {
+        let title = &self.title;
+        let figure = Figure::new(format!("{title}: {name}"), value, bound);
+        self.figures.push(figure);
+    }
+
+    /// Adds what must hold in every run.
+    pub(super) fn add_promises(&mut self, record: &Record) {
+        let broken = ratio(record.broken(), 1);
+        self.add("broken promises", broken, Bound::AtMost(0.0));
+    }
+
+    pub(super) fn merge(&mut self, other: Self) {
+        if self.title.is_empty() {
+            self.title = other.title;
+        }
+        self.figures.extend(other.figures);
+        self.series.extend(other.series);
+    }
+}
--- /dev/null
+++ b/crates/testkit/src/policy_bench/scenario.rs
@@ -0,0 +1,410 @@
+//! The scenarios of the benchmark and the bounds of their figures.
+
+use std::time::Duration;
+
+use super::{
+    deployment::Deployment,
+    fault::{ClaimMode, Fault, PresetChoice, Schedule},
+    figure::Bound,
+    outcome::{Outcome, Trio},
+    record::{Record, Window, ratio},
+    world::{RunSettings, Strategy, run},
+};
+
+/// The load of an ordinary day, a share of the capacity; one replica of each shard can bear it.
+const LOAD: f64 = 0.3;
+/// How much slower a straggler is.
+const STRAGGLER: f64 = 20.0;
+/// The seconds before anything goes wrong.
+const WARMUP: u64 = 5;
+/// The backend server that faults hit, and the other replica of its shard.
+const HIT: [usize; 2] = [6, 7];
+/// How long a replica is lost until the tail must be back.
+const LOST_SECS: u64 = 2;
+/// How long an overload lasts.
+const OVERLOAD_SECS: u64 = 30;
+/// How long after an overload the tail must be back.
+const RECOVERY_SECS: u64 = 5;
+/// The seconds over which the tail after an overload is taken.
+const AFTER_SECS: u64 = 10;
+
+/// How the benchmark is run.
+#[derive(Clone, Debug)]
+pub struct BenchSettings {
+    /// The seed of all runs.
+    pub seed: u64,
+    /// The seconds measured in each run.
+    pub seconds: u64,
+    /// The deployments.
+    pub deployments: Vec<Deployment>,
+}
+
+/// A scenario.
+#[derive(Clone, Copy, Debug)]
+pub struct Scenario {
+    /// Its name.
+    pub name: &'static str,
+    /// Whether it needs all services of a deployment, or the first alone.
+    pub whole: bool,
+    /// Runs it.
+    pub run: fn(&BenchSettings, &Deployment) -> Outcome,
+}
+
+/// All scenarios.
+pub const SCENARIOS: [Scenario; 10] = [
+    whole("fault-free", fault_free),
+    first("straggler", straggler),
+    first("replica-lost", replica_lost),
+    first("shard-lost", shard_lost),
+    first("overload", overload),
+    first("lying-health", lying_health),
+    first("version-change", version_change),
+    first("repartitioning", repartitioning),
+    first("preset-switch", preset_switch),
+    whole("user-mix", user_mix),
+];
+
+type RunScenario = fn(&BenchSettings, &Deployment) -> Outcome;
+
+const fn whole(name: &'static str, run: RunScenario) -> Scenario {
+    let whole = true;
+    Scenario { name, whole, run }
+}
+
+const fn first(name: &'static str, run: RunScenario) -> Scenario {
+    let whole = false;
+    Scenario { name, whole, run }
+}
+
+impl Scenario {
+    /// Runs the scenario on a deployment.
+    #[must_use]
+    pub fn outcome(&self, settings: &BenchSettings, deployment: &Deployment) -> Outcome {
+        if self.whole {
+            return (self.run)(settings, deployment);
+        }
+        (self.run)(settings, &deployment.clone().first_service())
+    }
+}
+
+/// No faults: the policy must not cost anything.
+fn fault_free(settings: &BenchSettings, deployment: &Deployment) -> Outcome {
+    let trio = Trio::run(settings, deployment, LOAD, &Vec::new());
+    let window = trio.window;
+    let mut outcome = trio.outcome("fault-free");
+    let extra = trio.policy.extra_share(window);
+    outcome.add("extra calls", extra, Bound::AtMost(0.05));
+    outcome.add("p99 over naive", trio.over_naive(0.99), Bound::AtMost(1.0));
+    outcome.add_promises(&trio.policy);
+    outcome
+}
+
+/// One replica of one shard is twenty times slower.
+fn straggler(settings: &BenchSettings, deployment: &Deployment) -> Outcome {
+    let clean = policy_run(settings, deployment, &Vec::new());
+    let faults = vec![at(WARMUP, Fault::Slow(HIT[0], STRAGGLER))];
+    let trio = Trio::run(settings, deployment, LOAD, &faults);
+    let window = trio.window;
+    let mut outcome = trio.outcome("straggler");
+    let base = clean.wide_quantile(0.99, window);
+    let tail = trio.policy.wide_quantile(0.99, window) / base;
+    outcome.add("p99 over fault-free", tail, Bound::AtMost(1.5));
+    let naive = trio.naive.wide_quantile(0.99, window) / base;
+    outcome.add("p99 over fault-free, naive", naive, Bound::None);
+    let extra = trio.policy.extra_share(window);
+    outcome.add("extra calls", extra, Bound::AtMost(0.05));
+    outcome.add_promises(&trio.policy);
+    outcome
+}
+
+/// One replica of one shard is lost, silently or with refused connections.
+fn replica_lost(settings: &BenchSettings, deployment: &Deployment) -> Outcome {
+    let clean = policy_run(settings, deployment, &Vec::new());
+    let mut outcome = Outcome::default();
+    for (how, fault) in [
+        ("silent", Fault::Silent(HIT[0])),
+        ("refusing", Fault::Refusing(HIT[0])),
+    ] {
+        let trio = Trio::run(settings, deployment, LOAD, &vec![at(WARMUP, fault)]);
+        let window = trio.window;
+        let mut part = trio.outcome(&format!("replica lost, {how}"));
+        part.add(
+            "coverage",
+            trio.policy.coverage(window),
+            Bound::AtLeast(1.0),
+        );
+        part.add("coverage, naive", trio.naive.coverage(window), Bound::None);
+        let base = clean.wide_quantile(0.99, window);
+        let first = Window::secs(WARMUP, WARMUP + LOST_SECS);
+        let tail = trio.policy.wide_quantile(0.99, first) / base;
+        part.add(
+            "p99 of the first 2 s over fault-free",
+            tail,
+            Bound::AtMost(2.0),
+        );
+        let naive = trio.naive.wide_quantile(0.99, first) / base;
+        part.add(
+            "p99 of the first 2 s over fault-free, naive",
+            naive,
+            Bound::None,
+        );
+        let later = Window::secs(WARMUP + LOST_SECS, WARMUP + settings.seconds);
+        let tail = trio.policy.wide_quantile(0.99, later) / base;
+        part.add("p99 afterwards over fault-free", tail, Bound::AtMost(2.0));
+        part.add_promises(&trio.policy);
+        outcome.merge(part);
+    }
+    outcome
+}
+
+/// Both replicas of one shard are lost.
+fn shard_lost(settings: &BenchSettings, deployment: &Deployment) -> Outcome {
+    let mut outcome = Outcome::default();
+    for (how, faults) in [
+        (
+            "silent",
+            HIT.map(|server| at(WARMUP, Fault::Silent(server))),
+        ),
+        (
+            "refusing",
+            HIT.map(|server| at(WARMUP, Fault::Refusing(server))),
+        ),
+    ] {
+        let trio = Trio::run(settings, deployment, LOAD, &faults.to_vec());
+        let settled = Window::secs(WARMUP + 1, WARMUP + settings.seconds);
+        let mut part = trio.outcome(&format!("shard lost, {how}"));
+        let shards = f64::from(deployment.services[0].shards);
+        let least = (shards - 1.0) / shards;
+        let coverage = trio.policy.coverage(settled);
+        part.add("coverage", coverage, Bound::AtLeast(least - 1e-9));
+        part.add("coverage, naive", trio.naive.coverage(settled), Bound::None);
+        let extra = 1.0 + trio.policy.extra_share(trio.window);
+        part.add("load over first calls", extra, Bound::AtMost(1.1));
+        let naive = 1.0 + trio.naive.extra_share(trio.window);
+        part.add("load over first calls, naive", naive, Bound::None);
+        part.add_promises(&trio.policy);
+        outcome.merge(part);
+    }
+    outcome
+}
+
+/// Twice the load that can be borne, for 30 s.
+fn overload(settings: &BenchSettings, deployment: &Deployment) -> Outcome {
+    let clean = policy_run(settings, deployment, &Vec::new());
+    let base = clean.wide_quantile(0.99, window(settings));
+    let end = WARMUP + OVERLOAD_SECS;
+    let faults = vec![at(WARMUP, Fault::Load(2.0)), at(end, Fault::Load(LOAD))];
+    let seconds = OVERLOAD_SECS + RECOVERY_SECS + AFTER_SECS;
+    let longer = BenchSettings {
+        seconds,
+        ..settings.clone()
+    };
+    let trio = Trio::run(&longer, deployment, LOAD, &faults);
+    let mut outcome = trio.outcome("overload");
+    let during = Window::secs(WARMUP, end);
+    let shape = &deployment.services[0];
+    let capacity = f64::from(shape.slots()) / super::mean_service().as_secs_f64();
+    let goodput = |record: &Record| record.urgent_goodput(during) / capacity;
+    outcome.add(
+        "urgent goodput over capacity",
+        goodput(&trio.policy),
+        Bound::AtLeast(0.9),
+    );
+    outcome.add(
+        "urgent goodput over capacity, naive",
+        goodput(&trio.naive),
+        Bound::None,
+    );
+    let from = end + RECOVERY_SECS;
+    let after = Window::secs(from, from + AFTER_SECS);
+    let tail = trio.policy.wide_quantile(0.99, after) / base;
+    outcome.add(
+        "p99 from 5 s after its end over fault-free",
+        tail,
+        Bound::AtMost(1.1),
+    );
+    let naive = trio.naive.wide_quantile(0.99, after) / base;
+    outcome.add(
+        "p99 from 5 s after its end over fault-free, naive",
+        naive,
+        Bound::None,
+    );
+    let extra = trio.policy.extra_share(during);
+    outcome.add("extra calls", extra, Bound::AtMost(0.05));
+    outcome.add(
+        "untrue refusals",
+        ratio(trio.policy.untrue, 1),
+        Bound::AtMost(0.0),
+    );
+    outcome.add_promises(&trio.policy);
+    outcome
+}
+
+/// Health endpoints that lie while there is a straggler.
+fn lying_health(settings: &BenchSettings, deployment: &Deployment) -> Outcome {
+    let straggler = at(WARMUP, Fault::Slow(HIT[0], STRAGGLER));
+    let without = policy_run(settings, deployment, &vec![straggler]);
+    let base = without.wide_quantile(0.99, window(settings));
+    let mut outcome = Outcome::titled("lying health endpoints");
+    for (how, mode) in [
+        ("true", ClaimMode::True),
+        ("always healthy", ClaimMode::Ready),
+        ("always ill", ClaimMode::Ill),
+        ("swapped", ClaimMode::Swapped),
+        ("frozen", ClaimMode::Frozen),
+    ] {
+        let faults = vec![at(0, Fault::Claims(mode)), straggler];
+        let record = policy_run(settings, deployment, &faults);
+        let tail = record.wide_quantile(0.99, window(settings)) / base;
+        outcome.add(&format!("{how}: p99 over none"), tail, Bound::AtMost(1.2));
+        outcome.add_promises(&record);
+    }
+    outcome
+}
+
+/// A new index version, the old one dropped while queries run.
+fn version_change(settings: &BenchSettings, deployment: &Deployment) -> Outcome {
+    let shards = deployment.services[0].shards;
+    publication(settings, deployment, shards, "index version change")
+}
+
+/// A new shard map with a fifth more shards, the old one dropped while queries run.
+fn repartitioning(settings: &BenchSettings, deployment: &Deployment) -> Outcome {
+    let shards = deployment.services[0].shards;
+    publication(settings, deployment, shards + shards / 5, "repartitioning")
+}
+
+/// Presets are switched under load.
+fn preset_switch(settings: &BenchSettings, deployment: &Deployment) -> Outcome {
+    let clean = policy_run(settings, deployment, &Vec::new());
+    let choices = [
+        PresetChoice::Peak,
+        PresetChoice::Maintenance,
+        PresetChoice::Ordinary,
+    ];
+    let step = (settings.seconds / 4).max(1);
+    let faults = choices.into_iter().zip(1..);
+    let faults = faults.map(|(choice, turn)| at(WARMUP + turn * step, Fault::Preset(choice)));
+    let record = policy_run(settings, deployment, &faults.collect());
+    let mut outcome = Outcome::titled("preset switch");
+    let tail = record.wide_quantile(0.99, window(settings));
+    let base = clean.wide_quantile(0.99, window(settings));
+    outcome.add("p99 over fault-free", tail / base, Bound::AtMost(1.5));
+    outcome.add(
+        "coverage",
+        record.coverage(window(settings)),
+        Bound::AtLeast(0.999),
+    );
+    outcome.add_promises(&record);
+    outcome
+}
+
+/// The users' day: a straggler, a lost replica, a burst and a version change.
+fn user_mix(settings: &BenchSettings, deployment: &Deployment) -> Outcome {
+    let span = settings.seconds;
+    let faults = vec![
+        at(WARMUP + span / 10, Fault::Slow(HIT[0], STRAGGLER)),
+        at(WARMUP + span * 3 / 10, Fault::Recover(HIT[0])),
+        at(WARMUP + span * 4 / 10, Fault::Silent(HIT[1])),
+        at(WARMUP + span * 6 / 10, Fault::Recover(HIT[1])),
+        at(WARMUP + span * 7 / 10, Fault::Load(1.2)),
+        at(WARMUP + span * 8 / 10, Fault::Load(LOAD)),
+    ];
+    let trio = Trio::run(settings, deployment, LOAD, &faults);
+    let window = trio.window;
+    let mut outcome = trio.outcome("user mix");
+    for (name, other) in [("naive", &trio.naive), ("thin", &trio.thin)] {
+        let p99 = |record: &Record| record.wide_quantile(0.99, window);
+        let ratio = p99(&trio.policy) / p99(other);
+        outcome.add(&format!("p99 over {name}"), ratio, Bound::Below(1.0));
+        let gain = trio.policy.coverage(window) - other.coverage(window);
+        outcome.add(&format!("coverage above {name}"), gain, Bound::Above(0.0));
+        let load = |record: &Record| record.slot_time(window).as_secs_f64();
+        let ratio = load(&trio.policy) / load(other);
+        outcome.add(
+            &format!("slot time a row over {name}"),
+            ratio,
+            Bound::Below(1.0),
+        );
+    }
+    outcome.add_promises(&trio.policy);
+    outcome
+}
+
+fn publication(
+    settings: &BenchSettings,
+    deployment: &Deployment,
+    shards: u32,
+    title: &str,
+) -> Outcome {
+    let clean = policy_run(settings, deployment, &Vec::new());
+    let publish = WARMUP + 1;
+    let mut faults = vec![at(publish, Fault::Publish(shards))];
+    let servers = 2 * deployment.services[0].shards;
+    for server in 0..servers as usize {
+        // The platform drops the old version as soon as all entries may know the new one.
+        let since = Duration::from_millis(300 + 10 * server as u64);
+        let time = Duration::from_secs(publish) + since;
+        faults.push((time, Fault::DropOld(server)));
+    }
+    let trio = Trio::run(settings, deployment, LOAD, &faults);
+    let mut outcome = trio.outcome(title);
+    let during = Window::secs(publish, publish + 2);
+    let base = clean.wide_quantile(0.99, window(settings));
+    let tail = trio.policy.wide_quantile(0.99, during) / base;
+    outcome.add("p99 during it over fault-free", tail, Bound::AtMost(2.0));
+    let naive = trio.naive.wide_quantile(0.99, during) / base;
+    outcome.add("p99 during it over fault-free, naive", naive, Bound::None);
+    outcome.add(
+        "coverage",
+        trio.policy.coverage(trio.window),
+        Bound::AtLeast(1.0),
+    );
+    outcome.add(
+        "coverage, naive",
+        trio.naive.coverage(trio.window),
+        Bound::None,
+    );
+    outcome.add(
+        "restarted searches",
+        ratio(trio.policy.restarts, 1),
+        Bound::None,
+    );
+    outcome.add(
+        "mixed answers",
+        ratio(trio.policy.mixed, 1),
+        Bound::AtMost(0.0),
+    );
+    outcome.add_promises(&trio.policy);
+    outcome
+}
+
+const fn at(second: u64, fault: Fault) -> (Duration, Fault) {
+    (Duration::from_secs(second), fault)
+}
+
+pub(super) const fn window(settings: &BenchSettings) -> Window {
+    Window::secs(WARMUP, WARMUP + settings.seconds)
+}
+
+fn policy_run(settings: &BenchSettings, deployment: &Deployment, faults: &Schedule) -> Record {
+    let strategy = Strategy::Policy;
+    run(run_settings(settings, deployment, strategy, LOAD, faults))
+}
+
+pub(super) fn run_settings(
+    settings: &BenchSettings,
+    deployment: &Deployment,
+    strategy: Strategy,
+    load: f64,
+    faults: &Schedule,
+) -> RunSettings {
+    RunSettings {
+        deployment: deployment.clone(),
+        strategy,
+        seed: settings.seed,
+        load,
+        duration: Duration::from_secs(WARMUP + settings.seconds),
+        faults: faults.clone(),
+    }
+}
--- /dev/null
+++ b/crates/testkit/src/policy_bench/world.rs
@@ -0,0 +1,350 @@
+//! A run: entries, owners and fake backend servers, driven by an event loop over passed-in time.
+
+use std::{
+    collections::{BTreeSet, HashMap},
+    sync::Arc,
+    time::{Duration, Instant},
+};
+
+use cassialift_core::{
+    ids::{AttemptId, IndexVersion, ServerId, ShardId},
+    index::{IndexDocument, ServerEntry, ServerState, ShardEntry},
+    policy::EntryTables,
+    presets::{AnswerPolicy, HedgePolicy, Preset},
+    request::RequestKind,
+};
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+
+use super::{
+    backend::{Condition, FakeServer, mean_service},
+    deployment::{Deployment, ENTRIES},
+    event::{Event, EventQueue},
+    fault::{ClaimMode, Fault, PresetChoice, Schedule},
+    owner::Owner,
+    record::Record,
+    search::Search,
+};
+
+/// The longest time that an entry needs to learn of a new index version.
+const LEARN_TIME: Duration = Duration::from_millis(300);
+/// How often entries read the health endpoints.
+const HEALTH_PERIOD: Duration = Duration::from_secs(1);
+
+/// What decides in a run.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Strategy {
+    /// The policy of the server.
+    Policy,
+    /// A random replica, a fixed timeout, one retry.
+    Naive,
+    /// The server's first version: replicas in turn, no timeout, one retry.
+    Thin,
+}
+
+/// What a run is given.
+#[derive(Clone, Debug)]
+pub struct RunSettings {
+    /// The deployment.
+    pub deployment: Deployment,
+    /// What decides.
+    pub strategy: Strategy,
+    /// The seed.
+    pub seed: u64,
+    /// The load at the beginning, a share of the capacity.
+    pub load: f64,
+    /// How long requests come.
+    pub duration: Duration,
+    /// What goes wrong.
+    pub faults: Schedule,
+}
+
+/// One entry.
+#[derive(Clone, Debug)]
+pub(super) struct Entry {
+    pub(super) tables: EntryTables,
+    pub(super) documents: Vec<Arc<IndexDocument>>,
+}
+
+/// One shard call on its way.
+#[derive(Clone, Debug)]
+pub(super) struct Call {
+    pub(super) search: u64,
+    pub(super) attempt: AttemptId,
+    pub(super) shard: ShardId,
+    pub(super) server: usize,
+    pub(super) version: IndexVersion,
+    pub(super) sent: Instant,
+    /// When the backend server began; none while it waits.
+    pub(super) began: Option<Instant>,
+    /// Whether its reply is on its way.
+    pub(super) replied: bool,
+    /// Whether the entry has cancelled it.
+    pub(super) cancelled: bool,
+}
+
+/// A run.
+#[derive(Debug)]
+pub(super) struct World {
+    pub(super) settings: RunSettings,
+    pub(super) base: Instant,
+    pub(super) now: Instant,
+    pub(super) events: EventQueue,
+    pub(super) load_rng: ChaCha8Rng,
+    pub(super) service_rng: ChaCha8Rng,
+    pub(super) entry_rng: ChaCha8Rng,
+    pub(super) load: f64,
+    pub(super) preset: Preset,
+    pub(super) newest: Vec<Arc<IndexDocument>>,
+    pub(super) entries: Vec<Entry>,
+    pub(super) servers: Vec<FakeServer>,
+    pub(super) names: HashMap<ServerId, usize>,
+    pub(super) owners: Vec<Owner>,
+    pub(super) searches: HashMap<u64, Search>,
+    pub(super) calls: HashMap<u64, Call>,
+    pub(super) next_id: u64,
+    pub(super) record: Record,
+    claims: ClaimMode,
+}
+
+/// Runs a deployment and returns what it left behind.
+#[must_use]
+pub fn run(settings: RunSettings) -> Record {
+    let mut world = World::new(settings);
+    while let Some((at, event)) = world.events.pop() {
+        world.now = at;
+        world.on_event(event);
+    }
+    world.record
+}
+
+impl World {
+    fn new(settings: RunSettings) -> Self {
+        let base = Instant::now();
+        let seeded = |stream| ChaCha8Rng::seed_from_u64(settings.seed * 16 + stream);
+        let mut world = Self {
+            base,
+            now: base,
+            events: EventQueue::default(),
+            load_rng: seeded(1),
+            service_rng: seeded(2),
+            entry_rng: seeded(3),
+            load: settings.load,
+            preset: settings.deployment.preset.clone(),
+            newest: Vec::new(),
+            entries: Vec::new(),
+            servers: Vec::new(),
+            names: HashMap::new(),
+            owners: Vec::new(),
+            searches: HashMap::new(),
+            calls: HashMap::new(),
+            next_id: 0,
+            record: Record::default(),
+            claims: ClaimMode::None,
+            settings,
+        };
+        for service in 0..world.settings.deployment.services.len() {
+            let shards = world.settings.deployment.services[service].shards;
+            let document = world.document(service, 1, shards);
+            world.newest.push(Arc::new(document));
+        }
+        world.add_entries();
+        world.schedule();
+        world
+    }
+
+    fn add_entries(&mut self) {
+        for _ in 0..ENTRIES {
+            let mut tables = EntryTables::default();
+            for document in &self.newest {
+                tables.replicas.sync(document, self.now);
+            }
+            let documents = self.newest.clone();
+            self.entries.push(Entry { tables, documents });
+        }
+    }
+
+    fn schedule(&mut self) {
+        for service in 0..self.newest.len() {
+            self.push_arrival(service);
+        }
+        for (at, fault) in self.settings.faults.clone() {
+            self.events.push(self.base + at, Event::Fault(fault));
+        }
+        self.events.push(self.base, Event::Health);
+    }
+
+    fn on_event(&mut self, event: Event) {
+        match event {
+            Event::Arrive(service) => {
+                self.on_arrival(service);
+                self.push_arrival(service);
+            }
+            Event::AtOwner(call) => self.on_call(call),
+            Event::CancelAtOwner(call) => self.on_cancel(call),
+            Event::Expire(server) => self.dispatch(server),
+            Event::Done(call) => self.on_done(call),
+            Event::AtEntry(call, outcome, queued) => self.on_reply(call, outcome, queued),
+            Event::Timer(search) => self.on_timer(search),
+            Event::Fault(fault) => self.on_fault(fault),
+            Event::Learn(entry) => self.on_learn(entry),
+            Event::Health => self.on_health(),
+        }
+    }
+
+    /// Sets the time of the next request to a service.
+    fn push_arrival(&mut self, service: usize) {
+        let shape = &self.settings.deployment.services[service];
+        let capacity = f64::from(shape.slots()) / mean_service().as_secs_f64();
+        let rate = self.load * capacity / shape.calls();
+        let gap = -(1.0 - self.load_rng.random::<f64>()).ln() / rate;
+        let at = self.now + Duration::from_secs_f64(gap);
+        if at < self.base + self.settings.duration {
+            self.events.push(at, Event::Arrive(service));
+        }
+    }
+
+    fn on_fault(&mut self, fault: Fault) {
+        match fault {
+            Fault::Slow(server, factor) => self.servers[server].condition = Condition::Up(factor),
+            Fault::Silent(server) => self.servers[server].condition = Condition::Silent,
+            Fault::Refusing(server) => self.servers[server].condition = Condition::Refusing,
+            Fault::Recover(server) => self.servers[server].condition = Condition::Up(1.0),
+            Fault::Load(load) => self.load = load,
+            Fault::Publish(shards) => self.publish(shards),
+            Fault::DropOld(server) => {
+                let versions = &mut self.servers[server].versions;
+                let newest = versions.last().copied();
+                versions.retain(|version| Some(*version) == newest);
+            }
+            Fault::Claims(mode) => self.claims = mode,
+            Fault::Preset(choice) => {
+                self.preset = chosen_preset(&self.settings.deployment.preset, choice);
+            }
+        }
+    }
+
+    /// Publishes a new index version of the first service; its backend servers hold it already.
+    fn publish(&mut self, shards: u32) {
+        let version = self.newest[0].version + 1;
+        let document = self.document(0, version, shards);
+        self.newest[0] = Arc::new(document);
+        for entry in 0..ENTRIES {
+            let delay = LEARN_TIME.mul_f64(self.load_rng.random());
+            self.events.push(self.now + delay, Event::Learn(entry));
+        }
+    }
+
+    /// Makes an index document and the backend servers that it needs.
+    fn document(&mut self, service: usize, version: IndexVersion, shards: u32) -> IndexDocument {
+        let shape = self.settings.deployment.services[service].clone();
+        let mut document = IndexDocument {
+            service: shape.name.into(),
+            version,
+            shards: Vec::new(),
+            servers: Vec::new(),
+        };
+        for shard in 0..shards {
+            let mut replicas = Vec::new();
+            for copy in 0..shape.replicas {
+                let id = ServerId::from(format!("{}-{shard}-{copy}", shape.name));
+                self.hold(&id, service, shape.slots, version);
+                document.servers.push(server_entry(&id, shape.slots));
+                replicas.push(id);
+            }
+            document.shards.push(ShardEntry { shard, replicas });
+        }
+        document
+    }
+
+    /// Lets a backend server hold an index version; adds the server when it is new.
+    fn hold(&mut self, id: &ServerId, service: usize, slots: u32, version: IndexVersion) {
+        if let Some(&known) = self.names.get(id) {
+            self.servers[known].versions.insert(version);
+            return;
+        }
+        self.names.insert(ServerId::clone(id), self.servers.len());
+        self.servers.push(FakeServer {
+            id: ServerId::clone(id),
+            service,
+            condition: Condition::Up(1.0),
+            versions: BTreeSet::from([version]),
+        });
+        let naive = self.settings.strategy != Strategy::Policy;
+        let policy = self.preset.queue;
+        self.owners.push(Owner::new(naive, slots, policy, self.now));
+    }
+
+    fn on_learn(&mut self, entry: usize) {
+        self.entries[entry].documents.clone_from(&self.newest);
+        let tables = &mut self.entries[entry].tables;
+        tables.replicas.sync(&self.newest[0], self.now);
+        let mut stalled: Vec<_> = self
+            .searches
+            .iter()
+            .filter(|(_, search)| search.stalled && search.entry == entry)
+            .map(|(id, _)| *id)
+            .collect();
+        stalled.sort_unstable();
+        for search in stalled {
+            self.restart(search);
+        }
+    }
+
+    fn on_health(&mut self) {
+        for server in 0..self.servers.len() {
+            let Some(claim) = super::claims::claim(self.claims, self.servers[server].is_well())
+            else {
+                continue;
+            };
+            let id = ServerId::clone(&self.servers[server].id);
+            for entry in &mut self.entries {
+                entry.tables.replicas.on_claim(&id, claim, self.now);
+            }
+        }
+        let next = self.now + HEALTH_PERIOD;
+        if next < self.base + self.settings.duration {
+            self.events.push(next, Event::Health);
+        }
+    }
+}
+
+fn server_entry(id: &ServerId, slots: u32) -> ServerEntry {
+    ServerEntry {
+        id: ServerId::clone(id),
+        address: ([127, 0, 0, 1], 1).into(),
+        centre: "one".into(),
+        slots,
+        connections: 25,
+        state: ServerState::Serving,
+    }
+}
+
+fn chosen_preset(ordinary: &Preset, choice: PresetChoice) -> Preset {
+    let mut preset = ordinary.clone();
+    let (hedge, answer) = match choice {
+        PresetChoice::Ordinary => return preset,
+        PresetChoice::Peak => (
+            HedgePolicy {
+                quantile: 0.95,
+                budget: 0.05,
+            },
+            AnswerPolicy::Early {
+                share: 0.9,
+                after: 0.2,
+            },
+        ),
+        PresetChoice::Maintenance => (
+            HedgePolicy {
+                quantile: 1.0,
+                budget: 0.0,
+            },
+            AnswerPolicy::Wait,
+        ),
+    };
+    preset.hedge = hedge;
+    if let Some(kind) = preset.kinds.get_mut(&RequestKind::WideSearch) {
+        kind.answer = answer;
+    }
+    preset
+}
--- /dev/null
+++ b/crates/testkit/tests/policy.rs
@@ -0,0 +1,79 @@
+//! The policy benchmark with a short seed, and the policy against the naive version.
+//!
+//! Time is passed in and seeds are fixed, so that the verdicts are the same every time.
+
+use std::time::Duration;
+
+use cassialift_testkit::policy_bench::{
+    BenchSettings, Deployment, End, Fault, RunSettings, SCENARIOS, Strategy, run,
+};
+use yare::parameterized;
+
+fn settings(seconds: u64) -> BenchSettings {
+    BenchSettings {
+        seed: 1,
+        seconds,
+        deployments: Vec::new(),
+    }
+}
+
+#[parameterized(
+    straggler = { "straggler", 4 },
+    replica_lost = { "replica-lost", 4 },
+    shard_lost = { "shard-lost", 4 },
+    overload = { "overload", 4 },
+    lying_health = { "lying-health", 10 },
+    version_change = { "version-change", 4 },
+    repartitioning = { "repartitioning", 4 },
+    preset_switch = { "preset-switch", 4 },
+)]
+fn test_bench_keeps_bounds(name: &str, seconds: u64) {
+    let scenario = SCENARIOS.iter().find(|scenario| scenario.name == name);
+    let scenario = scenario.expect("the scenario exists");
+    for deployment in Deployment::all() {
+        let outcome = scenario.outcome(&settings(seconds), &deployment);
+        let failed: Vec<_> = outcome.figures.iter().filter(|one| !one.holds()).collect();
+        assert!(!outcome.figures.is_empty());
+        assert!(failed.is_empty(), "{}: {failed:#?}", deployment.name);
+    }
+}
+
+fn run_as(strategy: Strategy, deployment: Deployment, faults: Vec<(Duration, Fault)>) -> u64 {
+    let record = run(RunSettings {
+        deployment,
+        strategy,
+        seed: 3,
+        load: 0.2,
+        duration: Duration::from_secs(3),
+        faults,
+    });
+    assert_eq!(record.broken(), 0, "{strategy:?}");
+    let answered = |end: &&_| {
+        let end: &cassialift_testkit::policy_bench::Ended = end;
+        end.end == End::Answered && end.included == end.total
+    };
+    let whole = record.ended.iter().filter(answered).count() as u64;
+    assert_eq!(whole, record.offered, "{strategy:?}");
+    record.offered
+}
+
+#[parameterized(
+    adebayo = { Deployment::adebayo() },
+    riddim = { Deployment::riddim() },
+)]
+fn test_policy_agrees_with_naive_without_faults(deployment: Deployment) {
+    let naive = run_as(Strategy::Naive, deployment.clone(), Vec::new());
+    let thin = run_as(Strategy::Thin, deployment.clone(), Vec::new());
+    let policy = run_as(Strategy::Policy, deployment, Vec::new());
+    assert!(naive > 1_000);
+    assert_eq!((thin, policy), (naive, naive));
+}
+
+#[test]
+fn test_policy_agrees_with_naive_on_a_refusing_replica() {
+    let deployment = Deployment::adebayo().first_service();
+    let faults = vec![(Duration::from_secs(1), Fault::Refusing(4))];
+    let naive = run_as(Strategy::Naive, deployment.clone(), faults.clone());
+    let policy = run_as(Strategy::Policy, deployment, faults);
+    assert_eq!(policy, naive);
+}
