entry: drive the policy's gather

The search was thin: replicas in turn, no hedge, one retry. It now admits by the expected wait, pins replicas and version, and does what Gather decides: send, cancel, start over on a newer index version, answer early. One lock an entry guards what it learned and is held for decisions only. Counters: entry.first, entry.hedge, entry.probe, entry.cancelled, entry.restarted, entry.reply_unused and retry.<reason>. A search whose caller has gone gives its counts back.

The rolling replacement test failed at first: a fresh VM had one retry token for eight shards that met a leaving owner. A call that met no owner put no load on a backend server, so its retry is free, and the retry budget starts full.

Health endpoints are not read yet; the table takes their claims.

--- a/crates/core/src/policy/budget.rs
+++ b/crates/core/src/policy/budget.rs
@@ -17,6 +17,13 @@
         Self { tokens: 1.0, burst }
     }
 
+    /// Makes a budget that starts with all the tokens that it may hold.
+    #[must_use]
+    pub const fn full(burst: f64) -> Self {
+        let tokens = burst;
+        Self { tokens, burst }
+    }
+
     /// Earns the tokens of `calls` first attempts.
     pub fn earn(&mut self, calls: u32, ratio: f64) {
         self.tokens = (self.tokens + f64::from(calls) * ratio).min(self.burst);
--- a/crates/core/src/policy/gather/recover.rs
+++ b/crates/core/src/policy/gather/recover.rs
@@ -78,14 +78,19 @@
             self.give_up(index, MissingReason::Busy);
             return;
         }
-        if !context.tables.retrier.allow() {
+        // A call that met no owner put no load on any backend server.
+        let free = reason == RetryReason::NotOwner;
+        if !free && !context.tables.retrier.allow() {
             self.give_up(index, MissingReason::Budget);
             return;
         }
-        if !self.send(index, AttemptCause::Retry(reason), context, actions) {
+        if self.send(index, AttemptCause::Retry(reason), context, actions) {
+            return;
+        }
+        if !free {
             context.tables.retrier.refund();
-            self.give_up(index, self.shards[index].reason());
         }
+        self.give_up(index, self.shards[index].reason());
     }
 
     /// Returns whether the entry is overloaded and calls wait for each untried replica.
--- a/crates/core/src/policy/gather/tests.rs
+++ b/crates/core/src/policy/gather/tests.rs
@@ -230,6 +230,18 @@
     assert_eq!(end.coverage.missing[0].reason, missing);
 }
 
+#[test]
+fn test_gather_owner_changes_need_no_budget() {
+    let mut rig = Rig::new(30, RequestKind::WideSearch, KindPolicy::default());
+    while rig.tables.retrier.allow() {}
+    rig.gather.spec.retry.budget = 0.0;
+    let first = rig.start();
+    for (attempt, _, _) in sends(&first) {
+        let (_, retry) = rig.reply(attempt, CallOutcome::NotRun(NotRunCause::NotOwner));
+        assert_eq!(sends(&retry).len(), 1);
+    }
+}
+
 #[test]
 fn test_gather_restarts_whole_on_newer_version() {
     let mut rig = Rig::new(2, RequestKind::WideSearch, KindPolicy::default());
--- a/crates/core/src/policy/retry.rs
+++ b/crates/core/src/policy/retry.rs
@@ -116,7 +116,7 @@
 impl Default for Retrier {
     fn default() -> Self {
         Self {
-            budget: TokenBudget::new(RETRY_BURST),
+            budget: TokenBudget::full(RETRY_BURST),
         }
     }
 }
--- a/crates/server/src/entry/admit.rs
+++ b/crates/server/src/entry/admit.rs
@@ -6,10 +6,12 @@
 };
 
 use cassialift_core::{
-    ids::ShardId,
+    ids::{CallerId, ShardId},
     index::IndexDocument,
+    policy::{admission::AdmissionRequest, gather::ShardTarget},
     presets::KindPolicy,
     request::{Ran, RefusalReason},
+    time::Millis,
     view::{ConfigView, FleetView},
 };
 use cassialift_wire::caller::SearchRequest;
@@ -24,7 +26,8 @@
     pub(super) config: Arc<ConfigView>,
     pub(super) index: Arc<IndexDocument>,
     pub(super) policy: KindPolicy,
-    pub(super) shards: Vec<ShardId>,
+    pub(super) targets: Vec<ShardTarget>,
+    pub(super) started: Instant,
     pub(super) deadline: Instant,
 }
 
@@ -60,16 +63,63 @@
         let detail = "the deadline is zero";
         return Err(not_run(RefusalReason::DeadlinePast, detail));
     }
+    let targets = targets(&index, &shards);
+    node.policy.sync(&config);
+    check_load(node, request, &targets, allowed, &config, now)?;
     Ok(Admitted {
+        started: now,
         deadline: now + allowed,
         view,
         config,
         index,
         policy,
-        shards,
+        targets,
     })
 }
 
+/// Refuses at once what can't be done in time or would crowd out others.
+fn check_load(
+    node: &Node,
+    request: &SearchRequest,
+    targets: &[ShardTarget],
+    allowed: Duration,
+    config: &ConfigView,
+    now: Instant,
+) -> Result<(), Refused> {
+    let mut tables = node.policy.lock();
+    let sets = targets.iter().map(|target| target.replicas.as_slice());
+    let asked = AdmissionRequest {
+        caller: CallerId::clone(&request.caller),
+        kind: request.kind,
+        remaining: allowed,
+        estimate: tables.estimate(sets, now),
+    };
+    let preset = &config.policy;
+    let admission = &mut tables.admission;
+    let refusal = match admission.admit(&asked, &preset.kind(request.kind), &preset.queue, now) {
+        Ok(()) => return Ok(()),
+        Err(refusal) => refusal,
+    };
+    let detail = "the shards asked for have too much to do";
+    let mut refused = not_run(refusal.reason, detail);
+    refused.refusal.retry = refusal.retry.map(Millis::from);
+    Err(refused)
+}
+
+/// Returns the replicas of shards of an index document.
+pub(super) fn targets(index: &IndexDocument, shards: &[ShardId]) -> Vec<ShardTarget> {
+    let entries = index.shards.iter();
+    let wanted = entries.filter(|entry| shards.contains(&entry.shard));
+    let mut found: Vec<_> = wanted
+        .map(|entry| ShardTarget {
+            shard: entry.shard,
+            replicas: entry.replicas.clone(),
+        })
+        .collect();
+    found.sort_unstable_by_key(|target| target.shard);
+    found
+}
+
 fn shards(request: &SearchRequest, index: &IndexDocument) -> Result<Vec<ShardId>, Refused> {
     let Some(asked) = &request.shards else {
         return Ok(index.shards.iter().map(|entry| entry.shard).collect());
--- /dev/null
+++ b/crates/server/src/entry/attempt.rs
@@ -0,0 +1,130 @@
+//! One shard call of a search: what is sent, and what its result means to the policy.
+
+use std::sync::Arc;
+
+use cassialift_core::{
+    ids::{AttemptId, IndexVersion, RequestKey, ServerId, ShardId},
+    policy::{
+        outcome::{CallOutcome, NotRunCause, UnknownCause},
+        replica::CallReport,
+    },
+};
+use cassialift_wire::{
+    backend::Row,
+    caller::SearchRequest,
+    peer::{CallFailure, CallRefusal, CallResult, ShardCall},
+};
+
+use super::admit::Admitted;
+use crate::{
+    process::{CallError, Node},
+    timer::Timer,
+};
+
+/// One shard call.
+#[derive(Clone, Debug)]
+pub(super) struct Attempt {
+    pub(super) id: AttemptId,
+    pub(super) shard: ShardId,
+    pub(super) server: ServerId,
+    pub(super) version: IndexVersion,
+}
+
+/// What came of one shard call.
+#[derive(Debug)]
+pub(super) struct Arrival {
+    pub(super) attempt: Attempt,
+    pub(super) outcome: CallOutcome,
+    pub(super) rows: Vec<Row>,
+}
+
+impl Attempt {
+    /// Makes the message to the owner.
+    pub(super) fn call(
+        &self,
+        request: &SearchRequest,
+        admitted: &Admitted,
+        key: RequestKey,
+    ) -> ShardCall {
+        let remaining = admitted.deadline.saturating_duration_since(Timer.now());
+        ShardCall {
+            request: key,
+            attempt: self.id,
+            caller: Arc::clone(&request.caller),
+            service: Arc::clone(&request.service),
+            shard: self.shard,
+            server: Arc::clone(&self.server),
+            version: self.version,
+            kind: request.kind,
+            urgency: request.kind.urgency(),
+            remaining: remaining.into(),
+            body: request.query.clone(),
+        }
+    }
+
+    /// Sends the call, waits for its result and reports it to the policy's tables.
+    pub(super) async fn run(self, node: &Node, admitted: &Admitted, call: ShardCall) -> Arrival {
+        let (service, kind) = (Arc::clone(&call.service), call.kind);
+        let sent = Timer.now();
+        let (outcome, rows, queued) = match node.call_shard(&admitted.view, call).await {
+            Ok(reply) => {
+                let (outcome, rows) = outcome(reply.result);
+                (outcome, rows, Some(reply.queued))
+            }
+            Err(error) => (failure(&error), Vec::new(), None),
+        };
+        let now = Timer.now();
+        let report = CallReport {
+            outcome,
+            latency: now.saturating_duration_since(sent),
+            queued,
+        };
+        let mut tables = node.policy.lock();
+        tables.on_report(&service, kind, &self.server, &report, now);
+        drop(tables);
+        Arrival {
+            attempt: self,
+            outcome,
+            rows,
+        }
+    }
+}
+
+fn outcome(result: CallResult) -> (CallOutcome, Vec<Row>) {
+    match result {
+        CallResult::Done { version, rows } => (CallOutcome::Done(version), rows),
+        CallResult::NotRun(refusal) => (CallOutcome::NotRun(not_run(&refusal)), Vec::new()),
+        CallResult::Unknown(failure) => {
+            let cause = match failure {
+                CallFailure::Broken => UnknownCause::Broken,
+                CallFailure::Timeout => UnknownCause::Timeout,
+                CallFailure::BadReply => UnknownCause::BadReply,
+            };
+            (CallOutcome::Unknown(cause), Vec::new())
+        }
+    }
+}
+
+const fn not_run(refusal: &CallRefusal) -> NotRunCause {
+    match refusal {
+        CallRefusal::NotOwner { .. } => NotRunCause::NotOwner,
+        CallRefusal::QueueFull => NotRunCause::QueueFull,
+        CallRefusal::Infeasible => NotRunCause::Infeasible,
+        CallRefusal::Expired => NotRunCause::Expired,
+        CallRefusal::Busy => NotRunCause::Busy,
+        CallRefusal::Leaving => NotRunCause::Leaving,
+        CallRefusal::VersionGone { held } => NotRunCause::VersionGone(*held),
+        CallRefusal::UnknownShard => NotRunCause::UnknownShard,
+        CallRefusal::Connect => NotRunCause::Connect,
+        CallRefusal::Cancelled => NotRunCause::Cancelled,
+    }
+}
+
+/// A VM that could not be asked says nothing of the backend server behind it.
+const fn failure(error: &CallError) -> CallOutcome {
+    match error {
+        CallError::NoOwner => CallOutcome::NotRun(NotRunCause::NotOwner),
+        CallError::Peer(error) if error.is_unsent() => CallOutcome::NotRun(NotRunCause::NotOwner),
+        CallError::Peer(_) => CallOutcome::Unknown(UnknownCause::Broken),
+    }
+}
--- a/crates/server/src/entry/gather.rs
+++ b/crates/server/src/entry/gather.rs
@@ -1,129 +1,265 @@
-//! Asking every shard of an admitted search and gathering what comes before the deadline.
+//! Drives the policy's gather: sends and cancels shard calls and keeps the rows that come.
 
-use std::{collections::BTreeMap, sync::Arc};
+use std::{
+    collections::{BTreeMap, HashMap},
+    pin::Pin,
+    sync::Arc,
+    time::{Duration, Instant},
+};
 
 use cassialift_core::{
     ids::{AttemptId, RequestKey, ServerId, ShardId},
-    index::ShardEntry,
-    request::{Coverage, MissingReason, MissingShard},
+    index::IndexDocument,
+    policy::gather::{Action, AttemptCause, Context, Gather, GatherEnd, GatherSpec, ShardTarget},
 };
-use cassialift_wire::{
-    backend::Row,
-    caller::SearchRequest,
-    peer::{CallRefusal, CallResult, ShardCall},
+use cassialift_wire::{backend::Row, caller::SearchRequest};
+use futures::{
+    StreamExt,
+    future::{AbortHandle, Abortable},
+    stream::FuturesUnordered,
 };
-use futures::{StreamExt, stream::FuturesUnordered};
-use tokio::time::timeout_at;
+use tokio::sync::mpsc;
 
-use super::admit::Admitted;
+use super::{
+    admit::{Admitted, targets},
+    attempt::{Arrival, Attempt},
+};
 use crate::{process::Node, timer::Timer};
 
-/// The rows and the coverage of one search.
+/// How often a stalled search looks for a newer index version.
+const STALL_PERIOD: Duration = Duration::from_millis(5);
+
+/// The rows and the end of one search.
 #[derive(Debug)]
 pub(super) struct Gathered {
     pub(super) rows: BTreeMap<ShardId, Vec<Row>>,
-    pub(super) coverage: Coverage,
+    pub(super) end: GatherEnd,
 }
 
-pub(super) async fn gather(node: &Node, request: &SearchRequest, admitted: &Admitted) -> Gathered {
-    let key = node.next_key();
-    let mut pending = FuturesUnordered::new();
-    for (position, shard) in admitted.shards.iter().enumerate() {
-        let attempt = AttemptId::try_from(position * 2).unwrap_or(AttemptId::MAX);
-        pending.push(ask(node, request, admitted, key, *shard, attempt));
-    }
-    let mut rows = BTreeMap::new();
-    let mut reasons: BTreeMap<ShardId, MissingReason> = BTreeMap::new();
-    let deadline = admitted.deadline.into();
-    while let Ok(Some((shard, result))) = timeout_at(deadline, pending.next()).await {
-        match result {
-            Ok(found) => drop(rows.insert(shard, found)),
-            Err(reason) => drop(reasons.insert(shard, reason)),
+/// The calls without a reply.
+type Pending = FuturesUnordered<Abortable<Pin<Box<dyn Future<Output = Arrival> + Send>>>>;
+
+/// A search under way.
+struct Search {
+    node: Arc<Node>,
+    request: Arc<SearchRequest>,
+    admitted: Arc<Admitted>,
+    key: RequestKey,
+    gather: Gather,
+    pending: Pending,
+    /// The calls without a reply, which the tables count until they are reported.
+    live: HashMap<AttemptId, (AbortHandle, ServerId)>,
+    probes: (
+        mpsc::UnboundedSender<Arrival>,
+        mpsc::UnboundedReceiver<Arrival>,
+    ),
+    rows: BTreeMap<ShardId, Vec<Row>>,
+    stalled: bool,
+    end: Option<GatherEnd>,
+}
+
+/// Runs an admitted search to its end.
+pub(super) async fn gather(
+    node: Arc<Node>,
+    request: Arc<SearchRequest>,
+    admitted: Arc<Admitted>,
+) -> Gathered {
+    let mut search = Search::new(node, request, admitted);
+    let actions = search.step(Gather::start);
+    search.act(actions);
+    loop {
+        if let Some(end) = search.end.take() {
+            let rows = std::mem::take(&mut search.rows);
+            return Gathered { rows, end };
         }
+        search.turn().await;
     }
-    let missing = admitted
-        .shards
-        .iter()
-        .filter(|shard| !rows.contains_key(shard));
-    let coverage = Coverage {
-        included: rows.keys().copied().collect(),
-        missing: missing
-            .map(|shard| MissingShard {
-                shard: *shard,
-                reason: reasons
-                    .get(shard)
-                    .copied()
-                    .unwrap_or(MissingReason::Deadline),
-            })
-            .collect(),
-    };
-    Gathered { rows, coverage }
 }
 
-/// Asks one shard, at most two of its replicas one after the other.
-async fn ask(
-    node: &Node,
-    request: &SearchRequest,
-    admitted: &Admitted,
-    key: RequestKey,
-    shard: ShardId,
-    attempt: AttemptId,
-) -> (ShardId, Result<Vec<Row>, MissingReason>) {
-    let Some(entry) = admitted.index.shard(shard) else {
-        return (shard, Err(MissingReason::Unreachable));
-    };
-    let mut last = MissingReason::Unreachable;
-    for (number, server) in choose(entry, key.sequence).into_iter().enumerate() {
-        let attempt = attempt + u32::from(number > 0);
-        let call = shard_call(request, admitted, key, shard, attempt, &server);
-        match node.call_shard(&admitted.view, call).await {
-            Ok(reply) => match reply.result {
-                CallResult::Done { version, rows } if version == admitted.index.version => {
-                    return (shard, Ok(rows));
-                }
-                CallResult::Done { .. } | CallResult::NotRun(CallRefusal::VersionGone { .. }) => {
-                    last = MissingReason::VersionGone;
+impl Search {
+    fn new(node: Arc<Node>, request: Arc<SearchRequest>, admitted: Arc<Admitted>) -> Self {
+        let spec = GatherSpec {
+            service: Arc::clone(&request.service),
+            kind: request.kind,
+            version: admitted.index.version,
+            shards: admitted.targets.clone(),
+            started: admitted.started,
+            deadline: admitted.deadline,
+            policy: admitted.policy.clone(),
+            hedge: admitted.config.policy.hedge,
+            retry: admitted.config.policy.retry,
+        };
+        Self {
+            key: node.next_key(),
+            node,
+            request,
+            admitted,
+            gather: Gather::new(spec),
+            pending: FuturesUnordered::new(),
+            live: HashMap::new(),
+            probes: mpsc::unbounded_channel(),
+            rows: BTreeMap::new(),
+            stalled: false,
+            end: None,
+        }
+    }
+
+    /// Waits for the next event and acts on it.
+    async fn turn(&mut self) {
+        let timer = self.wake_time();
+        tokio::select! {
+            Some(arrival) = self.pending.next(), if !self.pending.is_empty() => {
+                if let Ok(arrival) = arrival {
+                    self.on_arrival(arrival);
                 }
-                CallResult::NotRun(CallRefusal::Busy) => last = MissingReason::Busy,
-                CallResult::NotRun(_) | CallResult::Unknown(_) => {
-                    last = MissingReason::Unreachable;
+            }
+            Some(arrival) = self.probes.1.recv() => self.on_arrival(arrival),
+            () = Timer.at(timer) => self.on_timer(),
+        }
+    }
+
+    fn wake_time(&self) -> Instant {
+        let due = self.gather.next_timer().unwrap_or(self.admitted.deadline);
+        if self.stalled {
+            return due.min(Timer.now() + STALL_PERIOD);
+        }
+        due
+    }
+
+    fn on_timer(&mut self) {
+        if self.stalled {
+            self.restart();
+        }
+        let actions = self.step(Gather::on_timer);
+        self.act(actions);
+    }
+
+    fn on_arrival(&mut self, arrival: Arrival) {
+        let Arrival {
+            attempt,
+            outcome,
+            rows,
+        } = arrival;
+        self.live.remove(&attempt.id);
+        let mut actions = Vec::new();
+        let included = self
+            .step(|gather, context| gather.on_reply(attempt.id, outcome, context, &mut actions));
+        if included {
+            self.rows.insert(attempt.shard, rows);
+        } else {
+            self.node.metrics.count("entry.reply_unused");
+        }
+        self.act(actions);
+    }
+
+    /// Starts over on a newer index version, once this VM has it.
+    fn restart(&mut self) {
+        let view = self.node.control.pin();
+        let Some(config) = &view.config else {
+            return;
+        };
+        let Some(index) = config.indexes.get(&self.request.service) else {
+            return;
+        };
+        if index.version <= self.gather.version() {
+            return;
+        }
+        self.node.policy.sync(config);
+        let wanted = self.targets_of(index);
+        self.stalled = false;
+        self.rows.clear();
+        self.node.metrics.count("entry.restarted");
+        let version = index.version;
+        let actions = self.step(|gather, context| gather.restart(version, wanted, context));
+        self.act(actions);
+    }
+
+    fn targets_of(&self, index: &IndexDocument) -> Vec<ShardTarget> {
+        let asked = self.request.shards.as_deref();
+        let wanted = |target: &ShardTarget| asked.is_none_or(|all| all.contains(&target.shard));
+        let all = index.shards.iter().map(|entry| entry.shard);
+        let mut found = targets(index, &all.collect::<Vec<_>>());
+        found.retain(wanted);
+        found
+    }
+
+    /// Takes one step of the policy under its lock.
+    fn step<R>(&mut self, run: impl FnOnce(&mut Gather, &mut Context<'_>) -> R) -> R {
+        let mut rng = rand::rng();
+        let mut tables = self.node.policy.lock();
+        let mut context = Context {
+            tables: &mut tables,
+            now: Timer.now(),
+            rng: &mut rng,
+        };
+        run(&mut self.gather, &mut context)
+    }
+
+    fn act(&mut self, actions: Vec<Action>) {
+        let mut stalls = false;
+        for action in actions {
+            match action {
+                Action::Send {
+                    attempt,
+                    shard,
+                    server,
+                    cause,
+                } => self.send(attempt, shard, server, cause),
+                Action::Cancel { attempt, .. } => {
+                    // The gather has told the tables already.
+                    if let Some((handle, _)) = self.live.remove(&attempt) {
+                        handle.abort();
+                        self.node.metrics.count("entry.cancelled");
+                    }
                 }
-            },
-            Err(error) => last = error.missing(),
+                Action::Stall { .. } => stalls = true,
+                Action::Finish(end) => self.end = Some(end),
+            }
+        }
+        if stalls && self.end.is_none() {
+            self.rows.clear();
+            self.stalled = true;
+            self.restart();
         }
-        node.metrics.count("entry.attempt_failed");
     }
-    (shard, Err(last))
-}
 
-/// Picks two replicas, starting at another one for each request.
-fn choose(entry: &ShardEntry, sequence: u64) -> Vec<ServerId> {
-    let count = entry.replicas.len();
-    let start = usize::try_from(sequence).unwrap_or_default() % count;
-    let turned = entry.replicas.iter().cycle().skip(start);
-    turned.take(count.min(2)).map(Arc::clone).collect()
+    fn send(&mut self, id: AttemptId, shard: ShardId, server: ServerId, cause: AttemptCause) {
+        self.node.metrics.count(match cause {
+            AttemptCause::First => "entry.first",
+            AttemptCause::Hedge => "entry.hedge",
+            AttemptCause::Retry(reason) => reason.counter(),
+            AttemptCause::Probe => "entry.probe",
+        });
+        let attempt = Attempt {
+            id,
+            shard,
+            server: ServerId::clone(&server),
+            version: self.gather.version(),
+        };
+        let call = attempt.call(&self.request, &self.admitted, self.key);
+        let (node, admitted) = (Arc::clone(&self.node), Arc::clone(&self.admitted));
+        let run = async move { attempt.run(&node, &admitted, call).await };
+        if cause == AttemptCause::Probe {
+            // A probe is worth its reply even when the search has ended.
+            let arrived = self.probes.0.clone();
+            tokio::spawn(async move { drop(arrived.send(run.await)) });
+            return;
+        }
+        let (handle, registration) = AbortHandle::new_pair();
+        let run: Pin<Box<dyn Future<Output = Arrival> + Send>> = Box::pin(run);
+        self.pending.push(Abortable::new(run, registration));
+        self.live.insert(id, (handle, server));
+    }
 }
 
-fn shard_call(
-    request: &SearchRequest,
-    admitted: &Admitted,
-    key: RequestKey,
-    shard: ShardId,
-    attempt: AttemptId,
-    server: &ServerId,
-) -> ShardCall {
-    let remaining = admitted.deadline.saturating_duration_since(Timer.now());
-    ShardCall {
-        request: key,
-        attempt,
-        caller: Arc::clone(&request.caller),
-        service: Arc::clone(&request.service),
-        shard,
-        server: Arc::clone(server),
-        version: admitted.index.version,
-        kind: request.kind,
-        urgency: request.kind.urgency(),
-        remaining: remaining.into(),
-        body: request.query.clone(),
+impl Drop for Search {
+    /// Ends the accounts of calls whose search was dropped, as when its caller has gone.
+    fn drop(&mut self) {
+        let now = Timer.now();
+        let mut tables = self.node.policy.lock();
+        for (_, server) in self.live.values() {
+            tables.replicas.on_cancelled(server, Duration::ZERO, now);
+        }
+        tables.admission.on_end(&self.request.caller);
     }
 }
--- a/crates/server/src/entry/mod.rs
+++ b/crates/server/src/entry/mod.rs
@@ -2,10 +2,13 @@
 
 mod addresses;
 mod admit;
+mod attempt;
 mod gather;
 mod http;
 pub mod jobs;
+mod policy;
 mod refuse;
 mod search;
 
 pub use http::serve;
+pub use policy::PolicyTables;
--- /dev/null
+++ b/crates/server/src/entry/policy.rs
@@ -0,0 +1,47 @@
+//! What this entry has learned of backend servers, shared by all its requests.
+
+use std::sync::{
+    Mutex, MutexGuard, PoisonError,
+    atomic::{AtomicU64, Ordering},
+};
+
+use cassialift_core::{policy::EntryTables, request::RefusalReason, view::ConfigView};
+
+use crate::timer::Timer;
+
+/// What this entry has learned, behind one lock that is held for decisions only.
+#[derive(Debug, Default)]
+pub struct PolicyTables {
+    tables: Mutex<EntryTables>,
+    /// The revision whose backend servers the tables know, plus one; zero before the first.
+    synced: AtomicU64,
+}
+
+impl PolicyTables {
+    /// Takes over the backend servers of a configuration, unless that or a newer one was taken.
+    pub(super) fn sync(&self, config: &ConfigView) {
+        let wanted = config.revision.saturating_add(1);
+        if self.synced.load(Ordering::Acquire) >= wanted {
+            return;
+        }
+        let mut tables = self.lock();
+        if self.synced.load(Ordering::Acquire) >= wanted {
+            return;
+        }
+        for document in config.indexes.values() {
+            tables.replicas.sync(document, Timer.now());
+        }
+        self.synced.store(wanted, Ordering::Release);
+    }
+
+    /// Locks the tables for one decision.
+    pub(super) fn lock(&self) -> MutexGuard<'_, EntryTables> {
+        // A panic while deciding leaves counts that are off by one at most.
+        self.tables.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+/// Returns the name of the counter of a refusal.
+pub(super) fn refusal_counter(reason: RefusalReason) -> String {
+    format!("refused.{reason:?}")
+}
--- a/crates/server/src/entry/search.rs
+++ b/crates/server/src/entry/search.rs
@@ -2,37 +2,55 @@
 
 use std::sync::Arc;
 
-use cassialift_core::request::{Ran, RefusalReason};
+use cassialift_core::{
+    policy::gather::Verdict,
+    request::{Ran, RefusalReason},
+};
 use cassialift_wire::caller::{Answer, SearchRequest, ShardRows};
 
-use super::{admit::admit, gather::gather, refuse::Refused};
+use super::{
+    admit::admit,
+    gather::{Gathered, gather},
+    policy::refusal_counter,
+    refuse::Refused,
+};
 use crate::{process::Node, timer::Timer};
 
 pub(super) async fn run(node: Arc<Node>, request: SearchRequest) -> Result<Answer, Refused> {
     let admitted = admit(&node, &request, Timer.now()).map_err(|refused| {
-        node.metrics
-            .count(&format!("refused.{:?}", refused.refusal.reason));
+        node.metrics.count(&refusal_counter(refused.refusal.reason));
         refused.with_id(&request.id)
     })?;
-    let gathered = gather(&node, &request, &admitted).await;
-    if gathered.coverage.share() < admitted.policy.coverage {
-        node.metrics.count("refused.Coverage");
+    let (request, admitted) = (Arc::new(request), Arc::new(admitted));
+    let gathering = gather(
+        Arc::clone(&node),
+        Arc::clone(&request),
+        Arc::clone(&admitted),
+    );
+    let Gathered { rows, end } = gathering.await;
+    let ran = match end.verdict {
+        Verdict::Answer => None,
+        Verdict::NotRun => Some(Ran::NotRun),
+        Verdict::Unknown => Some(Ran::Unknown),
+    };
+    if let Some(ran) = ran {
+        node.metrics
+            .count(&refusal_counter(RefusalReason::Coverage));
         let detail = "fewer shards replied than the preset demands".to_owned();
-        // Searches are reads: some shards ran it, which the coverage tells.
-        let refused = Refused::new(RefusalReason::Coverage, Ran::Unknown, detail);
+        let refused = Refused::new(RefusalReason::Coverage, ran, detail);
         let mut refused = refused.with_id(&request.id);
-        refused.refusal.coverage = Some(gathered.coverage);
+        refused.refusal.coverage = Some(end.coverage);
         return Err(refused);
     }
     node.metrics.count("answered");
-    let rows = gathered.rows.into_iter();
+    let rows = rows.into_iter();
     Ok(Answer {
-        id: request.id,
+        id: request.id.clone(),
         rows: rows
             .map(|(shard, rows)| ShardRows { shard, rows })
             .collect(),
-        coverage: gathered.coverage,
-        version: admitted.index.version,
+        coverage: end.coverage,
+        version: end.version,
         preset: Arc::clone(&admitted.config.preset),
         revision: admitted.config.revision,
     })
--- a/crates/server/src/process/node.rs
+++ b/crates/server/src/process/node.rs
@@ -7,7 +7,6 @@
 
 use cassialift_core::{
     ids::{RequestKey, VmId},
-    request::MissingReason,
     view::FleetView,
 };
 use cassialift_wire::peer::{CallRefusal, CallResult, ShardCall, ShardReply};
@@ -16,6 +15,7 @@
 use super::Drain;
 use crate::{
     control::ControlHandle,
+    entry::PolicyTables,
     entry::jobs::Jobs,
     journal::Journal,
     metrics::Metrics,
@@ -41,6 +41,8 @@
     pub journal: Arc<Journal>,
     /// The edge to backend servers.
     pub owner: Arc<Owner>,
+    /// What the entry has learned of backend servers.
+    pub policy: PolicyTables,
     /// The connections to peers.
     pub peers: PeerTable,
     /// The requests in flight, which a leaving process waits for.
@@ -68,6 +70,7 @@
             metrics,
             journal,
             owner,
+            policy: PolicyTables::default(),
             peers: PeerTable::default(),
             drain,
             sequence: AtomicU64::new(0),
@@ -163,14 +166,3 @@
     /// The owner gave no answer.
     Peer(PeerError),
 }
-
-impl CallError {
-    /// Returns the reason that the shard is missing for.
-    #[must_use]
-    pub const fn missing(&self) -> MissingReason {
-        match self {
-            Self::NoOwner => MissingReason::NoOwner,
-            Self::Peer(_) => MissingReason::Unreachable,
-        }
-    }
-}
--- a/crates/server/tests/processes/stragglers.rs
+++ b/crates/server/tests/processes/stragglers.rs
@@ -1,7 +1,10 @@
 //! Backend servers that are slow, lost, or reply what they should not.
 
-use cassialift_core::time::Millis;
-use cassialift_testkit::standin::backend::{Fault, Faults};
+use cassialift_core::{request::RequestKind, time::Millis};
+use cassialift_testkit::{
+    history::CallEnd,
+    standin::backend::{Fault, Faults},
+};
 use cassialift_wire::backend::HealthState;
 use yare::parameterized;
 
@@ -34,6 +37,39 @@
     assert_whole(&fleet).await;
 }
 
+/// The answers in a row that must cover every shard while a replica hangs.
+const ROW: u32 = 10;
+
+#[tokio::test]
+async fn test_straggler_is_avoided_while_it_hangs() {
+    let fleet = start().await;
+    let traffic = load(&fleet);
+    let hanging = Faults {
+        hang: true,
+        ..Faults::default()
+    };
+    set_faults(&fleet, 0, hanging).await;
+    for vm in 0..3 {
+        let mut caller = fleet.caller(&format!("row-{vm}")).unwrap();
+        let covered = async || {
+            caller.hold(fleet.vm_address(vm));
+            for _ in 0..ROW {
+                let end = caller.search(RequestKind::WideSearch, None).await;
+                let CallEnd::Answer(answer) = end else {
+                    return false;
+                };
+                if !answer.coverage.missing.is_empty() {
+                    return false;
+                }
+            }
+            true
+        };
+        fleet.wait_for("covered in a row", covered).await.unwrap();
+    }
+    traffic.stop().await.unwrap();
+    assert_whole(&fleet).await;
+}
+
 fn strike(fault: Fault) -> Faults {
     Faults {
         fault: Some(fault),
