--- a/crates/server/tests/processes/stragglers.rs
+++ b/crates/server/tests/processes/stragglers.rs
@@ -2,6 +2,7 @@
 
 use cassialift_core::{request::RequestKind, time::Millis};
 use cassialift_testkit::{
+    history::CallEnd,
     load::{LoadSettings, Traffic},
     standin::backend::{BackendChange, Fault, Faults, RunEvent, RunStep},
 };
@@ -71,6 +72,39 @@
     assert_whole(&fleet).await;
 }
 
+/// The answers in a row that must cover every shard while a replica hangs.
+const ROW: u32 = 10;
+
+#[tokio::test]
+async fn test_straggler_is_avoided_while_it_hangs() {
+    let fleet = start().await;
+    let traffic = load(&fleet);
+    let hanging = Faults {
+        hang: true,
+        ..Faults::default()
+    };
+    set_faults(&fleet, 0, hanging).await;
+    for vm in 0..3 {
+        let mut caller = fleet.caller(&format!("row-{vm}")).unwrap();
+        let covered = async || {
+            caller.hold(fleet.vm_address(vm));
+            for _ in 0..ROW {
+                let end = caller.search(RequestKind::WideSearch, None).await;
+                let CallEnd::Answer(answer) = end else {
+                    return false;
+                };
+                if !answer.coverage.missing.is_empty() {
+                    return false;
+                }
+            }
+            true
+        };
+        fleet.wait_for("covered in a row", covered).await.unwrap();
+    }
+    traffic.stop().await.unwrap();
+    assert_whole(&fleet).await;
+}
+
 fn strike(fault: Fault) -> Faults {
     Faults {
         fault: Some(fault),
--- a/crates/testkit/src/lib.rs
+++ b/crates/testkit/src/lib.rs
@@ -1,4 +1,5 @@
 //! Stand-ins, process harness, histories, load and cost for testing cassialift; never shipped.
+//! Stand-ins, process harness, histories, load and benchmarks for cassialift; never shipped.
 
 pub mod capacity;
 pub mod client;
@@ -9,5 +10,7 @@
 pub mod harness;
 pub mod history;
 pub mod load;
+pub mod naive;
 pub mod overhead;
+pub mod policy_bench;
 pub mod standin;
