ownership: a standby sends its owner no asks while it hears the owner's

The owner's asks are enough; the standby asks once it has missed two of them, which still finds a killed owner's refused connection before the lease ends.

--- a/crates/core/src/fleet/node.rs
+++ b/crates/core/src/fleet/node.rs
@@ -170,7 +170,7 @@
         self.refresh(now);
         self.ownership.tick(now);
         let mut pings: BTreeSet<_> = orders.pings.drain(..).collect();
-        let partners = self.ownership.partners();
+        let partners = self.ownership.partners(now);
         pings.extend(partners.into_iter().filter(|vm| self.is_due(vm, now)));
         self.beaten.retain(|vm, _| self.members.get(vm).is_some());
         orders.pings = pings.into_iter().collect();
--- a/crates/core/src/fleet/ownership/system.rs
+++ b/crates/core/src/fleet/ownership/system.rs
@@ -172,9 +172,12 @@
         self.candidates.get(vm).is_some_and(|one| one.usable)
     }
 
-    /// Returns the processes to exchange asks with every period.
+    /// Returns the processes to send asks to every period.
+    ///
+    /// A standby hears its owner's asks and sends none, until the owner has missed two of them.
     #[must_use]
-    pub fn partners(&self) -> BTreeSet<VmId> {
+    pub fn partners(&self, now: Instant) -> BTreeSet<VmId> {
+        let missed = now + self.settings.lease.saturating_sub(self.settings.period * 2);
         let mut partners = BTreeSet::new();
         for row in self.rows.values() {
             match &row.role {
@@ -186,6 +189,11 @@
                     let living = self.candidates.iter().filter(|(_, one)| !one.gone);
                     partners.extend(living.map(|(vm, _)| VmId::clone(vm)));
                 }
+                Role::Standby {
+                    origin: Origin::Named,
+                    promised,
+                    ..
+                } if *promised > missed => {}
                 Role::Owner {
                     standby: Some(other),
                     ..
