--- a/crates/testkit/src/policy_bench/scenario.rs
+++ b/crates/testkit/src/policy_bench/scenario.rs
@@ -342,8 +342,8 @@
     let mut faults = vec![at(publish, Fault::Publish(shards))];
     let servers = 2 * deployment.services[0].shards;
     for server in 0..servers as usize {
-        // The platform drops the old version as soon as all entries may know the new one.
-        let since = Duration::from_millis(300 + 10 * server as u64);
+        // The platform drops the old version while the slowest entries don't know the new one yet.
+        let since = Duration::from_millis(210 + 2 * server as u64);
         let time = Duration::from_secs(publish) + since;
         faults.push((time, Fault::DropOld(server)));
     }
