jobs: a submission whose holder can't be reached has an unknown end

The refusal said that the job was not run, because this submission was not sent. But the same ticket may have been submitted at another VM and be running: kills::test_kill_of_a_ticket_holder_never_runs_twice saw `not_run` for a job that the backend server had begun. A caller that believes it takes a new ticket and prints twice. The refusal now says `unknown`.

--- a/crates/server/src/entry/jobs/forward.rs
+++ b/crates/server/src/entry/jobs/forward.rs
@@ -90,18 +90,16 @@
     if !view.members.contains_key(&ticket.vm) {
         return refuse(RefusalReason::HolderGone, Ran::Unknown, None);
     }
-    let submission = forward.body.is_some();
     let client = match node.peers.client(&view, &ticket.vm).await {
         Ok(client) => client,
         Err(error) => {
             log::debug!("job: the holder of a ticket cannot be reached: {error}.");
-            // A question asks about a job that may have run before.
-            let ran = if submission {
-                Ran::NotRun
-            } else {
-                Ran::Unknown
-            };
-            return refuse(RefusalReason::Unreachable, ran, Some(RETRY_UNREACHABLE));
+            // The job may have run under an earlier submission at another VM.
+            return refuse(
+                RefusalReason::Unreachable,
+                Ran::Unknown,
+                Some(RETRY_UNREACHABLE),
+            );
         }
     };
     let mut context = context::current();
--- a/crates/server/tests/processes/freezes.rs
+++ b/crates/server/tests/processes/freezes.rs
@@ -2,7 +2,10 @@
 
 use cassialift_testkit::harness::Signal;
 
-use super::support::{assert_whole, load, run_for, start, wait_covered, wait_preset};
+use super::{
+    job_support::{is_done, start_with_jobs, started, ticket_at, tickets_of},
+    support::{assert_whole, load, run_for, start, wait_covered, wait_preset},
+};
 
 #[tokio::test]
 async fn test_freeze_past_leases_under_load() {
@@ -20,6 +23,24 @@
     assert_whole(&fleet).await;
 }
 
+#[tokio::test]
+async fn test_freeze_past_the_expiry_of_a_ticket_runs_nothing() {
+    let mut fleet = start_with_jobs(10, tickets_of(1_000)).await;
+    let mut caller = fleet.caller("press").unwrap();
+    let ticket = ticket_at(&fleet, &mut caller, 0).await;
+    let body = caller.next_body();
+    fleet.signal(0, Signal::Stop).unwrap();
+    let (address, copy) = (fleet.vm_address(0), body.clone());
+    // The frozen process finds the submission in its socket when it wakes.
+    let submission = tokio::spawn(async move { caller.submit_at(address, &ticket, &copy).await });
+    run_for(1_500).await;
+    fleet.signal(0, Signal::Continue).unwrap();
+    let end = submission.await.unwrap();
+    assert!(!is_done(&end), "{end:?}");
+    assert_eq!(started(&fleet, &body), 0);
+    assert_whole(&fleet).await;
+}
+
 #[tokio::test]
 async fn test_freeze_through_a_new_preset_never_reverts() {
     let mut fleet = start().await;
--- a/crates/server/tests/processes/hostile.rs
+++ b/crates/server/tests/processes/hostile.rs
@@ -1,6 +1,10 @@
 //! Callers and peers that send what no honest one sends.
 
-use std::{fs, net::SocketAddr, time::Duration};
+use std::{
+    fs,
+    net::SocketAddr,
+    time::{Duration, Instant},
+};
 
 use cassialift_core::request::{Ran, RefusalReason};
 use cassialift_testkit::{client::JsonClient, harness::Fleet};
@@ -26,6 +30,7 @@
     no_shards = { &search(r#""kind":"fetch","shards":[]"#), 400, RefusalReason::Malformed },
     unknown_shard = { &search(r#""kind":"fetch","shards":[99]"#), 404, RefusalReason::UnknownShard },
     past_deadline = { &search(r#""kind":"fetch","deadline":0"#), 400, RefusalReason::DeadlinePast },
+    oversized = { &large_search(), 413, RefusalReason::TooLarge },
 )]
 #[test_macro(tokio::test)]
 async fn test_hostile_request(body: &str, status: u16, reason: RefusalReason) {
@@ -53,6 +58,13 @@
     format!(r#"{{"id":"1","caller":"c","service":"listings","query":"q",{fields}}}"#)
 }
 
+fn large_search() -> String {
+    search(&format!(
+        r#""kind":"fetch","caller":"{}""#,
+        "x".repeat(1 << 20)
+    ))
+}
+
 /// Sends bytes and returns all that comes back.
 async fn exchange(address: SocketAddr, bytes: &[u8]) -> String {
     let mut stream = TcpStream::connect(address).await.unwrap();
@@ -72,6 +84,43 @@
     (status.unwrap(), serde_json::from_str(body).unwrap())
 }
 
+#[tokio::test]
+async fn test_hostile_callers_that_never_finish() {
+    let fleet = start().await;
+    let address = fleet.vm_address(0);
+    wait_covered(&fleet, 0).await;
+    let before = memory(&fleet, 0);
+    let mut streams = Vec::new();
+    for number in 0..200 {
+        let mut stream = TcpStream::connect(address).await.unwrap();
+        let part = match number % 3 {
+            0 => "POST /v1/search HTTP/1.1\r\n",
+            1 => "POST /v1/search HTTP/1.1\r\nhost: vm\r\ncontent-length: 60000\r\n\r\n{",
+            _ => "GET /v1/addresses HT",
+        };
+        stream.write_all(part.as_bytes()).await.unwrap();
+        streams.push(stream);
+    }
+    wait_covered(&fleet, 0).await;
+    for stream in &mut streams {
+        // One byte a connection keeps each of them alive for a naive server.
+        let _open = stream.write_all(b"x").await;
+    }
+    wait_covered(&fleet, 0).await;
+    let deadline = Instant::now() + PATIENCE;
+    for mut stream in streams {
+        let mut rest = Vec::new();
+        let left = deadline.saturating_duration_since(Instant::now());
+        let closed = tokio::time::timeout(left, stream.read_to_end(&mut rest)).await;
+        assert!(
+            closed.is_ok(),
+            "a connection that sends no request stays open"
+        );
+    }
+    assert!(memory(&fleet, 0) < before + MAX_GROWTH_KIB);
+    assert_whole(&fleet).await;
+}
+
 #[parameterized(
     garbage = { b"GET / HTTP/1.1\r\n\r\n garbage garbage garbage" },
     oversized_frame = { &[0xff, 0xff, 0xff, 0xff, 0, 0, 0, 0] },
--- a/crates/server/tests/processes/kills.rs
+++ b/crates/server/tests/processes/kills.rs
@@ -2,7 +2,12 @@
 
 use cassialift_testkit::harness::Signal;
 
-use super::support::{assert_whole, load, run_for, start, wait_covered};
+use super::{
+    job_support::{
+        claims_not_run, is_done, start_with_jobs, started, ticket_at, tickets_of, wait_started,
+    },
+    support::{assert_whole, load, run_for, start, wait_covered},
+};
 
 #[tokio::test]
 async fn test_kill_of_a_vm_under_load() {
@@ -19,3 +24,47 @@
     traffic.stop().await.unwrap();
     assert_whole(&fleet).await;
 }
+
+#[tokio::test]
+async fn test_kill_of_a_ticket_holder_never_runs_twice() {
+    let mut fleet = start_with_jobs(1_000, tickets_of(60_000)).await;
+    let mut caller = fleet.caller("press").unwrap();
+    let ticket = ticket_at(&fleet, &mut caller, 0).await;
+    let body = caller.next_body();
+    let mut first = fleet.caller("press").unwrap();
+    let (address, other) = (fleet.vm_address(0), fleet.vm_address(1));
+    let (held, copy) = (ticket.clone(), body.clone());
+    let submission = tokio::spawn(async move { first.submit_at(address, &held, &copy).await });
+    wait_started(&fleet, &body, 1).await;
+    fleet.signal(0, Signal::Kill).unwrap();
+    submission.await.unwrap();
+    let end = caller.submit_at(other, &ticket, &body).await;
+    assert!(!claims_not_run(&end) && !is_done(&end), "{end:?}");
+    fleet.start_vm(0).unwrap();
+    fleet.wait_vm(0).await.unwrap();
+    let end = caller.submit_at(address, &ticket, &body).await;
+    assert!(!claims_not_run(&end) && !is_done(&end), "{end:?}");
+    assert_eq!(started(&fleet, &body), 1);
+    assert_whole(&fleet).await;
+}
+
+#[tokio::test]
+async fn test_kill_of_the_vm_that_sends_a_job_never_runs_it_twice() {
+    let mut fleet = start_with_jobs(1_000, tickets_of(60_000)).await;
+    let mut caller = fleet.caller("press").unwrap();
+    let ticket = ticket_at(&fleet, &mut caller, 0).await;
+    let body = caller.next_body();
+    let (address, copy, held) = (fleet.vm_address(0), body.clone(), ticket.clone());
+    let mut first = fleet.caller("press").unwrap();
+    let submission = tokio::spawn(async move { first.submit_at(address, &held, &copy).await });
+    wait_started(&fleet, &body, 1).await;
+    for vm in [1, 2] {
+        fleet.signal(vm, Signal::Kill).unwrap();
+    }
+    let end = submission.await.unwrap();
+    assert!(!claims_not_run(&end), "{end:?}");
+    let again = caller.submit_at(address, &ticket, &body).await;
+    assert!(!claims_not_run(&again), "{again:?}");
+    assert_eq!(started(&fleet, &body), 1);
+    assert_whole(&fleet).await;
+}
--- a/crates/server/tests/processes/main.rs
+++ b/crates/server/tests/processes/main.rs
@@ -6,6 +6,7 @@
 mod cuts;
 mod freezes;
 mod hostile;
+mod job_support;
 mod kills;
 mod operators;
 mod platform;
--- a/crates/server/tests/processes/shutdown.rs
+++ b/crates/server/tests/processes/shutdown.rs
@@ -7,7 +7,10 @@
     standin::backend::{BackendChange, Faults, ServiceTime},
 };
 
-use super::support::{assert_whole, load, run_for, start, start_with, wait_covered};
+use super::{
+    job_support::{is_done, start_with_jobs, started, ticket_at, tickets_of, wait_started},
+    support::{assert_whole, load, run_for, start, start_with, wait_covered},
+};
 
 #[tokio::test]
 async fn test_shutdown_under_load() {
@@ -22,6 +25,23 @@
     assert_whole(&fleet).await;
 }
 
+#[tokio::test]
+async fn test_shutdown_finishes_a_job() {
+    let mut fleet = start_with_jobs(3_000, tickets_of(60_000)).await;
+    let mut caller = fleet.caller("press").unwrap();
+    let ticket = ticket_at(&fleet, &mut caller, 0).await;
+    let body = caller.next_body();
+    let (address, copy) = (fleet.vm_address(0), body.clone());
+    let submission = tokio::spawn(async move { caller.submit_at(address, &ticket, &copy).await });
+    wait_started(&fleet, &body, 1).await;
+    fleet.signal(0, Signal::Terminate).unwrap();
+    let end = submission.await.unwrap();
+    assert!(is_done(&end), "{end:?}");
+    fleet.wait_gone(0).await.unwrap();
+    assert_eq!(started(&fleet, &body), 1);
+    assert_whole(&fleet).await;
+}
+
 #[tokio::test]
 async fn test_shutdown_finishes_a_search_longer_than_the_librarys_patience() {
     let mut settings = FleetSettings {
