--- a/crates/server/tests/processes/cuts.rs
+++ b/crates/server/tests/processes/cuts.rs
@@ -1,6 +1,7 @@
 //! Links between VMs that lose what they carry, in one direction or both.
 
-use cassialift_testkit::harness::{Cut, Fleet, FleetSettings};
+use cassialift_core::index::ServerState;
+use cassialift_testkit::harness::{Cut, Fleet, FleetSettings, SEARCH_SERVICE};
 
 use super::support::{assert_whole, load, run_for, start_with, wait_covered, wait_preset};
 
@@ -40,3 +41,30 @@
     traffic.stop().await.unwrap();
     assert_whole(&fleet).await;
 }
+
+#[tokio::test]
+async fn test_cut_both_ways_while_a_server_leaves() {
+    let mut fleet = start_pair().await;
+    for vm in 0..2 {
+        wait_covered(&fleet, vm).await;
+    }
+    let traffic = load(&fleet);
+    for vm in 0..2 {
+        fleet.cut(vm, Cut::Both);
+    }
+    run_for(1_000).await;
+    let server = format!("{SEARCH_SERVICE}-0");
+    fleet
+        .publish_state(&server, ServerState::Leaving)
+        .await
+        .unwrap();
+    run_for(4_500).await;
+    for vm in 0..2 {
+        fleet.cut(vm, Cut::None);
+    }
+    for vm in 0..2 {
+        wait_covered(&fleet, vm).await;
+    }
+    traffic.stop().await.unwrap();
+    assert_whole(&fleet).await;
+}
