--- a/crates/server/tests/processes/cuts.rs
+++ b/crates/server/tests/processes/cuts.rs
@@ -2,6 +2,7 @@
 
 use cassialift_core::index::ServerState;
 use cassialift_testkit::harness::{Cut, Fleet, FleetSettings, SEARCH_SERVICE};
+use yare::parameterized;
 
 use super::support::{assert_whole, load, run_for, start_with, wait_covered, wait_preset};
 
@@ -15,6 +16,33 @@
     .await
 }
 
+#[parameterized(
+    calls = { Cut::Calls },
+    replies = { Cut::Replies },
+    both = { Cut::Both },
+)]
+#[test_macro(tokio::test)]
+async fn test_cut_one_way(cut: Cut) {
+    let fleet = start_pair().await;
+    for vm in 0..2 {
+        wait_covered(&fleet, vm).await;
+    }
+    let traffic = load(&fleet);
+    run_for(300).await;
+    fleet.cut(1, cut);
+    // Both sides keep serving, and take over what they can't reach.
+    run_for(2_000).await;
+    for vm in 0..2 {
+        wait_covered(&fleet, vm).await;
+    }
+    fleet.cut(1, Cut::None);
+    for vm in 0..2 {
+        wait_covered(&fleet, vm).await;
+    }
+    traffic.stop().await.unwrap();
+    assert_whole(&fleet).await;
+}
+
 #[tokio::test]
 async fn test_cut_both_ways_through_a_new_preset() {
     let fleet = start_pair().await;
