ownership: publish from the rows and tick only those with a part to play

Cause: at 1,100 VMs and 5,100 backend servers one process spent 11.4 % of a core on control, 5.4 of it on the published view: each backend server was hashed and looked up three times a tick, and every row was taken out of the table and put back although a process plays a part for few. Ruled out: ranking, which already runs only when VMs change.

--- a/crates/core/src/fleet/ownership/mod.rs
+++ b/crates/core/src/fleet/ownership/mod.rs
@@ -25,6 +25,7 @@
 mod steps;
 mod system;
 mod targets;
+mod view;
 
 pub use candidate::{Candidate, Candidates};
 pub use event::OwnershipEvent;
--- a/crates/core/src/fleet/ownership/row.rs
+++ b/crates/core/src/fleet/ownership/row.rs
@@ -55,6 +55,13 @@
         }
     }
 
+    /// Returns whether a tick changes nothing: the process `own` neither plays a part for the
+    /// server nor should.
+    pub(super) fn is_idle(&self, own: &VmId) -> bool {
+        let vacant = matches!(self.role, Role::Vacant { .. });
+        vacant && self.target.owner.as_ref() != Some(own) && self.hint.is_none() && !self.halved
+    }
+
     /// Returns whether another claimant than `from` was told lately that the server is free.
     pub(super) fn is_pledged(&self, from: &Holder, now: Instant) -> bool {
         let pledge = self.pledge.as_ref();
--- a/crates/core/src/fleet/ownership/system.rs
+++ b/crates/core/src/fleet/ownership/system.rs
@@ -6,7 +6,7 @@
 };
 
 use super::{
-    Candidate, Candidates, Holder, OwnershipEvent, OwnershipSettings, Role, ServerKey, Share,
+    Candidate, Candidates, Holder, OwnershipEvent, OwnershipSettings, Role, ServerKey,
     role::Origin,
     row::{Row, whole},
     server_key,
@@ -43,7 +43,7 @@
     pub(super) urgent: BTreeSet<VmId>,
     /// Whether the rows' targets are to be computed anew.
     pub(super) stale: bool,
-    ticked: Instant,
+    pub(super) ticked: Instant,
 }
 
 impl Ownership {
@@ -109,66 +109,7 @@
         Some(&self.rows.get(&server_key(server))?.role)
     }
 
-    /// Returns the slots and connections of a backend server that this process may use at `now`.
-    #[must_use]
-    pub fn share(&self, server: &str, now: Instant) -> Share {
-        let Some(row) = self.rows.get(&server_key(server)) else {
-            return Share::default();
-        };
-        if self.is_frozen(now) {
-            return Share::default();
-        }
-        Share::of(&row.role, row.whole, self.is_alone(), now)
-    }
-
-    /// Returns whether every other process is gone.
-    fn is_alone(&self) -> bool {
-        self.candidates.values().all(|one| one.gone)
-    }
-
-    /// Returns the instant from which on a share that is read now must not be used any more.
-    #[must_use]
-    pub fn share_until(&self, server: &str, now: Instant) -> Instant {
-        let fresh = self.ticked + self.settings.freeze;
-        let row = self.rows.get(&server_key(server));
-        match row.map(|row| &row.role) {
-            Some(Role::Owner {
-                lease: Some(lease), ..
-            }) if now < *lease => fresh.min(*lease),
-            Some(_) | None => fresh,
-        }
-    }
-
-    /// Returns the owner and the standby of a backend server as far as this process knows.
-    #[must_use]
-    pub fn route(&self, server: &str, now: Instant) -> (Option<VmId>, Option<VmId>) {
-        let Some(row) = self.rows.get(&server_key(server)) else {
-            return (None, None);
-        };
-        let own = || Some(VmId::clone(&self.own.vm));
-        let target = &row.target;
-        match &row.role {
-            Role::Owner { standby, .. } => (
-                own(),
-                standby.as_ref().map(|holder| VmId::clone(&holder.vm)),
-            ),
-            Role::Standby { owner, .. } => {
-                let share = Share::of(&row.role, row.whole, false, now);
-                if share.slots > 0 && !self.is_usable(&owner.vm) {
-                    return (own(), None);
-                }
-                (Some(VmId::clone(&owner.vm)), own())
-            }
-            Role::Vacant { .. } | Role::Claiming { .. } => match &row.hint {
-                Some((vm, _)) if self.is_usable(vm) => {
-                    (Some(VmId::clone(vm)), target.owner.clone())
-                }
-                Some(_) | None => (target.owner.clone(), target.standby.clone()),
-            },
-        }
-    }
-
-    fn is_usable(&self, vm: &VmId) -> bool {
+    pub(super) fn is_usable(&self, vm: &VmId) -> bool {
         self.candidates.get(vm).is_some_and(|one| one.usable)
     }
 
@@ -238,7 +179,10 @@
         self.ticked = now;
         self.update_targets();
         let mut handovers = self.settings.handovers;
-        let keys: Vec<_> = self.rows.keys().copied().collect();
+        // A process plays a part for few of all servers.
+        let idle = |row: &Row| row.is_idle(&self.own.vm);
+        let busy = self.rows.iter().filter(|(_, row)| !idle(row));
+        let keys: Vec<_> = busy.map(|(key, _)| *key).collect();
         for key in keys {
             let Some(mut row) = self.rows.remove(&key) else {
                 continue;
@@ -272,7 +216,7 @@
         true
     }
 
-    fn is_frozen(&self, now: Instant) -> bool {
+    pub(super) fn is_frozen(&self, now: Instant) -> bool {
         now.saturating_duration_since(self.ticked) > self.settings.freeze
     }
 
--- /dev/null
+++ b/crates/core/src/fleet/ownership/view.rs
@@ -0,0 +1,86 @@
+//! What a process publishes of ownership for its traffic.
+
+use std::time::Instant;
+
+use super::{Ownership, Role, Share, row::Row, server_key};
+use crate::{
+    ids::{ServerId, VmId},
+    view::OwnerView,
+};
+
+impl Ownership {
+    /// Returns who owns each backend server, and what of it this process may use at `now`.
+    pub fn views(&self, now: Instant) -> impl Iterator<Item = (ServerId, OwnerView)> {
+        let alone = self.is_alone();
+        let rows = self.rows.values();
+        rows.map(move |row| (ServerId::clone(&row.name), self.view(row, alone, now)))
+    }
+
+    /// Returns the slots and connections of a backend server that this process may use at `now`.
+    #[must_use]
+    pub fn share(&self, server: &str, now: Instant) -> Share {
+        let row = self.rows.get(&server_key(server));
+        row.map(|row| self.row_share(row, self.is_alone(), now))
+            .unwrap_or_default()
+    }
+
+    fn view(&self, row: &Row, alone: bool, now: Instant) -> OwnerView {
+        let (owner, standby) = self.route(row, now);
+        let share = self.row_share(row, alone, now);
+        OwnerView {
+            owner,
+            standby,
+            slots: share.slots,
+            connections: share.connections,
+            until: Some(self.share_until(row, now)),
+        }
+    }
+
+    fn row_share(&self, row: &Row, alone: bool, now: Instant) -> Share {
+        if self.is_frozen(now) {
+            return Share::default();
+        }
+        Share::of(&row.role, row.whole, alone, now)
+    }
+
+    /// Returns whether every other process is gone.
+    fn is_alone(&self) -> bool {
+        self.candidates.values().all(|one| one.gone)
+    }
+
+    /// Returns the instant from which on a share that is read now must not be used any more.
+    fn share_until(&self, row: &Row, now: Instant) -> Instant {
+        let fresh = self.ticked + self.settings.freeze;
+        match row.role {
+            Role::Owner {
+                lease: Some(lease), ..
+            } if now < lease => fresh.min(lease),
+            _ => fresh,
+        }
+    }
+
+    /// Returns the owner and the standby of a backend server as far as this process knows.
+    fn route(&self, row: &Row, now: Instant) -> (Option<VmId>, Option<VmId>) {
+        let own = || Some(VmId::clone(&self.own.vm));
+        let target = &row.target;
+        match &row.role {
+            Role::Owner { standby, .. } => (
+                own(),
+                standby.as_ref().map(|holder| VmId::clone(&holder.vm)),
+            ),
+            Role::Standby { owner, .. } => {
+                let share = Share::of(&row.role, row.whole, false, now);
+                if share.slots > 0 && !self.is_usable(&owner.vm) {
+                    return (own(), None);
+                }
+                (Some(VmId::clone(&owner.vm)), own())
+            }
+            Role::Vacant { .. } | Role::Claiming { .. } => match &row.hint {
+                Some((vm, _)) if self.is_usable(vm) => {
+                    (Some(VmId::clone(vm)), target.owner.clone())
+                }
+                Some(_) | None => (target.owner.clone(), target.standby.clone()),
+            },
+        }
+    }
+}
--- a/crates/server/src/control/fleet_view.rs
+++ b/crates/server/src/control/fleet_view.rs
@@ -1,15 +1,14 @@
 //! The fleet's part of the view that the control thread publishes.
 
-use std::{collections::HashMap, sync::Arc, time::Instant};
+use std::{sync::Arc, time::Instant};
 
 use cassialift_core::{
     fleet::{
         Node,
         members::{Member, Status},
     },
-    ids::{DataCentre, ServerId, VmId},
-    index::ServerEntry,
-    view::{ConfigView, FleetView, MemberView, OwnView, OwnerView, Reach},
+    ids::{DataCentre, VmId},
+    view::{ConfigView, FleetView, MemberView, OwnView, Reach},
 };
 
 /// Builds the view to publish.
@@ -29,7 +28,7 @@
             .map(|(vm, one)| (VmId::clone(vm), member(one)))
             .chain([(VmId::clone(&own.vm), itself(node))])
             .collect(),
-        owners: owners(node, config, now),
+        owners: node.ownership().views(now).collect(),
     }
 }
 
@@ -67,28 +66,3 @@
         since: node.since(),
     }
 }
-
-fn owners(
-    node: &Node,
-    config: Option<&Arc<ConfigView>>,
-    now: Instant,
-) -> HashMap<ServerId, OwnerView> {
-    let indexes = config.iter().flat_map(|config| config.indexes.values());
-    let servers = indexes.flat_map(|index| &index.servers);
-    servers
-        .map(|server| (ServerId::clone(&server.id), owner(node, server, now)))
-        .collect()
-}
-
-fn owner(node: &Node, server: &ServerEntry, now: Instant) -> OwnerView {
-    let ownership = node.ownership();
-    let (owner, standby) = ownership.route(&server.id, now);
-    let share = ownership.share(&server.id, now);
-    OwnerView {
-        owner,
-        standby,
-        slots: share.slots,
-        connections: share.connections,
-        until: Some(ownership.share_until(&server.id, now)),
-    }
-}
--- a/crates/testkit/src/capacity/fleet.rs
+++ b/crates/testkit/src/capacity/fleet.rs
@@ -263,17 +263,7 @@
     /// Makes what the control thread publishes each tick.
     fn publish(&mut self) {
         let began = Instant::now();
-        let ownership = self.node.ownership();
-        let routes: HashMap<ServerId, _> = self
-            .servers
-            .iter()
-            .map(|server| {
-                let route = ownership.route(&server.id, self.now);
-                let share = ownership.share(&server.id, self.now);
-                let until = ownership.share_until(&server.id, self.now);
-                (ServerId::clone(&server.id), (route, share, until))
-            })
-            .collect();
+        let owners: HashMap<ServerId, _> = self.node.ownership().views(self.now).collect();
         let members: HashMap<VmId, _> = self
             .node
             .members()
@@ -281,7 +271,7 @@
             .map(|(vm, member)| (VmId::clone(vm), member.clone()))
             .collect();
         let spent = began.elapsed();
-        drop((routes, members));
+        drop((owners, members));
         self.busy += spent;
         self.view += spent;
     }
