--- a/crates/server/src/entry/attempt.rs
+++ b/crates/server/src/entry/attempt.rs
@@ -12,7 +12,7 @@
 use cassialift_wire::{
     backend::Row,
     caller::SearchRequest,
-    peer::{CallFailure, CallRefusal, CallResult, ShardCall},
+    peer::{CallResult, ShardCall},
 };
 
 use super::admit::Admitted;
@@ -68,8 +68,8 @@
         let sent = Timer.now();
         let (outcome, rows, queued) = match node.call_shard(&admitted.view, call).await {
             Ok(reply) => {
-                let (outcome, rows) = outcome(reply.result);
-                (outcome, rows, Some(reply.queued))
+                let outcome = reply.result.outcome();
+                (outcome, rows(reply.result), Some(reply.queued))
             }
             Err(error) => (failure(&error), Vec::new(), None),
         };
@@ -90,33 +90,10 @@
     }
 }
 
-fn outcome(result: CallResult) -> (CallOutcome, Vec<Row>) {
+fn rows(result: CallResult) -> Vec<Row> {
     match result {
-        CallResult::Done { version, rows } => (CallOutcome::Done(version), rows),
-        CallResult::NotRun(refusal) => (CallOutcome::NotRun(not_run(&refusal)), Vec::new()),
-        CallResult::Unknown(failure) => {
-            let cause = match failure {
-                CallFailure::Broken => UnknownCause::Broken,
-                CallFailure::Timeout => UnknownCause::Timeout,
-                CallFailure::BadReply => UnknownCause::BadReply,
-            };
-            (CallOutcome::Unknown(cause), Vec::new())
-        }
-    }
-}
-
-const fn not_run(refusal: &CallRefusal) -> NotRunCause {
-    match refusal {
-        CallRefusal::NotOwner { .. } => NotRunCause::NotOwner,
-        CallRefusal::QueueFull => NotRunCause::QueueFull,
-        CallRefusal::Infeasible => NotRunCause::Infeasible,
-        CallRefusal::Expired => NotRunCause::Expired,
-        CallRefusal::Busy => NotRunCause::Busy,
-        CallRefusal::Leaving => NotRunCause::Leaving,
-        CallRefusal::VersionGone { held } => NotRunCause::VersionGone(*held),
-        CallRefusal::UnknownShard => NotRunCause::UnknownShard,
-        CallRefusal::Connect => NotRunCause::Connect,
-        CallRefusal::Cancelled => NotRunCause::Cancelled,
+        CallResult::Done { rows, .. } => rows,
+        CallResult::NotRun(_) | CallResult::Unknown(_) => Vec::new(),
     }
 }
 
--- a/crates/server/src/owner/mod.rs
+++ b/crates/server/src/owner/mod.rs
@@ -12,7 +12,6 @@
 mod gate;
 mod health;
 mod lane;
-mod learn;
 mod mark;
 mod queue;
 mod run;
--- a/crates/server/src/owner/run.rs
+++ b/crates/server/src/owner/run.rs
@@ -17,7 +17,6 @@
     counters::OwnerCounter,
     exchange::{Exchange, ExchangeError, exchange},
     lane::Lane,
-    learn::outcome,
     mark::SendMark,
     server::{Grant, Server},
 };
@@ -44,7 +43,7 @@
         let started = Instant::now();
         let result = self.send().await;
         let server = self.grant.server();
-        server.learn(outcome(&result), started.elapsed());
+        server.learn(result.outcome(), started.elapsed());
         result
     }
 
--- a/crates/wire/src/peer/mod.rs
+++ b/crates/wire/src/peer/mod.rs
@@ -3,6 +3,7 @@
 mod call;
 mod control;
 mod job;
+mod outcome;
 mod service;
 
 pub use cassialift_core::config::ConfigNote;
