entry: name the shards of a search once

A search for all shards first listed them all and then looked each one up in that list, on every request; a restart on a newer index version did the same in a function of its own. One function now takes the shards asked for, or none for all, and both admission and restart call it. No answer and no refusal changes; the cost was not measured.

--- a/crates/server/src/entry/admit.rs
+++ b/crates/server/src/entry/admit.rs
@@ -63,7 +63,7 @@
         let detail = "the deadline is zero";
         return Err(not_run(RefusalReason::DeadlinePast, detail));
     }
-    let targets = targets(&index, &shards);
+    let targets = targets(&index, shards.as_deref());
     node.policy.sync(&config);
     check_load(node, request, &targets, allowed, &config, now)?;
     Ok(Admitted {
@@ -106,10 +106,11 @@
     Err(refused)
 }
 
-/// Returns the replicas of shards of an index document.
-pub(super) fn targets(index: &IndexDocument, shards: &[ShardId]) -> Vec<ShardTarget> {
+/// Returns the replicas of the shards asked for, all of them when none is named, in ascending
+/// order; shards that the document does not have are left out.
+pub(super) fn targets(index: &IndexDocument, asked: Option<&[ShardId]>) -> Vec<ShardTarget> {
     let entries = index.shards.iter();
-    let wanted = entries.filter(|entry| shards.contains(&entry.shard));
+    let wanted = entries.filter(|entry| asked.is_none_or(|all| all.contains(&entry.shard)));
     let mut found: Vec<_> = wanted
         .map(|entry| ShardTarget {
             shard: entry.shard,
@@ -120,9 +121,10 @@
     found
 }
 
-fn shards(request: &SearchRequest, index: &IndexDocument) -> Result<Vec<ShardId>, Refused> {
+/// Returns the shards that the request names, each once; none when it asks for all.
+fn shards(request: &SearchRequest, index: &IndexDocument) -> Result<Option<Vec<ShardId>>, Refused> {
     let Some(asked) = &request.shards else {
-        return Ok(index.shards.iter().map(|entry| entry.shard).collect());
+        return Ok(None);
     };
     let mut shards = asked.clone();
     shards.sort_unstable();
@@ -136,7 +138,7 @@
             Ran::NotRun,
             format!("shard {shard} is not in the shard map"),
         )),
-        None => Ok(shards),
+        None => Ok(Some(shards)),
     }
 }
 
--- a/crates/server/src/entry/gather.rs
+++ b/crates/server/src/entry/gather.rs
@@ -9,8 +9,7 @@
 
 use cassialift_core::{
     ids::{AttemptId, RequestKey, ServerId, ShardId},
-    index::IndexDocument,
-    policy::gather::{Action, AttemptCause, Context, Gather, GatherEnd, GatherSpec, ShardTarget},
+    policy::gather::{Action, AttemptCause, Context, Gather, GatherEnd, GatherSpec},
 };
 use cassialift_wire::{backend::Row, caller::SearchRequest};
 use futures::{
@@ -165,7 +164,7 @@
             return;
         }
         self.node.policy.sync(config);
-        let wanted = self.targets_of(index);
+        let wanted = targets(index, self.request.shards.as_deref());
         self.stalled = false;
         self.rows.clear();
         self.node.metrics.count("entry.restarted");
@@ -174,15 +173,6 @@
         self.act(actions);
     }
 
-    fn targets_of(&self, index: &IndexDocument) -> Vec<ShardTarget> {
-        let asked = self.request.shards.as_deref();
-        let wanted = |target: &ShardTarget| asked.is_none_or(|all| all.contains(&target.shard));
-        let all = index.shards.iter().map(|entry| entry.shard);
-        let mut found = targets(index, &all.collect::<Vec<_>>());
-        found.retain(wanted);
-        found
-    }
-
     /// Takes one step of the policy under its lock.
     fn step<R>(&mut self, run: impl FnOnce(&mut Gather, &mut Context<'_>) -> R) -> R {
         let mut rng = rand::rng();
