policy: let old latencies lapse from the admission estimate

Cause of both known-red tests with a frozen VM: an entry that sleeps with calls in flight learns its own sleep as the latency of their backend servers. With both replicas of a shard above the deadline, every request for the shard was refused as infeasible before anything was sent, so no call brought a better sample and the refusal lasted until the process was restarted.

Ruled out: ownership and leases (the logs show every server owned within 1 s of the wake-up), slots or connections stuck at the owner (the refusal comes before any call), the choice among replicas (it already discounts old samples). The last end of a wait for coverage is now part of its failure; it read "Refused: Infeasible" in four of five failures.

The estimate now halves a learned latency every 2 s without a sample, as the choice does.

`test_replica_old_latency_does_not_refuse_for_ever` was seen failing before (service 2 s after 5 s).

--- a/crates/core/src/policy/replica/stats.rs
+++ b/crates/core/src/policy/replica/stats.rs
@@ -229,14 +229,29 @@
 
     /// Returns the latency without queueing, drawn to `usual` as the last sample ages.
     pub(crate) fn fresh_service(&self, usual: Duration, now: Instant) -> Duration {
-        let (Some(service), Some(sampled)) = (self.service.get(), self.sampled) else {
+        let Some(service) = self.service.get() else {
             return usual;
         };
-        let age = now.saturating_duration_since(sampled).as_secs_f64();
-        let trust = 0.5_f64.powf(age / STALE_TIME.as_secs_f64());
+        let trust = self.trust(now);
         service.mul_f64(trust) + usual.mul_f64(1.0 - trust)
     }
 
+    /// Returns the latency without queueing that speaks against sending a call: it shrinks as the
+    /// last sample ages.
+    ///
+    /// Calls bring the only samples, so a latency that holds calls back must lapse by itself.
+    pub(crate) fn least_service(&self, now: Instant) -> Duration {
+        self.fresh_service(Duration::ZERO, now)
+    }
+
+    /// Returns how much the learned latency still says, 1 just after a sample, then less.
+    fn trust(&self, now: Instant) -> f64 {
+        let age = self
+            .sampled
+            .map_or(Duration::MAX, |at| now.saturating_duration_since(at));
+        0.5_f64.powf(age.as_secs_f64() / STALE_TIME.as_secs_f64())
+    }
+
     /// Returns how many successive faults there were.
     pub(crate) const fn faults(&self) -> u32 {
         self.faults
--- a/crates/core/src/policy/replica/table.rs
+++ b/crates/core/src/policy/replica/table.rs
@@ -194,7 +194,7 @@
 }
 
 fn estimate_one(stats: &ReplicaStats, now: Instant) -> WaitEstimate {
-    let service = stats.service().unwrap_or_default();
+    let service = stats.least_service(now);
     let queued = stats.queue(now);
     let wait = service.mul_f64(queued / f64::from(stats.slots));
     WaitEstimate {
--- a/crates/core/src/policy/replica/tests.rs
+++ b/crates/core/src/policy/replica/tests.rs
@@ -266,3 +266,18 @@
     table.sync(&document(vec![server("c", ServerState::Serving)]), now);
     assert_eq!(table.standing(&"a".into()), None);
 }
+
+/// A freeze of the entry makes every call in flight seem as slow as the freeze was long.
+#[test]
+fn test_replica_old_latency_does_not_refuse_for_ever() {
+    const FREEZE: Duration = Duration::from_secs(2);
+    const DEADLINE: Duration = Duration::from_secs(1);
+    let now = Instant::now();
+    let (mut table, replicas) = table(now);
+    report(&mut table, "a", CallOutcome::Done(1), FREEZE, now);
+    report(&mut table, "b", CallOutcome::Done(1), FREEZE, now);
+    let learned = table.estimate(&replicas, now);
+    assert!(learned.service > DEADLINE, "{learned:?}");
+    let later = table.estimate(&replicas, now + Duration::from_secs(5));
+    assert!(later.service < DEADLINE, "{later:?}");
+}
--- a/crates/server/tests/processes/stragglers.rs
+++ b/crates/server/tests/processes/stragglers.rs
@@ -9,7 +9,7 @@
 use cassialift_wire::backend::HealthState;
 use yare::parameterized;
 
-use super::support::{assert_whole, load, run_for, set_faults, start, wait_covered};
+use super::support::{assert_whole, load, run_for, set_faults, start, wait_covered, wait_covered_row};
 
 #[parameterized(
     slow = { Faults { slowdown: 50.0, ..Faults::default() } },
@@ -85,21 +85,7 @@
     };
     set_faults(&fleet, 0, hanging).await;
     for vm in 0..3 {
-        let mut caller = fleet.caller(&format!("row-{vm}")).unwrap();
-        let covered = async || {
-            caller.hold(fleet.vm_address(vm));
-            for _ in 0..ROW {
-                let end = caller.search(RequestKind::WideSearch, None).await;
-                let CallEnd::Answer(answer) = end else {
-                    return false;
-                };
-                if !answer.coverage.missing.is_empty() {
-                    return false;
-                }
-            }
-            true
-        };
-        fleet.wait_for("covered in a row", covered).await.unwrap();
+        wait_covered_row(&fleet, vm, ROW).await;
     }
     traffic.stop().await.unwrap();
     assert_whole(&fleet).await;
--- a/crates/server/tests/processes/support.rs
+++ b/crates/server/tests/processes/support.rs
@@ -47,13 +47,41 @@
 
 /// Searches at one VM until an answer covers every shard.
 pub(crate) async fn wait_covered(fleet: &Fleet, vm: usize) {
+    wait_covered_row(fleet, vm, 1).await;
+}
+
+/// Searches at one VM until so many answers in a row cover every shard; else panics with the last
+/// end that did not.
+pub(crate) async fn wait_covered_row(fleet: &Fleet, vm: usize, row: u32) {
     let mut caller = fleet.caller(&format!("watcher-{vm}")).unwrap();
+    let mut last = None;
     let covered = async || {
         caller.hold(fleet.vm_address(vm));
-        let end = caller.search(RequestKind::WideSearch, None).await;
-        matches!(end, CallEnd::Answer(answer) if answer.coverage.missing.is_empty())
+        for _ in 0..row {
+            let end = caller.search(RequestKind::WideSearch, None).await;
+            if !is_covered(&end) {
+                last = Some(end);
+                return false;
+            }
+        }
+        true
     };
-    fleet.wait_for("full coverage", covered).await.unwrap();
+    let waited = fleet.wait_for("full coverage", covered).await;
+    if let Err(error) = waited {
+        let last = last.map(without_rows);
+        panic!("VM {vm}: {error}; the last end was {last:?}");
+    }
+}
+
+fn is_covered(end: &CallEnd) -> bool {
+    matches!(end, CallEnd::Answer(answer) if answer.coverage.missing.is_empty())
+}
+
+fn without_rows(mut end: CallEnd) -> CallEnd {
+    if let CallEnd::Answer(answer) = &mut end {
+        answer.rows.clear();
+    }
+    end
 }
 
 /// Searches at one VM until an answer runs under a preset.
