policy: a replica that refuses is no fast replica

A refusal was neither a fault nor a latency, so the server had no calls in flight, no queue and the usual latency: the choice preferred it over the sound replica of the same shard. Each refused call needed a retry; with two shards hit at a time the retry budget ran out, and shards were missing for "Budget" for as long as the server stayed full.

Found by printing each call of a waiting search with the table's state: `NotRun(Busy)` after 1 ms, `Active, 0 faults, service None`, in every search. Ruled out: the standing of the sound replica, the hedge (never reached), leaked counts of calls in flight.

Refusals now lengthen the expected latency, each in a row by once the latency, halved by replies with rows and every 2 s. Ejection was ruled out: in overload all replicas refuse, and all would be ejected.

--- a/crates/core/src/policy/outcome.rs
+++ b/crates/core/src/policy/outcome.rs
@@ -59,6 +59,16 @@
         )
     }
 
+    /// Returns whether the backend server, or its owner for it, refused the call itself.
+    #[must_use]
+    pub const fn is_refusal(self) -> bool {
+        let other = matches!(
+            self,
+            Self::NotRun(NotRunCause::VersionGone(_) | NotRunCause::UnknownShard)
+        );
+        other || self.is_shed()
+    }
+
     /// Returns whether the outcome speaks against the backend server itself.
     #[must_use]
     pub const fn is_fault(self) -> bool {
--- a/crates/core/src/policy/replica/choose.rs
+++ b/crates/core/src/policy/replica/choose.rs
@@ -161,9 +161,8 @@
         };
         let ahead = stats.queue(now) + f64::from(stats.in_flight);
         let turns = 1.0 + ahead / f64::from(stats.slots);
-        stats
-            .fresh_service(usual, now)
-            .mul_f64(turns * stats.claim_factor(now))
+        let factor = turns * stats.claim_factor(now) * stats.refusal_factor(now);
+        stats.fresh_service(usual, now).mul_f64(factor)
     }
 }
 
--- a/crates/core/src/policy/replica/stats.rs
+++ b/crates/core/src/policy/replica/stats.rs
@@ -24,7 +24,9 @@
 const PROOF_AGE: Duration = Duration::from_secs(1);
 /// How much longer a call is assumed to have taken that was cancelled before its reply.
 const CENSORED_FACTOR: u32 = 2;
-/// How long without a sample until a learned latency is half forgotten.
+/// The successive refusals that are counted at most.
+const MOST_REFUSALS: u32 = 16;
+/// How long without a sample until a learned latency, or the last refusal, is half forgotten.
 const STALE_TIME: Duration = Duration::from_secs(2);
 
 /// What a backend server's health endpoint claims.
@@ -69,6 +71,8 @@
     told: Option<Instant>,
     faults: u32,
     losses: u32,
+    refusals: u32,
+    refused: Option<Instant>,
     probe_delay: Duration,
     left: Option<Instant>,
     claim: Option<(HealthClaim, Instant)>,
@@ -88,6 +92,8 @@
             told: None,
             faults: 0,
             losses: 0,
+            refusals: 0,
+            refused: None,
             probe_delay: PROBE_DELAY,
             left: None,
             claim: None,
@@ -110,6 +116,7 @@
     pub(crate) fn on_done(&mut self, latency: Duration, waited: bool, now: Instant) {
         self.faults = 0;
         self.losses = 0;
+        self.refusals /= 2;
         self.proved = Some(now);
         if !waited {
             self.add_sample(latency, now);
@@ -128,6 +135,12 @@
         }
     }
 
+    /// Notes a call that it, or its owner, refused to run.
+    pub(crate) fn on_refused(&mut self, now: Instant) {
+        self.refusals = (self.refusals + 1).min(MOST_REFUSALS);
+        self.refused = Some(now);
+    }
+
     /// Notes a call that was cancelled without a reply; it would have taken longer than `elapsed`.
     pub(crate) fn on_cancelled(&mut self, elapsed: Duration, now: Instant) {
         let least = elapsed * CENSORED_FACTOR;
@@ -232,7 +245,7 @@
         let Some(service) = self.service.get() else {
             return usual;
         };
-        let trust = self.trust(now);
+        let trust = trust(self.sampled, now);
         service.mul_f64(trust) + usual.mul_f64(1.0 - trust)
     }
 
@@ -244,12 +257,11 @@
         self.fresh_service(Duration::ZERO, now)
     }
 
-    /// Returns how much the learned latency still says, 1 just after a sample, then less.
-    fn trust(&self, now: Instant) -> f64 {
-        let age = self
-            .sampled
-            .map_or(Duration::MAX, |at| now.saturating_duration_since(at));
-        0.5_f64.powf(age.as_secs_f64() / STALE_TIME.as_secs_f64())
+    /// Returns the factor by which refusals lengthen the expected latency.
+    ///
+    /// A refusal comes faster than any reply with rows, but the call has to be sent again.
+    pub(crate) fn refusal_factor(&self, now: Instant) -> f64 {
+        1.0 + f64::from(self.refusals) * trust(self.refused, now)
     }
 
     /// Returns how many successive faults there were.
@@ -284,3 +296,12 @@
         self.sampled = Some(now);
     }
 }
+
+/// Returns how much an observation still says, 1 at its time, half of that after each `STALE_TIME`.
+fn trust(observed: Option<Instant>, now: Instant) -> f64 {
+    let Some(at) = observed else {
+        return 0.0;
+    };
+    let age = now.saturating_duration_since(at).as_secs_f64();
+    0.5_f64.powf(age / STALE_TIME.as_secs_f64())
+}
--- a/crates/core/src/policy/replica/table.rs
+++ b/crates/core/src/policy/replica/table.rs
@@ -100,6 +100,7 @@
             }
             CallOutcome::NotRun(NotRunCause::Leaving) => stats.on_leaving(now),
             outcome if outcome.is_fault() => stats.on_fault(now),
+            outcome if outcome.is_refusal() => stats.on_refused(now),
             CallOutcome::NotRun(_) | CallOutcome::Unknown(_) => {}
         }
     }
--- a/crates/core/src/policy/replica/tests.rs
+++ b/crates/core/src/policy/replica/tests.rs
@@ -281,3 +281,27 @@
     let later = table.estimate(&replicas, now + Duration::from_secs(5));
     assert!(later.service < DEADLINE, "{later:?}");
 }
+
+/// A backend server that refuses at once is the fastest to reply, but the worst to choose.
+#[parameterized(
+    busy = { NotRunCause::Busy },
+    queue_full = { NotRunCause::QueueFull },
+    version_gone = { NotRunCause::VersionGone(0) },
+    unknown_shard = { NotRunCause::UnknownShard },
+)]
+fn test_replica_that_refuses_is_avoided(cause: NotRunCause) {
+    let now = Instant::now();
+    let (mut table, replicas) = table(now);
+    settle(&mut table, "a", FAST, now);
+    for _ in 0..3 {
+        let refused = CallOutcome::NotRun(cause);
+        report(&mut table, "b", refused, Duration::from_micros(200), now);
+    }
+    assert_eq!(share(&mut table, &replicas, "b", now), 0);
+    // It is tried again after a while, and gets its share back with its rows.
+    let later = now + Duration::from_secs(20);
+    report(&mut table, "b", CallOutcome::Done(1), FAST, later);
+    settle(&mut table, "a", FAST, later);
+    let again = share(&mut table, &replicas, "b", later);
+    assert!((20..=80).contains(&again), "{again}");
+}
--- a/crates/server/tests/processes/stragglers.rs
+++ b/crates/server/tests/processes/stragglers.rs
@@ -9,7 +9,9 @@
 use cassialift_wire::backend::HealthState;
 use yare::parameterized;
 
-use super::support::{assert_whole, load, run_for, set_faults, start, wait_covered, wait_covered_row};
+use super::support::{
+    assert_whole, load, run_for, set_faults, start, wait_covered, wait_covered_row,
+};
 
 #[parameterized(
     slow = { Faults { slowdown: 50.0, ..Faults::default() } },
@@ -72,18 +74,22 @@
     assert_whole(&fleet).await;
 }
 
-/// The answers in a row that must cover every shard while a replica hangs.
+/// The answers in a row that must cover every shard while a replica fails.
 const ROW: u32 = 10;
 
-#[tokio::test]
-async fn test_straggler_is_avoided_while_it_hangs() {
+#[parameterized(
+    hanging = { Faults { hang: true, ..Faults::default() }, 0 },
+    hanging_later = { Faults { hang: true, ..Faults::default() }, 500 },
+    full = { Faults { full: true, ..Faults::default() }, 0 },
+    full_later = { Faults { full: true, ..Faults::default() }, 500 },
+)]
+#[test_macro(tokio::test)]
+async fn test_straggler_is_avoided(faults: Faults, sound_millis: u64) {
     let fleet = start().await;
-    let traffic = load(&fleet);
-    let hanging = Faults {
-        hang: true,
-        ..Faults::default()
-    };
-    set_faults(&fleet, 0, hanging).await;
+    let sound = (sound_millis > 0).then(|| load(&fleet));
+    run_for(sound_millis).await;
+    set_faults(&fleet, 0, faults).await;
+    let traffic = sound.unwrap_or_else(|| load(&fleet));
     for vm in 0..3 {
         wait_covered_row(&fleet, vm, ROW).await;
     }
--- a/crates/testkit/src/standin/backend/faults.rs
+++ b/crates/testkit/src/standin/backend/faults.rs
@@ -12,6 +12,8 @@
     pub slowdown: f64,
     /// Whether runs that are started never end while this holds.
     pub hang: bool,
+    /// Whether it refuses all work as busy, as if its slots were taken.
+    pub full: bool,
     /// Whether it is leaving: it refuses new work.
     pub leaving: bool,
     /// The state it claims, whatever the facts.
@@ -47,6 +49,7 @@
         Self {
             slowdown: 1.0,
             hang: false,
+            full: false,
             leaving: false,
             health: None,
             connect: None,
--- a/crates/testkit/src/standin/backend/table.rs
+++ b/crates/testkit/src/standin/backend/table.rs
@@ -123,7 +123,8 @@
         if shards.is_some_and(|shards| !shards.contains(&request.shard)) {
             return Some(RunRefusal::UnknownShard);
         }
-        (self.load().running >= self.settings.slots).then_some(RunRefusal::Busy)
+        let full = self.faults.full || self.load().running >= self.settings.slots;
+        full.then_some(RunRefusal::Busy)
     }
 
     fn draw_time(&mut self) -> Duration {
