shutdown: the wait for requests in flight is proved

A variant of the drain that did not wait for requests in flight passed all tests of shutdown: the HTTP server waits for the connections of callers as well, so that only peers' calls depend on the drain's own count. The new process test stops the VM that issued a job's ticket, or the VM that owns the backend server that runs it, while the job came in through another VM and hangs at the backend server. The history shows that the run began before the signal and ended after the VM had closed.

What a leaving VM does at an instant is now a function of passed-in time, so that a call of an hour is tested without waiting for it. tokio's paused time was ruled out: its feature would be built into the program under test too.

Seen failing with `running > 0` made never true: both cases of test_shutdown_finishes_a_peers_job and four of test_leave_stage; the older tests of shutdown passed.

--- a/crates/server/src/process/drain.rs
+++ b/crates/server/src/process/drain.rs
@@ -5,7 +5,7 @@
         Arc,
         atomic::{AtomicBool, AtomicU32, AtomicU64, Ordering},
     },
-    time::Duration,
+    time::{Duration, Instant},
 };
 
 use cassialift_core::time::Millis;
@@ -66,25 +66,70 @@
     }
 }
 
+/// What a leaving process does with requests.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(super) enum Stage {
+    /// It accepts new ones.
+    Accepting,
+    /// It refuses new ones and finishes those in flight.
+    Finishing,
+    /// It may end.
+    Finished,
+}
+
+/// When a process began to leave, and what it must outlast.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Leave {
+    /// When it began.
+    pub(super) started: Instant,
+    /// The longest time that an address answer that names this VM may be kept.
+    pub(super) longest: Duration,
+}
+
+impl Leave {
+    /// Returns the stage for the backend servers still owned and the requests still in flight.
+    ///
+    /// However long a request takes, the process waits for it.
+    pub(super) fn stage(&self, now: Instant, owns: bool, running: u32) -> Stage {
+        let known = self.started + self.longest + NEWS_TIME;
+        let given = self.started + self.longest + HANDOVER_TIME;
+        if now < known || owns && now < given {
+            Stage::Accepting
+        } else if running > 0 {
+            Stage::Finishing
+        } else {
+            Stage::Finished
+        }
+    }
+}
+
 /// Leaves: hands over, accepts until the last address answer that names this VM has expired, and
 /// returns once nothing is in flight.
 pub async fn drain(node: &Node) {
     node.control.tell(Event::Leave).await;
-    let longest = Duration::from_millis(node.drain.longest.load(Ordering::Acquire));
-    let started = Timer.now();
-    Timer.at(started + NEWS_TIME + longest).await;
+    let leave = Leave {
+        started: Timer.now(),
+        longest: Duration::from_millis(node.drain.longest.load(Ordering::Acquire)),
+    };
     let mut ticks = Timer.subscribe(LOOK_PERIOD);
-    while owns_any(node) && Timer.now() < started + longest + HANDOVER_TIME {
-        ticks.next().await;
+    loop {
+        let now = ticks.next().await;
+        match leave.stage(now, owns_any(node), node.drain.running()) {
+            // A request may have come since the count was taken, so that it is taken again.
+            Stage::Finishing | Stage::Finished if !node.drain.is_closed() => close(node),
+            Stage::Accepting | Stage::Finishing => {}
+            Stage::Finished => break,
+        }
     }
+    node.journal.info(Part::Fleet, &"This VM has finished.");
+}
+
+/// Refuses new requests from now on.
+fn close(node: &Node) {
     node.drain.closed.store(true, Ordering::Release);
     let running = node.drain.running();
     let text = format!("This VM refuses new requests and finishes the {running} it has.");
     node.journal.info(Part::Fleet, &text);
-    while node.drain.running() > 0 {
-        ticks.next().await;
-    }
-    node.journal.info(Part::Fleet, &"This VM has finished.");
 }
 
 fn owns_any(node: &Node) -> bool {
--- a/crates/server/src/process/mod.rs
+++ b/crates/server/src/process/mod.rs
@@ -4,6 +4,8 @@
 mod error;
 mod node;
 mod run;
+#[cfg(test)]
+mod tests;
 
 pub use drain::{Drain, InFlight, drain};
 pub use error::ProcessError;
--- /dev/null
+++ b/crates/server/src/process/tests.rs
@@ -0,0 +1,30 @@
+//! Tests of leaving, with passed-in time.
+
+use std::time::{Duration, Instant};
+
+use yare::parameterized;
+
+use super::drain::{Leave, Stage};
+
+const LONGEST: Duration = Duration::from_secs(2);
+
+#[parameterized(
+    at_once = { 0, true, 1, Stage::Accepting },
+    before_the_news_is_out = { 2_999, false, 0, Stage::Accepting },
+    after_the_news_is_out = { 3_000, false, 0, Stage::Finished },
+    handing_over = { 3_000, true, 0, Stage::Accepting },
+    handover_that_does_not_end = { 12_000, true, 0, Stage::Finished },
+    request_in_flight = { 3_000, false, 1, Stage::Finishing },
+    handover_and_request_that_do_not_end = { 12_000, true, 1, Stage::Finishing },
+    request_of_31_seconds = { 31_000, false, 1, Stage::Finishing },
+    request_of_an_hour = { 3_600_000, false, 1, Stage::Finishing },
+)]
+fn test_leave_stage(millis: u64, owns: bool, running: u32, stage: Stage) {
+    let started = Instant::now();
+    let leave = Leave {
+        started,
+        longest: LONGEST,
+    };
+    let now = started + Duration::from_millis(millis);
+    assert_eq!(leave.stage(now, owns, running), stage);
+}
--- a/crates/server/tests/processes/shutdown.rs
+++ b/crates/server/tests/processes/shutdown.rs
@@ -1,11 +1,19 @@
 //! Graceful stops: nothing in flight is cut off.
 
-use cassialift_core::{presets::KindPolicy, request::RequestKind, time::Millis};
+use cassialift_core::{
+    presets::KindPolicy,
+    request::{RefusalReason, RequestKind},
+    time::Millis,
+};
 use cassialift_testkit::{
-    harness::{FleetSettings, Signal},
+    harness::{Fleet, FleetSettings, JOB_SERVICE, Signal},
     history::CallEnd,
-    standin::backend::{BackendChange, Faults, ServiceTime},
+    standin::backend::{
+        BackendChange, Faults, RunEnd, RunEvent, RunStep, ServiceTime, unix_micros,
+    },
 };
+use cassialift_wire::operator::{STATUS_PATH, Status};
+use yare::parameterized;
 
 use super::{
     job_support::{is_done, start_with_jobs, started, ticket_at, tickets_of, wait_started},
@@ -42,6 +50,105 @@
     assert_whole(&fleet).await;
 }
 
+/// What a VM that stops does for a job that came in through another VM.
+#[derive(Clone, Copy, Debug)]
+enum Part {
+    /// It issued the ticket.
+    Holder,
+    /// It owns the backend servers that run jobs.
+    Owner,
+}
+
+/// No connection of a caller keeps the stopping process: only its count of peers' calls does.
+#[parameterized(
+    holder = { Part::Holder },
+    owner = { Part::Owner },
+)]
+#[test_macro(tokio::test)]
+async fn test_shutdown_finishes_a_peers_job(part: Part) {
+    let mut settings = FleetSettings {
+        runners: 1,
+        ..FleetSettings::default()
+    };
+    let kinds = &mut settings.preset.kinds;
+    kinds.insert(RequestKind::Job, long_deadline());
+    let mut fleet = start_with(settings).await;
+    fleet.wait_owned().await.unwrap();
+    let owner = owner_of(&fleet, &format!("{JOB_SERVICE}-0")).await;
+    let [holder, other] = [(owner + 1) % 3, (owner + 2) % 3];
+    let (entry, stopped) = match part {
+        Part::Holder => (other, holder),
+        Part::Owner => (holder, owner),
+    };
+    let mut caller = fleet.caller("press").unwrap();
+    let ticket = ticket_at(&fleet, &mut caller, holder).await;
+    let body = caller.next_body();
+    hang(&fleet, true).await;
+    let (address, copy) = (fleet.vm_address(entry), body.clone());
+    let submission = tokio::spawn(async move { caller.submit_at(address, &ticket, &copy).await });
+    wait_started(&fleet, &body, 1).await;
+    let signalled = unix_micros();
+    fleet.signal(stopped, Signal::Terminate).unwrap();
+    wait_closed(&fleet, stopped).await;
+    // A process that does not wait for the call is gone by now.
+    run_for(500).await;
+    hang(&fleet, false).await;
+    let end = submission.await.unwrap();
+    assert!(is_done(&end), "{end:?}");
+    fleet.wait_gone(stopped).await.unwrap();
+    let runs = fleet.history().unwrap().runs;
+    let steps = runs.iter().filter(|run| run.body == body);
+    let before = |run: &RunEvent| (run.step, run.at < signalled);
+    let steps: Vec<_> = steps.map(before).collect();
+    let ended = RunStep::Ended(RunEnd::Done);
+    assert_eq!(steps, [(RunStep::Started, true), (ended, false)]);
+    assert_whole(&fleet).await;
+}
+
+/// Makes a policy whose deadline outlasts every test.
+fn long_deadline() -> KindPolicy {
+    KindPolicy {
+        deadline: Millis::new(50_000),
+        ..KindPolicy::default()
+    }
+}
+
+/// Returns the VM that owns a backend server, as the first VM knows it.
+async fn owner_of(fleet: &Fleet, server: &str) -> usize {
+    let reply = fleet.get(0, STATUS_PATH).await.unwrap();
+    let status: Status = reply.parse().unwrap();
+    let mut servers = status.servers.into_iter();
+    let owner = servers.find(|known| known.server == server).unwrap().owner;
+    let number = owner.as_deref().and_then(|vm| vm.strip_prefix("vm-"));
+    number.unwrap().parse().unwrap()
+}
+
+/// Lets all backend servers hang, or finish what they run.
+async fn hang(fleet: &Fleet, hang: bool) {
+    let faults = Faults {
+        hang,
+        ..Faults::default()
+    };
+    let change = BackendChange {
+        faults: Some(faults),
+        ..BackendChange::default()
+    };
+    fleet.change_backends(&change).await.unwrap();
+}
+
+/// Waits until a VM that stops takes no new requests.
+async fn wait_closed(fleet: &Fleet, vm: usize) {
+    let mut caller = fleet.caller("late").unwrap();
+    let closed = async || {
+        caller.hold(fleet.vm_address(vm));
+        match caller.search(RequestKind::Fetch, Some(vec![0])).await {
+            CallEnd::Refused(refusal) => refusal.reason == RefusalReason::Leaving,
+            end => end == CallEnd::NoConnection,
+        }
+    };
+    fleet.wait_for("a VM to close", closed).await.unwrap();
+}
+
 #[tokio::test]
 async fn test_shutdown_finishes_a_search_longer_than_the_librarys_patience() {
     let mut settings = FleetSettings {
@@ -51,11 +158,8 @@
         },
         ..FleetSettings::default()
     };
-    let policy = KindPolicy {
-        deadline: Millis::new(50_000),
-        ..KindPolicy::default()
-    };
-    settings.preset.kinds.insert(RequestKind::Fetch, policy);
+    let kinds = &mut settings.preset.kinds;
+    kinds.insert(RequestKind::Fetch, long_deadline());
     let mut fleet = start_with(settings).await;
     wait_covered(&fleet, 0).await;
     let slow = Faults {
