config: a peer that does not serve what it names is passed over

A process pulls from the peer that names the newest revision. What was named is now compared with what is held after the pull; a peer that fell short is counted as config.unserved and not pulled from for 2 s (the test allows three pulls in 5 s).

Ruled out: to drop only the peer's word. It names the revision again with each heartbeat. Also ruled out: to refuse revisions that are too far ahead, as there is no bound on what operators publish while a VM is cut off.

--- a/crates/core/src/config/event.rs
+++ b/crates/core/src/config/event.rs
@@ -35,6 +35,15 @@
         /// Why.
         error: BatchError,
     },
+    /// {vm} named revision {named}, but {held} is held after a pull from it.
+    Unserved {
+        /// The peer.
+        vm: VmId,
+        /// The revision that it had named.
+        named: Revision,
+        /// The revision held.
+        held: Revision,
+    },
     /// The service answered with revision {given}, older than {held}; nothing was changed.
     StaleAnswer {
         /// The revision of the answer.
@@ -69,6 +78,7 @@
             Self::InForce { .. } => "config.in_force",
             Self::Rejected(_) => "config.rejected",
             Self::Refused { .. } => "config.batch_refused",
+            Self::Unserved { .. } => "config.unserved",
             Self::StaleAnswer { .. } => "config.stale_answer",
             Self::ServiceLost => "config.service_lost",
             Self::ServiceReached => "config.service_reached",
@@ -87,6 +97,7 @@
         match self {
             Self::Rejected(_)
             | Self::Refused { .. }
+            | Self::Unserved { .. }
             | Self::StaleAnswer { .. }
             | Self::ServiceLost
             | Self::Aged(_)
--- a/crates/core/src/config/node.rs
+++ b/crates/core/src/config/node.rs
@@ -187,7 +187,6 @@
         sent: Instant,
         now: Instant,
     ) {
-        self.spread.ended(vm, push.is_some());
         let answered = push.as_ref().is_some_and(|(note, _)| note.revision > 0);
         if let Some((note, batch)) = push {
             let revision = batch.revision;
@@ -195,10 +194,22 @@
             if note.revision == revision && revision == self.store.revision() {
                 self.adopt(&note, sent);
             }
+            self.check_served(vm, now);
+        } else {
+            self.spread.failed(vm);
         }
         self.gate.answered(vm, answered);
     }
 
+    /// Doubts a peer that did not serve the revision that it had named.
+    fn check_served(&mut self, vm: &VmId, now: Instant) {
+        let held = self.store.revision();
+        if let Some(named) = self.spread.answered(vm, held, now) {
+            let vm = VmId::clone(vm);
+            self.events.push(ConfigEvent::Unserved { vm, named, held });
+        }
+    }
+
     /// Takes in the service's answer to a read that was sent at `sent`; none if it failed.
     pub fn read(&mut self, answer: Option<Batch>, sent: Instant, now: Instant) {
         let held = self.store.revision();
--- a/crates/core/src/config/spread.rs
+++ b/crates/core/src/config/spread.rs
@@ -13,6 +13,8 @@
 pub const PULL_PATIENCE: Duration = Duration::from_millis(300);
 /// The shortest time between two pulls from one peer at the same revision.
 const RECONCILE_PERIOD: Duration = Duration::from_secs(2);
+/// How long nothing is pulled from a peer that did not serve the revision that it named.
+const DOUBT_PERIOD: Duration = Duration::from_secs(2);
 
 /// What a process is to send.
 #[derive(Clone, Debug, Eq, PartialEq)]
@@ -32,8 +34,17 @@
 #[derive(Clone, Debug, Default)]
 pub(super) struct Spread {
     ahead: HashMap<VmId, Revision>,
-    pulling: HashMap<VmId, Instant>,
+    pulling: HashMap<VmId, Pull>,
     reconciled: HashMap<VmId, Instant>,
+    doubted: HashMap<VmId, Instant>,
+}
+
+/// A pull in flight.
+#[derive(Clone, Copy, Debug)]
+struct Pull {
+    since: Instant,
+    /// The revision that the peer had named, if it is newer than what is held.
+    named: Option<Revision>,
 }
 
 impl Spread {
@@ -58,15 +69,24 @@
 
     /// Notes that a pull was sent.
     pub(super) fn pulled(&mut self, vm: VmId, now: Instant) {
-        self.pulling.insert(vm, now);
+        let named = self.ahead.get(&vm).copied();
+        self.pulling.insert(vm, Pull { since: now, named });
     }
 
-    /// Notes that a pull has ended.
-    pub(super) fn ended(&mut self, vm: &VmId, answered: bool) {
+    /// Notes that a pull got no answer.
+    pub(super) fn failed(&mut self, vm: &VmId) {
         self.pulling.remove(vm);
-        if !answered {
-            self.ahead.remove(vm);
-        }
+        self.ahead.remove(vm);
+    }
+
+    /// Notes that a pull was answered and `held` is held since; gives the revision that the peer
+    /// had named and did not serve, if there is one.
+    pub(super) fn answered(&mut self, vm: &VmId, held: Revision, now: Instant) -> Option<Revision> {
+        let pull = self.pulling.remove(vm)?;
+        let unserved = pull.named.filter(|named| *named > held)?;
+        self.ahead.remove(vm);
+        self.doubted.insert(VmId::clone(vm), now);
+        Some(unserved)
     }
 
     /// Returns the peer to pull from next: the one furthest ahead, unless a pull is under way.
@@ -75,13 +95,15 @@
         let waiting = self
             .pulling
             .values()
-            .any(|since| now.saturating_duration_since(*since) < PULL_PATIENCE);
+            .any(|pull| now.saturating_duration_since(pull.since) < PULL_PATIENCE);
         if waiting {
             return None;
         }
+        self.doubted
+            .retain(|_, since| now.saturating_duration_since(*since) < DOUBT_PERIOD);
         self.ahead
             .iter()
-            .filter(|(vm, _)| !self.pulling.contains_key(*vm))
+            .filter(|(vm, _)| !self.pulling.contains_key(*vm) && !self.doubted.contains_key(*vm))
             .max_by_key(|(vm, revision)| (**revision, VmId::clone(vm)))
             .map(|(vm, _)| VmId::clone(vm))
     }
@@ -91,5 +113,6 @@
         self.ahead.retain(|vm, _| known(vm));
         self.pulling.retain(|vm, _| known(vm));
         self.reconciled.retain(|vm, _| known(vm));
+        self.doubted.retain(|vm, _| known(vm));
     }
 }
--- a/crates/core/tests/config/node.rs
+++ b/crates/core/tests/config/node.rs
@@ -1,11 +1,14 @@
 //! Tests of one process's part in the configuration.
 
-use std::time::{Duration, Instant};
+use std::{
+    sync::Arc,
+    time::{Duration, Instant},
+};
 
 use cassialift_core::{
     config::{
-        ConfigEvent, ConfigNode, ConfigNote, ConfigPeer, Order, READERS, ReadPlan, STALE_AGE,
-        START_WAIT, ServiceReach, outranks,
+        Batch, ConfigEvent, ConfigNode, ConfigNote, ConfigPeer, Order, READERS, ReadPlan,
+        STALE_AGE, START_WAIT, ServiceReach, outranks,
     },
     ids::{DataCentre, VmId},
     time::Millis,
@@ -263,3 +266,93 @@
         .filter(|node| node.plan() == ReadPlan::Idle);
     assert_eq!(idle.count(), 8 - READERS);
 }
+
+/// Makes the note of a peer that names a revision.
+fn naming(revision: u64) -> ConfigNote {
+    ConfigNote {
+        revision,
+        ..ConfigNote::default()
+    }
+}
+
+fn unserved(events: &[ConfigEvent]) -> usize {
+    let of_peer = |event: &&ConfigEvent| event.counter() == "config.unserved";
+    events.iter().filter(of_peer).count()
+}
+
+#[test]
+fn test_node_pulls_past_a_peer_that_names_what_nobody_serves() {
+    let platform = platform(5);
+    let mut bench = Bench::new(4);
+    bench.read(0, &platform, 4);
+    for _ in 0..10 {
+        bench.step(&[]);
+    }
+    bench.read(1, &platform, 5);
+    let honest = bench.nodes[1].note(bench.now);
+    bench.nodes[0].take_events();
+    let mut pulls = 0;
+    for _ in 0..100 {
+        bench.now += TICK;
+        // Both repeat with each heartbeat what they name.
+        bench.nodes[0].heard(&peer(3).vm, &naming(1_000_000), None, bench.now);
+        bench.nodes[0].heard(&peer(1).vm, &honest, None, bench.now);
+        bench.nodes[0].tick(bench.now);
+        for order in bench.nodes[0].take_orders() {
+            let of_liar = matches!(&order, Order::Pull { vm, .. } if *vm == peer(3).vm);
+            pulls += usize::from(of_liar);
+            bench.carry_out(0, order, &[]);
+        }
+    }
+    assert_eq!(bench.nodes[0].store().revision(), 5, "{pulls} other pulls");
+    assert!((1..=3).contains(&pulls), "{pulls} pulls in 5 s");
+    let events = bench.nodes[0].take_events();
+    assert_eq!(unserved(&events), pulls);
+}
+
+#[test]
+fn test_node_refuses_a_push_that_contradicts_itself() {
+    let platform = platform(3);
+    let mut bench = Bench::new(2);
+    bench.read(0, &platform, 2);
+    let now = bench.now;
+    bench.nodes[0].heard(&peer(1).vm, &naming(3), None, now);
+    bench.nodes[0].take_events();
+    let before = (
+        bench.nodes[0].store().revision(),
+        bench.nodes[0].store().digest(),
+    );
+    // The document of revision 3 comes in a batch that ends at 2.
+    let batch = Batch {
+        revision: 2,
+        ..platform.changes(0, 3)
+    };
+    bench.nodes[0].pushed(&peer(1).vm, Some((naming(2), batch)), now, now);
+    let after = (
+        bench.nodes[0].store().revision(),
+        bench.nodes[0].store().digest(),
+    );
+    assert_eq!(before, after);
+    let events = bench.nodes[0].take_events();
+    let counters: Vec<&str> = events.iter().map(ConfigEvent::counter).collect();
+    assert_eq!(counters, ["config.batch_refused", "config.unserved"]);
+}
+
+#[test]
+fn test_node_keeps_its_text_when_a_peers_newer_one_is_invalid() {
+    let platform = Platform::new(&[Edit::Presets(10), Edit::BadPresets]);
+    let mut bench = Bench::new(2);
+    bench.read(0, &platform, 1);
+    let now = bench.now;
+    bench.nodes[0].heard(&peer(1).vm, &naming(2), None, now);
+    bench.nodes[0].take_events();
+    let former = Arc::clone(&bench.nodes[0].store().view().unwrap().policy);
+    let batch = platform.changes(1, 2);
+    bench.nodes[0].pushed(&peer(1).vm, Some((naming(2), batch)), now, now);
+    let store = bench.nodes[0].store();
+    assert_eq!(store.view().unwrap().policy, former);
+    assert_eq!(store.rejections().len(), 1);
+    let events = bench.nodes[0].take_events();
+    let rejected = events.iter().any(|one| one.counter() == "config.rejected");
+    assert!(rejected, "{events:?}");
+}
