peers: replace a connection that the other side has ended

The table kept a connection until a call on it had failed. When a VM was replaced, the next call to its successor went out on the connection to the former process and failed without telling whether it was sent: a shard call counted as broken, a submission or a question for an outcome that was passed on to the ticket's holder was refused as no_reply with an unknown end. Heartbeats repair the table, but a VM pings only one member and its partners a period.

The connection's task now marks it as ended, and the next call opens a new one. Ruled out: sending a passed-on submission a second time, which the ticket would make safe; it would not help shard calls, and is not needed for this.

--- a/crates/server/src/peers/mod.rs
+++ b/crates/server/src/peers/mod.rs
@@ -5,6 +5,9 @@
 mod table;
 mod traffic;
 
+#[cfg(test)]
+mod tests;
+
 pub use error::PeerError;
 pub use serve::{PeerServer, serve};
 pub use table::PeerTable;
--- a/crates/server/src/peers/table.rs
+++ b/crates/server/src/peers/table.rs
@@ -3,14 +3,17 @@
 use std::{
     collections::HashMap,
     net::SocketAddr,
-    sync::{Arc, Mutex},
+    sync::{
+        Arc, Mutex,
+        atomic::{AtomicBool, Ordering},
+    },
     time::Duration,
 };
 
 use cassialift_core::{ids::VmId, view::FleetView};
 use cassialift_wire::peer::PeerClient;
 use tarpc::{
-    client::{Config, RpcError},
+    client::{Config, NewClient, RpcError},
     serde_transport,
     tokio_serde::formats::Bincode,
 };
@@ -35,6 +38,8 @@
 struct Entry {
     address: SocketAddr,
     client: OnceCell<PeerClient>,
+    /// Whether the connection was opened and has ended since.
+    ended: Arc<AtomicBool>,
 }
 
 impl PeerTable {
@@ -49,7 +54,10 @@
         &self.traffic
     }
 
-    /// Returns a connection to a VM, opening one when there is none.
+    /// Returns a connection to a VM, opening one when there is none or the last one has ended.
+    ///
+    /// A call on an ended connection would fail without telling whether it was sent, and a peer's
+    /// process that was replaced ends the connections to it.
     ///
     /// # Errors
     /// Returns why there is no connection; nothing was sent.
@@ -60,7 +68,7 @@
         let entry = self.entry(vm, member.peers);
         let client = entry
             .client
-            .get_or_try_init(|| connect(entry.address, &self.traffic));
+            .get_or_try_init(|| connect(entry.address, &self.traffic, &entry.ended));
         client.await.cloned()
     }
 
@@ -87,10 +95,13 @@
             .lock()
             .expect("no thread panics holding the lock");
         match entries.get(vm) {
-            Some(entry) if entry.address == address => Arc::clone(entry),
+            Some(entry) if entry.is_usable(address) => Arc::clone(entry),
             _ => {
-                let client = OnceCell::new();
-                let entry = Arc::new(Entry { address, client });
+                let entry = Arc::new(Entry {
+                    address,
+                    client: OnceCell::new(),
+                    ended: Arc::default(),
+                });
                 entries.insert(VmId::clone(vm), Arc::clone(&entry));
                 entry
             }
@@ -98,7 +109,17 @@
     }
 }
 
-async fn connect(address: SocketAddr, traffic: &Arc<Traffic>) -> Result<PeerClient, PeerError> {
+impl Entry {
+    fn is_usable(&self, address: SocketAddr) -> bool {
+        self.address == address && !self.ended.load(Ordering::Acquire)
+    }
+}
+
+async fn connect(
+    address: SocketAddr,
+    traffic: &Arc<Traffic>,
+    ended: &Arc<AtomicBool>,
+) -> Result<PeerClient, PeerError> {
     let Ok(connected) = timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await else {
         return Err(PeerError::ConnectTimeout);
     };
@@ -109,5 +130,13 @@
     let mut config = Config::default();
     config.max_in_flight_requests = MAX_IN_FLIGHT;
     config.pending_request_buffer = MAX_IN_FLIGHT;
-    Ok(PeerClient::new(config, transport).spawn())
+    let NewClient { client, dispatch } = PeerClient::new(config, transport);
+    let ended = Arc::clone(ended);
+    tokio::spawn(async move {
+        if let Err(error) = dispatch.await {
+            log::debug!("peers: A connection broke: {error}.");
+        }
+        ended.store(true, Ordering::Release);
+    });
+    Ok(client)
 }
--- /dev/null
+++ b/crates/server/src/peers/tests.rs
@@ -0,0 +1,60 @@
+//! Tests of connections to peers.
+
+use std::{net::SocketAddr, sync::Arc, time::Duration};
+
+use cassialift_core::{
+    ids::VmId,
+    view::{FleetView, MemberView, OwnView, Reach},
+};
+use tokio::net::TcpListener;
+
+use super::{PeerTable, Traffic};
+
+/// How long anything may take on a busy machine.
+const LIMIT: Duration = Duration::from_secs(30);
+
+fn view(vm: &VmId, peers: SocketAddr) -> FleetView {
+    let member = MemberView {
+        incarnation: None,
+        centre: "dc-0".into(),
+        peers,
+        callers: peers,
+        reach: Reach::Alive,
+        load: 0,
+        since: None,
+    };
+    FleetView {
+        own: OwnView {
+            vm: "vm-0".into(),
+            incarnation: 1,
+            centre: "dc-0".into(),
+            leaving: false,
+        },
+        config: None,
+        members: [(VmId::clone(vm), member)].into(),
+        owners: [].into(),
+    }
+}
+
+#[tokio::test]
+async fn test_peer_table_replaces_a_connection_that_the_peer_has_ended() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let vm = VmId::from("vm-1");
+    let view = view(&vm, listener.local_addr().unwrap());
+    let table = PeerTable::new(Arc::new(Traffic::default()));
+    let first = table.client(&view, &vm).await.unwrap();
+    drop(listener.accept().await.unwrap());
+    let again = async {
+        // The end of the connection is noticed a moment after the peer has closed it.
+        loop {
+            table.client(&view, &vm).await.unwrap();
+            tokio::task::yield_now().await;
+        }
+    };
+    tokio::select! {
+        accepted = listener.accept() => drop(accepted.unwrap()),
+        () = again => {}
+        () = tokio::time::sleep(LIMIT) => panic!("the ended connection is still used"),
+    }
+    drop(first);
+}
