tests: rolling replacement of eight VMs under searches and jobs

This one replaces 8 in four data centres, each by SIGTERM, its end and a successor, under 100 requests a second of which 30 are jobs, submitted twice each. No call may be refused, cut off or answered in part, every job runs exactly once, the history checker finds nothing, and every VM covers every shard at the end.

Not caught: a drain that waits for the handover only and not for the time to live of address answers (300 ms, and the handover takes longer), and one that does not wait for requests in flight (the HTTP server does so itself).

--- a/crates/server/tests/processes/main.rs
+++ b/crates/server/tests/processes/main.rs
@@ -10,6 +10,7 @@
 mod kills;
 mod operators;
 mod platform;
+mod rolling;
 mod shutdown;
 mod stragglers;
 mod support;
