--- a/crates/server/tests/processes/stragglers.rs
+++ b/crates/server/tests/processes/stragglers.rs
@@ -2,7 +2,6 @@
 
 use cassialift_core::{request::RequestKind, time::Millis};
 use cassialift_testkit::{
-    history::CallEnd,
     load::{LoadSettings, Traffic},
     standin::backend::{BackendChange, Fault, Faults, RunEvent, RunStep},
 };
