--- /dev/null
+++ b/crates/server/src/owner/grant.rs
@@ -0,0 +1,132 @@
+//! What a call holds at a backend server's gate: a place in the queue, then a slot and a connection.
+
+use std::sync::Arc;
+
+use cassialift_wire::peer::CallRefusal;
+use tokio::sync::oneshot;
+
+use super::{gate::Passage, lane::Lane, server::Server};
+use crate::metrics::Metrics;
+
+/// Wakes a call that waits, with its grant or why there is none.
+pub(super) type Waiter = oneshot::Sender<Result<Grant, CallRefusal>>;
+
+/// Leave to hold one connection open; given back when dropped.
+#[derive(Debug)]
+pub(super) struct OpenPermit(Arc<Server>);
+
+/// A slot and what to send with; both are given back when dropped.
+#[derive(Debug)]
+pub(super) struct Grant {
+    server: Arc<Server>,
+    lane: Option<Lane>,
+    permit: Option<OpenPermit>,
+}
+
+/// What came of asking for a slot.
+#[derive(Debug)]
+pub(super) enum Admission {
+    /// A slot was free.
+    Granted(Grant),
+    /// The call waits in the queue.
+    Waiting(QueuePlace),
+}
+
+/// A place in the queue; left when dropped.
+#[derive(Debug)]
+pub(super) struct QueuePlace {
+    server: Arc<Server>,
+    id: u64,
+    receiver: oneshot::Receiver<Result<Grant, CallRefusal>>,
+}
+
+impl OpenPermit {
+    /// Makes a permit for a connection that the gate has counted.
+    pub(super) const fn new(server: Arc<Server>) -> Self {
+        Self(server)
+    }
+
+    /// Returns the counters of the edge.
+    pub(super) fn metrics(&self) -> Arc<Metrics> {
+        Arc::clone(&self.0.metrics)
+    }
+}
+
+impl Drop for OpenPermit {
+    fn drop(&mut self) {
+        self.0.lock().open -= 1;
+        self.0.dispatch();
+    }
+}
+
+impl Grant {
+    /// Makes a grant of a slot that the gate has counted.
+    pub(super) fn new(server: Arc<Server>, passage: Passage) -> Self {
+        let (lane, permit) = match passage {
+            Passage::Warm(lane) => (Some(lane), None),
+            Passage::Open => (None, Some(OpenPermit::new(Arc::clone(&server)))),
+        };
+        Self {
+            server,
+            lane,
+            permit,
+        }
+    }
+
+    /// Returns the server.
+    pub(super) fn server(&self) -> &Arc<Server> {
+        &self.server
+    }
+
+    /// Takes the warm lane, if there is one.
+    pub(super) fn take_lane(&mut self) -> Option<Lane> {
+        self.lane.take()
+    }
+
+    /// Takes leave to open a connection.
+    pub(super) fn take_permit(&mut self) -> Option<OpenPermit> {
+        self.permit.take().or_else(|| self.server.reserve_open())
+    }
+}
+
+impl Drop for Grant {
+    fn drop(&mut self) {
+        let lane = self.lane.take();
+        drop(self.permit.take());
+        {
+            let mut gate = self.server.lock();
+            gate.running -= 1;
+            if let Some(lane) = lane {
+                gate.put_idle(lane);
+            }
+        }
+        self.server.dispatch();
+    }
+}
+
+impl QueuePlace {
+    /// Makes a place for a call that was queued under this id.
+    pub(super) const fn new(
+        server: Arc<Server>,
+        id: u64,
+        receiver: oneshot::Receiver<Result<Grant, CallRefusal>>,
+    ) -> Self {
+        Self {
+            server,
+            id,
+            receiver,
+        }
+    }
+
+    /// Waits for a slot.
+    pub(super) async fn wait(&mut self) -> Result<Grant, CallRefusal> {
+        let received = (&mut self.receiver).await;
+        received.unwrap_or(Err(CallRefusal::Cancelled))
+    }
+}
+
+impl Drop for QueuePlace {
+    fn drop(&mut self) {
+        drop(self.server.lock().queue.remove(self.id));
+    }
+}
--- a/crates/server/src/owner/lane.rs
+++ b/crates/server/src/owner/lane.rs
@@ -7,7 +7,7 @@
 use hyper_util::rt::TokioIo;
 use tokio::{net::TcpStream, runtime::Handle};
 
-use super::{body::CallBody, counters::OwnerCounter, server::OpenPermit};
+use super::{body::CallBody, counters::OwnerCounter, grant::OpenPermit};
 
 /// Why a connection could not be opened.
 #[derive(Debug, Display)]
--- a/crates/server/src/owner/mod.rs
+++ b/crates/server/src/owner/mod.rs
@@ -10,6 +10,7 @@
 mod counters;
 mod exchange;
 mod gate;
+mod grant;
 mod health;
 mod lane;
 mod mark;
--- a/crates/server/src/owner/run.rs
+++ b/crates/server/src/owner/run.rs
@@ -16,9 +16,10 @@
 use super::{
     counters::OwnerCounter,
     exchange::{Exchange, ExchangeError, exchange},
+    grant::Grant,
     lane::Lane,
     mark::SendMark,
-    server::{Grant, Server},
+    server::Server,
 };
 
 /// How often a request that was proved unsent is moved to another connection.
--- a/crates/server/src/owner/server.rs
+++ b/crates/server/src/owner/server.rs
@@ -20,6 +20,7 @@
 
 use super::{
     gate::{Gate, Passage, Share},
+    grant::{Admission, Grant, OpenPermit, QueuePlace, Waiter},
     health,
     lane::Lane,
     settings::OwnerSettings,
@@ -29,8 +30,6 @@
 /// How long no connection is opened in advance after one failed.
 const WARM_PAUSE: Duration = Duration::from_millis(500);
 
-type Waiter = oneshot::Sender<Result<Grant, CallRefusal>>;
-
 /// One backend server: its gate and what all servers share.
 #[derive(Debug)]
 pub(super) struct Server {
@@ -40,35 +39,6 @@
     gate: Mutex<Gate<Waiter>>,
 }
 
-/// Leave to hold one connection open; given back when dropped.
-#[derive(Debug)]
-pub(super) struct OpenPermit(Arc<Server>);
-
-/// A slot and what to send with; both are given back when dropped.
-#[derive(Debug)]
-pub(super) struct Grant {
-    server: Arc<Server>,
-    lane: Option<Lane>,
-    permit: Option<OpenPermit>,
-}
-
-/// What came of asking for a slot.
-#[derive(Debug)]
-pub(super) enum Admission {
-    /// A slot was free.
-    Granted(Grant),
-    /// The call waits in the queue.
-    Waiting(QueuePlace),
-}
-
-/// A place in the queue; left when dropped.
-#[derive(Debug)]
-pub(super) struct QueuePlace {
-    server: Arc<Server>,
-    id: u64,
-    receiver: oneshot::Receiver<Result<Grant, CallRefusal>>,
-}
-
 impl Server {
     /// Makes a server with nothing in use.
     pub(super) fn new(
@@ -143,11 +113,8 @@
             Ok(displaced) => self.refuse(displaced, QueueRefusal::Displaced),
             Err(refusal) => return Err(self.refusal(refusal)),
         }
-        Ok(Admission::Waiting(QueuePlace {
-            server: Arc::clone(self),
-            id,
-            receiver,
-        }))
+        let place = QueuePlace::new(Arc::clone(self), id, receiver);
+        Ok(Admission::Waiting(place))
     }
 
     /// Counts a refusal of the queue and returns what the entry is told.
@@ -209,13 +176,13 @@
         }
         let reserved = gate.reserve_open();
         drop(gate);
-        reserved.then(|| Err(OpenPermit(Arc::clone(self))))
+        reserved.then(|| Err(OpenPermit::new(Arc::clone(self))))
     }
 
     /// Takes leave to open a connection.
     pub(super) fn reserve_open(self: &Arc<Self>) -> Option<OpenPermit> {
         let reserved = self.lock().reserve_open();
-        reserved.then(|| OpenPermit(Arc::clone(self)))
+        reserved.then(|| OpenPermit::new(Arc::clone(self)))
     }
 
     /// Returns the instant from which on the share allows no call to be sent.
@@ -288,18 +255,10 @@
     }
 
     fn grant(self: &Arc<Self>, passage: Passage) -> Grant {
-        let (lane, permit) = match passage {
-            Passage::Warm(lane) => (Some(lane), None),
-            Passage::Open => (None, Some(OpenPermit(Arc::clone(self)))),
-        };
-        Grant {
-            server: Arc::clone(self),
-            lane,
-            permit,
-        }
+        Grant::new(Arc::clone(self), passage)
     }
 
-    fn lock(&self) -> MutexGuard<'_, Gate<Waiter>> {
+    pub(super) fn lock(&self) -> MutexGuard<'_, Gate<Waiter>> {
         self.gate.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
@@ -309,63 +268,3 @@
         drop(waiter.send(Err(refusal.clone())));
     }
 }
-
-impl OpenPermit {
-    /// Returns the counters of the edge.
-    pub(super) fn metrics(&self) -> Arc<Metrics> {
-        Arc::clone(&self.0.metrics)
-    }
-}
-
-impl Drop for OpenPermit {
-    fn drop(&mut self) {
-        self.0.lock().open -= 1;
-        self.0.dispatch();
-    }
-}
-
-impl Grant {
-    /// Returns the server.
-    pub(super) fn server(&self) -> &Arc<Server> {
-        &self.server
-    }
-
-    /// Takes the warm lane, if there is one.
-    pub(super) fn take_lane(&mut self) -> Option<Lane> {
-        self.lane.take()
-    }
-
-    /// Takes leave to open a connection.
-    pub(super) fn take_permit(&mut self) -> Option<OpenPermit> {
-        self.permit.take().or_else(|| self.server.reserve_open())
-    }
-}
-
-impl Drop for Grant {
-    fn drop(&mut self) {
-        let lane = self.lane.take();
-        drop(self.permit.take());
-        {
-            let mut gate = self.server.lock();
-            gate.running -= 1;
-            if let Some(lane) = lane {
-                gate.put_idle(lane);
-            }
-        }
-        self.server.dispatch();
-    }
-}
-
-impl QueuePlace {
-    /// Waits for a slot.
-    pub(super) async fn wait(&mut self) -> Result<Grant, CallRefusal> {
-        let received = (&mut self.receiver).await;
-        received.unwrap_or(Err(CallRefusal::Cancelled))
-    }
-}
-
-impl Drop for QueuePlace {
-    fn drop(&mut self) {
-        drop(self.server.lock().queue.remove(self.id));
-    }
-}
--- a/crates/server/src/owner/service.rs
+++ b/crates/server/src/owner/service.rs
@@ -25,9 +25,10 @@
     cancel::cancel,
     counters::OwnerCounter,
     gate::Share,
+    grant::{Admission, Grant},
     mark::SendMark,
     run::Run,
-    server::{Admission, Grant, Server},
+    server::Server,
     settings::OwnerSettings,
 };
 use crate::metrics::Metrics;
