fleet: nothing that a former run sends is believed

A heartbeat or reply of a run that is over was ignored by membership, but its news of others was still taken in, its word on the configuration too, and it was not counted. A process under this VM's own name with another incarnation even got an answer on ownership, and could have been made standby. Such messages are now dropped whole and counted as fleet.former_run. The note that comes with a reply is read only when the VM and the run that were asked replied.

Seen failing with is_former always false, which is the behaviour before but for the count: the beat under the own name was answered; the two others failed by the count alone, as ownership and membership guarded against the greedy parts of these messages already.

--- a/crates/core/src/fleet/members/hearing.rs
+++ b/crates/core/src/fleet/members/hearing.rs
@@ -6,6 +6,22 @@
 use crate::{ids::VmId, view::Reach};
 
 impl Members {
+    /// Returns whether `contact` is a run that is over, or another process under this one's name.
+    #[must_use]
+    pub fn is_former(&self, contact: &Contact) -> bool {
+        if contact.vm == self.own.vm {
+            return contact.incarnation != self.own.incarnation;
+        }
+        let member = self.rows.get(&contact.vm);
+        member.is_some_and(|member| member.former.contains(&contact.incarnation))
+    }
+
+    /// Notes that something a former run sent was dropped.
+    pub fn dropped(&mut self, contact: &Contact) {
+        let (vm, incarnation) = (VmId::clone(&contact.vm), contact.incarnation);
+        self.events.push(MemberEvent::Dropped { vm, incarnation });
+    }
+
     /// Takes in a ping or a reply that came directly from `from`.
     pub fn heard(&mut self, from: &Contact, status: Status, now: Instant) {
         if from.vm == self.own.vm {
--- a/crates/core/src/fleet/members/system.rs
+++ b/crates/core/src/fleet/members/system.rs
@@ -55,6 +55,13 @@
         /// The new run.
         incarnation: Incarnation,
     },
+    /// What a run that is over sent was dropped.
+    Dropped {
+        /// The member.
+        vm: VmId,
+        /// The run.
+        incarnation: Incarnation,
+    },
     /// This process refuted what was said of it.
     Refuted {
         /// What was said.
--- a/crates/core/src/fleet/node.rs
+++ b/crates/core/src/fleet/node.rs
@@ -210,9 +210,16 @@
     }
 
     /// Takes in another process's beat and makes the reply.
+    ///
+    /// Nothing that a former run says is believed or answered.
     pub fn hear(&mut self, beat: &Beat, now: Instant) -> BeatReply {
-        self.meet(&beat.from, beat.status, &beat.updates, now);
-        let answer = self.ownership.answer(&holder(&beat.from), &beat.ask, now);
+        let answer = if self.members.is_former(&beat.from) {
+            self.members.dropped(&beat.from);
+            None
+        } else {
+            self.meet(&beat.from, beat.status, &beat.updates, now);
+            self.ownership.answer(&holder(&beat.from), &beat.ask, now)
+        };
         BeatReply {
             from: self.members.own().clone(),
             status: self.status(),
@@ -230,13 +237,18 @@
         sent: Instant,
         now: Instant,
     ) {
-        self.meet(&reply.from, reply.status, &reply.updates, now);
+        let former = self.members.is_former(&reply.from);
+        if former {
+            self.members.dropped(&reply.from);
+        } else {
+            self.meet(&reply.from, reply.status, &reply.updates, now);
+        }
         if reply.from.vm != *to {
             // Another VM has been given the address.
             self.members.failed(to, Failure::Refused, now);
             return;
         }
-        if let Some(answer) = &reply.answer {
+        if let Some(answer) = reply.answer.as_ref().filter(|_| !former) {
             let from = holder(&reply.from);
             self.ownership.accept(&from, &beat.ask, answer, sent, now);
         }
--- a/crates/core/src/fleet/tests/mod.rs
+++ b/crates/core/src/fleet/tests/mod.rs
@@ -7,7 +7,8 @@
 use rand::Rng;
 
 use self::bench::{Bench, listed};
-use crate::view::Reach;
+use super::{Beat, Node, members::MemberEvent, ownership::server_key};
+use crate::{ids::VmId, view::Reach};
 
 fn whole_fleet(seed: u64, size: usize, servers: usize) -> Bench {
     let mut bench = Bench::new(seed, servers);
@@ -199,3 +200,88 @@
         assert_eq!(bench.broken(), None);
     }
 }
+
+/// Makes a beat of `from` that would change much: it leaves, and claims every server.
+fn greedy_beat(bench: &mut Bench, from: &VmId, to: &VmId) -> Beat {
+    let now = bench.now;
+    let node = &mut bench.processes.get_mut(from).unwrap().node;
+    let mut beat = node.beat(to, now);
+    let servers = bench.servers.iter();
+    let keys: Vec<_> = servers.map(|server| server_key(&server.id)).collect();
+    beat.status.leaving = true;
+    beat.status.load = 77;
+    beat.ask.sequence += 1_000;
+    beat.ask.holds.clone_from(&keys);
+    beat.ask.offers = keys;
+    beat
+}
+
+fn dropped(node: &mut Node) -> usize {
+    let (events, _) = node.take_events();
+    let is_drop = |event: &&MemberEvent| matches!(event, MemberEvent::Dropped { .. });
+    events.iter().filter(is_drop).count()
+}
+
+/// Returns all that a process believes of others and owns.
+fn beliefs(node: &Node) -> String {
+    format!(
+        "{:?} {:?}",
+        node.members().iter().collect::<Vec<_>>(),
+        node.ownership()
+    )
+}
+
+#[test]
+fn test_beat_of_a_former_run_changes_nothing_and_is_counted() {
+    let mut bench = whole_fleet(3, 3, 6);
+    let [hearer, victim] = [0, 1].map(|index| listed(index).vm);
+    let beat = greedy_beat(&mut bench, &victim, &hearer);
+    bench.start(1);
+    bench.run_until_whole(Duration::from_secs(20));
+    let now = bench.now;
+    let node = &mut bench.processes.get_mut(&hearer).unwrap().node;
+    node.take_events();
+    let before = beliefs(node);
+    for _ in 0..3 {
+        assert_eq!(node.hear(&beat, now).answer, None);
+    }
+    assert_eq!(beliefs(node), before);
+    assert_eq!(dropped(node), 3);
+}
+
+#[test]
+fn test_beat_under_ones_own_name_changes_nothing_and_is_counted() {
+    let mut bench = whole_fleet(4, 3, 6);
+    let [hearer, other] = [0, 1].map(|index| listed(index).vm);
+    let mut beat = greedy_beat(&mut bench, &other, &hearer);
+    beat.from.vm = VmId::clone(&hearer);
+    let now = bench.now;
+    let node = &mut bench.processes.get_mut(&hearer).unwrap().node;
+    node.take_events();
+    let before = beliefs(node);
+    assert_eq!(node.hear(&beat, now).answer, None);
+    assert_eq!(beliefs(node), before);
+    assert_eq!(dropped(node), 1);
+}
+
+#[test]
+fn test_reply_of_a_former_run_changes_nothing_and_is_counted() {
+    let mut bench = whole_fleet(5, 3, 6);
+    let [asker, victim] = [0, 1].map(|index| listed(index).vm);
+    let beat = greedy_beat(&mut bench, &asker, &victim);
+    let now = bench.now;
+    let replier = &mut bench.processes.get_mut(&victim).unwrap().node;
+    let mut reply = replier.hear(&beat, now);
+    if let Some(answer) = &mut reply.answer {
+        answer.stands.clone_from(&beat.ask.holds);
+    }
+    bench.start(1);
+    bench.run_until_whole(Duration::from_secs(20));
+    let now = bench.now;
+    let node = &mut bench.processes.get_mut(&asker).unwrap().node;
+    node.take_events();
+    let before = beliefs(node);
+    node.hear_reply(&victim, &beat, &reply, now, now);
+    assert_eq!(beliefs(node), before);
+    assert_eq!(dropped(node), 1);
+}
--- a/crates/server/src/control/beats.rs
+++ b/crates/server/src/control/beats.rs
@@ -7,7 +7,7 @@
 use tarpc::{client::RpcError, context};
 use tokio::time::timeout;
 
-use super::{ConfigEvent, ControlHandle, Event, FleetEvent};
+use super::{ControlHandle, Event, FleetEvent};
 use crate::{
     peers::{PeerError, PeerTable},
     timer::Timer,
@@ -30,14 +30,6 @@
     let answered = timeout(BEAT_TIMEOUT, exchange(&vm, &ping, &peers, &control)).await;
     let result = answered.unwrap_or(Err(Failure::Timeout)).map(Box::new);
     let answers = result.is_ok();
-    if let Ok(reply) = &result {
-        let event = ConfigEvent::Heard {
-            vm: VmId::clone(&vm),
-            note: reply.config.clone(),
-            sent: Some(sent),
-        };
-        control.tell(Event::Config(event)).await;
-    }
     let beat = Box::new(ping.beat);
     let event = FleetEvent::Beaten {
         vm,
--- a/crates/server/src/control/fleet.rs
+++ b/crates/server/src/control/fleet.rs
@@ -108,6 +108,11 @@
         self.node.beat(to, now)
     }
 
+    /// Returns whether a run is over, so that nothing that it sends is believed.
+    pub(super) fn is_former(&self, contact: &Contact) -> bool {
+        self.node.members().is_former(contact)
+    }
+
     /// Answers a peer's beat.
     pub(super) fn hear(&mut self, beat: &Beat, now: Instant) -> BeatReply {
         let reply = self.node.hear(beat, now);
@@ -188,6 +193,10 @@
                 let text = format!("The process on {vm} was replaced by another run.");
                 ("fleet.member_restarted", false, text)
             }
+            MemberEvent::Dropped { vm, .. } => {
+                let text = format!("Dropped what a former run of {vm} sent.");
+                ("fleet.former_run", true, text)
+            }
             MemberEvent::Refuted { state } => {
                 let text = format!("This VM refuted that it is {state:?}.");
                 ("fleet.refuted", true, text)
--- a/crates/server/src/control/thread.rs
+++ b/crates/server/src/control/thread.rs
@@ -15,8 +15,8 @@
 };
 
 use super::{
-    ConfigEvent, ControlHandle, Event, beats, config::ConfigPart, config_read, config_send,
-    fleet::FleetPart, vm_list,
+    ConfigEvent, ControlHandle, Event, FleetEvent, beats, config::ConfigPart, config_read,
+    config_send, fleet::FleetPart, vm_list,
 };
 use crate::{
     journal::Journal,
@@ -155,7 +155,13 @@
                 self.config.apply(event, now);
                 self.publish(now);
             }
-            Event::Fleet(event) => self.fleet.apply(event, now),
+            Event::Fleet(event) => {
+                if let Some(heard) = self.note_of(&event) {
+                    self.config.apply(heard, now);
+                    self.publish(now);
+                }
+                self.fleet.apply(event, now);
+            }
             Event::Ping(ping, reply) => {
                 // The peer may have hung up by now.
                 drop(reply.send(self.ping(*ping, now)));
@@ -177,14 +183,37 @@
         }
     }
 
-    fn ping(&mut self, ping: Ping, now: Instant) -> PingReply {
-        let event = ConfigEvent::Heard {
-            vm: VmId::clone(&ping.beat.from.vm),
-            note: ping.config,
-            sent: None,
+    /// Returns what a reply to a heartbeat says of the configuration; none if another run than the
+    /// one that is known, or another VM, replied.
+    fn note_of(&self, event: &FleetEvent) -> Option<ConfigEvent> {
+        let FleetEvent::Beaten {
+            vm,
+            sent,
+            result: Ok(reply),
+            ..
+        } = event
+        else {
+            return None;
         };
-        self.config.apply(event, now);
-        self.send_config(now);
+        let from = &reply.reply.from;
+        let meant = from.vm == *vm && !self.fleet.is_former(from);
+        meant.then(|| ConfigEvent::Heard {
+            vm: VmId::clone(vm),
+            note: reply.config.clone(),
+            sent: Some(*sent),
+        })
+    }
+
+    fn ping(&mut self, ping: Ping, now: Instant) -> PingReply {
+        if !self.fleet.is_former(&ping.beat.from) {
+            let event = ConfigEvent::Heard {
+                vm: VmId::clone(&ping.beat.from.vm),
+                note: ping.config,
+                sent: None,
+            };
+            self.config.apply(event, now);
+            self.send_config(now);
+        }
         PingReply {
             reply: self.fleet.hear(&ping.beat, now),
             config: self.handle.config().note(now),
