peers: a reply to another call is not believed

A shard reply echoes the request, the attempt, the shard and the backend server. Jobs compared the first three; searches compared none, and forwarded jobs did not compare the id, so that rows of a peer that mixes up its calls would have been given to the wrong caller. One function now sends each kind of call and compares; what does not fit is counted as peers.foreign_reply and counts as unknown whether it ran.

Seen failing with the comparisons made always true: six of the eight cases of test_shard_reply and test_job_reply; the two own replies passed.

--- a/crates/server/src/control/beats.rs
+++ b/crates/server/src/control/beats.rs
@@ -73,7 +73,8 @@
         PeerError::Connect(_)
         | PeerError::ConnectTimeout
         | PeerError::Unknown
-        | PeerError::Call(_) => Failure::Timeout,
+        | PeerError::Call(_)
+        | PeerError::Foreign => Failure::Timeout,
     }
 }
 
--- a/crates/server/src/entry/jobs/forward.rs
+++ b/crates/server/src/entry/jobs/forward.rs
@@ -17,7 +17,7 @@
 use tarpc::context;
 
 use super::hold;
-use crate::{entry::refuse::Refused, process::Node, timer::Timer};
+use crate::{entry::refuse::Refused, peers, process::Node, timer::Timer};
 
 /// How much longer than the job's own deadline a holder's reply is awaited.
 const REPLY_MARGIN: Duration = Duration::from_millis(100);
@@ -104,12 +104,12 @@
     };
     let mut context = context::current();
     context.deadline = deadline(node, &forward) + REPLY_MARGIN;
-    let replied = client.forward_job(context, ticket.incarnation, forward);
+    let replied = peers::forward_job(&client, context, ticket.incarnation, forward);
     match replied.await {
         Ok(reply) => reply,
         Err(error) => {
             log::debug!("job: the holder of a ticket gave no reply: {error}.");
-            node.peers.forget(&ticket.vm, &error);
+            node.peers.failed(&ticket.vm, &error, &node.metrics);
             refuse(
                 RefusalReason::NoReply,
                 Ran::Unknown,
--- a/crates/server/src/entry/jobs/run.rs
+++ b/crates/server/src/entry/jobs/run.rs
@@ -128,11 +128,7 @@
     async fn attempt(&self, call: ShardCall) -> Attempt {
         // Owners change while a job waits; the shard map stays the pinned one.
         let view = self.node.control.pin();
-        let expected = (call.request, call.attempt, call.shard);
         match self.node.call_shard(&view, call).await {
-            Ok(reply) if (reply.request, reply.attempt, reply.shard) != expected => {
-                Attempt::Unknown(RefusalReason::NoReply)
-            }
             Ok(reply) => match reply.result {
                 CallResult::Done { rows, .. } => Attempt::Done(rows),
                 CallResult::NotRun(refusal) => Attempt::NotRun(reason(&refusal)),
--- /dev/null
+++ b/crates/server/src/peers/calls.rs
@@ -0,0 +1,48 @@
+//! Calls to peers whose replies are matched with what was asked.
+
+use std::sync::Arc;
+
+use cassialift_core::ids::Incarnation;
+use cassialift_wire::peer::{JobForward, JobReply, PeerClient, ShardCall, ShardReply};
+use tarpc::context::Context;
+
+use super::PeerError;
+
+/// Sends a shard call to a peer.
+///
+/// # Errors
+/// Returns how the call failed, or that the reply belongs to another call.
+pub async fn call_shard(
+    client: &PeerClient,
+    context: Context,
+    call: ShardCall,
+) -> Result<ShardReply, PeerError> {
+    let (request, attempt, shard) = (call.request, call.attempt, call.shard);
+    let server = Arc::clone(&call.server);
+    let called = client.call_shard(context, call).await;
+    let reply = called.map_err(PeerError::Call)?;
+    let echoed = (reply.request, reply.attempt, reply.shard);
+    if echoed == (request, attempt, shard) && reply.server == server {
+        Ok(reply)
+    } else {
+        Err(PeerError::Foreign)
+    }
+}
+
+/// Passes a job, or a question for its outcome, to the run that holds its ticket.
+///
+/// # Errors
+/// Returns how the call failed, or that the reply belongs to another call.
+pub async fn forward_job(
+    client: &PeerClient,
+    context: Context,
+    holder: Incarnation,
+    job: JobForward,
+) -> Result<JobReply, PeerError> {
+    let id = job.id.clone();
+    let called = client.forward_job(context, holder, job).await;
+    match called.map_err(PeerError::Call)? {
+        JobReply::Answer(answer) if answer.id != id => Err(PeerError::Foreign),
+        reply => Ok(reply),
+    }
+}
--- a/crates/server/src/peers/error.rs
+++ b/crates/server/src/peers/error.rs
@@ -13,6 +13,8 @@
     ConnectTimeout,
     /// the call to the peer failed: {0}
     Call(tarpc::client::RpcError),
+    /// the peer's reply belongs to another call
+    Foreign,
 }
 
 impl std::error::Error for PeerError {}
@@ -23,7 +25,7 @@
     pub const fn is_unsent(&self) -> bool {
         match self {
             Self::Unknown | Self::Connect(_) | Self::ConnectTimeout => true,
-            Self::Call(_) => false,
+            Self::Call(_) | Self::Foreign => false,
         }
     }
 }
--- a/crates/server/src/peers/mod.rs
+++ b/crates/server/src/peers/mod.rs
@@ -1,5 +1,6 @@
 //! tarpc connections between cassialift's processes.
 
+mod calls;
 mod error;
 mod serve;
 mod table;
@@ -8,6 +9,7 @@
 #[cfg(test)]
 mod tests;
 
+pub use calls::{call_shard, forward_job};
 pub use error::PeerError;
 pub use serve::{PeerServer, serve};
 pub use table::PeerTable;
--- a/crates/server/src/peers/table.rs
+++ b/crates/server/src/peers/table.rs
@@ -20,6 +20,7 @@
 use tokio::{net::TcpStream, sync::OnceCell, time::timeout};
 
 use super::{PeerError, Traffic};
+use crate::metrics::Metrics;
 
 /// How long opening a connection to a peer may take.
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
@@ -72,6 +73,15 @@
         client.await.cloned()
     }
 
+    /// Counts a reply that is not believed, and forgets a connection that broke.
+    pub fn failed(&self, vm: &VmId, error: &PeerError, metrics: &Metrics) {
+        match error {
+            PeerError::Call(error) => self.forget(vm, error),
+            PeerError::Foreign => metrics.count("peers.foreign_reply"),
+            PeerError::Unknown | PeerError::Connect(_) | PeerError::ConnectTimeout => {}
+        }
+    }
+
     /// Forgets the connection to a VM after a call on it failed.
     ///
     /// # Panics
--- /dev/null
+++ b/crates/server/src/peers/tests/mod.rs
@@ -0,0 +1,4 @@
+//! Tests of connections to peers and of what is believed of their replies.
+
+mod replies;
+mod table;
--- /dev/null
+++ b/crates/server/src/peers/tests/replies.rs
@@ -0,0 +1,151 @@
+//! Tests of what is believed of a peer's replies.
+
+use std::sync::Arc;
+
+use cassialift_core::{
+    ids::{Incarnation, RequestKey, VmId},
+    request::{RequestKind, Urgency},
+    time::Millis,
+};
+use cassialift_wire::{
+    backend::ServerLoad,
+    caller::{JobAnswer, JobState},
+    peer::{
+        CallResult, ConfigPull, ConfigPush, JobForward, JobReply, Peer, PeerClient, Ping,
+        PingReply, ProbeReply, ShardCall, ShardReply,
+    },
+};
+use futures::StreamExt;
+use tarpc::{
+    client::Config,
+    context::{self, Context},
+    server::{BaseChannel, Channel},
+    transport::channel,
+};
+use yare::parameterized;
+
+use super::super::{PeerError, PeerTable, Traffic, call_shard, forward_job};
+use crate::metrics::Metrics;
+
+/// Changes a reply that is the caller's own.
+type Change = fn(&mut ShardReply);
+
+/// A peer whose replies are not the ones asked for.
+#[derive(Clone)]
+struct Foreign {
+    change: Change,
+    id: &'static str,
+}
+
+impl Peer for Foreign {
+    async fn call_shard(self, _: Context, call: ShardCall) -> ShardReply {
+        let mut reply = ShardReply {
+            request: call.request,
+            attempt: call.attempt,
+            shard: call.shard,
+            server: call.server,
+            result: CallResult::Done {
+                version: call.version,
+                rows: Vec::new(),
+            },
+            queued: 0,
+            load: ServerLoad::default(),
+        };
+        (self.change)(&mut reply);
+        reply
+    }
+
+    async fn forward_job(self, _: Context, _: Incarnation, _: JobForward) -> JobReply {
+        JobReply::Answer(JobAnswer {
+            id: self.id.to_owned(),
+            state: JobState::Done(Vec::new()),
+            preset: None,
+            revision: None,
+        })
+    }
+
+    async fn ping(self, _: Context, _: Ping) -> PingReply {
+        std::future::pending().await
+    }
+
+    async fn probe(self, _: Context, _: VmId) -> ProbeReply {
+        std::future::pending().await
+    }
+
+    async fn pull_config(self, _: Context, _: ConfigPull) -> ConfigPush {
+        std::future::pending().await
+    }
+}
+
+fn connect(peer: Foreign) -> PeerClient {
+    let (near, far) = channel::unbounded();
+    let calls = BaseChannel::with_defaults(far).execute(peer.serve());
+    tokio::spawn(calls.for_each_concurrent(None, |call| call));
+    PeerClient::new(Config::default(), near).spawn()
+}
+
+fn call() -> ShardCall {
+    ShardCall {
+        request: RequestKey {
+            incarnation: 7,
+            sequence: 8,
+        },
+        attempt: 1,
+        caller: "counter".into(),
+        service: "listings".into(),
+        shard: 3,
+        server: "listings-0".into(),
+        version: 1,
+        kind: RequestKind::WideSearch,
+        urgency: Urgency::Urgent,
+        remaining: Millis::new(1_000),
+        body: "q".to_owned(),
+    }
+}
+
+#[parameterized(
+    own = { |_| {}, true },
+    of_another_request = { |reply| reply.request.sequence += 1, false },
+    of_another_run = { |reply| reply.request.incarnation += 1, false },
+    of_another_attempt = { |reply| reply.attempt += 1, false },
+    of_another_shard = { |reply| reply.shard += 1, false },
+    of_another_server = { |reply| reply.server = Arc::from("listings-1"), false },
+)]
+#[test_macro(tokio::test)]
+async fn test_shard_reply(change: Change, believed: bool) {
+    let client = connect(Foreign { change, id: "" });
+    let reply = call_shard(&client, context::current(), call()).await;
+    assert_eq!(reply.is_ok(), believed, "{reply:?}");
+    assert_eq!(foreign_count(reply.err()), u64::from(!believed));
+}
+
+#[parameterized(
+    own = { "1", true },
+    of_another_request = { "2", false },
+)]
+#[test_macro(tokio::test)]
+async fn test_job_reply(id: &'static str, believed: bool) {
+    let client = connect(Foreign { change: |_| {}, id });
+    let job = JobForward {
+        id: "1".to_owned(),
+        caller: "press".into(),
+        ticket: String::new(),
+        remaining: None,
+        body: None,
+    };
+    let reply = forward_job(&client, context::current(), 7, job).await;
+    assert_eq!(reply.is_ok(), believed, "{reply:?}");
+    assert_eq!(foreign_count(reply.err()), u64::from(!believed));
+}
+
+/// Returns what the counter of foreign replies says after a call ended with an error or none.
+fn foreign_count(error: Option<PeerError>) -> u64 {
+    let metrics = Metrics::new(None).unwrap();
+    let table = PeerTable::new(Arc::new(Traffic::default()));
+    if let Some(error) = error {
+        assert!(!error.is_unsent());
+        table.failed(&VmId::from("vm-1"), &error, &metrics);
+    }
+    let counters = metrics.snapshot();
+    counters.get("peers.foreign_reply").copied().unwrap_or(0)
+}
--- a/crates/server/src/peers/tests.rs
+++ b/crates/server/src/peers/tests/table.rs
@@ -8,7 +8,7 @@
 };
 use tokio::net::TcpListener;
 
-use super::{PeerTable, Traffic};
+use super::super::{PeerTable, Traffic};
 
 /// How long anything may take on a busy machine.
 const LIMIT: Duration = Duration::from_secs(30);
--- a/crates/server/src/process/node.rs
+++ b/crates/server/src/process/node.rs
@@ -23,7 +23,7 @@
     journal::Journal,
     metrics::Metrics,
     owner::Owner,
-    peers::{PeerError, PeerTable},
+    peers::{self, PeerError, PeerTable},
     settings::Settings,
     timer::Timer,
 };
@@ -161,10 +161,10 @@
         let client = connected.map_err(CallError::Peer)?;
         let mut context = context::current();
         context.deadline = Timer.now() + call.remaining.0;
-        let called = client.call_shard(context, call).await;
+        let called = peers::call_shard(&client, context, call).await;
         called.map_err(|error| {
-            self.peers.forget(vm, &error);
-            CallError::Peer(PeerError::Call(error))
+            self.peers.failed(vm, &error, &self.metrics);
+            CallError::Peer(error)
         })
     }
 }
