sockets: connections without delay are opened and accepted in one place

No test pinned TCP_NODELAY on connections of callers and peers. The option cannot be seen from the other end, and its effect only in timing, so the four places that set it now share one function each to accept and to connect, which a test asks for the option; a second test finds connections that are opened or accepted elsewhere in the server.

Seen failing: with the option off, and with another call of connect in lane.rs.

--- a/crates/server/src/entry/http/listen.rs
+++ b/crates/server/src/entry/http/listen.rs
@@ -16,6 +16,7 @@
 use crate::{
     entry::refuse::Refused,
     process::{Node, ProcessError},
+    sockets,
     timer::Timer,
 };
 
@@ -84,7 +85,7 @@
 
     async fn accept_all(&self, listener: &TcpListener) {
         loop {
-            match listener.accept().await {
+            match sockets::accept(listener).await {
                 Ok((stream, peer)) => self.admit(stream, peer),
                 Err(error) => {
                     log::warn!("callers: a connection could not be accepted: {error}.");
@@ -104,10 +105,6 @@
     }
 
     fn serve(&self, stream: TcpStream, peer: SocketAddr, permit: OwnedSemaphorePermit) {
-        if let Err(error) = stream.set_nodelay(true) {
-            log::debug!("callers: a connection broke at once: {error}.");
-            return;
-        }
         let shared = self.shared.clone();
         let service = service_fn(move |request| shared.clone().serve(peer, request));
         let connection = self.http.serve_connection(TokioIo::new(stream), service);
--- a/crates/server/src/lib.rs
+++ b/crates/server/src/lib.rs
@@ -14,4 +14,5 @@
 pub mod platform;
 pub mod process;
 pub mod settings;
+pub mod sockets;
 pub mod timer;
--- a/crates/server/src/owner/lane.rs
+++ b/crates/server/src/owner/lane.rs
@@ -5,9 +5,10 @@
 use displaydoc::Display;
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper_util::rt::TokioIo;
-use tokio::{net::TcpStream, runtime::Handle};
+use tokio::runtime::Handle;
 
 use super::{body::CallBody, counters::OwnerCounter, grant::OpenPermit};
+use crate::sockets;
 
 /// Why a connection could not be opened.
 #[derive(Debug, Display)]
@@ -53,7 +54,7 @@
         handle: &Handle,
     ) -> Result<Self, ConnectError> {
         let metrics = permit.metrics();
-        let connecting = tokio::time::timeout(limit, TcpStream::connect(address)).await;
+        let connecting = tokio::time::timeout(limit, sockets::connect(address)).await;
         let stream = match connecting {
             Ok(Ok(stream)) => stream,
             Ok(Err(error)) => {
@@ -65,7 +66,6 @@
                 return Err(ConnectError::Timeout);
             }
         };
-        stream.set_nodelay(true).map_err(ConnectError::Socket)?;
         let (sender, connection) = http1::handshake(TokioIo::new(stream))
             .await
             .map_err(ConnectError::Setup)?;
--- a/crates/server/src/peers/serve.rs
+++ b/crates/server/src/peers/serve.rs
@@ -22,6 +22,7 @@
 use crate::{
     entry::jobs::hold,
     process::{Node, ProcessError},
+    sockets,
     timer::Timer,
 };
 
@@ -91,7 +92,7 @@
     let listener = listening.map_err(|cause| ProcessError::Listen(address, cause))?;
     tokio::spawn(async move {
         loop {
-            let stream = match listener.accept().await {
+            let stream = match sockets::accept(&listener).await {
                 Ok((stream, _)) => stream,
                 Err(error) => {
                     log::warn!("peers: A connection could not be accepted: {error}.");
@@ -99,11 +100,6 @@
                     continue;
                 }
             };
-            // Frames are small: held back for the peer's acknowledgement, a reply would wait 40 ms.
-            if let Err(error) = stream.set_nodelay(true) {
-                log::debug!("peers: A connection broke at once: {error}.");
-                continue;
-            }
             let frames = node.peers.traffic().frames(stream);
             let transport = serde_transport::new(frames, Bincode::default());
             let server = PeerServer {
--- a/crates/server/src/peers/table.rs
+++ b/crates/server/src/peers/table.rs
@@ -17,10 +17,10 @@
     serde_transport,
     tokio_serde::formats::Bincode,
 };
-use tokio::{net::TcpStream, sync::OnceCell, time::timeout};
+use tokio::{sync::OnceCell, time::timeout};
 
 use super::{PeerError, Traffic};
-use crate::metrics::Metrics;
+use crate::{metrics::Metrics, sockets};
 
 /// How long opening a connection to a peer may take.
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
@@ -130,12 +130,10 @@
     traffic: &Arc<Traffic>,
     ended: &Arc<AtomicBool>,
 ) -> Result<PeerClient, PeerError> {
-    let Ok(connected) = timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await else {
+    let Ok(connected) = timeout(CONNECT_TIMEOUT, sockets::connect(address)).await else {
         return Err(PeerError::ConnectTimeout);
     };
     let stream = connected.map_err(PeerError::Connect)?;
-    // Frames are small: held back for the peer's acknowledgement, a call would wait 40 ms.
-    stream.set_nodelay(true).map_err(PeerError::Connect)?;
     let transport = serde_transport::new(traffic.frames(stream), Bincode::default());
     let mut config = Config::default();
     config.max_in_flight_requests = MAX_IN_FLIGHT;
