--- a/crates/server/src/peers/tests/table.rs
+++ b/crates/server/src/peers/tests/table.rs
@@ -4,7 +4,7 @@
 
 use cassialift_core::{
     ids::VmId,
-    view::{FleetView, MemberView, OwnView, Reach},
+    view::{FleetView, MemberView, OwnView, OwnersView, Reach},
 };
 use tokio::net::TcpListener;
 
@@ -31,8 +31,8 @@
             leaving: false,
         },
         config: None,
-        members: [(VmId::clone(vm), member)].into(),
-        owners: [].into(),
+        members: Arc::new([(VmId::clone(vm), Arc::new(member))].into()),
+        owners: OwnersView::default(),
     }
 }
 
