draining: a VM that is cut off is not named longer than it accepts

A VM that was stopped while it was cut off from the only other VM turned away callers who still held its address: connections refused in the time between its end and the end of their answers. Two causes, one for each case of the new test:

- Cut at the stop: the other VM is not told and names this one until it finds it silent, up to 1.8 s later; the drain allowed 1 s for news.
The control thread now says whether every VM that may name this one answered when told; if not, the drain allows 4 s, in which a VM that does not answer is taken to be dead (ping period, timeout, probes, suspicion: 3.3 s).
- Cut 4 s before: the VM takes the other to be dead, so that it named itself, with the whole time to live up to its end.
A leaving VM that knows no other now names itself for no longer than the time to live after it began to leave, and refuses address answers from then on.

Told are now all VMs that are not dead or refuse connections, not only those that are fit for new work: a VM that has just started answers callers too.

The price: a drain takes 3 s longer while a listed VM does not answer.

--- a/crates/server/src/control/event.rs
+++ b/crates/server/src/control/event.rs
@@ -19,6 +19,6 @@
     Probe(VmId, oneshot::Sender<bool>),
     /// A peer asks for configuration documents.
     Pull(ConfigPull, oneshot::Sender<ConfigPush>),
-    /// The process is to leave.
-    Leave,
+    /// The process is to leave; the reply tells whether every VM that may name it was told.
+    Leave(oneshot::Sender<bool>),
 }
--- a/crates/server/src/control/fleet.rs
+++ b/crates/server/src/control/fleet.rs
@@ -146,19 +146,17 @@
         self.report();
     }
 
-    /// Declares that this process is leaving, and returns whom to tell at once.
+    /// Declares that this process is leaving, and returns whom to tell at once: all that may name
+    /// it to callers. Those taken to be dead have suspected this VM by then if they don't hear it.
     pub(super) fn leave(&mut self, now: Instant) -> Vec<VmId> {
         self.node.leave(now);
         self.journal.info(
             Part::Fleet,
             &"This VM is leaving and hands over what it owns.",
         );
-        let usable = self
-            .node
-            .members()
-            .iter()
-            .filter(|(_, one)| one.is_usable());
-        usable.map(|(vm, _)| VmId::clone(vm)).collect()
+        let members = self.node.members().iter();
+        let answering = members.filter(|(_, one)| one.reach != Reach::Dead && !one.refused);
+        answering.map(|(vm, _)| VmId::clone(vm)).collect()
     }
 
     /// Returns whether anything changed since the last call that traffic should know at once.
--- a/crates/server/src/control/handle.rs
+++ b/crates/server/src/control/handle.rs
@@ -43,6 +43,14 @@
         drop(self.events.send(event).await);
     }
 
+    /// Declares that this process is leaving and returns whether every VM that may name it to
+    /// callers was told.
+    pub async fn leave(&self) -> bool {
+        let (sender, receiver) = oneshot::channel();
+        self.tell(Event::Leave(sender)).await;
+        receiver.await.unwrap_or_default()
+    }
+
     /// Answers a peer's heartbeat; none when the control thread has ended.
     pub async fn ping(&self, ping: Ping) -> Option<PingReply> {
         let (sender, receiver) = oneshot::channel();
--- a/crates/server/src/control/thread.rs
+++ b/crates/server/src/control/thread.rs
@@ -171,18 +171,28 @@
                 // The peer may have hung up by now.
                 drop(reply.send(self.config.pull(pull, now)));
             }
-            Event::Leave => {
-                for vm in self.fleet.leave(now) {
-                    self.beat(vm, now);
-                }
-                self.publish(now);
-            }
+            Event::Leave(reply) => self.leave(reply, now),
         }
         if self.fleet.take_changed() {
             self.publish(now);
         }
     }
 
+    fn leave(&mut self, reply: oneshot::Sender<bool>, now: Instant) {
+        let told = self.fleet.leave(now).into_iter().map(|vm| {
+            let ping = self.next_ping(&vm, now);
+            beats::beat(vm, ping, Arc::clone(&self.peers), self.handle.clone())
+        });
+        let told: Vec<_> = told.collect();
+        self.publish(now);
+        tokio::spawn(async move {
+            let told = futures::future::join_all(told).await;
+            if reply.send(told.into_iter().all(|told| told)).is_err() {
+                log::debug!("fleet: The process ends without having told all that it leaves.");
+            }
+        });
+    }
+
     /// Returns what a reply to a heartbeat says of the configuration; none if another run than the
     /// one that is known, or another VM, replied.
     fn note_of(&self, event: &FleetEvent) -> Option<ConfigEvent> {
--- a/crates/server/src/entry/addresses.rs
+++ b/crates/server/src/entry/addresses.rs
@@ -6,7 +6,8 @@
     fleet::addresses::{AddressSettings, Entry, choose},
     ids::{DataCentre, VmId},
     request::{Ran, RefusalReason},
-    view::{FleetView, MemberView},
+    time::Millis,
+    view::{FleetView, MemberView, Reach},
 };
 use cassialift_wire::caller::{AddressAnswer, AddressQuery};
 use rand::SeedableRng;
@@ -25,10 +26,30 @@
         ));
     };
     let near = query.near.unwrap_or_else(|| Arc::clone(&view.own.centre));
-    Ok(AddressAnswer {
-        addresses: choose_from(&view, &near, |_| true),
-        ttl: config.policy.address_ttl,
-    })
+    let ttl = config.policy.address_ttl;
+    if view.own.leaving {
+        return answer_leaving(node, &view, &near, ttl);
+    }
+    let addresses = choose_from(&view, &near, |_, _| true);
+    Ok(AddressAnswer { addresses, ttl })
+}
+
+/// Names VMs that stay, or else this VM for as long as it is sure to accept requests.
+fn answer_leaving(
+    node: &Node,
+    view: &FleetView,
+    near: &DataCentre,
+    ttl: Millis,
+) -> Result<AddressAnswer, Refused> {
+    let addresses = choose_from(view, near, |_, member| member.reach != Reach::Leaving);
+    if !addresses.is_empty() {
+        return Ok(AddressAnswer { addresses, ttl });
+    }
+    let Some(ttl) = node.drain.keep_time(ttl, Timer.now()) else {
+        return Err(refuse_leaving(node, Ran::NotRun));
+    };
+    let addresses = vec![node.settings.callers];
+    Ok(AddressAnswer { addresses, ttl })
 }
 
 /// Refuses a request that came to a VM which has left, and names better addresses.
@@ -37,16 +58,17 @@
     let own = &view.own.vm;
     let detail = "this VM has left; ask again at another address".to_owned();
     let mut refused = Refused::new(RefusalReason::Leaving, ran, detail);
-    refused.refusal.addresses = choose_from(&view, &view.own.centre, |vm| vm != own);
+    refused.refusal.addresses = choose_from(&view, &view.own.centre, |vm, _| vm != own);
     refused
 }
 
 fn choose_from(
     view: &FleetView,
     near: &DataCentre,
-    wanted: impl Fn(&VmId) -> bool,
+    wanted: impl Fn(&VmId, &MemberView) -> bool,
 ) -> Vec<SocketAddr> {
-    let members = view.members.iter().filter(|(vm, _)| wanted(vm));
+    let members = view.members.iter();
+    let members = members.filter(|(vm, member)| wanted(vm, member));
     let entries: Vec<_> = members.map(|(_, member)| entry(member)).collect();
     let mut rng = ChaCha8Rng::seed_from_u64(rand::random());
     let settings = AddressSettings::default();
--- a/crates/server/src/process/drain.rs
+++ b/crates/server/src/process/drain.rs
@@ -2,7 +2,7 @@
 
 use std::{
     sync::{
-        Arc,
+        Arc, OnceLock,
         atomic::{AtomicBool, AtomicU32, AtomicU64, Ordering},
     },
     time::{Duration, Instant},
@@ -11,11 +11,14 @@
 use cassialift_core::time::Millis;
 
 use super::Node;
-use crate::{control::Event, journal::Part, timer::Timer};
+use crate::{journal::Part, timer::Timer};
 
 /// How long news that this VM leaves may take to reach every VM that answers for addresses.
 const NEWS_TIME: Duration = Duration::from_secs(1);
 
+/// How long VMs that could not be told may take to find that this VM does not answer them.
+const SILENCE_TIME: Duration = Duration::from_secs(4);
+
 /// How long owned backend servers may take to be handed over.
 const HANDOVER_TIME: Duration = Duration::from_secs(10);
 
@@ -28,6 +31,7 @@
     running: AtomicU32,
     longest: AtomicU64,
     closed: AtomicBool,
+    left: OnceLock<Instant>,
 }
 
 /// A request in flight; it counts until it is dropped.
@@ -53,6 +57,21 @@
         self.longest.fetch_max(ttl.into(), Ordering::AcqRel);
     }
 
+    /// Returns how long an address answer that names this VM may be kept, at most `ttl`; none when
+    /// this VM leaves and must be named no longer.
+    #[must_use]
+    pub fn keep_time(&self, ttl: Millis, now: Instant) -> Option<Millis> {
+        let Some(left) = self.left.get() else {
+            return Some(ttl);
+        };
+        let remaining = (*left + self.longest()).saturating_duration_since(now);
+        (!remaining.is_zero()).then(|| ttl.min(remaining.into()))
+    }
+
+    fn longest(&self) -> Duration {
+        Duration::from_millis(self.longest.load(Ordering::Acquire))
+    }
+
     /// Returns whether new requests are refused.
     #[must_use]
     pub fn is_closed(&self) -> bool {
@@ -84,6 +103,8 @@
     pub(super) started: Instant,
     /// The longest time that an address answer that names this VM may be kept.
     pub(super) longest: Duration,
+    /// Whether every VM that may name this VM was told.
+    pub(super) told: bool,
 }
 
 impl Leave {
@@ -91,7 +112,8 @@
     ///
     /// However long a request takes, the process waits for it.
     pub(super) fn stage(&self, now: Instant, owns: bool, running: u32) -> Stage {
-        let known = self.started + self.longest + NEWS_TIME;
+        let spread = if self.told { NEWS_TIME } else { SILENCE_TIME };
+        let known = self.started + self.longest + spread;
         let given = self.started + self.longest + HANDOVER_TIME;
         if now < known || owns && now < given {
             Stage::Accepting
@@ -106,10 +128,10 @@
 /// Leaves: hands over, accepts until the last address answer that names this VM has expired, and
 /// returns once nothing is in flight.
 pub async fn drain(node: &Node) {
-    node.control.tell(Event::Leave).await;
     let leave = Leave {
-        started: Timer.now(),
-        longest: Duration::from_millis(node.drain.longest.load(Ordering::Acquire)),
+        started: *node.drain.left.get_or_init(|| Timer.now()),
+        longest: node.drain.longest(),
+        told: node.control.leave().await,
     };
     let mut ticks = Timer.subscribe(LOOK_PERIOD);
     loop {
--- a/crates/server/src/process/tests.rs
+++ b/crates/server/src/process/tests.rs
@@ -24,7 +24,23 @@
     let leave = Leave {
         started,
         longest: LONGEST,
+        told: true,
     };
     let now = started + Duration::from_millis(millis);
     assert_eq!(leave.stage(now, owns, running), stage);
 }
+
+#[parameterized(
+    before_the_others_notice = { 5_999, Stage::Accepting },
+    after_the_others_noticed = { 6_000, Stage::Finished },
+)]
+fn test_leave_stage_when_others_could_not_be_told(millis: u64, stage: Stage) {
+    let started = Instant::now();
+    let leave = Leave {
+        started,
+        longest: LONGEST,
+        told: false,
+    };
+    let now = started + Duration::from_millis(millis);
+    assert_eq!(leave.stage(now, false, 0), stage);
+}
--- a/crates/server/tests/processes/shutdown.rs
+++ b/crates/server/tests/processes/shutdown.rs
@@ -6,7 +6,7 @@
     time::Millis,
 };
 use cassialift_testkit::{
-    harness::{Fleet, FleetSettings, JOB_SERVICE, Signal},
+    harness::{Cut, Fleet, FleetSettings, JOB_SERVICE, Signal},
     history::CallEnd,
     standin::backend::{
         BackendChange, Faults, RunEnd, RunEvent, RunStep, ServiceTime, unix_micros,
@@ -33,6 +33,51 @@
     assert_whole(&fleet).await;
 }
 
+#[parameterized(
+    at_the_stop = { 0 },
+    before_the_stop = { 4_000 },
+)]
+#[test_macro(tokio::test)]
+async fn test_shutdown_of_a_vm_that_is_cut_off(before: u64) {
+    let mut fleet = start_with(FleetSettings {
+        vms: vec![1, 1],
+        relays: true,
+        ..FleetSettings::default()
+    })
+    .await;
+    for vm in 0..2 {
+        wait_covered(&fleet, vm).await;
+    }
+    let traffic = load(&fleet);
+    run_for(300).await;
+    for vm in 0..2 {
+        fleet.cut(vm, Cut::Both);
+    }
+    run_for(before).await;
+    fleet.signal(1, Signal::Terminate).unwrap();
+    fleet.wait_gone(1).await.unwrap();
+    // Longer than callers keep an address.
+    run_for(2_500).await;
+    traffic.stop().await.unwrap();
+    let history = fleet.history().unwrap();
+    let refused = history
+        .calls
+        .iter()
+        .filter(|record| is_cut_off(&record.end));
+    let refused: Vec<_> = refused.collect();
+    assert!(refused.is_empty(), "{} calls: {refused:#?}", refused.len());
+    assert_whole(&fleet).await;
+}
+
+/// Returns whether a caller was turned away from an address that it may still use.
+fn is_cut_off(end: &CallEnd) -> bool {
+    match end {
+        CallEnd::NoConnection | CallEnd::Broken(_) | CallEnd::Unreadable(_) => true,
+        CallEnd::Refused(refusal) => refusal.reason == RefusalReason::Leaving,
+        CallEnd::Answer(_) | CallEnd::Job(_) => false,
+    }
+}
+
 #[tokio::test]
 async fn test_shutdown_finishes_a_job() {
     let mut fleet = start_with_jobs(3_000, tickets_of(60_000)).await;
