policy_bench: owner routing beside entries that send directly

docs/design/ownership.md said that its ways were never compared in one run. A run now has an arrangement: one owner a backend server as in the product, every entry with a static share of whole slots, or every entry with the core's adaptive Limit and Queue of its own. The fake servers refuse calls beyond their slots, whoever sends them; connections, refusals and calls reaching servers are counted; an entry VM can leave, be killed and be replaced.

--- a/crates/testkit/src/policy_bench/backend.rs
+++ b/crates/testkit/src/policy_bench/backend.rs
@@ -2,7 +2,10 @@
 
 use std::{collections::BTreeSet, time::Duration};
 
-use cassialift_core::ids::{IndexVersion, ServerId};
+use cassialift_core::{
+    ids::{IndexVersion, ServerId},
+    policy::outcome::NotRunCause,
+};
 use rand::{Rng, RngCore};
 
 /// The median service time.
@@ -36,6 +39,10 @@
     pub(super) condition: Condition,
     /// The index versions that it holds.
     pub(super) versions: BTreeSet<IndexVersion>,
+    /// The calls that it may run at once.
+    pub(super) slots: u32,
+    /// The calls that it runs.
+    pub(super) running: u32,
 }
 
 impl FakeServer {
@@ -45,6 +52,18 @@
         self.condition == Condition::Up(1.0)
     }
 
+    /// Returns why it refuses a call that reaches it; none when it takes the call.
+    pub(super) fn refusal(&self, version: IndexVersion) -> Option<NotRunCause> {
+        if self.condition == Condition::Refusing {
+            return Some(NotRunCause::Connect);
+        }
+        if !self.versions.contains(&version) {
+            let held = self.versions.last().copied().unwrap_or_default();
+            return Some(NotRunCause::VersionGone(held));
+        }
+        (self.running >= self.slots).then_some(NotRunCause::Busy)
+    }
+
     /// Draws the time that a call takes; none when it never ends.
     pub(super) fn service_time(&self, rng: &mut dyn RngCore) -> Option<Duration> {
         let Condition::Up(factor) = self.condition else {
--- /dev/null
+++ b/crates/testkit/src/policy_bench/comparison.rs
@@ -0,0 +1,120 @@
+//! Owner routing compared with entries that send to the backend servers directly.
+
+use std::{thread, time::Duration};
+
+use super::{
+    arrangement::Arrangement,
+    deployment::Deployment,
+    fault::{Fault, Schedule},
+    figure::Bound,
+    outcome::Outcome,
+    record::{Record, Window, ratio},
+    scenario::{BenchSettings, HIT, LOAD, STRAGGLER, WARMUP, at, run_settings, window},
+    world::{RunSettings, Strategy, run},
+};
+
+/// The entry VM that is replaced.
+const REPLACED: usize = 3;
+/// How long it is gone.
+const GONE_SECS: u64 = 2;
+
+/// A load with its faults.
+struct Case {
+    title: &'static str,
+    load: f64,
+    faults: Schedule,
+}
+
+/// Every arrangement under the same load and faults.
+pub(super) fn arrangement(settings: &BenchSettings, deployment: &Deployment) -> Outcome {
+    let mut outcome = Outcome::titled("arrangement");
+    for case in cases() {
+        let runs = run_all(settings, deployment, &case);
+        for (arrangement, record) in Arrangement::ALL.into_iter().zip(&runs) {
+            let prefix = format!("{}, {}", case.title, arrangement.name());
+            add_measures(&mut outcome, &prefix, record, window(settings));
+        }
+        add_bounds(&mut outcome, case.title, &runs, window(settings));
+    }
+    outcome
+}
+
+fn cases() -> [Case; 6] {
+    let straggler = vec![at(WARMUP, Fault::Slow(HIT[0], STRAGGLER))];
+    let join = at(WARMUP + GONE_SECS, Fault::Join(REPLACED));
+    let replacement = vec![at(WARMUP, Fault::Leave(REPLACED)), join];
+    let kill = vec![at(WARMUP, Fault::Kill(REPLACED)), join];
+    let case = |title, load, faults| Case {
+        title,
+        load,
+        faults,
+    };
+    [
+        case("load 0.5", 0.5, Vec::new()),
+        case("load 0.9", 0.9, Vec::new()),
+        case("load 1.2", 1.2, Vec::new()),
+        case("straggler", LOAD, straggler),
+        case("replacement", 0.5, replacement),
+        case("kill", 0.5, kill),
+    ]
+}
+
+/// Runs all arrangements, each on a thread of its own.
+fn run_all(settings: &BenchSettings, deployment: &Deployment, case: &Case) -> [Record; 3] {
+    let run = |one| run_as(one, settings, deployment, case);
+    thread::scope(|scope| {
+        let running = Arrangement::ALL.map(|one| scope.spawn(move || run(one)));
+        running.map(|thread| thread.join().expect("a run panicked"))
+    })
+}
+
+fn run_as(
+    arrangement: Arrangement,
+    settings: &BenchSettings,
+    deployment: &Deployment,
+    case: &Case,
+) -> Record {
+    let strategy = Strategy::Policy;
+    run(RunSettings {
+        arrangement,
+        ..run_settings(settings, deployment, strategy, case.load, &case.faults)
+    })
+}
+
+fn add_measures(outcome: &mut Outcome, prefix: &str, record: &Record, window: Window) {
+    let mut add = |name: &str, value| {
+        outcome.add(&format!("{prefix}: {name}"), value, Bound::None);
+    };
+    add("p50 ms", record.wide_quantile(0.5, window));
+    add("p99 ms", record.wide_quantile(0.99, window));
+    add("coverage", record.coverage(window));
+    add("refused by servers", record.refused_share(window));
+    add("calls a shard", record.calls_a_shard(window));
+    let before = Window {
+        from: Duration::ZERO,
+        to: window.from,
+    };
+    add("connections before", ratio(before.sum(&record.opened), 1));
+    add("connections during", ratio(window.sum(&record.opened), 1));
+}
+
+/// Adds what owner routing must not be worse in.
+fn add_bounds(outcome: &mut Outcome, title: &str, runs: &[Record; 3], window: Window) {
+    let [owner, direct @ ..] = runs;
+    let others = Arrangement::ALL.into_iter().skip(1).zip(direct);
+    for (arrangement, other) in others {
+        let name = arrangement.name();
+        let refused = owner.refused_share(window) - other.refused_share(window);
+        let figure = format!("{title}: owner's refusals above {name}");
+        outcome.add(&figure, refused, Bound::AtMost(0.0));
+        let tail = owner.wide_quantile(0.99, window) / other.wide_quantile(0.99, window);
+        let figure = format!("{title}: owner's p99 over {name}");
+        outcome.add(&figure, tail, Bound::AtMost(1.0));
+        let gain = owner.coverage(window) - other.coverage(window);
+        let figure = format!("{title}: owner's coverage above {name}");
+        outcome.add(&figure, gain, Bound::AtLeast(0.0));
+    }
+    let broken: u64 = runs.iter().map(Record::broken).sum();
+    let figure = format!("{title}: broken promises");
+    outcome.add(&figure, ratio(broken, 1), Bound::AtMost(0.0));
+}
--- a/crates/testkit/src/policy_bench/entry_side.rs
+++ b/crates/testkit/src/policy_bench/entry_side.rs
@@ -29,7 +29,8 @@
 
 impl World {
     pub(super) fn on_arrival(&mut self, service: usize) {
-        let entry = self.load_rng.random_range(0..self.entries.len());
+        let drawn = self.load_rng.random_range(0..self.entries.len());
+        let entry = self.present(drawn);
         let caller = format!("caller-{}", self.load_rng.random_range(0..CALLERS));
         let (kind, shards, whole) = self.draw_request(service, entry);
         let id = self.new_id();
@@ -297,33 +298,37 @@
             Machine::Policy(gather) => gather.version(),
             Machine::Naive(gather) => gather.version(),
         };
+        let server = self.names[server];
+        let entry = search.entry;
         search.calls.insert(attempt, call_id);
         let call = Call {
             search: id,
             attempt,
             shard,
-            server: self.names[server],
+            server,
+            lane: self.lane(server, entry),
             version,
             sent: self.now,
+            held: false,
+            left: None,
             began: None,
             replied: false,
             cancelled: false,
         };
         self.calls.insert(call_id, call);
-        let hop = self.settings.deployment.hop;
-        self.events.push(self.now + hop, Event::AtOwner(call_id));
+        let at = self.now + self.near();
+        self.events.push(at, Event::AtOwner(call_id));
     }
 
-    fn cancel(&mut self, id: u64, attempt: u32) {
+    pub(super) fn cancel(&mut self, id: u64, attempt: u32) {
         let search = self.searches.get_mut(&id);
         let Some(call_id) = search.and_then(|search| search.calls.remove(&attempt)) else {
             return;
         };
         if let Some(call) = self.calls.get_mut(&call_id) {
             call.cancelled = true;
-            let hop = self.settings.deployment.hop;
-            self.events
-                .push(self.now + hop, Event::CancelAtOwner(call_id));
+            let at = self.now + self.near();
+            self.events.push(at, Event::CancelAtOwner(call_id));
         }
     }
 
@@ -382,7 +387,7 @@
         record.late += u64::from(self.now > search.deadline);
     }
 
-    fn record_end(&mut self, search: &Search, end: End, included: u32) {
+    pub(super) fn record_end(&mut self, search: &Search, end: End, included: u32) {
         self.record.ended.push(Ended {
             service: search.service,
             kind: search.kind,
--- a/crates/testkit/src/policy_bench/event.rs
+++ b/crates/testkit/src/policy_bench/event.rs
@@ -15,11 +15,17 @@
 pub(super) enum Event {
     /// A request comes to a service.
     Arrive(usize),
-    /// A call reaches its owner.
+    /// A call reaches the VM that holds it.
     AtOwner(u64),
-    /// A cancellation reaches the owner of its call.
+    /// A cancellation reaches the VM that holds its call.
     CancelAtOwner(u64),
-    /// Calls in the queue of a backend server may have run out of time.
+    /// A call reaches its backend server.
+    AtServer(u64),
+    /// A backend server is told to stop a call.
+    Stop(u64),
+    /// What came of a call reaches the VM that holds it; none when it was stopped.
+    Back(u64, Option<CallOutcome>),
+    /// Calls in a queue may have run out of time.
     Expire(usize),
     /// A backend server is done with a call.
     Done(u64),
--- a/crates/testkit/src/policy_bench/fault.rs
+++ b/crates/testkit/src/policy_bench/fault.rs
@@ -21,6 +21,12 @@
     DropOld(usize),
     /// Health endpoints begin to claim this.
     Claims(ClaimMode),
+    /// An entry VM leaves: it takes no requests, ends those that it has and hands its roles over.
+    Leave(usize),
+    /// An entry VM goes without notice.
+    Kill(usize),
+    /// Another VM takes the place of one that went.
+    Join(usize),
     /// Hedging and early answers follow another preset.
     Preset(PresetChoice),
 }
--- a/crates/testkit/src/policy_bench/mod.rs
+++ b/crates/testkit/src/policy_bench/mod.rs
@@ -4,8 +4,10 @@
 //! There is no model of the network or of the fleet beyond a fixed latency between an entry and
 //! an owner.
 
+mod arrangement;
 mod backend;
 mod claims;
+mod comparison;
 mod deployment;
 mod entry_side;
 mod event;
@@ -15,11 +17,14 @@
 mod owner;
 mod owner_side;
 mod record;
+mod replacement;
 mod report;
 mod scenario;
 mod search;
+mod server_side;
 mod world;
 
+pub use arrangement::Arrangement;
 pub use backend::mean_service;
 pub use deployment::{Deployment, ENTRIES, ServiceShape, Stream};
 pub use fault::{ClaimMode, Fault, PresetChoice, Schedule};
--- a/crates/testkit/src/policy_bench/owner.rs
+++ b/crates/testkit/src/policy_bench/owner.rs
@@ -1,4 +1,6 @@
-//! The owner of one backend server: a queue, a limit, and calls at the server.
+//! A holder of slots of one backend server: a queue, a limit, and calls at the server.
+//!
+//! It is the server's owner, or an entry where entries send directly.
 
 use std::{
     collections::VecDeque,
@@ -27,12 +29,16 @@
     Fifo(VecDeque<(u64, Instant)>),
 }
 
-/// The owner of one backend server.
+/// A holder of slots of one backend server.
 #[derive(Clone, Debug)]
 pub(super) struct Owner {
     lane: Lane,
     slots: u32,
     running: u32,
+    /// The connections that are open.
+    open: u32,
+    /// When it begins to take calls.
+    from: Instant,
     service: MovingAverage,
     policy: QueuePolicy,
 }
@@ -41,7 +47,13 @@
 pub(super) type Dropped = (u64, NotRunCause);
 
 impl Owner {
-    pub(super) fn new(naive: bool, slots: u32, policy: QueuePolicy, now: Instant) -> Self {
+    pub(super) fn new(
+        naive: bool,
+        slots: u32,
+        open: u32,
+        policy: QueuePolicy,
+        now: Instant,
+    ) -> Self {
         let lane = if naive {
             Lane::Fifo(VecDeque::new())
         } else {
@@ -51,11 +63,30 @@
             lane,
             slots,
             running: 0,
+            open,
+            from: now,
             service: MovingAverage::default(),
             policy,
         }
     }
 
+    /// Lets it take no calls until a time.
+    pub(super) const fn absent_until(&mut self, from: Instant) {
+        self.from = from;
+    }
+
+    /// Returns whether it takes no calls.
+    pub(super) fn is_absent(&self, now: Instant) -> bool {
+        now < self.from
+    }
+
+    /// Takes a connection for the call that left the queue; returns whether it had to be opened.
+    pub(super) fn connect(&mut self) -> bool {
+        let opens = self.running > self.open;
+        self.open += u32::from(opens);
+        opens
+    }
+
     /// Queues a call; returns calls that were dropped for it, or the call itself.
     pub(super) fn push(&mut self, entry: QueueEntry, now: Instant) -> Option<Dropped> {
         let service = self.service();
--- a/crates/testkit/src/policy_bench/owner_side.rs
+++ b/crates/testkit/src/policy_bench/owner_side.rs
@@ -1,31 +1,36 @@
-//! The owners and backend servers of a run: calls wait, run and are cancelled.
+//! The VMs that hold the calls of a run: calls wait, go to backend servers and are cancelled.
+//!
+//! That VM is the backend server's owner, or the entry itself where entries send directly.
 
 use std::time::Duration;
 
 use cassialift_core::{
     ids::CallerId,
     policy::{
-        outcome::{CallOutcome, NotRunCause, UnknownCause},
+        outcome::{CallOutcome, NotRunCause},
         queue::QueueEntry,
     },
 };
 
-use super::{backend::Condition, event::Event, world::World};
+use super::{arrangement::CONNECT_TIME, event::Event, world::World};
 
 impl World {
-    /// A call reaches its owner.
+    /// A call reaches the VM that holds it.
     pub(super) fn on_call(&mut self, id: u64) {
         let Some(call) = self.calls.get(&id) else {
             return;
         };
-        let server = call.server;
-        let Some(search) = self.searches.get(&call.search) else {
+        let (lane, search) = (call.lane, call.search);
+        if self.refuse_absent(id, lane) {
+            return;
+        }
+        let Some(search) = self.searches.get(&search) else {
             self.calls.remove(&id);
             return;
         };
-        // The time left shrinks by the hop that the reply will need.
-        let hop = self.settings.deployment.hop;
-        let deadline = search.started + (search.deadline - search.started).saturating_sub(hop);
+        // The time left shrinks by the hops that the call and its reply still need.
+        let hops = self.near() + self.far() * 2;
+        let deadline = search.started + (search.deadline - search.started).saturating_sub(hops);
         let entry = QueueEntry {
             id,
             caller: CallerId::clone(&search.caller),
@@ -33,127 +38,107 @@
             deadline,
             queued: self.now,
         };
-        if let Some((dropped, cause)) = self.owners[server].push(entry, self.now) {
+        if let Some(call) = self.calls.get_mut(&id) {
+            call.held = true;
+        }
+        if let Some((dropped, cause)) = self.owners[lane].push(entry, self.now) {
             self.reply(dropped, CallOutcome::NotRun(cause));
         }
-        self.dispatch(server);
-        if self.owners[server].queued() > 0 {
+        self.dispatch(lane);
+        if self.owners[lane].queued() > 0 {
             let at = deadline.max(self.now);
-            self.events.push(at, Event::Expire(server));
+            self.events.push(at, Event::Expire(lane));
         }
     }
 
-    /// A cancellation reaches the owner; a running call stops unless its server is silent.
+    /// A cancellation reaches the VM that holds the call.
     pub(super) fn on_cancel(&mut self, id: u64) {
         let Some(call) = self.calls.get(&id) else {
             return;
         };
-        let (server, began) = (call.server, call.began);
         if call.replied {
             return;
         }
-        let silent = self.servers[server].condition == Condition::Silent;
-        if began.is_none() {
-            self.owners[server].remove(id);
+        let (lane, far) = (call.lane, self.far());
+        if call.left.is_none() {
+            self.owners[lane].remove(id);
             self.calls.remove(&id);
-        } else if !silent {
-            self.note_busy(id);
-            self.owners[server].on_end(None, Duration::ZERO, self.now);
-            self.calls.remove(&id);
-            self.dispatch(server);
+        } else if far.is_zero() {
+            self.on_stop(id);
+        } else {
+            self.events.push(self.now + far, Event::Stop(id));
         }
     }
 
-    /// A backend server is done with a call, or its time has run out.
-    pub(super) fn on_done(&mut self, id: u64) {
+    /// What came of a call is back at the VM that holds it; none when it was stopped.
+    pub(super) fn on_back(&mut self, id: u64, outcome: Option<CallOutcome>) {
         let Some(call) = self.calls.get(&id) else {
             return;
         };
-        let (server, version, began) = (call.server, call.version, call.began);
-        let took = began.map_or(Duration::ZERO, |began| self.now - began);
-        let outcome = match self.servers[server].condition {
-            Condition::Silent => CallOutcome::Unknown(UnknownCause::Timeout),
-            Condition::Refusing => CallOutcome::Unknown(UnknownCause::Broken),
-            Condition::Up(_) => CallOutcome::Done(version),
-        };
-        self.note_busy(id);
-        self.owners[server].on_end(Some(outcome), took, self.now);
-        self.reply(id, outcome);
-        self.dispatch(server);
+        let lane = call.lane;
+        let took = call.left.map_or(Duration::ZERO, |left| self.now - left);
+        self.owners[lane].on_end(outcome, took, self.now);
+        let busy = outcome == Some(CallOutcome::NotRun(NotRunCause::Busy));
+        if busy && self.settings.arrangement.requeues() && self.requeue(id) {
+            return;
+        }
+        if let Some(outcome) = outcome {
+            self.reply(id, outcome);
+        } else {
+            self.calls.remove(&id);
+        }
+        self.dispatch(lane);
     }
 
-    /// Notes the slot time that a call of the first service took of a server that is up.
-    fn note_busy(&mut self, id: u64) {
-        let Some(call) = self.calls.get(&id) else {
-            return;
+    /// Lets a call that was refused wait again, unless it was cancelled; returns whether it does.
+    fn requeue(&mut self, id: u64) -> bool {
+        let Some(call) = self.calls.get_mut(&id) else {
+            return false;
         };
-        let server = &self.servers[call.server];
-        let up = matches!(server.condition, Condition::Up(_));
-        if let Some(began) = call.began
-            && up
-            && server.service == 0
-        {
-            let second = (self.now - self.base).as_secs();
-            *self.record.busy.entry(second).or_default() += self.now - began;
+        if call.cancelled {
+            return false;
         }
+        call.left = None;
+        call.replied = false;
+        self.on_call(id);
+        true
     }
 
-    /// Gives free slots of a backend server to the calls that wait for it.
-    pub(super) fn dispatch(&mut self, server: usize) {
-        for (id, cause) in self.owners[server].expire(self.now) {
+    /// Gives free slots to the calls that wait for them.
+    pub(super) fn dispatch(&mut self, lane: usize) {
+        for (id, cause) in self.owners[lane].expire(self.now) {
             self.reply(id, CallOutcome::NotRun(cause));
         }
-        while let Some(id) = self.owners[server].pop(self.now) {
-            self.begin(id);
+        while let Some(id) = self.owners[lane].pop(self.now) {
+            self.begin(id, lane);
         }
     }
 
-    fn begin(&mut self, id: u64) {
-        let Some(call) = self.calls.get_mut(&id) else {
-            return;
-        };
-        call.began = Some(self.now);
-        let (server, version, search) = (call.server, call.version, call.search);
-        if let Some(cause) = self.refusal(server, version) {
-            let outcome = CallOutcome::NotRun(cause);
-            self.owners[server].on_end(Some(outcome), Duration::ZERO, self.now);
-            self.reply(id, outcome);
-            return;
-        }
-        let search = self.searches.get_mut(&search);
-        let deadline = search.map(|search| {
-            search.ran += 1;
-            search.deadline
-        });
-        let time = self.servers[server].service_time(&mut self.service_rng);
-        let at = match (time, deadline) {
-            (Some(time), _) => self.now + time,
-            (None, Some(deadline)) => deadline.max(self.now),
-            (None, None) => self.now,
-        };
-        self.events.push(at, Event::Done(id));
-    }
-
-    fn refusal(&self, server: usize, version: u64) -> Option<NotRunCause> {
-        let server = &self.servers[server];
-        if server.condition == Condition::Refusing {
-            return Some(NotRunCause::Connect);
+    /// Sends a call to its backend server, on a new connection if none is free.
+    fn begin(&mut self, id: u64, lane: usize) {
+        let second = self.second();
+        let opens = self.owners[lane].connect();
+        *self.record.opened.entry(second).or_default() += u64::from(opens);
+        if let Some(call) = self.calls.get_mut(&id) {
+            call.left = Some(self.now);
         }
-        if server.versions.contains(&version) {
-            return None;
+        let connecting = if opens { CONNECT_TIME } else { Duration::ZERO };
+        let travel = self.far() + connecting;
+        if travel.is_zero() {
+            self.on_server(id);
+        } else {
+            self.events.push(self.now + travel, Event::AtServer(id));
         }
-        let held = server.versions.last().copied().unwrap_or_default();
-        Some(NotRunCause::VersionGone(held))
     }
 
-    fn reply(&mut self, id: u64, outcome: CallOutcome) {
+    /// Sends the outcome of a call to its entry.
+    pub(super) fn reply(&mut self, id: u64, outcome: CallOutcome) {
         let Some(call) = self.calls.get_mut(&id) else {
             return;
         };
         call.replied = true;
-        let queued = self.owners[call.server].queued();
-        let hop = self.settings.deployment.hop;
+        let queued = self.owners[call.lane].queued();
         let event = Event::AtEntry(id, outcome, queued);
-        self.events.push(self.now + hop, event);
+        self.events.push(self.now + self.near(), event);
     }
 }
--- a/crates/testkit/src/policy_bench/record.rs
+++ b/crates/testkit/src/policy_bench/record.rs
@@ -49,6 +49,12 @@
     pub extra: BTreeMap<u64, u64>,
     /// The slot time that calls took of the first service's backend servers, by second.
     pub busy: BTreeMap<u64, Duration>,
+    /// Calls that reached backend servers, by second.
+    pub sent: BTreeMap<u64, u64>,
+    /// Calls that backend servers refused for want of a free slot, by second.
+    pub busy_refusals: BTreeMap<u64, u64>,
+    /// Connections opened to backend servers, by second.
+    pub opened: BTreeMap<u64, u64>,
     /// The requests that came.
     pub offered: u64,
     /// Answers with rows of two index versions, or of another than stated.
@@ -91,6 +97,14 @@
     fn seconds(self) -> std::ops::Range<u64> {
         self.from.as_secs()..self.to.as_secs()
     }
+
+    /// Returns the sum of counts by second.
+    #[must_use]
+    pub fn sum(self, counts: &BTreeMap<u64, u64>) -> u64 {
+        self.seconds()
+            .filter_map(|second| counts.get(&second))
+            .sum()
+    }
 }
 
 impl Record {
@@ -146,13 +160,25 @@
     /// Returns the extra calls as a share of the first calls.
     #[must_use]
     pub fn extra_share(&self, window: Window) -> f64 {
-        let sum = |counts: &BTreeMap<u64, u64>| -> u64 {
-            window
-                .seconds()
-                .filter_map(|second| counts.get(&second))
-                .sum()
-        };
-        ratio(sum(&self.extra), sum(&self.first))
+        ratio(window.sum(&self.extra), window.sum(&self.first))
+    }
+
+    /// Returns the calls that reached backend servers for each shard that was asked for by the
+    /// requests taken on.
+    #[must_use]
+    pub fn calls_a_shard(&self, window: Window) -> f64 {
+        let taken = self
+            .ended
+            .iter()
+            .filter(|ended| window.holds(ended.started) && ended.end != End::Shed);
+        let asked = taken.map(|ended| u64::from(ended.total)).sum();
+        ratio(window.sum(&self.sent), asked)
+    }
+
+    /// Returns the share of calls that backend servers refused for want of a free slot.
+    #[must_use]
+    pub fn refused_share(&self, window: Window) -> f64 {
+        ratio(window.sum(&self.busy_refusals), window.sum(&self.sent))
     }
 
     /// Returns the slot time a row set that went into an answer of the first service.
--- /dev/null
+++ b/crates/testkit/src/policy_bench/replacement.rs
@@ -0,0 +1,185 @@
+//! The replacement of an entry VM in a run: one leaves or is killed, later another takes its place.
+
+use std::{cmp::Reverse, sync::Arc, time::Duration};
+
+use cassialift_core::{
+    fleet::ownership::{rank, server_key},
+    index::IndexDocument,
+    policy::{
+        EntryTables,
+        outcome::{CallOutcome, NotRunCause, UnknownCause},
+    },
+};
+
+use super::{
+    arrangement::Arrangement,
+    deployment::ENTRIES,
+    owner::Owner,
+    record::End,
+    world::{Entry, Strategy, World},
+};
+
+/// How long the backend servers of an owner that was killed are used by nobody.
+const TAKEOVER: Duration = Duration::from_millis(500);
+
+impl World {
+    /// Makes an entry that has learned nothing yet.
+    pub(super) fn new_entry(&self, entry: usize) -> Entry {
+        let mut tables = EntryTables::default();
+        let documents = self.documents(entry);
+        for document in &documents {
+            tables.replicas.sync(document, self.now);
+        }
+        Entry {
+            tables,
+            documents,
+            gone: false,
+        }
+    }
+
+    /// Returns the newest index documents, in so far as an entry can use them.
+    pub(super) fn documents(&self, entry: usize) -> Vec<Arc<IndexDocument>> {
+        let arrangement = self.settings.arrangement;
+        let parts = self.newest.iter().map(|one| arrangement.part(one, entry));
+        parts.map(Arc::new).collect()
+    }
+
+    /// Returns the entry that callers turn to when they find one gone.
+    pub(super) fn present(&self, entry: usize) -> usize {
+        let next = (0..ENTRIES).map(|step| (entry + step) % ENTRIES);
+        let mut found = next.filter(|&other| !self.entries[other].gone);
+        found.next().unwrap_or(entry)
+    }
+
+    /// Returns a call's place in the table of owners.
+    pub(super) const fn lane(&self, server: usize, entry: usize) -> usize {
+        match self.settings.arrangement {
+            Arrangement::Owner => server,
+            direct @ (Arrangement::DirectStatic | Arrangement::DirectAdaptive) => {
+                server * direct.holders() + entry
+            }
+        }
+    }
+
+    /// Makes the queue, limit and warm connections of one holder of a backend server.
+    pub(super) fn new_owner(&mut self, server: usize, holder: usize) -> Owner {
+        let arrangement = self.settings.arrangement;
+        let share = arrangement.share(server, self.servers[server].slots, holder);
+        let warm = arrangement.warm(share);
+        self.note_opened(warm);
+        let naive = self.settings.strategy != Strategy::Policy;
+        Owner::new(naive, share, warm, self.preset.queue, self.now)
+    }
+
+    /// Notes the connections that a standby opens in advance.
+    pub(super) fn open_standby(&mut self, server: usize) {
+        if self.settings.arrangement == Arrangement::Owner {
+            self.note_opened(self.servers[server].slots);
+        }
+    }
+
+    /// An entry VM leaves.
+    pub(super) fn on_leave(&mut self, vm: usize) {
+        self.entries[vm].gone = true;
+        self.move_roles(vm);
+    }
+
+    /// An entry VM goes without notice.
+    pub(super) fn on_kill(&mut self, vm: usize) {
+        self.end_searches(vm);
+        if self.settings.arrangement == Arrangement::Owner {
+            for server in 0..self.servers.len() {
+                if self.roles(server)[0] == vm {
+                    self.lose_owner(server);
+                }
+            }
+        }
+        self.on_leave(vm);
+    }
+
+    /// Another VM takes the place of one that went.
+    pub(super) fn on_join(&mut self, vm: usize) {
+        self.entries[vm] = self.new_entry(vm);
+        self.move_roles(vm);
+        if self.settings.arrangement == Arrangement::Owner {
+            return;
+        }
+        for server in 0..self.servers.len() {
+            let lane = self.lane(server, vm);
+            self.owners[lane] = self.new_owner(server, vm);
+        }
+    }
+
+    /// Moves the roles of a VM that comes or goes.
+    ///
+    /// Whoever becomes the standby of a server opens connections; whoever becomes its owner has
+    /// been its standby.
+    fn move_roles(&mut self, vm: usize) {
+        for server in 0..self.servers.len() {
+            if self.roles(server).contains(&vm) {
+                self.open_standby(server);
+            }
+        }
+    }
+
+    /// Ends the requests of a VM that was killed; their callers get no answer.
+    fn end_searches(&mut self, vm: usize) {
+        let searches = self.searches.iter();
+        let held = searches.filter(|(_, search)| search.entry == vm);
+        let mut held: Vec<_> = held.map(|(id, _)| *id).collect();
+        held.sort_unstable();
+        for id in held {
+            let calls = &self.searches[&id].calls;
+            let mut attempts: Vec<_> = calls.keys().copied().collect();
+            attempts.sort_unstable();
+            for attempt in attempts {
+                self.cancel(id, attempt);
+            }
+            if let Some(search) = self.searches.remove(&id)
+                && search.machine.next_timer().is_some()
+            {
+                self.record_end(&search, End::Failed, 0);
+            }
+        }
+    }
+
+    /// The calls of an owner that was killed are lost, and its backend server has no owner for a while.
+    fn lose_owner(&mut self, server: usize) {
+        let calls = self.calls.iter();
+        let held = calls.filter(|(_, call)| call.lane == server && call.held && !call.replied);
+        let mut held: Vec<_> = held.map(|(id, _)| *id).collect();
+        held.sort_unstable();
+        for id in held {
+            self.free_slot(id);
+            self.reply(id, CallOutcome::Unknown(UnknownCause::Broken));
+        }
+        let slots = self.servers[server].slots;
+        // The standby's warm connections become the owner's.
+        let mut owner = Owner::new(false, slots, slots, self.preset.queue, self.now);
+        owner.absent_until(self.now + TAKEOVER);
+        self.owners[server] = owner;
+    }
+
+    /// Refuses a call that finds its backend server without an owner; returns whether it did.
+    pub(super) fn refuse_absent(&mut self, id: u64, lane: usize) -> bool {
+        let absent = self.owners[lane].is_absent(self.now);
+        if absent {
+            self.reply(id, CallOutcome::NotRun(NotRunCause::NotOwner));
+        }
+        absent
+    }
+
+    /// Returns the owner and the standby of a backend server while no VM is gone.
+    fn roles(&self, server: usize) -> [usize; 2] {
+        let key = server_key(&self.servers[server].id);
+        let centre = "one".into();
+        let mut vms: Vec<_> = (0..ENTRIES).collect();
+        vms.sort_by_key(|vm| Reverse(rank(key, &centre, &format!("vm-{vm}").into(), &centre)));
+        [vms[0], vms[1]]
+    }
+
+    fn note_opened(&mut self, connections: u32) {
+        let second = self.second();
+        *self.record.opened.entry(second).or_default() += u64::from(connections);
+    }
+}
--- a/crates/testkit/src/policy_bench/scenario.rs
+++ b/crates/testkit/src/policy_bench/scenario.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use super::{
+    arrangement::Arrangement,
     deployment::Deployment,
     fault::{ClaimMode, Fault, PresetChoice, Schedule},
     figure::Bound,
@@ -12,13 +13,13 @@
 };
 
 /// The load of an ordinary day, a share of the capacity; one replica of each shard can bear it.
-const LOAD: f64 = 0.3;
+pub(super) const LOAD: f64 = 0.3;
 /// How much slower a straggler is.
-const STRAGGLER: f64 = 20.0;
+pub(super) const STRAGGLER: f64 = 20.0;
 /// The seconds before anything goes wrong.
-const WARMUP: u64 = 5;
+pub(super) const WARMUP: u64 = 5;
 /// The backend server that faults hit, and the other replica of its shard.
-const HIT: [usize; 2] = [6, 7];
+pub(super) const HIT: [usize; 2] = [6, 7];
 /// How long a replica is lost until the tail must be back.
 const LOST_SECS: u64 = 2;
 /// How long an overload lasts.
@@ -51,7 +52,7 @@
 }
 
 /// All scenarios.
-pub const SCENARIOS: [Scenario; 10] = [
+pub const SCENARIOS: [Scenario; 11] = [
     whole("fault-free", fault_free),
     first("straggler", straggler),
     first("replica-lost", replica_lost),
@@ -62,6 +63,7 @@
     first("repartitioning", repartitioning),
     first("preset-switch", preset_switch),
     whole("user-mix", user_mix),
+    first("arrangement", super::comparison::arrangement),
 ];
 
 type RunScenario = fn(&BenchSettings, &Deployment) -> Outcome;
@@ -379,7 +381,7 @@
     outcome
 }
 
-const fn at(second: u64, fault: Fault) -> (Duration, Fault) {
+pub(super) const fn at(second: u64, fault: Fault) -> (Duration, Fault) {
     (Duration::from_secs(second), fault)
 }
 
@@ -402,6 +404,7 @@
     RunSettings {
         deployment: deployment.clone(),
         strategy,
+        arrangement: Arrangement::Owner,
         seed: settings.seed,
         load,
         duration: Duration::from_secs(WARMUP + settings.seconds),
--- a/crates/testkit/src/policy_bench/world.rs
+++ b/crates/testkit/src/policy_bench/world.rs
@@ -17,6 +17,7 @@
 use rand_chacha::ChaCha8Rng;
 
 use super::{
+    arrangement::Arrangement,
     backend::{Condition, FakeServer, mean_service},
     deployment::{Deployment, ENTRIES},
     event::{Event, EventQueue},
@@ -49,6 +50,8 @@
     pub deployment: Deployment,
     /// What decides.
     pub strategy: Strategy,
+    /// Who holds the slots and connections of the backend servers.
+    pub arrangement: Arrangement,
     /// The seed.
     pub seed: u64,
     /// The load at the beginning, a share of the capacity.
@@ -64,6 +67,8 @@
 pub(super) struct Entry {
     pub(super) tables: EntryTables,
     pub(super) documents: Vec<Arc<IndexDocument>>,
+    /// Whether it went and nothing has taken its place.
+    pub(super) gone: bool,
 }
 
 /// One shard call on its way.
@@ -73,11 +78,17 @@
     pub(super) attempt: AttemptId,
     pub(super) shard: ShardId,
     pub(super) server: usize,
+    /// The place of its holder in the table of owners.
+    pub(super) lane: usize,
     pub(super) version: IndexVersion,
     pub(super) sent: Instant,
-    /// When the backend server began; none while it waits.
+    /// Whether it has reached its holder.
+    pub(super) held: bool,
+    /// When it left the queue; none while it waits.
+    pub(super) left: Option<Instant>,
+    /// When the backend server began.
     pub(super) began: Option<Instant>,
-    /// Whether its reply is on its way.
+    /// Whether the backend server is done with it, or its reply is on its way.
     pub(super) replied: bool,
     /// Whether the entry has cancelled it.
     pub(super) cancelled: bool,
@@ -155,12 +166,8 @@
 
     fn add_entries(&mut self) {
         for _ in 0..ENTRIES {
-            let mut tables = EntryTables::default();
-            for document in &self.newest {
-                tables.replicas.sync(document, self.now);
-            }
-            let documents = self.newest.clone();
-            self.entries.push(Entry { tables, documents });
+            let entry = self.new_entry(self.entries.len());
+            self.entries.push(entry);
         }
     }
 
@@ -182,7 +189,10 @@
             }
             Event::AtOwner(call) => self.on_call(call),
             Event::CancelAtOwner(call) => self.on_cancel(call),
-            Event::Expire(server) => self.dispatch(server),
+            Event::AtServer(call) => self.on_server(call),
+            Event::Stop(call) => self.on_stop(call),
+            Event::Back(call, outcome) => self.on_back(call, outcome),
+            Event::Expire(lane) => self.dispatch(lane),
             Event::Done(call) => self.on_done(call),
             Event::AtEntry(call, outcome, queued) => self.on_reply(call, outcome, queued),
             Event::Timer(search) => self.on_timer(search),
@@ -192,6 +202,23 @@
         }
     }
 
+    /// Returns the latency between an entry and the VM that holds its calls.
+    pub(super) fn near(&self) -> Duration {
+        let hop = self.settings.deployment.hop;
+        self.settings.arrangement.near(hop)
+    }
+
+    /// Returns the latency between that VM and the backend server.
+    pub(super) fn far(&self) -> Duration {
+        let hop = self.settings.deployment.hop;
+        self.settings.arrangement.far(hop)
+    }
+
+    /// Returns the second of the run.
+    pub(super) fn second(&self) -> u64 {
+        (self.now - self.base).as_secs()
+    }
+
     /// Sets the time of the next request to a service.
     fn push_arrival(&mut self, service: usize) {
         let shape = &self.settings.deployment.services[service];
@@ -217,6 +244,9 @@
                 let newest = versions.last().copied();
                 versions.retain(|version| Some(*version) == newest);
             }
+            Fault::Leave(vm) => self.on_leave(vm),
+            Fault::Kill(vm) => self.on_kill(vm),
+            Fault::Join(vm) => self.on_join(vm),
             Fault::Claims(mode) => self.claims = mode,
             Fault::Preset(choice) => {
                 self.preset = chosen_preset(&self.settings.deployment.preset, choice);
@@ -269,16 +299,22 @@
             service,
             condition: Condition::Up(1.0),
             versions: BTreeSet::from([version]),
+            slots,
+            running: 0,
         });
-        let naive = self.settings.strategy != Strategy::Policy;
-        let policy = self.preset.queue;
-        self.owners.push(Owner::new(naive, slots, policy, self.now));
+        let server = self.servers.len() - 1;
+        for holder in 0..self.settings.arrangement.holders() {
+            let owner = self.new_owner(server, holder);
+            self.owners.push(owner);
+        }
+        self.open_standby(server);
     }
 
     fn on_learn(&mut self, entry: usize) {
-        self.entries[entry].documents.clone_from(&self.newest);
-        let tables = &mut self.entries[entry].tables;
-        tables.replicas.sync(&self.newest[0], self.now);
+        let documents = self.documents(entry);
+        let Entry { tables, .. } = &mut self.entries[entry];
+        tables.replicas.sync(&documents[0], self.now);
+        self.entries[entry].documents = documents;
         let mut stalled: Vec<_> = self
             .searches
             .iter()
--- a/crates/testkit/tests/policy.rs
+++ b/crates/testkit/tests/policy.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use cassialift_testkit::policy_bench::{
-    BenchSettings, Deployment, End, Fault, RunSettings, SCENARIOS, Strategy, run,
+    Arrangement, BenchSettings, Deployment, End, Fault, RunSettings, SCENARIOS, Strategy, run,
 };
 use yare::parameterized;
 
@@ -42,6 +42,7 @@
     let record = run(RunSettings {
         deployment,
         strategy,
+        arrangement: Arrangement::Owner,
         seed: 3,
         load: 0.2,
         duration: Duration::from_secs(3),
