--- a/crates/core/src/policy/replica/choose.rs
+++ b/crates/core/src/policy/replica/choose.rs
@@ -5,6 +5,7 @@
 use rand::{Rng, RngCore};
 
 use super::{
+    event::EjectCause,
     stats::{ReplicaStats, Standing},
     table::ReplicaTable,
 };
@@ -106,12 +107,14 @@
     fn review(&mut self, replicas: &[ServerId], now: Instant) {
         let best = self.best_of(replicas);
         for server in replicas {
+            let standing = self.standing(server);
             let Some(stats) = self.servers.get_mut(server) else {
                 continue;
             };
             stats.settle(now);
             if best.is_some_and(|best| is_outlier(stats, best)) {
                 stats.eject(now);
+                self.note_change(server, standing, EjectCause::Slow);
             }
         }
     }
--- /dev/null
+++ b/crates/core/src/policy/replica/event.rs
@@ -0,0 +1,74 @@
+//! Changes in whether backend servers get calls, for the journal.
+
+use displaydoc::Display;
+
+use super::{stats::Standing, table::ReplicaTable};
+use crate::{ids::ServerId, policy::retry::RetryReason};
+
+/// The most events that wait to be taken.
+const EVENT_LIMIT: usize = 64;
+
+/// Why a backend server was ejected.
+#[derive(Clone, Copy, Debug, Display, Eq, PartialEq)]
+pub enum EjectCause {
+    /// successive calls failed, the last one because {0}
+    Faults(RetryReason),
+    /// successive calls were overtaken by their hedges
+    Hedges,
+    /// it is far slower than the best replica
+    Slow,
+}
+
+/// A change in whether a backend server gets calls.
+#[derive(Clone, Debug, Display, Eq, PartialEq)]
+pub enum ReplicaEvent {
+    /// Ejected {server}, which gets probes only: {cause}.
+    Ejected {
+        /// The backend server.
+        server: ServerId,
+        /// Why it was ejected.
+        cause: EjectCause,
+    },
+    /// Took {server} back after a probe; it gets a growing share of calls.
+    Returned {
+        /// The backend server.
+        server: ServerId,
+    },
+}
+
+impl ReplicaEvent {
+    /// Returns the name of the event's counter.
+    #[must_use]
+    pub const fn counter(&self) -> &'static str {
+        match self {
+            Self::Ejected { .. } => "entry.ejected",
+            Self::Returned { .. } => "entry.returned",
+        }
+    }
+}
+
+impl ReplicaTable {
+    /// Takes the events since the last call; those beyond a limit were dropped.
+    pub fn take_events(&mut self) -> Vec<ReplicaEvent> {
+        std::mem::take(&mut self.events)
+    }
+
+    /// Keeps an event if the standing of a backend server has changed from `before`.
+    pub(super) fn note_change(
+        &mut self,
+        server: &ServerId,
+        before: Option<Standing>,
+        cause: EjectCause,
+    ) {
+        let is_ejected = |standing| matches!(standing, Some(Standing::Ejected(_)));
+        let server = ServerId::clone(server);
+        let event = match (is_ejected(before), is_ejected(self.standing(&server))) {
+            (false, true) => ReplicaEvent::Ejected { server, cause },
+            (true, false) => ReplicaEvent::Returned { server },
+            (true, true) | (false, false) => return,
+        };
+        if self.events.len() < EVENT_LIMIT {
+            self.events.push(event);
+        }
+    }
+}
--- a/crates/core/src/policy/replica/mod.rs
+++ b/crates/core/src/policy/replica/mod.rs
@@ -1,10 +1,12 @@
 //! Choosing a replica: what is learned of each backend server, and the choice among replicas.
 
 mod choose;
+mod event;
 mod stats;
 mod table;
 
 pub use choose::Pick;
+pub use event::{EjectCause, ReplicaEvent};
 pub use stats::{HealthClaim, Standing};
 pub use table::{CallReport, ReplicaTable, WaitEstimate};
 
--- a/crates/core/src/policy/replica/table.rs
+++ b/crates/core/src/policy/replica/table.rs
@@ -5,11 +5,18 @@
     time::{Duration, Instant},
 };
 
-use super::stats::{HealthClaim, ReplicaStats, Standing};
+use super::{
+    event::{EjectCause, ReplicaEvent},
+    stats::{HealthClaim, ReplicaStats, Standing},
+};
 use crate::{
     ids::{ServerId, ServiceId},
     index::{IndexDocument, ServerState},
-    policy::outcome::{CallOutcome, NotRunCause},
+    policy::{
+        outcome::{CallOutcome, NotRunCause},
+        retry::RetryReason,
+    },
+    request::RequestKind,
 };
 
 /// The latency assumed of backend servers before any was seen.
@@ -21,6 +28,8 @@
 #[derive(Clone, Debug, Default)]
 pub struct ReplicaTable {
     pub(super) servers: HashMap<ServerId, ReplicaStats>,
+    /// Changes in standing that were not taken yet.
+    pub(super) events: Vec<ReplicaEvent>,
     listed: HashMap<ServiceId, HashSet<ServerId>>,
 }
 
@@ -103,25 +112,30 @@
             outcome if outcome.is_refusal() => stats.on_refused(now),
             CallOutcome::NotRun(_) | CallOutcome::Unknown(_) => {}
         }
+        self.note_change(server, standing, cause_of(report.outcome));
     }
 
     /// Notes that a call was cancelled after `elapsed` without a reply.
     pub fn on_cancelled(&mut self, server: &ServerId, elapsed: Duration, now: Instant) {
+        let standing = self.standing(server);
         if let Some(stats) = self.servers.get_mut(server) {
             stats.in_flight = stats.in_flight.saturating_sub(1);
             stats.on_cancelled(elapsed, now);
         }
+        self.note_change(server, standing, EjectCause::Hedges);
     }
 
     /// Notes that a call is overdue; it stays in flight.
     ///
     /// While calls wait for the backend server that is no fault of its own.
     pub fn on_overdue(&mut self, server: &ServerId, now: Instant) {
+        let standing = self.standing(server);
         if let Some(stats) = self.servers.get_mut(server)
             && stats.queue(now) < 1.0
         {
             stats.on_fault(now);
         }
+        self.note_change(server, standing, EjectCause::Faults(RetryReason::Timeout));
     }
 
     /// Notes what a backend server's health endpoint claims.
@@ -182,6 +196,12 @@
     }
 }
 
+/// Returns why a backend server is ejected after calls with this outcome.
+fn cause_of(outcome: CallOutcome) -> EjectCause {
+    let reason = RetryReason::of(outcome, RequestKind::Fetch);
+    reason.map_or(EjectCause::Slow, EjectCause::Faults)
+}
+
 /// Lets an ejected backend server return when it is about as fast as the others.
 fn review_probe(stats: &mut ReplicaStats, latency: Duration, usual: Duration, now: Instant) {
     if !matches!(stats.standing, Standing::Ejected(_)) {
--- a/crates/core/src/policy/replica/tests.rs
+++ b/crates/core/src/policy/replica/tests.rs
@@ -6,11 +6,14 @@
 use rand_chacha::ChaCha8Rng;
 use yare::parameterized;
 
-use super::{CallReport, HealthClaim, ReplicaTable, Standing};
+use super::{CallReport, EjectCause, HealthClaim, ReplicaEvent, ReplicaTable, Standing};
 use crate::{
     ids::ServerId,
     index::{IndexDocument, ServerEntry, ServerState, ShardEntry},
-    policy::outcome::{CallOutcome, NotRunCause, UnknownCause},
+    policy::{
+        outcome::{CallOutcome, NotRunCause, UnknownCause},
+        retry::RetryReason,
+    },
 };
 
 const FAST: Duration = Duration::from_millis(5);
@@ -252,6 +255,38 @@
     ));
 }
 
+#[test]
+fn test_replica_events_tell_ejection_with_its_cause_and_return() {
+    let now = Instant::now();
+    let (mut table, replicas) = table(now);
+    settle(&mut table, "a", FAST, now);
+    settle(&mut table, "b", FAST, now);
+    let broken = CallOutcome::Unknown(UnknownCause::Broken);
+    for _ in 0..4 {
+        report(&mut table, "b", broken, FAST, now);
+    }
+    let server = ServerId::from("b");
+    let ejected = |cause| ReplicaEvent::Ejected {
+        server: "b".into(),
+        cause,
+    };
+    let faults = EjectCause::Faults(RetryReason::Broken);
+    assert_eq!(table.take_events(), [ejected(faults)]);
+    report(&mut table, "b", CallOutcome::Done(1), FAST, now);
+    let returned = ReplicaEvent::Returned { server };
+    assert_eq!(table.take_events(), std::slice::from_ref(&returned));
+    settle(&mut table, "b", SLOW, now);
+    share(&mut table, &replicas, "b", now);
+    assert_eq!(table.take_events(), [ejected(EjectCause::Slow)]);
+    settle(&mut table, "b", FAST, now);
+    assert_eq!(table.take_events(), [returned]);
+    for _ in 0..4 {
+        table.on_send(&"b".into());
+        table.on_cancelled(&"b".into(), FAST * 10, now);
+    }
+    assert_eq!(table.take_events(), [ejected(EjectCause::Hedges)]);
+}
+
 #[test]
 fn test_replica_new_server_ramps_up() {
     let now = Instant::now();
--- a/crates/core/src/policy/retry.rs
+++ b/crates/core/src/policy/retry.rs
@@ -1,5 +1,6 @@
 //! When a shard call that failed is tried again.
 
+use displaydoc::Display;
 use serde::{Deserialize, Serialize};
 
 use super::{
@@ -12,32 +13,34 @@
 const RETRY_BURST: f64 = 20.0;
 
 /// Why a shard call is tried again; each reason has a counter.
-#[derive(Clone, Copy, Debug, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize)]
+#[derive(
+    Clone, Copy, Debug, Deserialize, Display, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize,
+)]
 #[serde(rename_all = "snake_case")]
 pub enum RetryReason {
-    /// The VM that was called does not own the backend server.
+    /// the VM that was called does not own the backend server
     NotOwner,
-    /// The owner's queue was full.
+    /// the owner's queue was full
     QueueFull,
-    /// The deadline would have passed in that owner's queue.
+    /// the deadline would have passed in that owner's queue
     Infeasible,
-    /// The backend server had no free slot.
+    /// the backend server had no free slot
     Busy,
-    /// The backend server is leaving.
+    /// the backend server is leaving
     Leaving,
-    /// The backend server holds another index version.
+    /// the backend server holds another index version
     VersionGone,
-    /// The backend server does not hold the shard.
+    /// the backend server does not hold the shard
     UnknownShard,
-    /// No connection could be opened.
+    /// no connection could be opened
     Connect,
-    /// The call was cancelled on its way by another than its sender.
+    /// the call was cancelled on its way by another than its sender
     Cancelled,
-    /// The connection broke.
+    /// the connection broke
     Broken,
-    /// The reply is overdue.
+    /// the reply is overdue
     Timeout,
-    /// The reply could not be used.
+    /// the reply could not be used
     BadReply,
 }
 
--- a/crates/ctl/tests/fleet.rs
+++ b/crates/ctl/tests/fleet.rs
@@ -3,7 +3,11 @@
 use cassialift_core::{presets::Preset, request::RequestKind};
 use cassialift_testkit::{
     harness::{Fleet, FleetSettings, Signal},
-    standin::Edit,
+    load::{LoadSettings, Traffic},
+    standin::{
+        Edit,
+        backend::{BackendChange, Fault, Faults},
+    },
 };
 use cassialiftctl::{CtlError, Report, run};
 use tokio::task::spawn_blocking;
@@ -90,6 +94,45 @@
     assert!(text.contains("refused.unknown_shard = 1"), "{text}");
 }
 
+#[tokio::test]
+async fn test_explain_says_why_a_backend_server_was_ejected_and_that_it_returned() {
+    let fleet = Fleet::start(settings()).await.unwrap();
+    let load = LoadSettings {
+        jobs: 0.0,
+        ..LoadSettings::default()
+    };
+    let traffic = Traffic::start(&fleet, &load);
+    let garbage = Faults {
+        fault: Some(Fault::Garbage),
+        share: 1.0,
+        ..Faults::default()
+    };
+    set_faults(&fleet, garbage).await;
+    let cause = "successive calls failed, the last one because the reply could not be used.";
+    let ejected = format!("entry: Ejected listings-0, which gets probes only: {cause}");
+    wait_text(&fleet, &["explain", "listings-0"], &ejected).await;
+    let retried = "entry: Retried a shard call of listings: the reply could not be used.";
+    let text = wait_text(&fleet, &["explain", "retr"], retried).await;
+    assert!(text.contains("retry.bad_reply = "), "{text}");
+    set_faults(&fleet, Faults::default()).await;
+    let returned = "entry: Took listings-0 back after a probe; it gets a growing share of calls.";
+    wait_text(&fleet, &["explain", "listings-0"], returned).await;
+    let text = wait_text(&fleet, &["explain"], returned).await;
+    assert!(text.contains("entry.ejected = "), "{text}");
+    assert!(text.contains("entry.returned = "), "{text}");
+    traffic.stop().await.unwrap();
+}
+
+/// Sets the faults of the first backend server.
+async fn set_faults(fleet: &Fleet, faults: Faults) {
+    let change = BackendChange {
+        server: Some("listings-0".into()),
+        faults: Some(faults),
+        ..BackendChange::default()
+    };
+    fleet.change_backends(&change).await.unwrap();
+}
+
 #[tokio::test]
 async fn test_status_and_explain_as_json() {
     let fleet = Fleet::start(settings()).await.unwrap();
--- a/crates/ctl/tests/operators_page.rs
+++ b/crates/ctl/tests/operators_page.rs
@@ -1,14 +1,34 @@
-//! Every example on the operators' page passes `check`.
+//! The operators' page agrees with the programs: its examples pass `check`, and its counters exist.
 
-use std::{env, fs, path::Path, process};
+use std::{collections::BTreeSet, env, fs, path::Path, process};
 
 use cassialift_core::config::parse_presets;
 use cassialiftctl::run;
 
+/// How the names of counters begin.
+const FAMILIES: [&str; 10] = [
+    "callers.",
+    "config.",
+    "entry.",
+    "fleet.",
+    "job.",
+    "owner.",
+    "peers.",
+    "platform.",
+    "queue.",
+    "retry.",
+];
+/// Where sources hold names that look like counters and are keys of settings.
+const SETTINGS_FOLDER: &str = "settings";
+
+fn page() -> String {
+    let page = Path::new(env!("CARGO_MANIFEST_DIR")).join("../../docs/OPERATORS.md");
+    fs::read_to_string(page).unwrap()
+}
+
 /// Returns the blocks of the operators' page with the kind that each is marked as.
 fn examples() -> Vec<(String, String)> {
-    let page = Path::new(env!("CARGO_MANIFEST_DIR")).join("../../docs/OPERATORS.md");
-    let page = fs::read_to_string(page).unwrap();
+    let page = page();
     let blocks = page.split("```jsonc ").skip(1);
     blocks
         .map(|block| {
@@ -48,3 +68,74 @@
         assert_eq!(names, ["maintenance", "ordinary", "peak"]);
     }
 }
+
+/// Collects the names of counters in the sources of a folder.
+fn collect(folder: &Path, names: &mut BTreeSet<String>) {
+    for entry in fs::read_dir(folder).unwrap() {
+        let path = entry.unwrap().path();
+        let name = path.file_name().unwrap().to_string_lossy().into_owned();
+        if path.is_dir() && name != SETTINGS_FOLDER {
+            collect(&path, names);
+        } else if path.is_file() && !name.contains("tests") {
+            let text = fs::read_to_string(path).unwrap();
+            names.extend(
+                text.split('"')
+                    .filter(|text| is_counter(text))
+                    .map(String::from),
+            );
+        }
+    }
+}
+
+fn is_counter(text: &str) -> bool {
+    let rest = FAMILIES.iter().find_map(|one| text.strip_prefix(one));
+    let plain = |text: &str| text.chars().all(|c| matches!(c, 'a'..='z' | '_' | '.'));
+    rest.is_some_and(|rest| !rest.is_empty() && plain(rest))
+}
+
+/// Returns the counters of the page's table; a family ends before its reason.
+fn documented() -> Vec<String> {
+    let page = page();
+    let (_, rest) = page.split_once("\n## Counters\n").unwrap();
+    let (table, _) = rest.split_once("\n## ").unwrap();
+    let mut names = Vec::new();
+    for line in table.lines().filter(|line| line.starts_with("| `")) {
+        let cell = line.split('|').nth(1).unwrap();
+        let mut family = String::new();
+        for name in cell.split('`').skip(1).step_by(2) {
+            let name = match name.strip_prefix('.') {
+                Some(end) => format!("{family}.{end}"),
+                None => name.to_owned(),
+            };
+            if let Some((known, _)) = name.rsplit_once('.') {
+                family = String::from(known);
+            }
+            names.push(name.split('<').next().unwrap().to_owned());
+        }
+    }
+    names
+}
+
+#[test]
+fn test_operators_page_names_every_counter_and_no_other() {
+    let crates = Path::new(env!("CARGO_MANIFEST_DIR")).join("..");
+    let mut counted = BTreeSet::new();
+    collect(&crates.join("server/src"), &mut counted);
+    collect(&crates.join("core/src"), &mut counted);
+    let documented = documented();
+    let is_named = |name: &&String| {
+        let ends_early = |known: &&String| known.ends_with(['.', '_']);
+        let mut families = documented.iter().filter(ends_early);
+        documented.contains(name) || families.any(|family| name.starts_with(family.as_str()))
+    };
+    let unnamed: Vec<_> = counted.iter().filter(|name| !is_named(name)).collect();
+    assert!(unnamed.is_empty(), "not on the page: {unnamed:?}");
+    let counts = |name: &&String| counted.iter().any(|known| known.starts_with(name.as_str()));
+    // These two are counted under names without a family, or made of parts.
+    let made = ["answered", "refused."];
+    let unknown = documented
+        .iter()
+        .filter(|name| !made.contains(&name.as_str()));
+    let unknown: Vec<_> = unknown.filter(|name| !counts(name)).collect();
+    assert!(unknown.is_empty(), "not counted: {unknown:?}");
+}
--- a/crates/server/src/entry/attempt.rs
+++ b/crates/server/src/entry/attempt.rs
@@ -79,9 +79,9 @@
             latency: now.saturating_duration_since(sent),
             queued,
         };
-        let mut tables = node.policy.lock();
-        tables.on_report(&service, kind, &self.server, &report, now);
-        drop(tables);
+        node.policy.decide(node, |tables| {
+            tables.on_report(&service, kind, &self.server, &report, now);
+        });
         Arrival {
             attempt: self,
             outcome,
--- a/crates/server/src/entry/gather.rs
+++ b/crates/server/src/entry/gather.rs
@@ -23,7 +23,7 @@
     admit::{Admitted, targets},
     attempt::{Arrival, Attempt},
 };
-use crate::{process::Node, timer::Timer};
+use crate::{journal::Part, process::Node, timer::Timer};
 
 /// How often a stalled search looks for a newer index version.
 const STALL_PERIOD: Duration = Duration::from_millis(5);
@@ -176,13 +176,15 @@
     /// Takes one step of the policy under its lock.
     fn step<R>(&mut self, run: impl FnOnce(&mut Gather, &mut Context<'_>) -> R) -> R {
         let mut rng = rand::rng();
-        let mut tables = self.node.policy.lock();
-        let mut context = Context {
-            tables: &mut tables,
-            now: Timer.now(),
-            rng: &mut rng,
-        };
-        run(&mut self.gather, &mut context)
+        let gather = &mut self.gather;
+        self.node.policy.decide(&self.node, |tables| {
+            let mut context = Context {
+                tables,
+                now: Timer.now(),
+                rng: &mut rng,
+            };
+            run(gather, &mut context)
+        })
     }
 
     fn act(&mut self, actions: Vec<Action>) {
@@ -220,6 +222,11 @@
             AttemptCause::Retry(reason) => reason.counter(),
             AttemptCause::Probe => "entry.probe",
         });
+        if let AttemptCause::Retry(reason) = cause {
+            let service = &self.request.service;
+            let text = format!("Retried a shard call of {service}: {reason}.");
+            self.node.journal.keep(Part::Entry, &text);
+        }
         let attempt = Attempt {
             id,
             shard,
--- a/crates/server/src/entry/jobs/run.rs
+++ b/crates/server/src/entry/jobs/run.rs
@@ -19,6 +19,7 @@
 
 use super::book::Rows;
 use crate::{
+    journal::Part,
     process::{CallError, Node},
     timer::Timer,
 };
@@ -85,7 +86,7 @@
                     Attempt::Unknown(reason) => return JobOutcome::Unknown(reason),
                     Attempt::NotRun(reason) => last = reason,
                 }
-                self.node.metrics.count("job.retry");
+                self.note_retry(server, last);
             }
             let next = Timer.now() + pause;
             if next >= self.deadline {
@@ -96,6 +97,13 @@
         }
     }
 
+    fn note_retry(&self, server: &ServerId, reason: RefusalReason) {
+        self.node.metrics.count("job.retry");
+        let (service, reason) = (&self.service, reason.name());
+        let text = format!("A job of {service} was not run on {server}, for {reason}; retried.");
+        self.node.journal.keep(Part::Job, &text);
+    }
+
     fn index(&self) -> Option<Arc<IndexDocument>> {
         let config = self.view.config.as_ref()?;
         config.indexes.get(&self.service).cloned()
--- a/crates/server/src/entry/policy.rs
+++ b/crates/server/src/entry/policy.rs
@@ -7,7 +7,7 @@
 
 use cassialift_core::{policy::EntryTables, view::ConfigView};
 
-use crate::timer::Timer;
+use crate::{journal::Part, process::Node, timer::Timer};
 
 /// What this entry has learned, behind one lock that is held for decisions only.
 #[derive(Debug, Default)]
@@ -34,6 +34,19 @@
         self.synced.store(wanted, Ordering::Release);
     }
 
+    /// Takes one decision and tells the journal of backend servers that were ejected or returned.
+    pub(super) fn decide<R>(&self, node: &Node, run: impl FnOnce(&mut EntryTables) -> R) -> R {
+        let mut tables = self.lock();
+        let result = run(&mut tables);
+        let events = tables.replicas.take_events();
+        drop(tables);
+        for event in events {
+            node.metrics.count(event.counter());
+            node.journal.info(Part::Entry, &event);
+        }
+        result
+    }
+
     /// Locks the tables for one decision.
     pub(super) fn lock(&self) -> MutexGuard<'_, EntryTables> {
         // A panic while deciding leaves counts that are off by one at most.
