members: meeting a fleet that was there before is no news

A process that starts, or wakes from a freeze, passed on each member that it heard as news, 33 times each: 36,000 pieces at six a message. Others gain nothing: `Alive` at a known version changes no belief.

A member that stood on the first VM list, or that answered until a freeze, is now expected: hearing it is no news. A member that is listed later or not at all, another run, a suspicion, a death and its end are news as before.

Ruled out: fewer repeats or a budget of news a second, which would slow news that matters; passing on no `Alive` at all, as lists lag and a refutation must spread.

The test of the bound of one message now fills the queue with members that are not on the list, and checks that all are passed on.

--- a/crates/core/src/fleet/members/member.rs
+++ b/crates/core/src/fleet/members/member.rs
@@ -65,6 +65,9 @@
     pub since: Option<Instant>,
     /// When `reach` last changed.
     pub changed: Instant,
+    /// Whether hearing it tells others nothing: it was there when this process started, or
+    /// answered until this process was frozen.
+    pub(super) expected: bool,
     /// When indirect probes were last asked for; none while none are under way.
     pub(super) probed: Option<Instant>,
     /// Incarnations that are over, oldest first.
@@ -90,6 +93,7 @@
             heard: None,
             since: None,
             changed: now,
+            expected: false,
             probed: None,
             former: Vec::new(),
         }
@@ -146,6 +150,7 @@
     pub(super) fn replace(&mut self, contact: &Contact) {
         if let Some(former) = self.incarnation {
             self.former.push(former);
+            self.expected = false;
         }
         if self.former.len() > FORMER_LIMIT {
             self.former.remove(0);
--- a/crates/core/src/fleet/members/system.rs
+++ b/crates/core/src/fleet/members/system.rs
@@ -85,6 +85,8 @@
     pub(super) gossip: Gossip,
     pub(super) events: Vec<MemberEvent>,
     pub(super) probes: Vec<VmId>,
+    /// Whether the VM list has been taken in.
+    listed: bool,
     turn: Vec<VmId>,
     rng: ChaCha8Rng,
     pinged: Option<Instant>,
@@ -106,6 +108,7 @@
             gossip,
             events: Vec::new(),
             probes: Vec::new(),
+            listed: false,
             turn: Vec::new(),
             rng: ChaCha8Rng::seed_from_u64(seed),
             pinged: None,
@@ -152,11 +155,13 @@
         for member in self.rows.values_mut() {
             member.listed = false;
         }
+        let first = !std::mem::replace(&mut self.listed, true);
         for entry in list.iter().filter(|entry| entry.vm != self.own.vm) {
-            let member = self
-                .rows
-                .entry(VmId::clone(&entry.vm))
-                .or_insert_with(|| Member::listed(entry, now));
+            let new = || Member {
+                expected: first,
+                ..Member::listed(entry, now)
+            };
+            let member = self.rows.entry(VmId::clone(&entry.vm)).or_insert_with(new);
             member.listed = true;
             member.known = true;
             member.leaving |= entry.leaving;
@@ -224,6 +229,7 @@
     /// Makes every belief unproven after a freeze: others must be heard anew.
     fn distrust(&mut self, now: Instant) {
         for member in self.rows.values_mut() {
+            member.expected |= member.reach == Reach::Alive;
             member.set_reach(Reach::Unknown, now);
             member.refused = false;
             member.indirect = false;
@@ -315,7 +321,7 @@
         probes
     }
 
-    /// Sets a member's reach; a change becomes an event and news.
+    /// Sets a member's reach; a change becomes an event, and news unless it was expected.
     pub(super) fn set_reach(&mut self, vm: &VmId, reach: Reach, now: Instant) {
         let Some(member) = self.rows.get_mut(vm) else {
             return;
@@ -323,8 +329,11 @@
         if !member.set_reach(reach, now) {
             return;
         }
+        let expected = std::mem::take(&mut member.expected) && reach == Reach::Alive;
         let vm = VmId::clone(vm);
-        self.gossip.push(&vm);
+        if !expected {
+            self.gossip.push(&vm);
+        }
         self.events.push(MemberEvent::Reached { vm, reach });
     }
 }
--- a/crates/core/src/fleet/members/tests.rs
+++ b/crates/core/src/fleet/members/tests.rs
@@ -88,8 +88,12 @@
 #[test]
 fn test_news_on_one_message_is_bounded() {
     let now = Instant::now();
-    let mut members = heard(1_100, now);
+    let mut members = heard(1, now);
+    for index in 2..=1_100 {
+        members.heard(&contact(index, u64::from(index)), SERVING, now);
+    }
     assert_eq!(members.updates().len(), MemberSettings::default().updates);
+    assert_eq!(drain_news(&mut members).len(), 1_100);
 }
 
 #[test]
@@ -259,3 +263,83 @@
     let gap = Duration::from_secs(5);
     assert!(members.take_events().contains(&MemberEvent::Froze { gap }));
 }
+
+/// The members that are named in all news that is left to pass on.
+fn drain_news(members: &mut Members) -> Vec<VmId> {
+    let mut named = Vec::new();
+    loop {
+        let updates = members.updates();
+        if updates.is_empty() {
+            named.sort();
+            named.dedup();
+            return named;
+        }
+        named.extend(updates.into_iter().map(|update| update.contact.vm));
+    }
+}
+
+#[test]
+fn test_meeting_a_fleet_that_was_there_before_is_no_news() {
+    let mut members = heard(100, Instant::now());
+    assert_eq!(drain_news(&mut members), [contact(0, 100).vm]);
+}
+
+#[test]
+fn test_meeting_a_member_that_was_listed_later_is_news() {
+    let now = Instant::now();
+    let mut members = heard(4, now);
+    drain_news(&mut members);
+    let list: Vec<_> = (0..=5).map(listed).collect();
+    members.set_list(&list, now);
+    members.heard(&contact(5, 5), SERVING, now);
+    assert_eq!(drain_news(&mut members), [contact(5, 5).vm]);
+}
+
+#[test]
+fn test_hearing_members_again_after_a_freeze_is_no_news() {
+    let mut now = Instant::now();
+    let mut members = heard(4, now);
+    drain_news(&mut members);
+    now += Duration::from_secs(5);
+    members.tick(now);
+    for index in 1..=4 {
+        members.heard(&contact(index, u64::from(index)), SERVING, now);
+    }
+    assert_eq!(drain_news(&mut members), Vec::<VmId>::new());
+}
+
+#[yare::parameterized(
+    restarted = { 55, None },
+    suspected = { 1, Some(Failure::Timeout) },
+    refused = { 1, Some(Failure::Refused) },
+)]
+fn test_a_member_that_was_not_expected_to_answer_is_news(
+    incarnation: u64,
+    failure: Option<Failure>,
+) {
+    let mut now = Instant::now();
+    let mut members = Members::new(contact(0, 100), MemberSettings::default(), 7, now);
+    members.set_list(&[listed(0), listed(1)], now);
+    if failure.is_none() {
+        members.heard(&contact(1, 1), SERVING, now);
+    }
+    drain_news(&mut members);
+    now += Duration::from_secs(2);
+    if let Some(failure) = failure {
+        members.failed(&contact(1, 1).vm, failure, now);
+    }
+    members.heard(&contact(1, incarnation), SERVING, now);
+    assert_eq!(drain_news(&mut members), [contact(1, 1).vm]);
+}
+
+#[test]
+fn test_refutation_of_a_death_is_passed_on() {
+    let now = Instant::now();
+    let mut members = heard(2, now);
+    let victim = contact(1, 1);
+    members.failed(&victim.vm, Failure::Refused, now);
+    drain_news(&mut members);
+    members.learn(&[update(victim.clone(), MemberState::Alive, 2)], now);
+    members.heard(&victim, SERVING, now);
+    assert_eq!(drain_news(&mut members), [victim.vm]);
+}
