cost: fleets whose data centres are equally large

The partners of a process, and with them its messages, are those of its data centre, so that the line through fleets of four data centres mixes partners with processes. `--centre 8` gives every data centre eight processes.

--- a/crates/testkit/examples/cost.rs
+++ b/crates/testkit/examples/cost.rs
@@ -1,5 +1,8 @@
 //! Measures what idle fleets spend on control: `cost --sizes 4,8,16,32 --seconds 20`.
 //!
+//! With `--centre 8`, every data centre has eight processes, so that the partners of a process are
+//! equally many at each size.
+//!
 //! The programs must have been built in the same profile.
 
 use std::{process::ExitCode, time::Duration};
@@ -7,6 +10,8 @@
 use cassialift_testkit::cost::{self, Cost, CostSettings};
 use getopts::Options;
 
+/// The data centres unless said otherwise.
+const CENTRES: usize = 4;
 /// The processes of the fleet that is built towards.
 const TARGET: f64 = 1_100.0;
 
@@ -19,15 +24,24 @@
         "N,N",
     );
     options.optopt("", "seconds", "how long each fleet is measured", "N");
+    options.optopt(
+        "",
+        "centre",
+        "the processes of each data centre; else four data centres",
+        "N",
+    );
     let matches = options.parse(args)?;
     let sizes = matches.opt_get_default("sizes", "4,8,16,32".to_owned())?;
     let seconds = matches.opt_get_default("seconds", 20)?;
+    let centre: Option<usize> = matches.opt_get("centre")?;
     println!("| processes | bytes/s | core % | memory MiB | takeover s |");
     println!("| --- | --- | --- | --- | --- |");
     let mut costs = Vec::new();
     for size in sizes.split(',') {
+        let size = size.parse()?;
         let settings = CostSettings {
-            size: size.parse()?,
+            size,
+            centres: centre.map_or(CENTRES, |each| size / each),
             window: Duration::from_secs(seconds),
             ..CostSettings::default()
         };
--- a/crates/testkit/src/cost/fleet.rs
+++ b/crates/testkit/src/cost/fleet.rs
@@ -13,16 +13,16 @@
 };
 use crate::harness::{Fleet, FleetSettings, HarnessError, Signal};
 
-/// The data centres of a fleet.
-const CENTRES: usize = 4;
 /// The slots of each backend server.
 const SLOTS: u32 = 2;
 
 /// How a fleet is measured.
 #[derive(Clone, Copy, Debug)]
 pub struct CostSettings {
-    /// The processes of the fleet, a multiple of four.
+    /// The processes of the fleet, a multiple of the data centres.
     pub size: usize,
+    /// The data centres that they are spread over.
+    pub centres: usize,
     /// The backend servers for each process.
     pub servers: usize,
     /// How long the idle fleet is measured.
@@ -33,6 +33,7 @@
     fn default() -> Self {
         Self {
             size: 8,
+            centres: 4,
             servers: 5,
             window: Duration::from_secs(20),
         }
@@ -45,7 +46,7 @@
 /// Returns what could not be started or asked.
 pub async fn run(settings: CostSettings) -> Result<Cost, HarnessError> {
     let mut fleet = Fleet::start(FleetSettings {
-        vms: vec![settings.size / CENTRES; CENTRES],
+        vms: vec![settings.size / settings.centres; settings.centres],
         servers: settings.size * settings.servers,
         slots: SLOTS,
         ..FleetSettings::default()
