capacity: count frames as sent, of the median VM and of the largest

The example counted messages in an encoding of fixed width, which processes do not use, and left out the configuration's note, the call's envelope and the frame's length. Its process was the first VM, which owns 2 of 5,100 backend servers where the mean is 4.6.

It now counts the frames of a call as tarpc writes them, for the VM with the median number of roles and for the one with the most.

--- a/crates/testkit/examples/capacity.rs
+++ b/crates/testkit/examples/capacity.rs
@@ -2,7 +2,7 @@
 
 use std::{error::Error, process::ExitCode};
 
-use cassialift_testkit::capacity::{FleetSize, config_cost, fleet_cost};
+use cassialift_testkit::capacity::{FleetSize, Load, config_cost, fleet_cost};
 
 /// The sizes measured: VMs and backend servers.
 const SIZES: [(u32, u32); 6] = [
@@ -27,12 +27,36 @@
 }
 
 fn run() -> Result<(), Box<dyn Error>> {
+    for load in [Load::Median, Load::Largest] {
+        print_fleets(load)?;
+    }
+    println!(
+        "| backend servers | bytes, all documents | bytes, one document | change, ms | memory, KB |"
+    );
+    println!("| --- | --- | --- | --- | --- |");
+    for (_, servers) in SIZES {
+        let cost = config_cost(SERVICES, servers)?;
+        println!(
+            "| {} | {} | {} | {:.2} | {} |",
+            cost.servers,
+            cost.bytes,
+            cost.document,
+            cost.change.as_secs_f64() * 1_000.0,
+            cost.memory / 1_024,
+        );
+    }
+    Ok(())
+}
+
+/// Prints what the VM with the given load costs at each size.
+fn print_fleets(load: Load) -> Result<(), Box<dyn Error>> {
+    println!("VM with the {load:?} number of backend servers:");
     println!(
         "| VMs | backend servers | owned | core % | of it view % | heartbeats sent/s | received/s | bytes/s | VM lost, ms | memory, KB |"
     );
     println!("| --- | --- | --- | --- | --- | --- | --- | --- | --- | --- |");
     for (vms, servers) in SIZES {
-        let cost = fleet_cost(FleetSize { vms, servers })?;
+        let cost = fleet_cost(FleetSize { vms, servers, load })?;
         println!(
             "| {vms} | {servers} | {} | {:.3} | {:.3} | {:.1} | {:.1} | {:.0} | {:.2} | {} |",
             cost.owned,
@@ -46,20 +70,5 @@
         );
     }
     println!();
-    println!(
-        "| backend servers | bytes, all documents | bytes, one document | change, ms | memory, KB |"
-    );
-    println!("| --- | --- | --- | --- | --- |");
-    for (_, servers) in SIZES {
-        let cost = config_cost(SERVICES, servers)?;
-        println!(
-            "| {} | {} | {} | {:.2} | {} |",
-            cost.servers,
-            cost.bytes,
-            cost.document,
-            cost.change.as_secs_f64() * 1_000.0,
-            cost.memory / 1_024,
-        );
-    }
     Ok(())
 }
--- /dev/null
+++ b/crates/testkit/src/capacity/bytes.rs
@@ -0,0 +1,56 @@
+//! The bytes of heartbeats between processes.
+
+use bincode::Options;
+use cassialift_core::{
+    config::ServiceReach,
+    fleet::{Beat, BeatReply},
+    ids::VmId,
+    time::Millis,
+};
+use cassialift_wire::peer::{ConfigNote, PeerRequest, PeerResponse, Ping, PingReply};
+use serde::Serialize;
+use tarpc::{ClientMessage, Request, Response, context};
+
+/// The bytes that tell the length of a frame.
+const LENGTH_BYTES: u64 = 4;
+/// The revision that processes hold, as after a year of 1,500 changes a day.
+const REVISION: u64 = 547_500;
+/// The calls that were made on a connection before.
+const CALLS: u64 = 10_000;
+
+/// Returns the bytes of a heartbeat and its reply as frames of a connection, without TCP and IP.
+pub(super) fn exchanged(beat: &Beat, reply: &BeatReply) -> u64 {
+    let ping = Ping {
+        beat: beat.clone(),
+        config: note(beat),
+    };
+    let reply = PingReply {
+        reply: reply.clone(),
+        config: note(beat),
+    };
+    let request = ClientMessage::Request(Request {
+        context: context::current(),
+        id: CALLS,
+        message: PeerRequest::Ping { ping },
+    });
+    let response = Response {
+        request_id: CALLS,
+        message: Ok(PeerResponse::Ping(reply)),
+    };
+    frame(&request) + frame(&response)
+}
+
+fn frame(message: &impl Serialize) -> u64 {
+    let encoded = bincode::DefaultOptions::new().serialized_size(message);
+    LENGTH_BYTES + encoded.unwrap_or_default()
+}
+
+fn note(beat: &Beat) -> ConfigNote {
+    ConfigNote {
+        revision: REVISION,
+        digest: u64::MAX,
+        age: Some(Millis::new(500)),
+        reader: Some(VmId::clone(&beat.from.vm)),
+        service: ServiceReach::Reached,
+    }
+}
--- a/crates/testkit/src/capacity/fleet.rs
+++ b/crates/testkit/src/capacity/fleet.rs
@@ -11,14 +11,19 @@
     fleet::{
         Beat, BeatReply, Node, NodeSettings, ViewBuilder,
         members::{Contact, Listed, MemberSettings, Status},
-        ownership::{Answer, Ask, OwnershipSettings, Role, ServerKey, rank, server_key},
+        ownership::{Answer, Ask, OwnershipSettings, Role, ServerKey},
     },
     ids::{DataCentre, VmId},
     index::ServerEntry,
     view::FleetView,
 };
 
-use super::{config, memory::resident_bytes};
+use super::{
+    bytes::exchanged,
+    config,
+    memory::resident_bytes,
+    parts::{Load, pairs, pick, stands},
+};
 
 /// The data centres that VMs and backend servers are spread over.
 pub(super) const CENTRES: u32 = 10;
@@ -36,6 +41,8 @@
     pub vms: u32,
     /// The backend servers.
     pub servers: u32,
+    /// Which VM is measured.
+    pub load: Load,
 }
 
 /// What membership and ownership cost one process, for each second unless said otherwise.
@@ -53,7 +60,7 @@
     pub sent: f64,
     /// Heartbeats received.
     pub received: f64,
-    /// Bytes of heartbeats and replies, both ways, without TCP and IP.
+    /// Bytes of heartbeats and replies as frames, both ways, without TCP and IP.
     pub bytes: f64,
     /// Processor time after one VM has died, until every backend server is ranked anew; once.
     pub loss: Duration,
@@ -116,15 +123,18 @@
 impl Run {
     fn new(size: FleetSize) -> Self {
         let now = Instant::now();
-        let all: Vec<Contact> = (0..size.vms).map(contact).collect();
+        let mut all: Vec<Contact> = (0..size.vms).map(contact).collect();
         let servers: Vec<ServerEntry> = (0..size.servers)
             .map(|number| config::server(0, number))
             .collect();
+        let pairs = pairs(&all, &servers);
+        let own = pick(&all, &pairs, size.load);
+        all.swap(0, own);
         let listed: Vec<Listed> = all.iter().map(listed).collect();
         let mut node = Node::new(all[0].clone(), NodeSettings::default(), 1, now);
         node.set_servers(servers.iter());
         node.set_list(&listed, now);
-        let stands = stands(&all, &servers);
+        let stands = stands(&all[0].vm, &pairs);
         Self {
             node,
             views: ViewBuilder::default(),
@@ -219,7 +229,7 @@
         self.node.hear_reply(vm, &beat, &reply, self.now, self.now);
         self.busy += began.elapsed();
         self.sent += 1;
-        self.bytes += encoded(&beat) + encoded(&reply);
+        self.bytes += exchanged(&beat, &reply);
     }
 
     /// Takes in the heartbeats of partners and of members whose turn it is.
@@ -263,7 +273,7 @@
         let reply = self.node.hear(&beat, self.now);
         self.busy += began.elapsed();
         self.received += 1;
-        self.bytes += encoded(&beat) + encoded(&reply);
+        self.bytes += exchanged(&beat, &reply);
     }
 
     /// Makes what the control thread publishes each tick.
@@ -291,25 +301,6 @@
     }
 }
 
-/// Returns the servers for which the first VM is the standby, by their owner.
-fn stands(all: &[Contact], servers: &[ServerEntry]) -> BTreeMap<VmId, Vec<ServerKey>> {
-    let mut stands: BTreeMap<VmId, Vec<ServerKey>> = BTreeMap::new();
-    for server in servers {
-        let key = server_key(&server.id);
-        let mut ranked: Vec<_> = all
-            .iter()
-            .map(|one| rank(key, &server.centre, &one.vm, &one.centre))
-            .collect();
-        ranked.sort_unstable_by(|a, b| b.cmp(a));
-        if let [(.., owner), (.., standby), ..] = ranked.as_slice()
-            && *standby == all[0].vm
-        {
-            stands.entry(VmId::clone(owner)).or_default().push(key);
-        }
-    }
-    stands
-}
-
 const fn status() -> Status {
     Status {
         leaving: false,
@@ -343,8 +334,3 @@
 fn periods(time: Duration, period: Duration) -> u128 {
     time.as_nanos() / period.as_nanos()
 }
-
-/// Returns the bytes that a message takes between processes.
-fn encoded<T: serde::Serialize>(message: &T) -> u64 {
-    bincode::serialized_size(message).unwrap_or_default()
-}
--- a/crates/testkit/src/capacity/mod.rs
+++ b/crates/testkit/src/capacity/mod.rs
@@ -4,9 +4,12 @@
 //! sizes far beyond one machine can be measured. Sockets and system calls are not part of it; the
 //! `cost` example measures those with real processes.
 
+mod bytes;
 mod config;
 mod fleet;
 mod memory;
+mod parts;
 
 pub use config::{CapacityError, ConfigCost, config_cost};
 pub use fleet::{FleetCost, FleetSize, fleet_cost};
+pub use parts::Load;
--- /dev/null
+++ b/crates/testkit/src/capacity/parts.rs
@@ -0,0 +1,75 @@
+//! Which part each VM of a fleet plays, by rank.
+
+use std::collections::BTreeMap;
+
+use cassialift_core::{
+    fleet::{
+        members::Contact,
+        ownership::{ServerKey, rank, server_key},
+    },
+    ids::VmId,
+    index::ServerEntry,
+};
+
+/// The VM that is measured, by the number of backend servers that it owns or stands by for.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Load {
+    /// In the middle of the fleet.
+    Median,
+    /// The most.
+    Largest,
+}
+
+/// A backend server with its owner and its standby.
+pub(super) struct Pair {
+    pub(super) key: ServerKey,
+    pub(super) owner: VmId,
+    pub(super) standby: VmId,
+}
+
+/// Returns the two best ranked VMs of each backend server.
+pub(super) fn pairs(all: &[Contact], servers: &[ServerEntry]) -> Vec<Pair> {
+    let pair = |server: &ServerEntry| {
+        let key = server_key(&server.id);
+        let mut ranked: Vec<_> = all
+            .iter()
+            .map(|one| rank(key, &server.centre, &one.vm, &one.centre))
+            .collect();
+        ranked.sort_unstable_by(|a, b| b.cmp(a));
+        let [(.., owner), (.., standby), ..] = ranked.as_slice() else {
+            return None;
+        };
+        let (owner, standby) = (VmId::clone(owner), VmId::clone(standby));
+        Some(Pair {
+            key,
+            owner,
+            standby,
+        })
+    };
+    servers.iter().filter_map(pair).collect()
+}
+
+/// Returns the index of the VM to measure.
+pub(super) fn pick(all: &[Contact], pairs: &[Pair], load: Load) -> usize {
+    let mut counts: BTreeMap<&VmId, usize> = BTreeMap::new();
+    for vm in pairs.iter().flat_map(|pair| [&pair.owner, &pair.standby]) {
+        *counts.entry(vm).or_default() += 1;
+    }
+    let count = |index: &usize| counts.get(&all[*index].vm).copied();
+    let mut order: Vec<usize> = (0..all.len()).collect();
+    order.sort_by_key(count);
+    match load {
+        Load::Median => order[order.len() / 2],
+        Load::Largest => order[order.len() - 1],
+    }
+}
+
+/// Returns the servers for which `vm` is the standby, by their owner.
+pub(super) fn stands(vm: &VmId, pairs: &[Pair]) -> BTreeMap<VmId, Vec<ServerKey>> {
+    let mut stands: BTreeMap<VmId, Vec<ServerKey>> = BTreeMap::new();
+    for pair in pairs.iter().filter(|pair| pair.standby == *vm) {
+        let owner = VmId::clone(&pair.owner);
+        stands.entry(owner).or_default().push(pair.key);
+    }
+    stands
+}
