control: a note that came with a reply publishes no view

Every reply to a heartbeat rebuilt the view, since notes are read from the fleet's event. As with other events of the configuration, the state of the configuration is published, and a view only if another one is in force.

--- a/crates/server/src/control/thread.rs
+++ b/crates/server/src/control/thread.rs
@@ -158,7 +158,7 @@
             Event::Fleet(event) => {
                 if let Some(heard) = self.note_of(&event) {
                     self.config.apply(heard, now);
-                    self.publish(now);
+                    self.publish_config(now);
                 }
                 self.fleet.apply(event, now);
             }
