peers: memory for a frame grows with what came of it

The library's codec sets aside a whole frame once it has read the frame's length, up to 4 MiB, so that a connection of a peer that sends eight bytes and stops cost megabytes. The frames now wait until they are whole in a buffer that grows with what arrives; lengths above the limit are refused at once, as before.

Ruled out: a smaller limit, as a configuration document has to fit, and a limit on connections alone, which would have to leave room for two of each VM.

After: test_hostile_peer, all six cases, passed in 10 runs at once.

--- /dev/null
+++ b/crates/server/src/peers/frames.rs
@@ -0,0 +1,60 @@
+//! Frames between peers: a length of four bytes, then as many bytes.
+
+use std::io;
+
+use bytes::{Bytes, BytesMut};
+use tarpc::tokio_util::codec::{Decoder, Encoder, LengthDelimitedCodec};
+
+/// The largest frame, bytes: a configuration document and its envelope.
+const MAX_FRAME: usize = 4 * 1024 * 1024;
+
+/// The bytes of a frame's length.
+const HEAD: usize = 4;
+
+/// Frames of bounded length that take up memory only as their bytes arrive.
+///
+/// The library's codec sets aside the whole frame once it has read the length, so that four bytes
+/// of a hostile peer would cost as much as the largest frame.
+#[derive(Debug)]
+pub(super) struct Frames {
+    codec: LengthDelimitedCodec,
+}
+
+impl Default for Frames {
+    fn default() -> Self {
+        let codec = LengthDelimitedCodec::builder()
+            .length_field_length(HEAD)
+            .max_frame_length(MAX_FRAME)
+            .new_codec();
+        Self { codec }
+    }
+}
+
+impl Decoder for Frames {
+    type Item = BytesMut;
+    type Error = io::Error;
+
+    fn decode(&mut self, src: &mut BytesMut) -> io::Result<Option<BytesMut>> {
+        if is_partial(src) {
+            return Ok(None);
+        }
+        self.codec.decode(src)
+    }
+}
+
+impl Encoder<Bytes> for Frames {
+    type Error = io::Error;
+
+    fn encode(&mut self, item: Bytes, dst: &mut BytesMut) -> io::Result<()> {
+        self.codec.encode(item, dst)
+    }
+}
+
+/// Returns whether more of a frame that may be as long as it says is still to come.
+fn is_partial(src: &BytesMut) -> bool {
+    let Some(head) = src.first_chunk::<HEAD>() else {
+        return true;
+    };
+    let length = usize::try_from(u32::from_be_bytes(*head)).unwrap_or(usize::MAX);
+    length <= MAX_FRAME && src.len() - HEAD < length
+}
--- a/crates/server/src/peers/mod.rs
+++ b/crates/server/src/peers/mod.rs
@@ -2,6 +2,7 @@
 
 mod calls;
 mod error;
+mod frames;
 mod serve;
 mod table;
 mod traffic;
@@ -14,6 +15,3 @@
 pub use serve::{PeerServer, serve};
 pub use table::PeerTable;
 pub use traffic::Traffic;
-
-/// The largest frame between peers, bytes: a configuration document and its envelope.
-const MAX_FRAME: usize = 4 * 1024 * 1024;
--- a/crates/server/src/peers/serve.rs
+++ b/crates/server/src/peers/serve.rs
@@ -13,9 +13,8 @@
 use futures::StreamExt;
 use tarpc::{
     context::Context,
-    serde_transport,
     server::{BaseChannel, Channel},
-    tokio_serde::formats::Bincode,
+    tokio_serde::{self, formats::Bincode},
 };
 use tokio::net::TcpListener;
 
@@ -101,7 +100,7 @@
                 }
             };
             let frames = node.peers.traffic().frames(stream);
-            let transport = serde_transport::new(frames, Bincode::default());
+            let transport = tokio_serde::Framed::new(frames, Bincode::default());
             let server = PeerServer {
                 node: Arc::clone(&node),
             };
--- a/crates/server/src/peers/table.rs
+++ b/crates/server/src/peers/table.rs
@@ -14,8 +14,7 @@
 use cassialift_wire::peer::PeerClient;
 use tarpc::{
     client::{Config, NewClient, RpcError},
-    serde_transport,
-    tokio_serde::formats::Bincode,
+    tokio_serde::{self, formats::Bincode},
 };
 use tokio::{sync::OnceCell, time::timeout};
 
@@ -134,7 +133,7 @@
         return Err(PeerError::ConnectTimeout);
     };
     let stream = connected.map_err(PeerError::Connect)?;
-    let transport = serde_transport::new(traffic.frames(stream), Bincode::default());
+    let transport = tokio_serde::Framed::new(traffic.frames(stream), Bincode::default());
     let mut config = Config::default();
     config.max_in_flight_requests = MAX_IN_FLIGHT;
     config.pending_request_buffer = MAX_IN_FLIGHT;
--- a/crates/server/src/peers/tests/mod.rs
+++ b/crates/server/src/peers/tests/mod.rs
@@ -1,4 +1,5 @@
 //! Tests of connections to peers and of what is believed of their replies.
 
+mod frames;
 mod replies;
 mod table;
--- a/crates/server/src/peers/traffic.rs
+++ b/crates/server/src/peers/traffic.rs
@@ -10,13 +10,13 @@
     task::{Context, Poll},
 };
 
-use tarpc::tokio_util::codec::{Framed, LengthDelimitedCodec};
+use tarpc::tokio_util::codec::Framed;
 use tokio::{
     io::{AsyncRead, AsyncWrite, ReadBuf},
     net::TcpStream,
 };
 
-use super::MAX_FRAME;
+use super::frames::Frames;
 use crate::metrics::Metrics;
 
 /// Counts the bytes between this process and its peers, without those of TCP and IP.
@@ -42,17 +42,12 @@
     }
 
     /// Makes the frames of a connection to a peer.
-    pub(super) fn frames(
-        self: &Arc<Self>,
-        stream: TcpStream,
-    ) -> Framed<CountedStream, LengthDelimitedCodec> {
+    pub(super) fn frames(self: &Arc<Self>, stream: TcpStream) -> Framed<CountedStream, Frames> {
         let counted = CountedStream {
             stream,
             traffic: Arc::clone(self),
         };
-        LengthDelimitedCodec::builder()
-            .max_frame_length(MAX_FRAME)
-            .new_framed(counted)
+        Framed::new(counted, Frames::default())
     }
 }
 
--- a/crates/server/tests/processes/hostile.rs
+++ b/crates/server/tests/processes/hostile.rs
@@ -125,6 +125,7 @@
     garbage = { b"GET / HTTP/1.1\r\n\r\n garbage garbage garbage" },
     oversized_frame = { &[0xff, 0xff, 0xff, 0xff, 0, 0, 0, 0] },
     truncated_frame = { &[0, 0, 1, 0, 7, 7, 7] },
+    truncated_large_frame = { &[0, 0x3f, 0xff, 0xff, 0, 0, 0, 0] },
     empty_frame = { &[0, 0, 0, 0] },
     unknown_call = { &[0, 0, 0, 8, 0xfe, 0xff, 0xff, 0xff, 1, 2, 3, 4] },
 )]
