--- /dev/null
+++ b/crates/testkit/src/policy_bench/arrival.rs
@@ -0,0 +1,158 @@
+//! The requests of a run: drawn from the load, and admitted by the entries.
+
+use std::{collections::HashMap, sync::Arc, time::Duration};
+
+use cassialift_core::{
+    ids::CallerId,
+    policy::{
+        admission::AdmissionRequest,
+        gather::{Gather, GatherSpec, ShardTarget},
+    },
+    request::RequestKind,
+};
+use rand::Rng;
+
+use super::{
+    record::End,
+    search::{Machine, Search},
+    world::{Strategy, World},
+};
+use crate::naive::{NaiveGather, NaiveSettings, ReplicaOrder};
+
+/// The callers of a run.
+const CALLERS: u32 = 40;
+
+impl World {
+    /// A request comes to an entry.
+    pub(super) fn on_arrival(&mut self, service: usize) {
+        let drawn = self.load_rng.random_range(0..self.entries.len());
+        let entry = self.present(drawn);
+        let caller = format!("caller-{}", self.load_rng.random_range(0..CALLERS));
+        let (kind, shards, whole) = self.draw_request(service, entry);
+        let id = self.new_id();
+        self.record.offered += 1;
+        let allowed = Duration::from(self.preset.kind(kind).deadline);
+        let mut search = Search {
+            machine: self.machine(service, entry, kind, shards.clone(), id),
+            entry,
+            service,
+            kind,
+            caller: caller.into(),
+            started: self.now,
+            deadline: self.now + allowed,
+            whole,
+            asked: shards.iter().map(|target| target.shard).collect(),
+            calls: HashMap::new(),
+            rows: Vec::new(),
+            ran: 0,
+            timer: None,
+            stalled: false,
+        };
+        if !self.admit(&search, &shards) {
+            self.record_end(&search, End::Shed, 0);
+            return;
+        }
+        let actions = self.step(&mut search, Machine::start);
+        self.searches.insert(id, search);
+        self.act(id, actions);
+    }
+
+    pub(super) fn new_id(&mut self) -> u64 {
+        self.next_id += 1;
+        self.next_id
+    }
+
+    fn draw_request(
+        &mut self,
+        service: usize,
+        entry: usize,
+    ) -> (RequestKind, Vec<ShardTarget>, bool) {
+        let streams = &self.settings.deployment.services[service].streams;
+        let weight: f64 = streams.iter().map(|stream| stream.weight).sum();
+        let mut drawn = self.load_rng.random::<f64>() * weight;
+        let found = streams.iter().find(|stream| {
+            drawn -= stream.weight;
+            drawn < 0.0
+        });
+        let stream = found.or(streams.last()).expect("a service has a stream");
+        let document = &self.entries[entry].documents[service];
+        let whole = stream.kind == RequestKind::WideSearch;
+        let total = document.shards.len();
+        let wanted = if whole {
+            total
+        } else {
+            (stream.shards as usize).min(total)
+        };
+        let first = self.load_rng.random_range(0..total);
+        let chosen = (0..wanted).map(|step| &document.shards[(first + step) % total]);
+        let mut targets: Vec<_> = chosen.map(target).collect();
+        targets.sort_unstable_by_key(|target| target.shard);
+        (stream.kind, targets, whole)
+    }
+
+    fn machine(
+        &mut self,
+        service: usize,
+        entry: usize,
+        kind: RequestKind,
+        shards: Vec<ShardTarget>,
+        id: u64,
+    ) -> Machine {
+        let policy = self.preset.kind(kind);
+        let deadline = self.now + Duration::from(policy.deadline);
+        let document = &self.entries[entry].documents[service];
+        let (timeout, order) = match self.settings.strategy {
+            Strategy::Policy => {
+                return Machine::Policy(Box::new(Gather::new(GatherSpec {
+                    service: Arc::clone(&document.service),
+                    kind,
+                    version: document.version,
+                    shards,
+                    started: self.now,
+                    deadline,
+                    policy,
+                    hedge: self.preset.hedge,
+                    retry: self.preset.retry,
+                })));
+            }
+            Strategy::Naive => (Some(self.settings.deployment.timeout), ReplicaOrder::Random),
+            Strategy::Thin => (None, ReplicaOrder::Turn(id)),
+        };
+        let settings = NaiveSettings {
+            version: document.version,
+            shards,
+            deadline,
+            coverage: policy.coverage,
+            repeatable: kind.is_repeatable(),
+            timeout,
+            order,
+        };
+        Machine::Naive(Box::new(NaiveGather::new(settings, &mut self.entry_rng)))
+    }
+
+    fn admit(&mut self, search: &Search, shards: &[ShardTarget]) -> bool {
+        if self.settings.strategy != Strategy::Policy {
+            return true;
+        }
+        let tables = &mut self.entries[search.entry].tables;
+        let sets = shards.iter().map(|target| target.replicas.as_slice());
+        let request = AdmissionRequest {
+            caller: CallerId::clone(&search.caller),
+            kind: search.kind,
+            remaining: search.deadline - self.now,
+            estimate: tables.estimate(sets, self.now),
+        };
+        let policy = self.preset.kind(search.kind);
+        let admitted = tables
+            .admission
+            .admit(&request, &policy, &self.preset.queue, self.now);
+        admitted.is_ok()
+    }
+}
+
+pub(super) fn target(entry: &cassialift_core::index::ShardEntry) -> ShardTarget {
+    ShardTarget {
+        shard: entry.shard,
+        replicas: entry.replicas.clone(),
+    }
+}
--- a/crates/testkit/src/policy_bench/entry_side.rs
+++ b/crates/testkit/src/policy_bench/entry_side.rs
@@ -1,66 +1,25 @@
-//! The entries of a run: they admit requests, drive their machines and take replies.
+//! The entries of a run: they drive their machines, send and cancel calls and take replies.
 
-use std::{collections::HashMap, sync::Arc, time::Duration};
+use std::sync::Arc;
 
 use cassialift_core::{
-    ids::{CallerId, ServerId, ShardId},
+    ids::{ServerId, ShardId},
     policy::{
-        admission::AdmissionRequest,
-        gather::{
-            Action, AttemptCause, Context, Gather, GatherEnd, GatherSpec, ShardTarget, Verdict,
-        },
+        gather::{Action, AttemptCause, Context, GatherEnd, Verdict},
         outcome::CallOutcome,
         replica::CallReport,
     },
-    request::RequestKind,
 };
-use rand::Rng;
 
 use super::{
+    arrival::target,
     event::Event,
     record::{End, Ended},
     search::{Machine, Search},
     world::{Call, Strategy, World},
 };
-use crate::naive::{NaiveGather, NaiveSettings, ReplicaOrder};
-
-/// The callers of a run.
-const CALLERS: u32 = 40;
 
 impl World {
-    pub(super) fn on_arrival(&mut self, service: usize) {
-        let drawn = self.load_rng.random_range(0..self.entries.len());
-        let entry = self.present(drawn);
-        let caller = format!("caller-{}", self.load_rng.random_range(0..CALLERS));
-        let (kind, shards, whole) = self.draw_request(service, entry);
-        let id = self.new_id();
-        self.record.offered += 1;
-        let allowed = Duration::from(self.preset.kind(kind).deadline);
-        let mut search = Search {
-            machine: self.machine(service, entry, kind, shards.clone(), id),
-            entry,
-            service,
-            kind,
-            caller: caller.into(),
-            started: self.now,
-            deadline: self.now + allowed,
-            whole,
-            asked: shards.iter().map(|target| target.shard).collect(),
-            calls: HashMap::new(),
-            rows: Vec::new(),
-            ran: 0,
-            timer: None,
-            stalled: false,
-        };
-        if !self.admit(&search, &shards) {
-            self.record_end(&search, End::Shed, 0);
-            return;
-        }
-        let actions = self.step(&mut search, Machine::start);
-        self.searches.insert(id, search);
-        self.act(id, actions);
-    }
-
     pub(super) fn on_reply(&mut self, call_id: u64, outcome: CallOutcome, queued: u32) {
         let Some(call) = self.calls.remove(&call_id) else {
             return;
@@ -132,99 +91,7 @@
         self.act(id, actions);
     }
 
-    fn new_id(&mut self) -> u64 {
-        self.next_id += 1;
-        self.next_id
-    }
-
-    fn draw_request(
-        &mut self,
-        service: usize,
-        entry: usize,
-    ) -> (RequestKind, Vec<ShardTarget>, bool) {
-        let streams = &self.settings.deployment.services[service].streams;
-        let weight: f64 = streams.iter().map(|stream| stream.weight).sum();
-        let mut drawn = self.load_rng.random::<f64>() * weight;
-        let found = streams.iter().find(|stream| {
-            drawn -= stream.weight;
-            drawn < 0.0
-        });
-        let stream = found.or(streams.last()).expect("a service has a stream");
-        let document = &self.entries[entry].documents[service];
-        let whole = stream.kind == RequestKind::WideSearch;
-        let total = document.shards.len();
-        let wanted = if whole {
-            total
-        } else {
-            (stream.shards as usize).min(total)
-        };
-        let first = self.load_rng.random_range(0..total);
-        let chosen = (0..wanted).map(|step| &document.shards[(first + step) % total]);
-        let mut targets: Vec<_> = chosen.map(target).collect();
-        targets.sort_unstable_by_key(|target| target.shard);
-        (stream.kind, targets, whole)
-    }
-
-    fn machine(
-        &mut self,
-        service: usize,
-        entry: usize,
-        kind: RequestKind,
-        shards: Vec<ShardTarget>,
-        id: u64,
-    ) -> Machine {
-        let policy = self.preset.kind(kind);
-        let deadline = self.now + Duration::from(policy.deadline);
-        let document = &self.entries[entry].documents[service];
-        let (timeout, order) = match self.settings.strategy {
-            Strategy::Policy => {
-                return Machine::Policy(Box::new(Gather::new(GatherSpec {
-                    service: Arc::clone(&document.service),
-                    kind,
-                    version: document.version,
-                    shards,
-                    started: self.now,
-                    deadline,
-                    policy,
-                    hedge: self.preset.hedge,
-                    retry: self.preset.retry,
-                })));
-            }
-            Strategy::Naive => (Some(self.settings.deployment.timeout), ReplicaOrder::Random),
-            Strategy::Thin => (None, ReplicaOrder::Turn(id)),
-        };
-        let settings = NaiveSettings {
-            version: document.version,
-            shards,
-            deadline,
-            coverage: policy.coverage,
-            repeatable: kind.is_repeatable(),
-            timeout,
-            order,
-        };
-        Machine::Naive(Box::new(NaiveGather::new(settings, &mut self.entry_rng)))
-    }
-
-    fn admit(&mut self, search: &Search, shards: &[ShardTarget]) -> bool {
-        if self.settings.strategy != Strategy::Policy {
-            return true;
-        }
-        let tables = &mut self.entries[search.entry].tables;
-        let sets = shards.iter().map(|target| target.replicas.as_slice());
-        let request = AdmissionRequest {
-            caller: CallerId::clone(&search.caller),
-            kind: search.kind,
-            remaining: search.deadline - self.now,
-            estimate: tables.estimate(sets, self.now),
-        };
-        let policy = self.preset.kind(search.kind);
-        let admitted = tables
-            .admission
-            .admit(&request, &policy, &self.preset.queue, self.now);
-        admitted.is_ok()
-    }
-
-    fn step<R>(
+    pub(super) fn step<R>(
         &mut self,
         search: &mut Search,
         run: impl FnOnce(&mut Machine, &mut Context<'_>) -> R,
@@ -252,7 +119,7 @@
         tables.on_report(&service, search.kind, &server, &report, self.now);
     }
 
-    fn act(&mut self, id: u64, actions: Vec<Action>) {
+    pub(super) fn act(&mut self, id: u64, actions: Vec<Action>) {
         let mut end = None;
         let mut stalled = false;
         for action in actions {
@@ -400,10 +267,3 @@
         });
     }
 }
-
-fn target(entry: &cassialift_core::index::ShardEntry) -> ShardTarget {
-    ShardTarget {
-        shard: entry.shard,
-        replicas: entry.replicas.clone(),
-    }
-}
--- a/crates/testkit/src/policy_bench/fault.rs
+++ b/crates/testkit/src/policy_bench/fault.rs
@@ -2,6 +2,11 @@
 
 use std::time::Duration;
 
+use cassialift_core::{
+    presets::{AnswerPolicy, HedgePolicy, Preset},
+    request::RequestKind,
+};
+
 /// What happens at one time of a run.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub enum Fault {
@@ -59,5 +64,37 @@
     Maintenance,
 }
 
+impl PresetChoice {
+    /// Returns the chosen preset.
+    pub(super) fn preset(self, ordinary: &Preset) -> Preset {
+        let mut preset = ordinary.clone();
+        let (hedge, answer) = match self {
+            Self::Ordinary => return preset,
+            Self::Peak => (
+                HedgePolicy {
+                    quantile: 0.95,
+                    budget: 0.05,
+                },
+                AnswerPolicy::Early {
+                    share: 0.9,
+                    after: 0.2,
+                },
+            ),
+            Self::Maintenance => (
+                HedgePolicy {
+                    quantile: 1.0,
+                    budget: 0.0,
+                },
+                AnswerPolicy::Wait,
+            ),
+        };
+        preset.hedge = hedge;
+        if let Some(kind) = preset.kinds.get_mut(&RequestKind::WideSearch) {
+            kind.answer = answer;
+        }
+        preset
+    }
+}
+
 /// What goes wrong in a run, in ascending order of time.
 pub type Schedule = Vec<(Duration, Fault)>;
--- a/crates/testkit/src/policy_bench/mod.rs
+++ b/crates/testkit/src/policy_bench/mod.rs
@@ -5,6 +5,7 @@
 //! an owner.
 
 mod arrangement;
+mod arrival;
 mod backend;
 mod claims;
 mod comparison;
@@ -16,6 +17,7 @@
 mod outcome;
 mod owner;
 mod owner_side;
+mod publication;
 mod record;
 mod replacement;
 mod report;
--- /dev/null
+++ b/crates/testkit/src/policy_bench/publication.rs
@@ -0,0 +1,111 @@
+//! Index versions of a run: they are published, held by backend servers and learned by entries.
+
+use std::{collections::BTreeSet, sync::Arc, time::Duration};
+
+use cassialift_core::{
+    ids::{IndexVersion, ServerId},
+    index::{IndexDocument, ServerEntry, ServerState, ShardEntry},
+};
+use rand::Rng;
+
+use super::{
+    backend::{Condition, FakeServer},
+    deployment::ENTRIES,
+    event::Event,
+    world::{Entry, World},
+};
+
+/// The longest time that an entry needs to learn of a new index version.
+const LEARN_TIME: Duration = Duration::from_millis(300);
+
+impl World {
+    /// Publishes a new index version of the first service; its backend servers hold it already.
+    pub(super) fn publish(&mut self, shards: u32) {
+        let version = self.newest[0].version + 1;
+        let document = self.document(0, version, shards);
+        self.newest[0] = Arc::new(document);
+        for entry in 0..ENTRIES {
+            let delay = LEARN_TIME.mul_f64(self.load_rng.random());
+            self.events.push(self.now + delay, Event::Learn(entry));
+        }
+    }
+
+    /// Makes an index document and the backend servers that it needs.
+    pub(super) fn document(
+        &mut self,
+        service: usize,
+        version: IndexVersion,
+        shards: u32,
+    ) -> IndexDocument {
+        let shape = self.settings.deployment.services[service].clone();
+        let mut document = IndexDocument {
+            service: shape.name.into(),
+            version,
+            shards: Vec::new(),
+            servers: Vec::new(),
+        };
+        for shard in 0..shards {
+            let mut replicas = Vec::new();
+            for copy in 0..shape.replicas {
+                let id = ServerId::from(format!("{}-{shard}-{copy}", shape.name));
+                self.hold(&id, service, shape.slots, version);
+                document.servers.push(server_entry(&id, shape.slots));
+                replicas.push(id);
+            }
+            document.shards.push(ShardEntry { shard, replicas });
+        }
+        document
+    }
+
+    /// Lets a backend server hold an index version; adds the server when it is new.
+    fn hold(&mut self, id: &ServerId, service: usize, slots: u32, version: IndexVersion) {
+        if let Some(&known) = self.names.get(id) {
+            self.servers[known].versions.insert(version);
+            return;
+        }
+        self.names.insert(ServerId::clone(id), self.servers.len());
+        self.servers.push(FakeServer {
+            id: ServerId::clone(id),
+            service,
+            condition: Condition::Up(1.0),
+            versions: BTreeSet::from([version]),
+            slots,
+            running: 0,
+        });
+        let server = self.servers.len() - 1;
+        for holder in 0..self.settings.arrangement.holders() {
+            let owner = self.new_owner(server, holder);
+            self.owners.push(owner);
+        }
+        self.open_standby(server);
+    }
+
+    /// An entry learns of the newest index version.
+    pub(super) fn on_learn(&mut self, entry: usize) {
+        let documents = self.documents(entry);
+        let Entry { tables, .. } = &mut self.entries[entry];
+        tables.replicas.sync(&documents[0], self.now);
+        self.entries[entry].documents = documents;
+        let mut stalled: Vec<_> = self
+            .searches
+            .iter()
+            .filter(|(_, search)| search.stalled && search.entry == entry)
+            .map(|(id, _)| *id)
+            .collect();
+        stalled.sort_unstable();
+        for search in stalled {
+            self.restart(search);
+        }
+    }
+}
+
+fn server_entry(id: &ServerId, slots: u32) -> ServerEntry {
+    ServerEntry {
+        id: ServerId::clone(id),
+        address: ([127, 0, 0, 1], 1).into(),
+        centre: "one".into(),
+        slots,
+        connections: 25,
+        state: ServerState::Serving,
+    }
+}
--- a/crates/testkit/src/policy_bench/world.rs
+++ b/crates/testkit/src/policy_bench/world.rs
@@ -1,17 +1,16 @@
 //! A run: entries, owners and fake backend servers, driven by an event loop over passed-in time.
 
 use std::{
-    collections::{BTreeSet, HashMap},
+    collections::HashMap,
     sync::Arc,
     time::{Duration, Instant},
 };
 
 use cassialift_core::{
     ids::{AttemptId, IndexVersion, ServerId, ShardId},
-    index::{IndexDocument, ServerEntry, ServerState, ShardEntry},
+    index::IndexDocument,
     policy::EntryTables,
-    presets::{AnswerPolicy, HedgePolicy, Preset},
-    request::RequestKind,
+    presets::Preset,
 };
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
@@ -21,14 +20,12 @@
     backend::{Condition, FakeServer, mean_service},
     deployment::{Deployment, ENTRIES},
     event::{Event, EventQueue},
-    fault::{ClaimMode, Fault, PresetChoice, Schedule},
+    fault::{ClaimMode, Fault, Schedule},
     owner::Owner,
     record::Record,
     search::Search,
 };
 
-/// The longest time that an entry needs to learn of a new index version.
-const LEARN_TIME: Duration = Duration::from_millis(300);
 /// How often entries read the health endpoints.
 const HEALTH_PERIOD: Duration = Duration::from_secs(1);
 
@@ -249,84 +246,11 @@
             Fault::Join(vm) => self.on_join(vm),
             Fault::Claims(mode) => self.claims = mode,
             Fault::Preset(choice) => {
-                self.preset = chosen_preset(&self.settings.deployment.preset, choice);
+                self.preset = choice.preset(&self.settings.deployment.preset);
             }
         }
     }
 
-    /// Publishes a new index version of the first service; its backend servers hold it already.
-    fn publish(&mut self, shards: u32) {
-        let version = self.newest[0].version + 1;
-        let document = self.document(0, version, shards);
-        self.newest[0] = Arc::new(document);
-        for entry in 0..ENTRIES {
-            let delay = LEARN_TIME.mul_f64(self.load_rng.random());
-            self.events.push(self.now + delay, Event::Learn(entry));
-        }
-    }
-
-    /// Makes an index document and the backend servers that it needs.
-    fn document(&mut self, service: usize, version: IndexVersion, shards: u32) -> IndexDocument {
-        let shape = self.settings.deployment.services[service].clone();
-        let mut document = IndexDocument {
-            service: shape.name.into(),
-            version,
-            shards: Vec::new(),
-            servers: Vec::new(),
-        };
-        for shard in 0..shards {
-            let mut replicas = Vec::new();
-            for copy in 0..shape.replicas {
-                let id = ServerId::from(format!("{}-{shard}-{copy}", shape.name));
-                self.hold(&id, service, shape.slots, version);
-                document.servers.push(server_entry(&id, shape.slots));
-                replicas.push(id);
-            }
-            document.shards.push(ShardEntry { shard, replicas });
-        }
-        document
-    }
-
-    /// Lets a backend server hold an index version; adds the server when it is new.
-    fn hold(&mut self, id: &ServerId, service: usize, slots: u32, version: IndexVersion) {
-        if let Some(&known) = self.names.get(id) {
-            self.servers[known].versions.insert(version);
-            return;
-        }
-        self.names.insert(ServerId::clone(id), self.servers.len());
-        self.servers.push(FakeServer {
-            id: ServerId::clone(id),
-            service,
-            condition: Condition::Up(1.0),
-            versions: BTreeSet::from([version]),
-            slots,
-            running: 0,
-        });
-        let server = self.servers.len() - 1;
-        for holder in 0..self.settings.arrangement.holders() {
-            let owner = self.new_owner(server, holder);
-            self.owners.push(owner);
-        }
-        self.open_standby(server);
-    }
-
-    fn on_learn(&mut self, entry: usize) {
-        let documents = self.documents(entry);
-        let Entry { tables, .. } = &mut self.entries[entry];
-        tables.replicas.sync(&documents[0], self.now);
-        self.entries[entry].documents = documents;
-        let mut stalled: Vec<_> = self
-            .searches
-            .iter()
-            .filter(|(_, search)| search.stalled && search.entry == entry)
-            .map(|(id, _)| *id)
-            .collect();
-        stalled.sort_unstable();
-        for search in stalled {
-            self.restart(search);
-        }
-    }
-
     fn on_health(&mut self) {
         for server in 0..self.servers.len() {
             let Some(claim) = super::claims::claim(self.claims, self.servers[server].is_well())
@@ -344,43 +268,3 @@
         }
     }
 }
-
-fn server_entry(id: &ServerId, slots: u32) -> ServerEntry {
-    ServerEntry {
-        id: ServerId::clone(id),
-        address: ([127, 0, 0, 1], 1).into(),
-        centre: "one".into(),
-        slots,
-        connections: 25,
-        state: ServerState::Serving,
-    }
-}
-
-fn chosen_preset(ordinary: &Preset, choice: PresetChoice) -> Preset {
-    let mut preset = ordinary.clone();
-    let (hedge, answer) = match choice {
-        PresetChoice::Ordinary => return preset,
-        PresetChoice::Peak => (
-            HedgePolicy {
-                quantile: 0.95,
-                budget: 0.05,
-            },
-            AnswerPolicy::Early {
-                share: 0.9,
-                after: 0.2,
-            },
-        ),
-        PresetChoice::Maintenance => (
-            HedgePolicy {
-                quantile: 1.0,
-                budget: 0.0,
-            },
-            AnswerPolicy::Wait,
-        ),
-    };
-    preset.hedge = hedge;
-    if let Some(kind) = preset.kinds.get_mut(&RequestKind::WideSearch) {
-        kind.answer = answer;
-    }
-    preset
-}
