--- a/crates/testkit/src/policy_bench/outcome.rs
+++ b/crates/testkit/src/policy_bench/outcome.rs
@@ -79,6 +79,19 @@
         outcome
     }
 
+    /// Adds a figure of the policy with its bound, and that of the naive version beside it.
+    pub(super) fn add_both(
+        &self,
+        outcome: &mut Outcome,
+        name: &str,
+        bound: Bound,
+        measure: impl Fn(&Record) -> f64,
+    ) {
+        outcome.add(name, measure(&self.policy), bound);
+        let naive = measure(&self.naive);
+        outcome.add(&format!("{name}, naive"), naive, Bound::None);
+    }
+
     pub(super) fn over_naive(&self, quantile: f64) -> f64 {
         self.policy.wide_quantile(quantile, self.window)
             / self.naive.wide_quantile(quantile, self.window)
--- a/crates/testkit/src/policy_bench/scenario.rs
+++ b/crates/testkit/src/policy_bench/scenario.rs
@@ -103,16 +103,18 @@
 
 /// One replica of one shard is twenty times slower.
 fn straggler(settings: &BenchSettings, deployment: &Deployment) -> Outcome {
-    let clean = policy_run(settings, deployment, &Vec::new());
+    let base = clean_p99(settings, deployment);
     let faults = vec![at(WARMUP, Fault::Slow(HIT[0], STRAGGLER))];
     let trio = Trio::run(settings, deployment, LOAD, &faults);
     let window = trio.window;
     let mut outcome = trio.outcome("straggler");
-    let base = clean.wide_quantile(0.99, window);
-    let tail = trio.policy.wide_quantile(0.99, window) / base;
-    outcome.add("p99 over fault-free", tail, Bound::AtMost(1.5));
-    let naive = trio.naive.wide_quantile(0.99, window) / base;
-    outcome.add("p99 over fault-free, naive", naive, Bound::None);
+    let tail = |record: &Record| record.wide_quantile(0.99, window) / base;
+    trio.add_both(
+        &mut outcome,
+        "p99 over fault-free",
+        Bound::AtMost(1.5),
+        tail,
+    );
     let extra = trio.policy.extra_share(window);
     outcome.add("extra calls", extra, Bound::AtMost(0.05));
     outcome.add_promises(&trio.policy);
@@ -121,7 +123,7 @@
 
 /// One replica of one shard is lost, silently or with refused connections.
 fn replica_lost(settings: &BenchSettings, deployment: &Deployment) -> Outcome {
-    let clean = policy_run(settings, deployment, &Vec::new());
+    let base = clean_p99(settings, deployment);
     let mut outcome = Outcome::default();
     for (how, fault) in [
         ("silent", Fault::Silent(HIT[0])),
@@ -130,26 +132,12 @@
         let trio = Trio::run(settings, deployment, LOAD, &vec![at(WARMUP, fault)]);
         let window = trio.window;
         let mut part = trio.outcome(&format!("replica lost, {how}"));
-        part.add(
-            "coverage",
-            trio.policy.coverage(window),
-            Bound::AtLeast(1.0),
-        );
-        part.add("coverage, naive", trio.naive.coverage(window), Bound::None);
-        let base = clean.wide_quantile(0.99, window);
+        let coverage = |record: &Record| record.coverage(window);
+        trio.add_both(&mut part, "coverage", Bound::AtLeast(1.0), coverage);
         let first = Window::secs(WARMUP, WARMUP + LOST_SECS);
-        let tail = trio.policy.wide_quantile(0.99, first) / base;
-        part.add(
-            "p99 of the first 2 s over fault-free",
-            tail,
-            Bound::AtMost(2.0),
-        );
-        let naive = trio.naive.wide_quantile(0.99, first) / base;
-        part.add(
-            "p99 of the first 2 s over fault-free, naive",
-            naive,
-            Bound::None,
-        );
+        let tail = |record: &Record| record.wide_quantile(0.99, first) / base;
+        let name = "p99 of the first 2 s over fault-free";
+        trio.add_both(&mut part, name, Bound::AtMost(2.0), tail);
         let later = Window::secs(WARMUP + LOST_SECS, WARMUP + settings.seconds);
         let tail = trio.policy.wide_quantile(0.99, later) / base;
         part.add("p99 afterwards over fault-free", tail, Bound::AtMost(2.0));
@@ -177,13 +165,11 @@
         let mut part = trio.outcome(&format!("shard lost, {how}"));
         let shards = f64::from(deployment.services[0].shards);
         let least = (shards - 1.0) / shards;
-        let coverage = trio.policy.coverage(settled);
-        part.add("coverage", coverage, Bound::AtLeast(least - 1e-9));
-        part.add("coverage, naive", trio.naive.coverage(settled), Bound::None);
-        let extra = 1.0 + trio.policy.extra_share(trio.window);
-        part.add("load over first calls", extra, Bound::AtMost(1.1));
-        let naive = 1.0 + trio.naive.extra_share(trio.window);
-        part.add("load over first calls, naive", naive, Bound::None);
+        let coverage = |record: &Record| record.coverage(settled);
+        let bound = Bound::AtLeast(least - 1e-9);
+        trio.add_both(&mut part, "coverage", bound, coverage);
+        let load = |record: &Record| 1.0 + record.extra_share(trio.window);
+        trio.add_both(&mut part, "load over first calls", Bound::AtMost(1.1), load);
         part.add_promises(&trio.policy);
         outcome.merge(part);
     }
@@ -192,8 +178,7 @@
 
 /// Twice the load that can be borne, for 30 s.
 fn overload(settings: &BenchSettings, deployment: &Deployment) -> Outcome {
-    let clean = policy_run(settings, deployment, &Vec::new());
-    let base = clean.wide_quantile(0.99, window(settings));
+    let base = clean_p99(settings, deployment);
     let end = WARMUP + OVERLOAD_SECS;
     let faults = vec![at(WARMUP, Fault::Load(2.0)), at(end, Fault::Load(LOAD))];
     let seconds = OVERLOAD_SECS + RECOVERY_SECS + AFTER_SECS;
@@ -207,30 +192,13 @@
     let shape = &deployment.services[0];
     let capacity = f64::from(shape.slots()) / super::mean_service().as_secs_f64();
     let goodput = |record: &Record| record.urgent_goodput(during) / capacity;
-    outcome.add(
-        "urgent goodput over capacity",
-        goodput(&trio.policy),
-        Bound::AtLeast(0.9),
-    );
-    outcome.add(
-        "urgent goodput over capacity, naive",
-        goodput(&trio.naive),
-        Bound::None,
-    );
+    let name = "urgent goodput over capacity";
+    trio.add_both(&mut outcome, name, Bound::AtLeast(0.9), goodput);
     let from = end + RECOVERY_SECS;
     let after = Window::secs(from, from + AFTER_SECS);
-    let tail = trio.policy.wide_quantile(0.99, after) / base;
-    outcome.add(
-        "p99 from 5 s after its end over fault-free",
-        tail,
-        Bound::AtMost(1.1),
-    );
-    let naive = trio.naive.wide_quantile(0.99, after) / base;
-    outcome.add(
-        "p99 from 5 s after its end over fault-free, naive",
-        naive,
-        Bound::None,
-    );
+    let tail = |record: &Record| record.wide_quantile(0.99, after) / base;
+    let name = "p99 from 5 s after its end over fault-free";
+    trio.add_both(&mut outcome, name, Bound::AtMost(1.1), tail);
     let extra = trio.policy.extra_share(during);
     outcome.add("extra calls", extra, Bound::AtMost(0.05));
     outcome.add(
@@ -278,7 +246,7 @@
 
 /// Presets are switched under load.
 fn preset_switch(settings: &BenchSettings, deployment: &Deployment) -> Outcome {
-    let clean = policy_run(settings, deployment, &Vec::new());
+    let base = clean_p99(settings, deployment);
     let choices = [
         PresetChoice::Peak,
         PresetChoice::Maintenance,
@@ -290,7 +258,6 @@
     let record = policy_run(settings, deployment, &faults.collect());
     let mut outcome = Outcome::titled("preset switch");
     let tail = record.wide_quantile(0.99, window(settings));
-    let base = clean.wide_quantile(0.99, window(settings));
     outcome.add("p99 over fault-free", tail / base, Bound::AtMost(1.5));
     outcome.add(
         "coverage",
@@ -339,7 +306,7 @@
     shards: u32,
     title: &str,
 ) -> Outcome {
-    let clean = policy_run(settings, deployment, &Vec::new());
+    let base = clean_p99(settings, deployment);
     let publish = WARMUP + 1;
     let mut faults = vec![at(publish, Fault::Publish(shards))];
     let servers = 2 * deployment.services[0].shards;
@@ -352,21 +319,11 @@
     let trio = Trio::run(settings, deployment, LOAD, &faults);
     let mut outcome = trio.outcome(title);
     let during = Window::secs(publish, publish + 2);
-    let base = clean.wide_quantile(0.99, window(settings));
-    let tail = trio.policy.wide_quantile(0.99, during) / base;
-    outcome.add("p99 during it over fault-free", tail, Bound::AtMost(2.0));
-    let naive = trio.naive.wide_quantile(0.99, during) / base;
-    outcome.add("p99 during it over fault-free, naive", naive, Bound::None);
-    outcome.add(
-        "coverage",
-        trio.policy.coverage(trio.window),
-        Bound::AtLeast(1.0),
-    );
-    outcome.add(
-        "coverage, naive",
-        trio.naive.coverage(trio.window),
-        Bound::None,
-    );
+    let tail = |record: &Record| record.wide_quantile(0.99, during) / base;
+    let name = "p99 during it over fault-free";
+    trio.add_both(&mut outcome, name, Bound::AtMost(2.0), tail);
+    let coverage = |record: &Record| record.coverage(trio.window);
+    trio.add_both(&mut outcome, "coverage", Bound::AtLeast(1.0), coverage);
     outcome.add(
         "restarted searches",
         ratio(trio.policy.restarts, 1),
@@ -394,6 +351,12 @@
     run(run_settings(settings, deployment, strategy, LOAD, faults))
 }
 
+/// Returns the 99th percentile of a run of the policy without faults, in milliseconds.
+fn clean_p99(settings: &BenchSettings, deployment: &Deployment) -> f64 {
+    let clean = policy_run(settings, deployment, &Vec::new());
+    clean.wide_quantile(0.99, window(settings))
+}
+
 pub(super) fn run_settings(
     settings: &BenchSettings,
     deployment: &Deployment,
