--- a/crates/testkit/src/policy_bench/comparison.rs
+++ b/crates/testkit/src/policy_bench/comparison.rs
@@ -1,13 +1,13 @@
 //! Owner routing compared with entries that send to the backend servers directly.
 
-use std::{thread, time::Duration};
+use std::time::Duration;
 
 use super::{
     arrangement::Arrangement,
     deployment::Deployment,
     fault::{Fault, Schedule},
     figure::Bound,
-    outcome::Outcome,
+    outcome::{Outcome, at_once},
     record::{Record, Window, ratio},
     scenario::{BenchSettings, HIT, LOAD, STRAGGLER, WARMUP, at, run_settings, window},
     world::{RunSettings, Strategy, run},
@@ -29,7 +29,8 @@
 pub(super) fn arrangement(settings: &BenchSettings, deployment: &Deployment) -> Outcome {
     let mut outcome = Outcome::titled("arrangement");
     for case in cases() {
-        let runs = run_all(settings, deployment, &case);
+        let run_one = |one| run_as(one, settings, deployment, &case);
+        let runs = at_once(Arrangement::ALL, run_one);
         for (arrangement, record) in Arrangement::ALL.into_iter().zip(&runs) {
             let prefix = format!("{}, {}", case.title, arrangement.name());
             add_measures(&mut outcome, &prefix, record, window(settings));
@@ -59,15 +60,6 @@
     ]
 }
 
-/// Runs all arrangements, each on a thread of its own.
-fn run_all(settings: &BenchSettings, deployment: &Deployment, case: &Case) -> [Record; 3] {
-    let run = |one| run_as(one, settings, deployment, case);
-    thread::scope(|scope| {
-        let running = Arrangement::ALL.map(|one| scope.spawn(move || run(one)));
-        running.map(|thread| thread.join().expect("a run panicked"))
-    })
-}
-
 fn run_as(
     arrangement: Arrangement,
     settings: &BenchSettings,
--- a/crates/testkit/src/policy_bench/outcome.rs
+++ b/crates/testkit/src/policy_bench/outcome.rs
@@ -1,5 +1,7 @@
 //! What comes of a scenario: figures and plots.
 
+use std::thread;
+
 use super::{
     deployment::Deployment,
     fault::Schedule,
@@ -48,10 +50,12 @@
         faults: &Schedule,
     ) -> Self {
         let run_as = |strategy| run(run_settings(settings, deployment, strategy, load, faults));
+        let strategies = [Strategy::Policy, Strategy::Naive, Strategy::Thin];
+        let [policy, naive, thin] = at_once(strategies, run_as);
         Self {
-            policy: run_as(Strategy::Policy),
-            naive: run_as(Strategy::Naive),
-            thin: run_as(Strategy::Thin),
+            policy,
+            naive,
+            thin,
             window: window(settings),
             deployment: deployment.name,
         }
@@ -98,6 +102,18 @@
     }
 }
 
+/// Makes three runs, each on a thread of its own.
+pub(super) fn at_once<T: Copy + Send>(
+    kinds: [T; 3],
+    run_as: impl Fn(T) -> Record + Sync,
+) -> [Record; 3] {
+    thread::scope(|scope| {
+        let run_as = &run_as;
+        let running = kinds.map(|kind| scope.spawn(move || run_as(kind)));
+        running.map(|thread| thread.join().expect("a run panicked"))
+    })
+}
+
 impl Series {
     fn of(name: String, record: &Record, window: Window) -> Self {
         let seconds = 0..window.to.as_secs();
