hostile: callers that drip, truncate, replay or never read; replayed beats

Of oversized, truncated, slow-drip and replayed input the process tests had oversized requests and frames, broken frames, and callers that fall silent. New: senders that drip one byte each 100 ms into a head, a body and a chunk; requests of which less came than was announced, though it reads well; callers that send thousands of requests and read no reply; one submission sent 30 times at all VMs, and under another caller's name. In the core: a beat that comes a second time or was overtaken gets no answer on ownership and changes nothing.

Not seen failing: the truncated request and the callers that never read; hyper ends or stops reading such connections itself.

--- a/crates/core/src/fleet/tests/mod.rs
+++ b/crates/core/src/fleet/tests/mod.rs
@@ -250,6 +250,23 @@
     assert_eq!(dropped(node), 3);
 }
 
+#[test]
+fn test_replayed_beat_is_not_answered_again() {
+    let mut bench = whole_fleet(6, 3, 6);
+    let [hearer, other] = [0, 1].map(|index| listed(index).vm);
+    let now = bench.now;
+    let teller = &mut bench.processes.get_mut(&other).unwrap().node;
+    let [first, second] = [0; 2].map(|_| teller.beat(&hearer, now));
+    let node = &mut bench.processes.get_mut(&hearer).unwrap().node;
+    assert!(node.hear(&first, now).answer.is_some());
+    assert!(node.hear(&second, now).answer.is_some());
+    let before = format!("{:?}", node.ownership());
+    for beat in [&second, &first] {
+        assert_eq!(node.hear(beat, now).answer, None);
+    }
+    assert_eq!(format!("{:?}", node.ownership()), before);
+}
+
 #[test]
 fn test_beat_under_ones_own_name_changes_nothing_and_is_counted() {
     let mut bench = whole_fleet(4, 3, 6);
--- a/crates/server/tests/processes/hostile.rs
+++ b/crates/server/tests/processes/hostile.rs
@@ -7,15 +7,18 @@
 };
 
 use cassialift_core::request::{Ran, RefusalReason};
-use cassialift_testkit::{client::JsonClient, harness::Fleet};
-use cassialift_wire::caller::{Refusal, SEARCH_PATH};
+use cassialift_testkit::{client::JsonClient, harness::Fleet, history::CallEnd};
+use cassialift_wire::caller::{JOBS_PATH, Refusal, SEARCH_PATH};
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
     net::TcpStream,
 };
 use yare::parameterized;
 
-use super::support::{assert_whole, start, wait_covered};
+use super::{
+    job_support::{is_done, started, ticket_at},
+    support::{assert_whole, start, wait_covered},
+};
 
 /// The most that a process's memory may grow under a hostile load, KiB.
 const MAX_GROWTH_KIB: u64 = 64 * 1024;
@@ -121,6 +124,123 @@
     assert_whole(&fleet).await;
 }
 
+/// How long a slow sender waits between two bytes.
+const DRIP: Duration = Duration::from_millis(100);
+
+#[parameterized(
+    head = { "POST /v1/search HTTP/1.1\r\nhost: vm\r\nx-more: " },
+    body = { "POST /v1/search HTTP/1.1\r\nhost: vm\r\ncontent-length: 60000\r\n\r\n" },
+    chunks = { "POST /v1/jobs HTTP/1.1\r\nhost: vm\r\ntransfer-encoding: chunked\r\n\r\nffff\r\n" },
+)]
+#[test_macro(tokio::test)]
+async fn test_hostile_callers_that_drip(head: &'static str) {
+    let fleet = start().await;
+    let address = fleet.vm_address(0);
+    wait_covered(&fleet, 0).await;
+    let before = memory(&fleet, 0);
+    let drips: Vec<_> = (0..50)
+        .map(|_| tokio::spawn(tokio::time::timeout(PATIENCE, drip(address, head))))
+        .collect();
+    wait_covered(&fleet, 0).await;
+    for drip in drips {
+        let ended = drip.await.unwrap();
+        assert!(ended.is_ok(), "a connection that drips stays open");
+    }
+    assert!(memory(&fleet, 0) < before + MAX_GROWTH_KIB);
+    assert_whole(&fleet).await;
+}
+
+/// Sends one byte after the other until the connection is closed.
+async fn drip(address: SocketAddr, head: &str) {
+    let stream = TcpStream::connect(address).await.unwrap();
+    let (mut reader, mut writer) = stream.into_split();
+    writer.write_all(head.as_bytes()).await.unwrap();
+    let dripping = async {
+        while writer.write_all(b"x").await.is_ok() {
+            tokio::time::sleep(DRIP).await;
+        }
+    };
+    let mut reply = Vec::new();
+    tokio::select! {
+        () = dripping => {}
+        _closed = reader.read_to_end(&mut reply) => {}
+    }
+}
+
+#[parameterized(
+    of_search = { SEARCH_PATH, &search(r#""kind":"fetch""#) },
+    of_job = { JOBS_PATH, r#"{"id":"1","caller":"c","ticket":"t","body":"b"}"# },
+)]
+#[test_macro(tokio::test)]
+async fn test_hostile_truncated_request(path: &str, body: &str) {
+    let fleet = start().await;
+    // A body that reads well is truncated all the same if less came than was announced.
+    let length = body.len() + 1;
+    for kept in [0, 1, body.len() / 2, body.len()] {
+        let head = format!("POST {path} HTTP/1.1\r\nhost: vm\r\ncontent-length: {length}\r\n\r\n");
+        let mut stream = TcpStream::connect(fleet.vm_address(0)).await.unwrap();
+        let bytes = [head.as_bytes(), &body.as_bytes()[..kept]].concat();
+        stream.write_all(&bytes).await.unwrap();
+        stream.shutdown().await.unwrap();
+        let mut reply = Vec::new();
+        let _read = stream.read_to_end(&mut reply).await;
+        let reply = String::from_utf8_lossy(&reply);
+        assert!(!reply.starts_with("HTTP/1.1 200"), "{reply}");
+    }
+    assert_eq!(fleet.history().unwrap().runs, []);
+    wait_covered(&fleet, 0).await;
+    assert_whole(&fleet).await;
+}
+
+#[tokio::test]
+async fn test_hostile_callers_that_never_read() {
+    let fleet = start().await;
+    wait_covered(&fleet, 0).await;
+    let before = memory(&fleet, 0);
+    let requests = "GET /v1/status HTTP/1.1\r\nhost: vm\r\n\r\n".repeat(2_000);
+    let mut streams = Vec::new();
+    for _ in 0..50 {
+        let mut stream = TcpStream::connect(fleet.vm_address(0)).await.unwrap();
+        // The process stops reading once its replies are not taken.
+        let sent = stream.write_all(requests.as_bytes());
+        let _full = tokio::time::timeout(DRIP, sent).await;
+        streams.push(stream);
+    }
+    wait_covered(&fleet, 0).await;
+    assert!(memory(&fleet, 0) < before + MAX_GROWTH_KIB);
+    assert_whole(&fleet).await;
+}
+
+/// One submission that is sent again and again, at each VM, runs once.
+#[tokio::test]
+async fn test_hostile_replayed_job() {
+    let fleet = start().await;
+    let mut caller = fleet.caller("press").unwrap();
+    let ticket = ticket_at(&fleet, &mut caller, 0).await;
+    let body = caller.next_body();
+    let mut copies = Vec::new();
+    for number in 0..30 {
+        let mut caller = fleet.caller("press").unwrap();
+        let address = fleet.vm_address(number % 3);
+        let (ticket, body) = (ticket.clone(), body.clone());
+        copies.push(tokio::spawn(async move {
+            caller.submit_at(address, &ticket, &body).await
+        }));
+    }
+    for copy in copies {
+        let end = copy.await.unwrap();
+        assert!(is_done(&end), "{end:?}");
+    }
+    let mut thief = fleet.caller("thief").unwrap();
+    let foreign = thief.submit_at(fleet.vm_address(1), &ticket, &body);
+    let CallEnd::Refused(refusal) = foreign.await else {
+        panic!("another caller may use the ticket");
+    };
+    assert_eq!(refusal.reason, RefusalReason::ForeignTicket);
+    assert_eq!(started(&fleet, &body), 1);
+    assert_whole(&fleet).await;
+}
+
 #[parameterized(
     garbage = { b"GET / HTTP/1.1\r\n\r\n garbage garbage garbage" },
     oversized_frame = { &[0xff, 0xff, 0xff, 0xff, 0, 0, 0, 0] },
