addresses: shares of callers on each entry after a kill and a join

Two tests had the largest share in one data centre only, and no figure. Two more have two entries in each of four data centres, as the users run them, check every entry in every step, and print the shares that docs/design/addresses.md now shows with the command.

Bounds: 1.5 times the even share; twice the mean of the fleet for the entry that is left of a pair, beyond which its callers go elsewhere; at least half the even share for all in the end.

--- a/crates/core/src/fleet/addresses/tests.rs
+++ b/crates/core/src/fleet/addresses/tests.rs
@@ -14,6 +14,8 @@
 const STEP: Duration = Duration::from_millis(100);
 const TTL: Duration = Duration::from_secs(2);
 const CALLERS: usize = 800;
+/// How many times the fleet's mean load the one left of a pair of entries may carry.
+const EXCESS: f64 = 2.0;
 
 fn entry(index: u16, centre: &str, since: Instant) -> Entry {
     Entry {
@@ -26,8 +28,11 @@
 }
 
 /// Callers that keep each answer for its time to live and go to its first address that works.
+///
+/// They are spread evenly over the data centres.
 struct Callers {
     entries: Vec<Entry>,
+    centres: usize,
     rng: ChaCha8Rng,
     now: Instant,
     answers: Vec<(Instant, Vec<SocketAddr>)>,
@@ -36,13 +41,14 @@
 }
 
 impl Callers {
-    fn new(entries: Vec<Entry>, seed: u64, now: Instant) -> Self {
+    fn new(entries: Vec<Entry>, centres: usize, seed: u64, now: Instant) -> Self {
         let mut rng = ChaCha8Rng::seed_from_u64(seed);
         let answers = (0..CALLERS)
             .map(|_| (now + TTL.mul_f64(rng.random()), Vec::new()))
             .collect();
         Self {
             entries,
+            centres,
             rng,
             now,
             answers,
@@ -53,9 +59,9 @@
     fn step(&mut self) {
         self.now += STEP;
         let settings = AddressSettings::default();
-        let near = "dc-0".into();
-        for (until, answer) in &mut self.answers {
+        for (caller, (until, answer)) in self.answers.iter_mut().enumerate() {
             if *until <= self.now {
+                let near = centre(caller % self.centres).into();
                 *until = self.now + TTL;
                 *answer = choose(&self.entries, &near, &settings, &mut self.rng, self.now);
             }
@@ -86,21 +92,39 @@
 
     /// Returns the largest share of callers that one entry had during `time`.
     fn largest(&mut self, time: Duration) -> f64 {
+        let shares = self.shares(time);
+        shares.into_iter().map(|(_, most)| most).fold(0.0, f64::max)
+    }
+
+    /// Returns the smallest and the largest share of callers that each entry had during `time`.
+    fn shares(&mut self, time: Duration) -> Vec<(f64, f64)> {
         let end = self.now + time;
-        let mut largest: u32 = 0;
+        let mut shares = vec![(1.0_f64, 0.0_f64); self.entries.len()];
         while self.now < end {
             self.step();
-            largest = largest.max(self.loads().into_iter().max().unwrap_or(0));
+            for (share, load) in shares.iter_mut().zip(self.loads()) {
+                let now = f64::from(load) / f64::from(u32::try_from(CALLERS).unwrap());
+                *share = (share.0.min(now), share.1.max(now));
+            }
         }
-        f64::from(largest) / f64::from(u32::try_from(CALLERS).unwrap())
+        shares
     }
 }
 
+fn centre(index: usize) -> &'static str {
+    ["dc-0", "dc-1", "dc-2", "dc-3"][index]
+}
+
 fn settled(size: u16, seed: u64) -> Callers {
+    settled_in(1, size, seed)
+}
+
+/// Returns callers of a fleet whose entries are spread evenly over data centres.
+fn settled_in(centres: usize, size: u16, seed: u64) -> Callers {
     let now = Instant::now();
     let since = now.checked_sub(Duration::from_mins(1)).unwrap_or(now);
-    let entries = (0..size).map(|index| entry(index, "dc-0", since)).collect();
-    let mut callers = Callers::new(entries, seed, now);
+    let entries = (0..size).map(|index| entry(index, centre(usize::from(index) % centres), since));
+    let mut callers = Callers::new(entries.collect(), centres, seed, now);
     callers.largest(Duration::from_secs(20));
     callers
 }
@@ -134,6 +158,61 @@
     }
 }
 
+/// Prints the shares of each entry, which docs/design/addresses.md shows.
+fn print(what: &str, shares: &[(f64, f64)]) {
+    let percent = |share: &(f64, f64)| format!("{:.1}-{:.1}", share.0 * 100.0, share.1 * 100.0);
+    let cells: Vec<String> = shares.iter().map(percent).collect();
+    println!("| {what} | {} |", cells.join(" | "));
+}
+
+/// Four data centres of two entries: the one left of a pair takes on the other's callers, as long
+/// as that is no more than the excess over the mean that its data centre may carry.
+#[test]
+fn test_shares_of_callers_on_each_entry_after_a_kill() {
+    for seed in 0..5 {
+        let mut callers = settled_in(4, 8, seed);
+        callers.entries[3].reach = Reach::Dead;
+        let shares = callers.shares(Duration::from_secs(20));
+        print(&format!("kill, seed {seed}"), &shares);
+        for (index, (_, most)) in shares.into_iter().enumerate() {
+            let bound = match index {
+                3 => 0.0,
+                7 => EXCESS / 7.0,
+                _ => 1.5 / 8.0,
+            };
+            assert!(most <= bound, "{seed}: {index}: {most}");
+        }
+    }
+}
+
+/// The entry that joins the one left of a pair takes at most 1.5 times its even share, and at
+/// least half of it once its weight has grown.
+#[test]
+fn test_shares_of_callers_on_each_entry_after_a_join() {
+    for seed in 0..5 {
+        let mut callers = settled_in(4, 7, seed);
+        let joined = entry(7, "dc-3", callers.now);
+        callers.entries.push(joined);
+        let first = callers.shares(Duration::from_secs(2));
+        print(&format!("join, first 2 s, seed {seed}"), &first);
+        let growing = callers.shares(Duration::from_secs(10));
+        print(&format!("join, next 10 s, seed {seed}"), &growing);
+        let grown = callers.shares(Duration::from_secs(8));
+        print(&format!("join, last 8 s, seed {seed}"), &grown);
+        for shares in [first, growing] {
+            for (index, (_, most)) in shares.into_iter().enumerate() {
+                let bound = if index == 3 { EXCESS / 7.0 } else { 1.5 / 8.0 };
+                assert!(most <= bound, "{seed}: {index}: {most}");
+            }
+        }
+        for (index, (least, most)) in grown.into_iter().enumerate() {
+            let even = 0.5 / 8.0..=1.5 / 8.0;
+            let within = even.contains(&least) && even.contains(&most);
+            assert!(within, "{seed}: {index}: {least} to {most}");
+        }
+    }
+}
+
 #[test]
 fn test_answers_prefer_the_near_data_centre_until_it_is_overloaded() {
     let now = Instant::now();
