tests: process tests share their waits, faults and ends

Loops over all VMs that wait for coverage or a preset, cuts of all links, changes of all backend servers' faults, and the end of load with its verdict stood in each module of the process tests.

--- a/crates/server/tests/processes/combined.rs
+++ b/crates/server/tests/processes/combined.rs
@@ -10,7 +10,10 @@
 };
 use yare::parameterized;
 
-use super::support::{assert_whole, load, run_for, set_faults, start, wait_covered, wait_preset};
+use super::support::{
+    finish, load, run_for, set_faults, start, wait_all_covered, wait_all_preset, wait_covered,
+    wait_preset,
+};
 
 #[tokio::test]
 async fn test_combined_stale_config_with_a_freeze_and_a_kill() {
@@ -18,9 +21,7 @@
     let traffic = load(&fleet);
     let preset = fleet.settings.preset.clone();
     fleet.publish_preset("peak", &preset).await.unwrap();
-    for vm in 0..3 {
-        wait_preset(&fleet, vm, "peak").await;
-    }
+    wait_all_preset(&fleet, "peak").await;
     fleet.set_config_mode(ConfigMode::Stale(1)).await.unwrap();
     fleet.signal(1, Signal::Stop).unwrap();
     fleet.signal(0, Signal::Kill).unwrap();
@@ -30,8 +31,7 @@
     fleet.signal(1, Signal::Continue).unwrap();
     wait_covered(&fleet, 1).await;
     fleet.set_config_mode(ConfigMode::Serving).await.unwrap();
-    traffic.stop().await.unwrap();
-    assert_whole(&fleet).await;
+    finish(&fleet, traffic).await;
 }
 
 #[tokio::test]
@@ -52,11 +52,8 @@
         fleet.wait_vm(vm).await.unwrap();
     }
     set_faults(&fleet, 0, Faults::default()).await;
-    for vm in 0..3 {
-        wait_covered(&fleet, vm).await;
-    }
-    traffic.stop().await.unwrap();
-    assert_whole(&fleet).await;
+    wait_all_covered(&fleet).await;
+    finish(&fleet, traffic).await;
 }
 
 #[parameterized(
--- a/crates/server/tests/processes/cuts.rs
+++ b/crates/server/tests/processes/cuts.rs
@@ -4,7 +4,9 @@
 use cassialift_testkit::harness::{Cut, Fleet, FleetSettings, SEARCH_SERVICE};
 use yare::parameterized;
 
-use super::support::{assert_whole, load, run_for, start_with, wait_covered, wait_preset};
+use super::support::{
+    cut_all, finish, load, run_for, start_with, wait_all_covered, wait_covered, wait_preset,
+};
 
 /// Starts one VM in each of two data centres, with relays between them.
 async fn start_pair() -> Fleet {
@@ -24,62 +26,42 @@
 #[test_macro(tokio::test)]
 async fn test_cut_one_way(cut: Cut) {
     let fleet = start_pair().await;
-    for vm in 0..2 {
-        wait_covered(&fleet, vm).await;
-    }
+    wait_all_covered(&fleet).await;
     let traffic = load(&fleet);
     run_for(300).await;
     fleet.cut(1, cut);
     // Both sides keep serving, and take over what they can't reach.
     run_for(2_000).await;
-    for vm in 0..2 {
-        wait_covered(&fleet, vm).await;
-    }
+    wait_all_covered(&fleet).await;
     fleet.cut(1, Cut::None);
-    for vm in 0..2 {
-        wait_covered(&fleet, vm).await;
-    }
-    traffic.stop().await.unwrap();
-    assert_whole(&fleet).await;
+    wait_all_covered(&fleet).await;
+    finish(&fleet, traffic).await;
 }
 
 #[tokio::test]
 async fn test_cut_both_ways_through_a_new_preset() {
     let fleet = start_pair().await;
-    for vm in 0..2 {
-        wait_covered(&fleet, vm).await;
-    }
+    wait_all_covered(&fleet).await;
     let traffic = load(&fleet);
-    for vm in 0..2 {
-        fleet.cut(vm, Cut::Both);
-    }
+    cut_all(&fleet, Cut::Both);
     let preset = fleet.settings.preset.clone();
     fleet.publish_preset("peak", &preset).await.unwrap();
     for vm in 0..2 {
         wait_preset(&fleet, vm, "peak").await;
         wait_covered(&fleet, vm).await;
     }
-    for vm in 0..2 {
-        fleet.cut(vm, Cut::None);
-    }
+    cut_all(&fleet, Cut::None);
     run_for(500).await;
-    for vm in 0..2 {
-        wait_covered(&fleet, vm).await;
-    }
-    traffic.stop().await.unwrap();
-    assert_whole(&fleet).await;
+    wait_all_covered(&fleet).await;
+    finish(&fleet, traffic).await;
 }
 
 #[tokio::test]
 async fn test_cut_both_ways_while_a_server_leaves() {
     let mut fleet = start_pair().await;
-    for vm in 0..2 {
-        wait_covered(&fleet, vm).await;
-    }
+    wait_all_covered(&fleet).await;
     let traffic = load(&fleet);
-    for vm in 0..2 {
-        fleet.cut(vm, Cut::Both);
-    }
+    cut_all(&fleet, Cut::Both);
     run_for(1_000).await;
     let server = format!("{SEARCH_SERVICE}-0");
     fleet
@@ -87,12 +69,7 @@
         .await
         .unwrap();
     run_for(4_500).await;
-    for vm in 0..2 {
-        fleet.cut(vm, Cut::None);
-    }
-    for vm in 0..2 {
-        wait_covered(&fleet, vm).await;
-    }
-    traffic.stop().await.unwrap();
-    assert_whole(&fleet).await;
+    cut_all(&fleet, Cut::None);
+    wait_all_covered(&fleet).await;
+    finish(&fleet, traffic).await;
 }
--- a/crates/server/tests/processes/freezes.rs
+++ b/crates/server/tests/processes/freezes.rs
@@ -5,7 +5,7 @@
 
 use super::{
     job_support::{is_done, start_with_jobs, started, ticket_at, tickets_of},
-    support::{assert_whole, load, run_for, start, wait_covered, wait_preset},
+    support::{assert_whole, finish, load, run_for, start, wait_covered, wait_preset},
 };
 
 #[tokio::test]
@@ -20,8 +20,7 @@
         fleet.signal(vm, Signal::Continue).unwrap();
         wait_covered(&fleet, vm).await;
     }
-    traffic.stop().await.unwrap();
-    assert_whole(&fleet).await;
+    finish(&fleet, traffic).await;
 }
 
 #[tokio::test]
@@ -61,6 +60,5 @@
     wait_preset(&fleet, 0, "peak").await;
     let traffic = load(&fleet);
     run_for(500).await;
-    traffic.stop().await.unwrap();
-    assert_whole(&fleet).await;
+    finish(&fleet, traffic).await;
 }
--- a/crates/server/tests/processes/hostile.rs
+++ b/crates/server/tests/processes/hostile.rs
@@ -17,7 +17,7 @@
 
 use super::{
     job_support::{is_done, started, ticket_at},
-    support::{assert_whole, start, wait_covered},
+    support::{assert_whole, start, wait_all_covered, wait_covered},
 };
 
 /// The most that a process's memory may grow under a hostile load, KiB.
@@ -260,9 +260,7 @@
         stream.write_all(bytes).await.unwrap();
         streams.push(stream);
     }
-    for vm in 0..3 {
-        wait_covered(&fleet, vm).await;
-    }
+    wait_all_covered(&fleet).await;
     assert!(memory(&fleet, 0) < before + MAX_GROWTH_KIB);
     assert_whole(&fleet).await;
 }
--- a/crates/server/tests/processes/kills.rs
+++ b/crates/server/tests/processes/kills.rs
@@ -6,7 +6,7 @@
     job_support::{
         claims_not_run, is_done, start_with_jobs, started, ticket_at, tickets_of, wait_started,
     },
-    support::{assert_whole, load, run_for, start, wait_covered},
+    support::{assert_whole, finish, load, run_for, start, wait_covered},
 };
 
 #[tokio::test]
@@ -21,8 +21,7 @@
     fleet.start_vm(0).unwrap();
     fleet.wait_vm(0).await.unwrap();
     wait_covered(&fleet, 0).await;
-    traffic.stop().await.unwrap();
-    assert_whole(&fleet).await;
+    finish(&fleet, traffic).await;
 }
 
 #[tokio::test]
--- a/crates/server/tests/processes/operators.rs
+++ b/crates/server/tests/processes/operators.rs
@@ -7,7 +7,9 @@
 };
 use cassialift_wire::platform::PRESETS_KEY;
 
-use super::support::{assert_whole, load, run_for, start, wait_covered, wait_preset};
+use super::support::{
+    assert_whole, finish, load, run_for, start, wait_all_covered, wait_all_preset, wait_covered,
+};
 
 #[tokio::test]
 async fn test_operators_publish_at_once() {
@@ -22,12 +24,9 @@
             fleet.publish_preset(repair, &preset),
         );
         let last = usize::from(second.unwrap() > first.unwrap());
-        for vm in 0..3 {
-            wait_preset(&fleet, vm, &names[last]).await;
-        }
+        wait_all_preset(&fleet, &names[last]).await;
     }
-    traffic.stop().await.unwrap();
-    assert_whole(&fleet).await;
+    finish(&fleet, traffic).await;
 }
 
 #[tokio::test]
@@ -40,16 +39,11 @@
     };
     fleet.publish(vec![edit]).await.unwrap();
     run_for(500).await;
-    for vm in 0..3 {
-        wait_preset(&fleet, vm, "ordinary").await;
-    }
+    wait_all_preset(&fleet, "ordinary").await;
     let preset = fleet.settings.preset.clone();
     fleet.publish_preset("peak", &preset).await.unwrap();
-    for vm in 0..3 {
-        wait_preset(&fleet, vm, "peak").await;
-    }
-    traffic.stop().await.unwrap();
-    assert_whole(&fleet).await;
+    wait_all_preset(&fleet, "peak").await;
+    finish(&fleet, traffic).await;
 }
 
 #[tokio::test]
@@ -76,8 +70,7 @@
         .wait_for("work at the server that came back", works)
         .await
         .unwrap();
-    traffic.stop().await.unwrap();
-    assert_whole(&fleet).await;
+    finish(&fleet, traffic).await;
 }
 
 #[tokio::test]
@@ -97,9 +90,6 @@
         };
         fleet.change_backends(&only).await.unwrap();
     }
-    for vm in 0..3 {
-        wait_covered(&fleet, vm).await;
-    }
-    traffic.stop().await.unwrap();
-    assert_whole(&fleet).await;
+    wait_all_covered(&fleet).await;
+    finish(&fleet, traffic).await;
 }
--- a/crates/server/tests/processes/platform.rs
+++ b/crates/server/tests/processes/platform.rs
@@ -4,7 +4,9 @@
 use cassialift_testkit::{harness::Signal, standin::config::ConfigMode};
 use yare::parameterized;
 
-use super::support::{assert_whole, load, run_for, start, wait_covered, wait_preset};
+use super::support::{
+    assert_whole, finish, load, run_for, start, wait_all_preset, wait_covered, wait_preset,
+};
 
 #[parameterized(
     down = { ConfigMode::Down },
@@ -17,9 +19,7 @@
     let mut fleet = start().await;
     let preset = fleet.settings.preset.clone();
     fleet.publish_preset("peak", &preset).await.unwrap();
-    for vm in 0..3 {
-        wait_preset(&fleet, vm, "peak").await;
-    }
+    wait_all_preset(&fleet, "peak").await;
     fleet.set_config_mode(mode).await.unwrap();
     let traffic = load(&fleet);
     run_for(500).await;
@@ -28,13 +28,10 @@
     run_for(200).await;
     fleet.start_vm(0).unwrap();
     wait_preset(&fleet, 0, "peak").await;
-    traffic.stop().await.unwrap();
-    assert_whole(&fleet).await;
+    finish(&fleet, traffic).await;
     fleet.set_config_mode(ConfigMode::Serving).await.unwrap();
     fleet.publish_preset("ordinary", &preset).await.unwrap();
-    for vm in 0..3 {
-        wait_preset(&fleet, vm, "ordinary").await;
-    }
+    wait_all_preset(&fleet, "ordinary").await;
     assert_whole(&fleet).await;
 }
 
@@ -49,8 +46,7 @@
     run_for(500).await;
     wait_covered(&fleet, 0).await;
     fleet.set_vms_down(false).await.unwrap();
-    traffic.stop().await.unwrap();
-    assert_whole(&fleet).await;
+    finish(&fleet, traffic).await;
 }
 
 #[tokio::test]
@@ -63,6 +59,5 @@
     fleet.signal(0, Signal::Terminate).unwrap();
     fleet.wait_gone(0).await.unwrap();
     wait_covered(&fleet, 1).await;
-    traffic.stop().await.unwrap();
-    assert_whole(&fleet).await;
+    finish(&fleet, traffic).await;
 }
--- a/crates/server/tests/processes/shutdown.rs
+++ b/crates/server/tests/processes/shutdown.rs
@@ -8,16 +8,17 @@
 use cassialift_testkit::{
     harness::{Cut, Fleet, FleetSettings, JOB_SERVICE, Signal},
     history::CallEnd,
-    standin::backend::{
-        BackendChange, Faults, RunEnd, RunEvent, RunStep, ServiceTime, unix_micros,
-    },
+    standin::backend::{Faults, RunEnd, RunEvent, RunStep, ServiceTime, unix_micros},
 };
 use cassialift_wire::operator::{STATUS_PATH, Status};
 use yare::parameterized;
 
 use super::{
     job_support::{is_done, start_with_jobs, started, ticket_at, tickets_of, wait_started},
-    support::{assert_whole, load, run_for, start, start_with, wait_covered},
+    support::{
+        assert_whole, cut_all, finish, load, run_for, set_all_faults, start, start_with,
+        wait_all_covered, wait_covered,
+    },
 };
 
 #[tokio::test]
@@ -29,8 +30,7 @@
     fleet.signal(0, Signal::Terminate).unwrap();
     fleet.wait_gone(0).await.unwrap();
     wait_covered(&fleet, 1).await;
-    traffic.stop().await.unwrap();
-    assert_whole(&fleet).await;
+    finish(&fleet, traffic).await;
 }
 
 #[parameterized(
@@ -45,14 +45,10 @@
         ..FleetSettings::default()
     })
     .await;
-    for vm in 0..2 {
-        wait_covered(&fleet, vm).await;
-    }
+    wait_all_covered(&fleet).await;
     let traffic = load(&fleet);
     run_for(300).await;
-    for vm in 0..2 {
-        fleet.cut(vm, Cut::Both);
-    }
+    cut_all(&fleet, Cut::Both);
     run_for(before).await;
     fleet.signal(1, Signal::Terminate).unwrap();
     fleet.wait_gone(1).await.unwrap();
@@ -174,11 +170,7 @@
         hang,
         ..Faults::default()
     };
-    let change = BackendChange {
-        faults: Some(faults),
-        ..BackendChange::default()
-    };
-    fleet.change_backends(&change).await.unwrap();
+    set_all_faults(fleet, faults).await;
 }
 
 /// Waits until a VM that stops takes no new requests.
@@ -212,11 +204,7 @@
         slowdown: 16_500.0,
         ..Faults::default()
     };
-    let change = BackendChange {
-        faults: Some(slow),
-        ..BackendChange::default()
-    };
-    fleet.change_backends(&change).await.unwrap();
+    set_all_faults(&fleet, slow).await;
     let before = fleet.history().unwrap().runs.len();
     let mut caller = fleet.caller("counter").unwrap();
     caller.hold(fleet.vm_address(0));
--- a/crates/server/tests/processes/stragglers.rs
+++ b/crates/server/tests/processes/stragglers.rs
@@ -3,13 +3,14 @@
 use cassialift_core::{request::RequestKind, time::Millis};
 use cassialift_testkit::{
     load::{LoadSettings, Traffic},
-    standin::backend::{BackendChange, Fault, Faults, RunEvent, RunStep},
+    standin::backend::{Fault, Faults, RunEvent, RunStep},
 };
 use cassialift_wire::backend::HealthState;
 use yare::parameterized;
 
 use super::support::{
-    assert_whole, load, run_for, set_faults, start, wait_covered, wait_covered_row,
+    assert_whole, finish, load, run_for, set_all_faults, set_faults, start, wait_all_covered,
+    wait_covered, wait_covered_row,
 };
 
 #[parameterized(
@@ -32,11 +33,8 @@
     set_faults(&fleet, 0, faults).await;
     run_for(1_500).await;
     set_faults(&fleet, 0, Faults::default()).await;
-    for vm in 0..3 {
-        wait_covered(&fleet, vm).await;
-    }
-    traffic.stop().await.unwrap();
-    assert_whole(&fleet).await;
+    wait_all_covered(&fleet).await;
+    finish(&fleet, traffic).await;
 }
 
 #[parameterized(
@@ -50,21 +48,14 @@
 async fn test_straggler_jobs(fault: Fault) {
     let fleet = start().await;
     wait_covered(&fleet, 0).await;
-    let change = |faults| BackendChange {
-        faults: Some(faults),
-        ..BackendChange::default()
-    };
-    fleet.change_backends(&change(strike(fault))).await.unwrap();
+    set_all_faults(&fleet, strike(fault)).await;
     let jobs = LoadSettings {
         jobs: 1.0,
         ..LoadSettings::default()
     };
     let traffic = Traffic::start(&fleet, &jobs);
     run_for(1_500).await;
-    fleet
-        .change_backends(&change(Faults::default()))
-        .await
-        .unwrap();
+    set_all_faults(&fleet, Faults::default()).await;
     run_for(300).await;
     traffic.stop().await.unwrap();
     let history = fleet.history().unwrap();
@@ -92,8 +83,7 @@
     for vm in 0..3 {
         wait_covered_row(&fleet, vm, ROW).await;
     }
-    traffic.stop().await.unwrap();
-    assert_whole(&fleet).await;
+    finish(&fleet, traffic).await;
 }
 
 fn strike(fault: Fault) -> Faults {
--- a/crates/server/tests/processes/support.rs
+++ b/crates/server/tests/processes/support.rs
@@ -4,7 +4,7 @@
 
 use cassialift_core::request::RequestKind;
 use cassialift_testkit::{
-    harness::{Fleet, FleetSettings, SEARCH_SERVICE},
+    harness::{Cut, Fleet, FleetSettings, SEARCH_SERVICE},
     history::CallEnd,
     load::{LoadSettings, Traffic},
     standin::backend::{BackendChange, Faults},
@@ -45,6 +45,26 @@
     }
 }
 
+/// Ends the load and asserts what [`assert_whole`] does.
+pub(crate) async fn finish(fleet: &Fleet, traffic: Traffic) {
+    traffic.stop().await.unwrap();
+    assert_whole(fleet).await;
+}
+
+/// Searches at each VM in turn until an answer covers every shard.
+pub(crate) async fn wait_all_covered(fleet: &Fleet) {
+    for vm in 0..fleet.vm_addresses().len() {
+        wait_covered(fleet, vm).await;
+    }
+}
+
+/// Searches at each VM in turn until an answer runs under a preset.
+pub(crate) async fn wait_all_preset(fleet: &Fleet, preset: &str) {
+    for vm in 0..fleet.vm_addresses().len() {
+        wait_preset(fleet, vm, preset).await;
+    }
+}
+
 /// Searches at one VM until an answer covers every shard.
 pub(crate) async fn wait_covered(fleet: &Fleet, vm: usize) {
     wait_covered_row(fleet, vm, 1).await;
@@ -95,6 +115,22 @@
     fleet.wait_for(preset, in_force).await.unwrap();
 }
 
+/// Cuts, or joins, the links to every VM.
+pub(crate) fn cut_all(fleet: &Fleet, cut: Cut) {
+    for vm in 0..fleet.vm_addresses().len() {
+        fleet.cut(vm, cut);
+    }
+}
+
+/// Sets the faults of all backend servers.
+pub(crate) async fn set_all_faults(fleet: &Fleet, faults: Faults) {
+    let change = BackendChange {
+        faults: Some(faults),
+        ..BackendChange::default()
+    };
+    fleet.change_backends(&change).await.unwrap();
+}
+
 /// Sets the faults of one backend server of the search service.
 pub(crate) async fn set_faults(fleet: &Fleet, server: usize, faults: Faults) {
     let change = BackendChange {
