--- a/crates/server/tests/processes/freezes.rs
+++ b/crates/server/tests/processes/freezes.rs
@@ -4,7 +4,7 @@
 use yare::parameterized;
 
 use super::{
-    job_support::{is_done, start_with_jobs, started, ticket_at, tickets_of},
+    job_support::{is_done, start_with_jobs, started, submit, ticket_at, tickets_of},
     support::{assert_whole, finish, load, run_for, start, wait_covered, wait_preset},
 };
 
@@ -30,9 +30,8 @@
     let ticket = ticket_at(&fleet, &mut caller, 0).await;
     let body = caller.next_body();
     fleet.signal(0, Signal::Stop).unwrap();
-    let (address, copy) = (fleet.vm_address(0), body.clone());
     // The frozen process finds the submission in its socket when it wakes.
-    let submission = tokio::spawn(async move { caller.submit_at(address, &ticket, &copy).await });
+    let submission = submit(&fleet, 0, &ticket, &body);
     run_for(1_500).await;
     fleet.signal(0, Signal::Continue).unwrap();
     let end = submission.await.unwrap();
--- a/crates/server/tests/processes/hostile.rs
+++ b/crates/server/tests/processes/hostile.rs
@@ -16,7 +16,7 @@
 use yare::parameterized;
 
 use super::{
-    job_support::{is_done, started, ticket_at},
+    job_support::{is_done, started, submit, ticket_at},
     support::{assert_whole, start, wait_all_covered, wait_covered},
 };
 
@@ -218,15 +218,9 @@
     let mut caller = fleet.caller("press").unwrap();
     let ticket = ticket_at(&fleet, &mut caller, 0).await;
     let body = caller.next_body();
-    let mut copies = Vec::new();
-    for number in 0..30 {
-        let mut caller = fleet.caller("press").unwrap();
-        let address = fleet.vm_address(number % 3);
-        let (ticket, body) = (ticket.clone(), body.clone());
-        copies.push(tokio::spawn(async move {
-            caller.submit_at(address, &ticket, &body).await
-        }));
-    }
+    let copies: Vec<_> = (0..30)
+        .map(|number| submit(&fleet, number % 3, &ticket, &body))
+        .collect();
     for copy in copies {
         let end = copy.await.unwrap();
         assert!(is_done(&end), "{end:?}");
--- a/crates/server/tests/processes/job_support.rs
+++ b/crates/server/tests/processes/job_support.rs
@@ -13,6 +13,7 @@
     standin::backend::{RunEvent, RunStep, ServiceTime},
 };
 use cassialift_wire::caller::JobState;
+use tokio::task::JoinHandle;
 
 use super::support::start_with;
 
@@ -45,6 +46,14 @@
     ticket.unwrap()
 }
 
+/// Submits a job at one VM while the test goes on.
+pub(crate) fn submit(fleet: &Fleet, vm: usize, ticket: &str, body: &str) -> JoinHandle<CallEnd> {
+    let mut caller = fleet.caller("press").unwrap();
+    let address = fleet.vm_address(vm);
+    let (ticket, body) = (ticket.to_owned(), body.to_owned());
+    tokio::spawn(async move { caller.submit_at(address, &ticket, &body).await })
+}
+
 /// Waits until backend servers have begun to run `count` requests with a body.
 pub(crate) async fn wait_started(fleet: &Fleet, body: &str, count: usize) {
     let begun = async || started(fleet, body) >= count;
--- a/crates/server/tests/processes/kills.rs
+++ b/crates/server/tests/processes/kills.rs
@@ -4,7 +4,8 @@
 
 use super::{
     job_support::{
-        claims_not_run, is_done, start_with_jobs, started, ticket_at, tickets_of, wait_started,
+        claims_not_run, is_done, start_with_jobs, started, submit, ticket_at, tickets_of,
+        wait_started,
     },
     support::{assert_whole, finish, load, run_for, start, wait_covered},
 };
@@ -30,10 +31,8 @@
     let mut caller = fleet.caller("press").unwrap();
     let ticket = ticket_at(&fleet, &mut caller, 0).await;
     let body = caller.next_body();
-    let mut first = fleet.caller("press").unwrap();
     let (address, other) = (fleet.vm_address(0), fleet.vm_address(1));
-    let (held, copy) = (ticket.clone(), body.clone());
-    let submission = tokio::spawn(async move { first.submit_at(address, &held, &copy).await });
+    let submission = submit(&fleet, 0, &ticket, &body);
     wait_started(&fleet, &body, 1).await;
     fleet.signal(0, Signal::Kill).unwrap();
     submission.await.unwrap();
@@ -53,16 +52,14 @@
     let mut caller = fleet.caller("press").unwrap();
     let ticket = ticket_at(&fleet, &mut caller, 0).await;
     let body = caller.next_body();
-    let (address, copy, held) = (fleet.vm_address(0), body.clone(), ticket.clone());
-    let mut first = fleet.caller("press").unwrap();
-    let submission = tokio::spawn(async move { first.submit_at(address, &held, &copy).await });
+    let submission = submit(&fleet, 0, &ticket, &body);
     wait_started(&fleet, &body, 1).await;
     for vm in [1, 2] {
         fleet.signal(vm, Signal::Kill).unwrap();
     }
     let end = submission.await.unwrap();
     assert!(!claims_not_run(&end), "{end:?}");
-    let again = caller.submit_at(address, &ticket, &body).await;
+    let again = caller.submit_at(fleet.vm_address(0), &ticket, &body).await;
     assert!(!claims_not_run(&again), "{again:?}");
     assert_eq!(started(&fleet, &body), 1);
     assert_whole(&fleet).await;
--- a/crates/server/tests/processes/shutdown.rs
+++ b/crates/server/tests/processes/shutdown.rs
@@ -14,7 +14,7 @@
 use yare::parameterized;
 
 use super::{
-    job_support::{is_done, start_with_jobs, started, ticket_at, tickets_of, wait_started},
+    job_support::{is_done, start_with_jobs, started, submit, ticket_at, tickets_of, wait_started},
     support::{
         assert_whole, cut_all, finish, load, run_for, set_all_faults, start, start_with,
         wait_all_covered, wait_covered,
@@ -80,8 +80,7 @@
     let mut caller = fleet.caller("press").unwrap();
     let ticket = ticket_at(&fleet, &mut caller, 0).await;
     let body = caller.next_body();
-    let (address, copy) = (fleet.vm_address(0), body.clone());
-    let submission = tokio::spawn(async move { caller.submit_at(address, &ticket, &copy).await });
+    let submission = submit(&fleet, 0, &ticket, &body);
     wait_started(&fleet, &body, 1).await;
     fleet.signal(0, Signal::Terminate).unwrap();
     let end = submission.await.unwrap();
@@ -125,8 +124,7 @@
     let ticket = ticket_at(&fleet, &mut caller, holder).await;
     let body = caller.next_body();
     hang(&fleet, true).await;
-    let (address, copy) = (fleet.vm_address(entry), body.clone());
-    let submission = tokio::spawn(async move { caller.submit_at(address, &ticket, &copy).await });
+    let submission = submit(&fleet, entry, &ticket, &body);
     wait_started(&fleet, &body, 1).await;
     let signalled = unix_micros();
     fleet.signal(stopped, Signal::Terminate).unwrap();
