fleet: the tests of former runs share their assertion

The three tests of dropped messages repeated how a process is asked what it believes before and after.

--- a/crates/core/src/fleet/tests/mod.rs
+++ b/crates/core/src/fleet/tests/mod.rs
@@ -3,7 +3,7 @@
 mod bench;
 mod views;
 
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use rand::Rng;
 
@@ -232,6 +232,16 @@
     )
 }
 
+/// Asserts that what a process is told changes nothing of that and is counted as dropped so often.
+fn assert_drops(bench: &mut Bench, vm: &VmId, count: usize, tell: impl FnOnce(&mut Node, Instant)) {
+    let node = &mut bench.processes.get_mut(vm).unwrap().node;
+    node.take_events();
+    let before = beliefs(node);
+    tell(node, bench.now);
+    assert_eq!(beliefs(node), before);
+    assert_eq!(dropped(node), count);
+}
+
 #[test]
 fn test_beat_of_a_former_run_changes_nothing_and_is_counted() {
     let mut bench = whole_fleet(3, 3, 6);
@@ -239,15 +249,11 @@
     let beat = greedy_beat(&mut bench, &victim, &hearer);
     bench.start(1);
     bench.run_until_whole(Duration::from_secs(20));
-    let now = bench.now;
-    let node = &mut bench.processes.get_mut(&hearer).unwrap().node;
-    node.take_events();
-    let before = beliefs(node);
-    for _ in 0..3 {
-        assert_eq!(node.hear(&beat, now).answer, None);
-    }
-    assert_eq!(beliefs(node), before);
-    assert_eq!(dropped(node), 3);
+    assert_drops(&mut bench, &hearer, 3, |node, now| {
+        for _ in 0..3 {
+            assert_eq!(node.hear(&beat, now).answer, None);
+        }
+    });
 }
 
 #[test]
@@ -273,13 +279,9 @@
     let [hearer, other] = [0, 1].map(|index| listed(index).vm);
     let mut beat = greedy_beat(&mut bench, &other, &hearer);
     beat.from.vm = VmId::clone(&hearer);
-    let now = bench.now;
-    let node = &mut bench.processes.get_mut(&hearer).unwrap().node;
-    node.take_events();
-    let before = beliefs(node);
-    assert_eq!(node.hear(&beat, now).answer, None);
-    assert_eq!(beliefs(node), before);
-    assert_eq!(dropped(node), 1);
+    assert_drops(&mut bench, &hearer, 1, |node, now| {
+        assert_eq!(node.hear(&beat, now).answer, None);
+    });
 }
 
 #[test]
@@ -295,11 +297,7 @@
     }
     bench.start(1);
     bench.run_until_whole(Duration::from_secs(20));
-    let now = bench.now;
-    let node = &mut bench.processes.get_mut(&asker).unwrap().node;
-    node.take_events();
-    let before = beliefs(node);
-    node.hear_reply(&victim, &beat, &reply, now, now);
-    assert_eq!(beliefs(node), before);
-    assert_eq!(dropped(node), 1);
+    assert_drops(&mut bench, &asker, 1, |node, now| {
+        node.hear_reply(&victim, &beat, &reply, now, now);
+    });
 }
