--- a/crates/testkit/src/policy_bench/comparison.rs
+++ b/crates/testkit/src/policy_bench/comparison.rs
@@ -28,19 +28,21 @@
 /// Every arrangement under the same load and faults.
 pub(super) fn arrangement(settings: &BenchSettings, deployment: &Deployment) -> Outcome {
     let mut outcome = Outcome::titled("arrangement");
-    for case in cases() {
-        let run_one = |one| run_as(one, settings, deployment, &case);
-        let runs = at_once(Arrangement::ALL, run_one);
-        for (arrangement, record) in Arrangement::ALL.into_iter().zip(&runs) {
-            let prefix = format!("{}, {}", case.title, arrangement.name());
-            add_measures(&mut outcome, &prefix, record, window(settings));
+    for cases in cases() {
+        let run_case = |case| run_all(settings, deployment, case);
+        for (case, runs) in cases.iter().zip(at_once(cases.each_ref(), run_case)) {
+            for (arrangement, record) in Arrangement::ALL.into_iter().zip(&runs) {
+                let prefix = format!("{}, {}", case.title, arrangement.name());
+                add_measures(&mut outcome, &prefix, record, window(settings));
+            }
+            add_bounds(&mut outcome, case.title, &runs, window(settings));
         }
-        add_bounds(&mut outcome, case.title, &runs, window(settings));
     }
     outcome
 }
 
-fn cases() -> [Case; 6] {
+/// Returns the loads, then what goes wrong.
+fn cases() -> [[Case; 3]; 2] {
     let straggler = vec![at(WARMUP, Fault::Slow(HIT[0], STRAGGLER))];
     let join = at(WARMUP + GONE_SECS, Fault::Join(REPLACED));
     let replacement = vec![at(WARMUP, Fault::Leave(REPLACED)), join];
@@ -50,14 +52,22 @@
         load,
         faults,
     };
-    [
+    let loads = [
         case("load 0.5", 0.5, Vec::new()),
         case("load 0.9", 0.9, Vec::new()),
         case("load 1.2", 1.2, Vec::new()),
+    ];
+    let faults = [
         case("straggler", LOAD, straggler),
         case("replacement", 0.5, replacement),
         case("kill", 0.5, kill),
-    ]
+    ];
+    [loads, faults]
+}
+
+fn run_all(settings: &BenchSettings, deployment: &Deployment, case: &Case) -> [Record; 3] {
+    let run_one = |one| run_as(one, settings, deployment, case);
+    at_once(Arrangement::ALL, run_one)
 }
 
 fn run_as(
--- a/crates/testkit/src/policy_bench/outcome.rs
+++ b/crates/testkit/src/policy_bench/outcome.rs
@@ -102,11 +102,8 @@
     }
 }
 
-/// Makes three runs, each on a thread of its own.
-pub(super) fn at_once<T: Copy + Send>(
-    kinds: [T; 3],
-    run_as: impl Fn(T) -> Record + Sync,
-) -> [Record; 3] {
+/// Does three things, each on a thread of its own.
+pub(super) fn at_once<T: Send, R: Send>(kinds: [T; 3], run_as: impl Fn(T) -> R + Sync) -> [R; 3] {
     thread::scope(|scope| {
         let run_as = &run_as;
         let running = kinds.map(|kind| scope.spawn(move || run_as(kind)));
