limit: a few calls that were held up do not take slots away

Calls that hung at a frozen backend server and came back after a second counted in full in the slow average of the service time, so that it stayed above three times its floor for 130 further calls and each of them lowered the limit and doubled the rest. One call now counts for at most six times the floor: four of them are forgotten, 25 in a row are not.

Ruled out: a faster average. Its least value takes slots away for good, which is why it is slow.

Seen failing without it: test_limit_outlasts_a_few_calls_that_were_held_up.

--- a/crates/core/src/policy/limit.rs
+++ b/crates/core/src/policy/limit.rs
@@ -16,6 +16,10 @@
 const REST_MAX: Duration = Duration::from_secs(8);
 /// The factor over the lowest average service time from which latency counts as overload.
 const SLOW_FACTOR: f64 = 3.0;
+/// The most that one call counts in the average service time, a factor over the lowest average.
+///
+/// A few calls that were held up while a backend server was frozen say nothing of its concurrency.
+const SLOWEST_SAMPLE: f64 = 6.0;
 /// The weight of a call in the average service time; a noisy average has too low a floor.
 const SERVICE_WEIGHT: f64 = 0.02;
 /// The service times seen below which latency decides nothing.
@@ -98,7 +102,8 @@
     }
 
     fn on_service(&mut self, service: Duration, now: Instant) {
-        self.service.add(service);
+        let most = self.floor.map(|floor| floor.mul_f64(SLOWEST_SAMPLE));
+        self.service.add(service.min(most.unwrap_or(service)));
         let Some(average) = self.service.get() else {
             return;
         };
--- a/crates/core/src/policy/tests.rs
+++ b/crates/core/src/policy/tests.rs
@@ -131,6 +131,25 @@
     );
 }
 
+#[test]
+fn test_limit_outlasts_a_few_calls_that_were_held_up() {
+    let mut now = Instant::now();
+    let mut limit = Limit::new(2, now);
+    let mut reply = |service| {
+        now += Duration::from_millis(5);
+        limit.on_reply(CallOutcome::Done(1), Duration::from_millis(service), now);
+        limit.get()
+    };
+    for _ in 0..200 {
+        reply(5);
+    }
+    // The backend server was frozen with calls at it, and is as fast as before afterwards.
+    for _ in 0..4 {
+        reply(1_000);
+    }
+    assert!((0..200).all(|_| reply(5) == 2));
+}
+
 #[test]
 fn test_admission_hints_when_to_come_back() {
     let mut admission = Admission::default();
