policy: the wait at an owner is what the owner told

An entry worked the wait out from the queue's length and its own latency, which holds two hops as well: 8 ms where a call takes 4.6 ms, so that it believed in 1.7 times the wait and refused what could have been done. A reply now names the wait of one more call (ShardReply::wait), it shrinks with the time, and no more than 2 s of it are believed, so that a frozen owner's minutes lapse.

- A call is overdue only after that wait as well, and the choice adds the wait to the latency.
- A call that is overdue or lost to its hedge speaks against a backend server only if that gave no rows since the call was sent.
- A probe is judged by its latency over the turns that it waited.
Probes go out every second at least, 2 s before: a replica that came back 2 s before the burst was still ejected by most entries.

Changed test: test_replica_that_keeps_losing_to_hedges_is_ejected gave rows and lost calls at the same instant; its calls are now sent after the rows, and as many of them eject. Seen failing without the change: the two new tests of ejection and probes; the one of the wait needs the new field.

--- a/crates/core/src/policy/gather/recover.rs
+++ b/crates/core/src/policy/gather/recover.rs
@@ -165,7 +165,10 @@
             if attempt.overdue.is_some_and(|at| at <= now) {
                 attempt.overdue = None;
                 overdue = true;
-                context.tables.replicas.on_overdue(&attempt.server, now);
+                context
+                    .tables
+                    .replicas
+                    .on_overdue(&attempt.server, attempt.sent, now);
             }
         }
         if !overdue {
--- a/crates/core/src/policy/gather/send.rs
+++ b/crates/core/src/policy/gather/send.rs
@@ -78,7 +78,8 @@
         actions: &mut Vec<Action>,
     ) {
         context.tables.replicas.on_send(&server);
-        let patience = self.overdue_after(context);
+        let wait = context.tables.replicas.wait(&server, context.now);
+        let patience = self.overdue_after(context) + wait;
         let overdue = context.now + patience;
         let lost = context.now + patience * HOPELESS_FACTOR;
         let id = self.next_attempt;
--- a/crates/core/src/policy/queue/entry.rs
+++ b/crates/core/src/policy/queue/entry.rs
@@ -43,6 +43,15 @@
     pub limit: u32,
 }
 
+impl Service {
+    /// Returns how long a call waits that `ahead` others go before.
+    #[must_use]
+    pub fn wait(self, ahead: u32) -> Duration {
+        let turns = f64::from(ahead) / f64::from(self.limit.max(1));
+        self.time.mul_f64(turns)
+    }
+}
+
 impl QueueRefusal {
     /// Returns the cause that the entry is told.
     #[must_use]
--- a/crates/core/src/policy/queue/table.rs
+++ b/crates/core/src/policy/queue/table.rs
@@ -150,9 +150,7 @@
             Urgency::Ordinary => self.urgent.len() + self.ordinary.range(..key).count(),
         };
         let ahead = u32::try_from(ahead).unwrap_or(u32::MAX);
-        service
-            .time
-            .mul_f64(f64::from(ahead) / f64::from(service.limit.max(1)))
+        service.wait(ahead)
     }
 
     /// Makes room for an urgent call at the cost of the ordinary one with the latest deadline.
--- a/crates/core/src/policy/replica/choose.rs
+++ b/crates/core/src/policy/replica/choose.rs
@@ -162,10 +162,9 @@
         let Some(stats) = self.servers.get(server) else {
             return usual;
         };
-        let ahead = stats.queue(now) + f64::from(stats.in_flight);
-        let turns = 1.0 + ahead / f64::from(stats.slots);
+        let turns = 1.0 + f64::from(stats.in_flight) / f64::from(stats.slots);
         let factor = turns * stats.claim_factor(now) * stats.refusal_factor(now);
-        stats.fresh_service(usual, now).mul_f64(factor)
+        stats.wait(now) + stats.fresh_service(usual, now).mul_f64(factor)
     }
 }
 
--- a/crates/core/src/policy/replica/stats.rs
+++ b/crates/core/src/policy/replica/stats.rs
@@ -11,7 +11,7 @@
 /// How long an ejected backend server waits for its first probe.
 const PROBE_DELAY: Duration = Duration::from_millis(500);
 /// The longest wait between two probes.
-const PROBE_DELAY_MAX: Duration = Duration::from_secs(2);
+const PROBE_DELAY_MAX: Duration = Duration::from_secs(1);
 /// How long a returning backend server takes to get its full share of calls.
 const RAMP_TIME: Duration = Duration::from_secs(3);
 /// The share of calls that a returning backend server starts with.
@@ -24,6 +24,9 @@
 const PROOF_AGE: Duration = Duration::from_secs(1);
 /// How much longer a call is assumed to have taken that was cancelled before its reply.
 const CENSORED_FACTOR: u32 = 2;
+/// The longest wait at an owner that is believed; a longer one would hold back the calls whose
+/// replies correct it.
+const MOST_WAIT: Duration = Duration::from_secs(2);
 /// The successive refusals that are counted at most.
 const MOST_REFUSALS: u32 = 16;
 /// How long without a sample until a learned latency, or the last refusal, is half forgotten.
@@ -68,6 +71,7 @@
     sampled: Option<Instant>,
     proved: Option<Instant>,
     queued: u32,
+    wait: Duration,
     told: Option<Instant>,
     faults: u32,
     losses: u32,
@@ -89,6 +93,7 @@
             sampled: None,
             proved: None,
             queued: 0,
+            wait: Duration::ZERO,
             told: None,
             faults: 0,
             losses: 0,
@@ -102,9 +107,10 @@
 
     /// Notes the queue that the owner told with a reply; returns whether calls waited there
     /// before it or with it.
-    pub(crate) fn on_queue(&mut self, queued: u32, now: Instant) -> bool {
+    pub(crate) fn on_queue(&mut self, queued: u32, wait: Duration, now: Instant) -> bool {
         let waited = self.queue(now) >= 1.0;
         self.queued = queued;
+        self.wait = wait.min(MOST_WAIT);
         self.told = Some(now);
         waited || queued > 0
     }
@@ -148,6 +154,10 @@
         if least <= known || known.is_zero() || self.queue(now) >= 1.0 {
             return;
         }
+        let sent = now.checked_sub(elapsed);
+        if sent.is_some_and(|sent| self.gave_rows_since(sent)) {
+            return;
+        }
         self.add_sample(least, now);
         self.losses += 1;
         if self.losses >= EJECT_LOSSES {
@@ -155,6 +165,11 @@
         }
     }
 
+    /// Returns whether a call to it gave rows after this time.
+    pub(crate) fn gave_rows_since(&self, time: Instant) -> bool {
+        self.proved.is_some_and(|at| at > time)
+    }
+
     /// Notes that the backend server itself refused work because it is leaving.
     pub(crate) fn on_leaving(&mut self, now: Instant) {
         self.left = Some(now);
@@ -225,11 +240,30 @@
             return 0.0;
         };
         let age = now.saturating_duration_since(told).as_secs_f64();
+        if !self.wait.is_zero() {
+            let left = 1.0 - age / self.wait.as_secs_f64();
+            return f64::from(self.queued) * left.max(0.0);
+        }
         let service = self.service.get().unwrap_or_default().as_secs_f64();
         let drained = age * f64::from(self.slots) / service.max(1e-4);
         (f64::from(self.queued) - drained).max(0.0)
     }
 
+    /// Returns how long one more call would wait at the owner: what the owner told, less the time
+    /// since.
+    ///
+    /// The learned latency holds the way to the owner as well, so that it would give too long a
+    /// wait; it stands in until the owner has learned how long calls take.
+    pub(crate) fn wait(&self, now: Instant) -> Duration {
+        if let Some(told) = self.told
+            && !self.wait.is_zero()
+        {
+            let age = now.saturating_duration_since(told);
+            return self.wait.saturating_sub(age);
+        }
+        self.least_service(now).mul_f64(self.queue_turns(now))
+    }
+
     /// Returns the latency without queueing; none before the first sample.
     pub(crate) fn service(&self) -> Option<Duration> {
         self.service.get()
--- a/crates/core/src/policy/replica/table.rs
+++ b/crates/core/src/policy/replica/table.rs
@@ -42,6 +42,8 @@
     pub latency: Duration,
     /// The calls that waited at the owner when it replied; none when the owner did not reply.
     pub queued: Option<u32>,
+    /// How long the owner expects one more call to wait; zero when it has not learned that.
+    pub wait: Duration,
 }
 
 /// The expected time until a shard call is done.
@@ -101,11 +103,13 @@
         stats.in_flight = stats.in_flight.saturating_sub(1);
         let waited = report
             .queued
-            .is_some_and(|queued| stats.on_queue(queued, now));
+            .is_some_and(|queued| stats.on_queue(queued, report.wait, now));
         match report.outcome {
             CallOutcome::Done(_) => {
                 stats.on_done(report.latency, waited, now);
-                review_probe(stats, report.latency, usual, now);
+                let queued = report.queued.unwrap_or_default();
+                let turns = 1.0 + f64::from(queued) / f64::from(stats.slots);
+                review_probe(stats, report.latency.div_f64(turns), usual, now);
             }
             CallOutcome::NotRun(NotRunCause::Leaving) => stats.on_leaving(now),
             outcome if outcome.is_fault() => stats.on_fault(now),
@@ -125,13 +129,15 @@
         self.note_change(server, standing, EjectCause::Hedges);
     }
 
-    /// Notes that a call is overdue; it stays in flight.
+    /// Notes that a call which was sent at `sent` is overdue; it stays in flight.
     ///
-    /// While calls wait for the backend server that is no fault of its own.
-    pub fn on_overdue(&mut self, server: &ServerId, now: Instant) {
+    /// While calls wait for the backend server that is no fault of its own, nor when it gave rows
+    /// since: calls then wait that the owner had not told of yet.
+    pub fn on_overdue(&mut self, server: &ServerId, sent: Instant, now: Instant) {
         let standing = self.standing(server);
         if let Some(stats) = self.servers.get_mut(server)
             && stats.queue(now) < 1.0
+            && !stats.gave_rows_since(sent)
         {
             stats.on_fault(now);
         }
@@ -158,6 +164,14 @@
         self.servers.get(server).is_some_and(busy)
     }
 
+    /// Returns how long one more call is expected to wait at the owner.
+    #[must_use]
+    pub fn wait(&self, server: &ServerId, now: Instant) -> Duration {
+        self.servers
+            .get(server)
+            .map_or(Duration::ZERO, |stats| stats.wait(now))
+    }
+
     /// Returns the expected time of a call to the best of `replicas`.
     #[must_use]
     pub fn estimate(&self, replicas: &[ServerId], now: Instant) -> WaitEstimate {
@@ -202,12 +216,13 @@
     reason.map_or(EjectCause::Slow, EjectCause::Faults)
 }
 
-/// Lets an ejected backend server return when it is about as fast as the others.
-fn review_probe(stats: &mut ReplicaStats, latency: Duration, usual: Duration, now: Instant) {
+/// Lets an ejected backend server return when it is about as fast as the others, apart from the
+/// wait at its owner.
+fn review_probe(stats: &mut ReplicaStats, service: Duration, usual: Duration, now: Instant) {
     if !matches!(stats.standing, Standing::Ejected(_)) {
         return;
     }
-    if latency < usual.mul_f64(RECOVERED_FACTOR) {
+    if service < usual.mul_f64(RECOVERED_FACTOR) {
         stats.readmit(now);
     } else {
         stats.postpone_probe(now);
@@ -216,11 +231,9 @@
 
 fn estimate_one(stats: &ReplicaStats, now: Instant) -> WaitEstimate {
     let service = stats.least_service(now);
-    let queued = stats.queue(now);
-    let wait = service.mul_f64(queued / f64::from(stats.slots));
     WaitEstimate {
-        wait,
+        wait: stats.wait(now),
         service,
-        queued,
+        queued: stats.queue(now),
     }
 }
--- a/crates/core/src/policy/replica/tests.rs
+++ b/crates/core/src/policy/replica/tests.rs
@@ -66,6 +66,7 @@
         outcome,
         latency,
         queued: Some(0),
+        wait: Duration::ZERO,
     };
     table.on_report(&server, &report, now);
 }
@@ -209,6 +210,7 @@
         outcome: CallOutcome::Done(1),
         latency: FAST,
         queued: Some(10),
+        wait: Duration::ZERO,
     };
     table.on_report(&"a".into(), &told, now);
     assert_eq!(share(&mut table, &replicas, "a", now), 0);
@@ -231,6 +233,7 @@
             outcome: CallOutcome::Done(1),
             latency: SLOW,
             queued: Some(queued),
+            wait: Duration::ZERO,
         };
         table.on_report(&"b".into(), &told, now);
         share(&mut table, &replicas, "b", now);
@@ -247,7 +250,7 @@
     for loss in 1..=4 {
         assert_eq!(table.standing(&server), Some(Standing::Active), "{loss}");
         table.on_send(&server);
-        table.on_cancelled(&server, FAST * 10, now);
+        table.on_cancelled(&server, FAST * 10, now + FAST * 10);
     }
     assert!(matches!(
         table.standing(&server),
@@ -282,11 +285,95 @@
     assert_eq!(table.take_events(), [returned]);
     for _ in 0..4 {
         table.on_send(&"b".into());
-        table.on_cancelled(&"b".into(), FAST * 10, now);
+        table.on_cancelled(&"b".into(), FAST * 10, now + FAST * 10);
     }
     assert_eq!(table.take_events(), [ejected(EjectCause::Hedges)]);
 }
 
+#[test]
+fn test_replica_that_gives_rows_is_not_ejected_for_overdue_calls() {
+    let now = Instant::now();
+    let (mut table, _) = table(now);
+    settle(&mut table, "b", FAST, now);
+    let server = ServerId::from("b");
+    let late = now + FAST * 10;
+    // Calls were sent, another gave rows since, and they are overdue or lost to hedges.
+    report(&mut table, "b", CallOutcome::Done(1), FAST, now + FAST);
+    for _ in 0..4 {
+        table.on_overdue(&server, now, late);
+        table.on_cancelled(&server, FAST * 10, late);
+    }
+    assert_eq!(table.standing(&server), Some(Standing::Active));
+    // Those sent after its last rows speak against it.
+    for _ in 0..3 {
+        table.on_overdue(&server, now + FAST * 2, late);
+    }
+    assert!(matches!(
+        table.standing(&server),
+        Some(Standing::Ejected(_))
+    ));
+}
+
+#[parameterized(
+    waited = { 40, true },
+    slow = { 4, false },
+)]
+fn test_replica_probe_is_judged_without_its_wait(queued: u32, returns: bool) {
+    let now = Instant::now();
+    let (mut table, _) = table(now);
+    settle(&mut table, "a", FAST, now);
+    let server = ServerId::from("b");
+    for _ in 0..3 {
+        report(
+            &mut table,
+            "b",
+            CallOutcome::Unknown(UnknownCause::Timeout),
+            FAST,
+            now,
+        );
+    }
+    table.on_send(&server);
+    let probe = CallReport {
+        outcome: CallOutcome::Done(1),
+        latency: SLOW * 2,
+        queued: Some(queued),
+        wait: SLOW * 2,
+    };
+    table.on_report(&server, &probe, now);
+    let back = matches!(table.standing(&server), Some(Standing::Ramp(_)));
+    assert_eq!(back, returns);
+}
+
+#[test]
+fn test_replica_wait_is_what_the_owner_told() {
+    let now = Instant::now();
+    let (mut table, _) = table(now);
+    // The learned latency holds two hops of 10 ms that no call in the queue takes.
+    settle(&mut table, "a", FAST * 5, now);
+    let server = ServerId::from("a");
+    table.on_send(&server);
+    let told = CallReport {
+        outcome: CallOutcome::Done(1),
+        latency: FAST * 5,
+        queued: Some(20),
+        wait: Duration::from_millis(50),
+    };
+    table.on_report(&server, &told, now);
+    assert_eq!(table.wait(&server, now), Duration::from_millis(50));
+    let later = now + Duration::from_millis(30);
+    assert_eq!(table.wait(&server, later), Duration::from_millis(20));
+    assert_eq!(table.wait(&server, now + FAST * 20), Duration::ZERO);
+    // An owner that was frozen may tell of minutes, which no reply would correct.
+    table.on_send(&server);
+    let frozen = CallReport {
+        wait: Duration::from_mins(5),
+        ..told
+    };
+    table.on_report(&server, &frozen, now);
+    let later = now + Duration::from_secs(2);
+    assert_eq!(table.wait(&server, later), Duration::ZERO);
+}
+
 #[test]
 fn test_replica_new_server_ramps_up() {
     let now = Instant::now();
--- a/crates/server/src/entry/attempt.rs
+++ b/crates/server/src/entry/attempt.rs
@@ -1,6 +1,6 @@
 //! One shard call of a search: what is sent, and what its result means to the policy.
 
-use std::sync::Arc;
+use std::{sync::Arc, time::Duration};
 
 use cassialift_core::{
     ids::{AttemptId, IndexVersion, RequestKey, ServerId, ShardId},
@@ -66,10 +66,11 @@
     pub(super) async fn run(self, node: &Node, admitted: &Admitted, call: ShardCall) -> Arrival {
         let (service, kind) = (Arc::clone(&call.service), call.kind);
         let sent = Timer.now();
-        let (outcome, rows, queued) = match node.call_shard(&admitted.view, call).await {
+        let (outcome, rows, queue) = match node.call_shard(&admitted.view, call).await {
             Ok(reply) => {
                 let outcome = reply.result.outcome();
-                (outcome, rows(reply.result), Some(reply.queued))
+                let queue = Some((reply.queued, reply.wait.0));
+                (outcome, rows(reply.result), queue)
             }
             Err(error) => (failure(&error), Vec::new(), None),
         };
@@ -77,7 +78,8 @@
         let report = CallReport {
             outcome,
             latency: now.saturating_duration_since(sent),
-            queued,
+            queued: queue.map(|(queued, _)| queued),
+            wait: queue.map_or(Duration::ZERO, |(_, wait)| wait),
         };
         node.policy.decide(node, |tables| {
             tables.on_report(&service, kind, &self.server, &report, now);
--- a/crates/server/src/owner/server.rs
+++ b/crates/server/src/owner/server.rs
@@ -39,6 +39,17 @@
     gate: Mutex<Gate<Waiter>>,
 }
 
+/// What the entry is told of a backend server with each reply.
+#[derive(Clone, Copy, Debug, Default)]
+pub(super) struct Report {
+    /// The calls that wait.
+    pub(super) queued: u32,
+    /// How long one more call would wait.
+    pub(super) wait: Duration,
+    /// The load that the backend server told last.
+    pub(super) load: ServerLoad,
+}
+
 impl Server {
     /// Makes a server with nothing in use.
     pub(super) fn new(
@@ -222,10 +233,15 @@
         self.lock().share.address
     }
 
-    /// Returns the calls that wait and the load last told.
-    pub(super) fn report(&self) -> (u32, ServerLoad) {
+    /// Returns the calls that wait, how long one more would wait, and the load last told.
+    pub(super) fn report(&self) -> Report {
         let gate = self.lock();
-        (gate.queue.len(), gate.load)
+        let queued = gate.queue.len();
+        Report {
+            queued,
+            wait: gate.service().wait(queued),
+            load: gate.load,
+        }
     }
 
     /// Returns the slots in use and the connections that are open, opening or closing.
--- a/crates/server/src/owner/service.rs
+++ b/crates/server/src/owner/service.rs
@@ -15,10 +15,7 @@
     presets::QueuePolicy,
     view::{ConfigView, FleetView, OwnerView},
 };
-use cassialift_wire::{
-    backend::ServerLoad,
-    peer::{CallFailure, CallRefusal, CallResult, ShardCall, ShardReply},
-};
+use cassialift_wire::peer::{CallFailure, CallRefusal, CallResult, ShardCall, ShardReply};
 use tokio::runtime::Handle;
 
 use super::{
@@ -28,7 +25,7 @@
     grant::{Admission, Grant},
     mark::SendMark,
     run::Run,
-    server::Server,
+    server::{Report, Server},
     settings::OwnerSettings,
 };
 use crate::metrics::Metrics;
@@ -104,15 +101,13 @@
         let server = self.servers.load().get(&call.server).map(Arc::clone);
         let Some(server) = server else {
             let refusal = CallRefusal::NotOwner { owner: None };
-            let load = ServerLoad::default();
-            return reply(&call, CallResult::NotRun(refusal), 0, load);
+            return reply(&call, CallResult::NotRun(refusal), Report::default());
         };
         let result = match self.admit(&server, &call, now, deadline).await {
             Ok(grant) => execute(grant, &call, deadline).await,
             Err(refusal) => CallResult::NotRun(refusal),
         };
-        let (queued, load) = server.report();
-        reply(&call, result, queued, load)
+        reply(&call, result, server.report())
     }
 
     async fn admit(
@@ -228,15 +223,16 @@
     }
 }
 
-fn reply(call: &ShardCall, result: CallResult, queued: u32, load: ServerLoad) -> ShardReply {
+fn reply(call: &ShardCall, result: CallResult, report: Report) -> ShardReply {
     ShardReply {
         request: call.request,
         attempt: call.attempt,
         shard: call.shard,
         server: Arc::clone(&call.server),
         result,
-        queued,
-        load,
+        queued: report.queued,
+        wait: report.wait.into(),
+        load: report.load,
     }
 }
 
--- a/crates/server/src/peers/tests/replies.rs
+++ b/crates/server/src/peers/tests/replies.rs
@@ -49,6 +49,7 @@
                 rows: Vec::new(),
             },
             queued: 0,
+            wait: Millis::default(),
             load: ServerLoad::default(),
         };
         (self.change)(&mut reply);
--- a/crates/testkit/src/policy_bench/entry_side.rs
+++ b/crates/testkit/src/policy_bench/entry_side.rs
@@ -13,14 +13,14 @@
 
 use super::{
     arrival::target,
-    event::Event,
+    event::{Event, Told},
     record::{End, Ended},
     search::{Machine, Search},
     world::{Call, Strategy, World},
 };
 
 impl World {
-    pub(super) fn on_reply(&mut self, call_id: u64, outcome: CallOutcome, queued: u32) {
+    pub(super) fn on_reply(&mut self, call_id: u64, outcome: CallOutcome, told: Told) {
         let Some(call) = self.calls.remove(&call_id) else {
             return;
         };
@@ -31,7 +31,7 @@
             return;
         };
         search.calls.remove(&call.attempt);
-        self.report(&search, &call, outcome, queued);
+        self.report(&search, &call, outcome, told);
         let mut actions = Vec::new();
         let included = self.step(&mut search, |machine, context| {
             machine.on_reply(call.attempt, outcome, context, &mut actions)
@@ -104,7 +104,7 @@
         run(&mut search.machine, &mut context)
     }
 
-    fn report(&mut self, search: &Search, call: &Call, outcome: CallOutcome, queued: u32) {
+    fn report(&mut self, search: &Search, call: &Call, outcome: CallOutcome, told: Told) {
         if self.settings.strategy != Strategy::Policy {
             return;
         }
@@ -113,7 +113,8 @@
         let report = CallReport {
             outcome,
             latency: self.now - call.sent,
-            queued: Some(queued),
+            queued: Some(told.queued),
+            wait: told.wait,
         };
         let tables = &mut self.entries[search.entry].tables;
         tables.on_report(&service, search.kind, &server, &report, self.now);
--- a/crates/testkit/src/policy_bench/event.rs
+++ b/crates/testkit/src/policy_bench/event.rs
@@ -3,7 +3,7 @@
 use std::{
     cmp::{Ordering, Reverse},
     collections::BinaryHeap,
-    time::Instant,
+    time::{Duration, Instant},
 };
 
 use cassialift_core::policy::outcome::CallOutcome;
@@ -30,7 +30,7 @@
     /// A backend server is done with a call.
     Done(u64),
     /// A reply reaches its entry.
-    AtEntry(u64, CallOutcome, u32),
+    AtEntry(u64, CallOutcome, Told),
     /// A request's timer is due.
     Timer(u64),
     /// Something goes wrong.
@@ -41,6 +41,15 @@
     Health,
 }
 
+/// What an owner tells of its queue with a reply.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Told {
+    /// The calls that wait.
+    pub(super) queued: u32,
+    /// How long one more call would wait.
+    pub(super) wait: Duration,
+}
+
 #[derive(Clone, Debug)]
 struct Entry {
     at: Instant,
--- a/crates/testkit/src/policy_bench/owner.rs
+++ b/crates/testkit/src/policy_bench/owner.rs
@@ -17,6 +17,8 @@
     presets::QueuePolicy,
 };
 
+use super::event::Told;
+
 /// The service time assumed before any call was seen.
 const FIRST_GUESS: Duration = Duration::from_millis(5);
 
@@ -173,6 +175,13 @@
         }
     }
 
+    /// Returns what is told of the queue with a reply.
+    pub(super) fn told(&self) -> Told {
+        let queued = self.queued();
+        let wait = self.service().wait(queued);
+        Told { queued, wait }
+    }
+
     fn service(&self) -> Service {
         let limit = match &self.lane {
             Lane::Policy(_, limit) => limit.get(),
--- a/crates/testkit/src/policy_bench/owner_side.rs
+++ b/crates/testkit/src/policy_bench/owner_side.rs
@@ -137,8 +137,8 @@
             return;
         };
         call.replied = true;
-        let queued = self.owners[call.lane].queued();
-        let event = Event::AtEntry(id, outcome, queued);
+        let told = self.owners[call.lane].told();
+        let event = Event::AtEntry(id, outcome, told);
         self.events.push(self.now + self.near(), event);
     }
 }
--- a/crates/testkit/src/policy_bench/world.rs
+++ b/crates/testkit/src/policy_bench/world.rs
@@ -191,7 +191,7 @@
             Event::Back(call, outcome) => self.on_back(call, outcome),
             Event::Expire(lane) => self.dispatch(lane),
             Event::Done(call) => self.on_done(call),
-            Event::AtEntry(call, outcome, queued) => self.on_reply(call, outcome, queued),
+            Event::AtEntry(call, outcome, told) => self.on_reply(call, outcome, told),
             Event::Timer(search) => self.on_timer(search),
             Event::Fault(fault) => self.on_fault(fault),
             Event::Learn(entry) => self.on_learn(entry),
--- a/crates/wire/src/peer/call.rs
+++ b/crates/wire/src/peer/call.rs
@@ -51,6 +51,8 @@
     pub result: CallResult,
     /// The calls that wait for this backend server at its owner.
     pub queued: u32,
+    /// How long one more call would wait there; zero before the owner has learned that.
+    pub wait: Millis,
     /// The backend server's load as it last told the owner.
     pub load: ServerLoad,
 }
