ownership: messages and ticks visit the rows with a part only

A tick, an ask, an answer and a view each passed over all 5,100 rows, about 100 passes a second, to find the few that concern this process. The table now keeps the keys of rows that are not quiet: rows that hold or claim, that this process should own, or that another process spoke of. A message makes the rows that it names busy; the next tick drops those that are quiet.

The property tests check at every step that each row that is not visited is quiet. With any of the three places left out that make rows busy, tests fail; `test_offer_of_an_unknown_server_is_visited` was added for the one that none noticed.

--- a/crates/core/src/fleet/ownership/exchange.rs
+++ b/crates/core/src/fleet/ownership/exchange.rs
@@ -43,7 +43,7 @@
             sequence: self.next_sequence(&to.vm),
             ..Ask::default()
         };
-        for (key, row) in &self.rows {
+        for (key, row) in self.busy_rows() {
             match &row.role {
                 Role::Owner {
                     standby: Some(standby),
@@ -80,6 +80,8 @@
         if !meant || !self.is_latest(from, ask.sequence) {
             return None;
         }
+        let named = [&ask.holds, &ask.claims, &ask.offers, &ask.wants];
+        self.touch(named.into_iter().flatten());
         self.note_offers(from, ask, now);
         self.release(from, ask, now);
         self.hand_over(from, ask, now);
@@ -87,7 +89,7 @@
         for key in &ask.holds {
             self.stand(from, *key, now);
         }
-        for (key, row) in &self.rows {
+        for (key, row) in self.busy_rows() {
             if matches!(&row.role, Role::Standby { owner, .. } if owner == from) {
                 answer.stands.push(*key);
             }
@@ -104,7 +106,10 @@
 
     /// Stops being standby of `from` for servers that it no longer names.
     fn release(&mut self, from: &Holder, ask: &Ask, now: Instant) {
-        for (key, row) in &mut self.rows {
+        for key in &self.busy {
+            let Some(row) = self.rows.get_mut(key) else {
+                continue;
+            };
             let Role::Standby { owner, origin, .. } = &row.role else {
                 continue;
             };
@@ -222,6 +227,8 @@
         if self.woken.is_some_and(|woken| sent < woken) {
             return;
         }
+        let named = [&ask.holds, &ask.claims, &answer.stands];
+        self.touch(named.into_iter().flatten());
         let latest = self.asked.get(&from.vm) == Some(&ask.sequence);
         for key in &ask.holds {
             let promised = answer.stands.contains(key);
@@ -273,7 +280,10 @@
 
     /// Forgets a standby that was named no longer and has read that.
     fn accept_release(&mut self, from: &Holder, ask: &Ask, answer: &Answer) {
-        for (key, row) in &mut self.rows {
+        for key in &self.busy {
+            let Some(row) = self.rows.get_mut(key) else {
+                continue;
+            };
             let Role::Owner { standby, lease } = &mut row.role else {
                 continue;
             };
--- a/crates/core/src/fleet/ownership/row.rs
+++ b/crates/core/src/fleet/ownership/row.rs
@@ -68,6 +68,11 @@
         vacant && self.target.owner() != Some(own) && self.hint.is_none() && !self.halved
     }
 
+    /// Returns whether neither a tick nor a message concerns the row unless it names it.
+    pub(super) fn is_quiet(&self, own: &VmId) -> bool {
+        self.is_idle(own) && self.successor.is_none() && self.offer.is_none()
+    }
+
     /// Returns whether another claimant than `from` was told lately that the server is free.
     pub(super) fn is_pledged(&self, from: &Holder, now: Instant) -> bool {
         let pledge = self.pledge.as_ref();
--- a/crates/core/src/fleet/ownership/system.rs
+++ b/crates/core/src/fleet/ownership/system.rs
@@ -35,6 +35,8 @@
     pub(super) state: OwnState,
     pub(super) settings: OwnershipSettings,
     pub(super) rows: BTreeMap<ServerKey, Row>,
+    /// The rows that this process may play a part for; every other row is quiet.
+    pub(super) busy: BTreeSet<ServerKey>,
     pub(super) candidates: Candidates,
     pub(super) asked: BTreeMap<VmId, u64>,
     pub(super) answered: BTreeMap<VmId, (Holder, u64)>,
@@ -58,6 +60,7 @@
             state: OwnState::default(),
             settings,
             rows: BTreeMap::new(),
+            busy: BTreeSet::new(),
             candidates: BTreeMap::new(),
             asked: BTreeMap::new(),
             answered: BTreeMap::new(),
@@ -79,6 +82,7 @@
             row.whole = whole(entry);
             self.rows.insert(key, row);
         }
+        self.busy.retain(|key| self.rows.contains_key(key));
         self.stale = true;
         self.update_targets();
     }
@@ -130,7 +134,7 @@
     pub fn partners(&self, now: Instant) -> BTreeSet<VmId> {
         let missed = now + self.settings.lease.saturating_sub(self.settings.period * 2);
         let mut partners = BTreeSet::new();
-        for row in self.rows.values() {
+        for (_, row) in self.busy_rows() {
             match &row.role {
                 Role::Claiming { .. }
                 | Role::Standby {
@@ -189,9 +193,8 @@
         self.ticked = now;
         self.update_targets();
         let mut handovers = self.settings.handovers;
-        // A process plays a part for few of all servers.
         let idle = |row: &Row| row.is_idle(&self.own.vm);
-        let busy = self.rows.iter().filter(|(_, row)| !idle(row));
+        let busy = self.busy_rows().filter(|(_, row)| !idle(row));
         let keys: Vec<_> = busy.map(|(key, _)| *key).collect();
         for key in keys {
             let Some(mut row) = self.rows.remove(&key) else {
@@ -202,6 +205,22 @@
             self.note_half(&mut row, now);
             self.rows.insert(key, row);
         }
+        let rows = &self.rows;
+        let own = &self.own.vm;
+        self.busy
+            .retain(|key| rows.get(key).is_some_and(|row| !row.is_quiet(own)));
+    }
+
+    /// Returns the rows that this process may play a part for; of all servers they are few.
+    pub(super) fn busy_rows(&self) -> impl Iterator<Item = (&ServerKey, &Row)> {
+        let row = |key| Some((key, self.rows.get(key)?));
+        self.busy.iter().filter_map(row)
+    }
+
+    /// Makes the rows that a message speaks of busy until the next tick looks at them.
+    pub(super) fn touch<'a>(&mut self, keys: impl Iterator<Item = &'a ServerKey>) {
+        let known = keys.filter(|key| self.rows.contains_key(key));
+        self.busy.extend(known);
     }
 
     pub(super) fn next_sequence(&mut self, to: &VmId) -> u64 {
--- a/crates/core/src/fleet/ownership/targets.rs
+++ b/crates/core/src/fleet/ownership/targets.rs
@@ -64,10 +64,18 @@
         let mut rows = std::mem::take(&mut self.rows);
         for (key, row) in &mut rows {
             row.target = self.target(*key, row);
+            self.note_target(*key, row);
         }
         self.rows = rows;
     }
 
+    /// Makes a row busy if this process should own the server.
+    fn note_target(&mut self, key: ServerKey, row: &Row) {
+        if row.target.owner() == Some(&self.own.vm) {
+            self.busy.insert(key);
+        }
+    }
+
     /// Returns a number that grows whenever a target may have changed.
     #[must_use]
     pub const fn ranking(&self) -> u64 {
@@ -85,6 +93,7 @@
                 let ranked = rank(*key, &row.centre, vm, &one.centre);
                 row.target.insert((one.settled, ranked));
             }
+            self.note_target(*key, row);
         }
         self.rows = rows;
     }
--- a/crates/core/src/fleet/ownership/tests.rs
+++ b/crates/core/src/fleet/ownership/tests.rs
@@ -8,7 +8,9 @@
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
-use super::{Candidate, Candidates, Holder, OwnState, Ownership, OwnershipSettings};
+use super::{
+    Answer, Candidate, Candidates, Holder, OwnState, Ownership, OwnershipSettings, Role, server_key,
+};
 use crate::{
     ids::{DataCentre, VmId},
     index::{ServerEntry, ServerState},
@@ -67,6 +69,14 @@
     }
 }
 
+impl Ownership {
+    /// Returns whether every row that is not visited is quiet.
+    pub(crate) fn visits_all(&self) -> bool {
+        let mut rows = self.rows.iter();
+        rows.all(|(key, row)| self.busy.contains(key) || row.is_quiet(&self.own.vm))
+    }
+}
+
 #[test]
 fn test_targets_follow_changes() {
     for seed in 0..40 {
@@ -92,6 +102,7 @@
                 ownership.set_candidates(candidates.clone(), state(&mut rng));
             }
             ownership.tick(Instant::now() + Duration::from_millis(1));
+            assert!(ownership.visits_all(), "seed {seed}, step {step}");
             for (key, row) in &ownership.rows {
                 let anew = ownership.target(*key, row);
                 assert_eq!(row.target, anew, "seed {seed}, step {step}");
@@ -99,3 +110,36 @@
         }
     }
 }
+
+/// A process that should own nothing is offered a server that it knows nothing of.
+#[test]
+fn test_offer_of_an_unknown_server_is_visited() {
+    let now = Instant::now();
+    let holder = |number| Holder {
+        vm: vm(number),
+        incarnation: 1,
+    };
+    let settings = OwnershipSettings::default();
+    let mut ownership = Ownership::new(holder(0), centre(0), settings, now);
+    ownership.set_servers([server(1)].iter());
+    let leaving = OwnState {
+        leaving: true,
+        ready: true,
+        settled: true,
+    };
+    let mut rng = ChaCha8Rng::seed_from_u64(1);
+    let candidates = Candidates::from([(vm(1), candidate(&mut rng, 1))]);
+    ownership.set_candidates(candidates, leaving);
+    ownership.tick(now);
+    let ask = ownership.ask(&holder(1), now);
+    let answer = Answer {
+        stands: vec![server_key("server-1")],
+        denies: Vec::new(),
+    };
+    ownership.accept(&holder(1), &ask, &answer, now, now);
+    assert!(matches!(
+        ownership.role("server-1"),
+        Some(Role::Owner { .. })
+    ));
+    assert!(ownership.visits_all());
+}
--- a/crates/core/src/fleet/ownership/view.rs
+++ b/crates/core/src/fleet/ownership/view.rs
@@ -16,7 +16,8 @@
 
     /// Returns the part of [`Self::views`] that [`Self::targets`] does not tell.
     pub fn parts(&self, now: Instant) -> impl Iterator<Item = (ServerId, OwnerView)> {
-        let parts = self.rows.values().filter(|row| !row.is_plain());
+        let rows = self.busy_rows().map(|(_, row)| row);
+        let parts = rows.filter(|row| !row.is_plain());
         self.views_of(parts, now)
     }
 
--- a/crates/core/src/fleet/tests/bench.rs
+++ b/crates/core/src/fleet/tests/bench.rs
@@ -214,6 +214,9 @@
 
     /// Checks that the shares of each backend server sum up to no more than it has.
     pub(super) fn check(&self) {
+        for process in self.processes.values() {
+            assert!(process.node.ownership().visits_all());
+        }
         for server in &self.servers {
             let (mut slots, mut connections) = (0, 0);
             for process in self.processes.values().filter(|one| !one.killed) {
--- a/crates/core/src/fleet/tests/views.rs
+++ b/crates/core/src/fleet/tests/views.rs
@@ -70,6 +70,7 @@
         let anew = ViewBuilder::default().build(&process.node, None, bench.now);
         assert_eq!(view.members, anew.members);
         assert_owners(&view, process, bench);
+        assert!(process.node.ownership().visits_all());
     }
 }
 
