cost: the memory of a process that starts into a running fleet

When all processes start at once, each claims and so calls every other, which a process that is replaced does not. The memory of one that was killed and started again is printed beside the mean.

--- a/crates/testkit/examples/cost.rs
+++ b/crates/testkit/examples/cost.rs
@@ -34,8 +34,8 @@
     let sizes = matches.opt_get_default("sizes", "4,8,16,32".to_owned())?;
     let seconds = matches.opt_get_default("seconds", 20)?;
     let centre: Option<usize> = matches.opt_get("centre")?;
-    println!("| processes | bytes/s | core % | memory MiB | takeover s |");
-    println!("| --- | --- | --- | --- | --- |");
+    println!("| processes | bytes/s | core % | memory MiB | takeover s | replaced MiB |");
+    println!("| --- | --- | --- | --- | --- | --- |");
     let mut costs = Vec::new();
     for size in sizes.split(',') {
         let size = size.parse()?;
@@ -53,6 +53,7 @@
         ("bytes/s", (|cost| cost.bytes) as fn(&Cost) -> f64),
         ("core %", |cost| cost.processor * 100.0),
         ("memory MiB", |cost| cost.memory / 1_048_576.0),
+        ("replaced MiB", |cost| cost.replaced / 1_048_576.0),
     ] {
         let (slope, base) = cost::slope(&costs, value);
         let target = base + slope * TARGET;
--- a/crates/testkit/src/cost/fleet.rs
+++ b/crates/testkit/src/cost/fleet.rs
@@ -65,12 +65,19 @@
     let killed = Instant::now();
     fleet.signal(0, Signal::Kill)?;
     wait_whole(&fleet, &all[1..]).await?;
+    let takeover = killed.elapsed();
+    fleet.start_vm(0)?;
+    fleet.wait_vm(0).await?;
+    tokio::time::sleep(settings.window).await;
+    wait_whole(&fleet, &all).await?;
+    let replaced = fleet.pid(0).map(usage).transpose()?.unwrap_or_default();
     Ok(Cost {
         size: settings.size,
         bytes: number(after.bytes - before.bytes) / took / count,
         processor: processor.as_secs_f64() / took / count,
         memory: number(after.usage.memory) / count,
-        takeover: killed.elapsed(),
+        takeover,
+        replaced: number(replaced.memory),
     })
 }
 
--- a/crates/testkit/src/cost/report.rs
+++ b/crates/testkit/src/cost/report.rs
@@ -15,18 +15,21 @@
     pub memory: f64,
     /// From the kill of a VM until other VMs used all its backend servers in full.
     pub takeover: Duration,
+    /// Resident memory, bytes, of a process that was started again into the running fleet.
+    pub replaced: f64,
 }
 
 impl fmt::Display for Cost {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         write!(
             f,
-            "| {} | {:.0} | {:.2} | {:.1} | {:.2} |",
+            "| {} | {:.0} | {:.2} | {:.1} | {:.2} | {:.1} |",
             self.size,
             self.bytes,
             self.processor * 100.0,
             self.memory / 1_048_576.0,
             self.takeover.as_secs_f64(),
+            self.replaced / 1_048_576.0,
         )
     }
 }
