--- a/crates/testkit/examples/cost.rs
+++ b/crates/testkit/examples/cost.rs
@@ -1,4 +1,5 @@
-//! Measures what idle fleets spend on control: `cost --sizes 4,8,16,32 --seconds 20`.
+//! Measures what idle fleets spend on control: `cost --sizes 4,8,16,32 --seconds 20`, or how long
+//! backend servers go unanswered for when their owner falls silent: `cost --silence --sizes 4,8`.
 //!
 //! With `--centre 8`, every data centre has eight processes, so that the partners of a process are
 //! equally many at each size.
@@ -30,8 +31,12 @@
         "the processes of each data centre; else four data centres",
         "N",
     );
+    options.optflag("", "silence", "measure frozen and killed owners instead");
     let matches = options.parse(args)?;
     let sizes = matches.opt_get_default("sizes", "4,8,16,32".to_owned())?;
+    if matches.opt_present("silence") {
+        return run_silence(&sizes).await;
+    }
     let seconds = matches.opt_get_default("seconds", 20)?;
     let centre: Option<usize> = matches.opt_get("centre")?;
     println!("| processes | bytes/s | core % | memory MiB | takeover s | replaced MiB |");
@@ -62,6 +67,20 @@
     Ok(())
 }
 
+async fn run_silence(sizes: &str) -> Result<(), Box<dyn std::error::Error>> {
+    println!("| processes | frozen s | killed s |");
+    println!("| --- | --- | --- |");
+    for size in sizes.split(',') {
+        let settings = CostSettings {
+            size: size.parse()?,
+            centres: CENTRES,
+            ..CostSettings::default()
+        };
+        println!("{}", cost::silence(settings).await?);
+    }
+    Ok(())
+}
+
 #[tokio::main]
 async fn main() -> ExitCode {
     env_logger::init();
--- a/crates/testkit/src/cost/fleet.rs
+++ b/crates/testkit/src/cost/fleet.rs
@@ -14,7 +14,7 @@
 use crate::harness::{Fleet, FleetSettings, HarnessError, Signal};
 
 /// The slots of each backend server.
-const SLOTS: u32 = 2;
+pub(super) const SLOTS: u32 = 2;
 
 /// How a fleet is measured.
 #[derive(Clone, Copy, Debug)]
@@ -105,7 +105,7 @@
 }
 
 /// Waits until each backend server is used in full by exactly one of the VMs.
-async fn wait_whole(fleet: &Fleet, vms: &[usize]) -> Result<(), HarnessError> {
+pub(super) async fn wait_whole(fleet: &Fleet, vms: &[usize]) -> Result<(), HarnessError> {
     let whole = async || is_whole(fleet, vms).await.unwrap_or(false);
     fleet.wait_for("one owner for each server", whole).await
 }
--- /dev/null
+++ b/crates/testkit/src/cost/silence.rs
@@ -0,0 +1,124 @@
+//! How long backend servers go unanswered for when their owner falls silent.
+
+use std::{
+    fmt,
+    time::{Duration, Instant},
+};
+
+use cassialift_core::{
+    presets::{KindPolicy, Preset},
+    request::RequestKind,
+    time::Millis,
+};
+use futures::future::try_join_all;
+
+use super::{
+    CostSettings,
+    fleet::{SLOTS, wait_whole},
+};
+use crate::{
+    harness::{Caller, Fleet, FleetSettings, HarnessError, Signal},
+    history::CallEnd,
+};
+
+/// The deadline of the searches that are sent until one is answered in full.
+const SEARCH_DEADLINE: Millis = Millis::new(100);
+/// How long a fleet is left alone before one of its VMs falls silent.
+const SETTLE_TIME: Duration = Duration::from_secs(5);
+
+/// The time from the silence of a VM until every other VM answered a search over all backend
+/// servers in full.
+#[derive(Clone, Copy, Debug)]
+pub struct Silence {
+    /// The processes of the fleet.
+    pub size: usize,
+    /// After the VM was frozen.
+    pub frozen: Duration,
+    /// After the VM was killed.
+    pub killed: Duration,
+}
+
+/// Freezes a VM of a fleet, wakes it, kills it, and measures each silence.
+///
+/// Each shard has one replica, so that an answer in full needs every backend server.
+///
+/// # Errors
+/// Returns what could not be started or did not come about.
+pub async fn silence(settings: CostSettings) -> Result<Silence, HarnessError> {
+    let mut fleet = start(settings).await?;
+    let all: Vec<usize> = (0..settings.size).collect();
+    settle(&fleet, &all).await?;
+    let frozen = measure(&mut fleet, &all[1..], Signal::Stop).await?;
+    fleet.signal(0, Signal::Continue)?;
+    settle(&fleet, &all).await?;
+    let killed = measure(&mut fleet, &all[1..], Signal::Kill).await?;
+    Ok(Silence {
+        size: settings.size,
+        frozen,
+        killed,
+    })
+}
+
+async fn start(settings: CostSettings) -> Result<Fleet, HarnessError> {
+    let servers = settings.size * settings.servers;
+    let policy = KindPolicy {
+        deadline: SEARCH_DEADLINE,
+        ..KindPolicy::default()
+    };
+    let mut preset = Preset::default();
+    preset.kinds.insert(RequestKind::WideSearch, policy);
+    Fleet::start(FleetSettings {
+        vms: vec![settings.size / settings.centres; settings.centres],
+        servers,
+        shards: u32::try_from(servers).unwrap_or(u32::MAX),
+        replicas: 1,
+        slots: SLOTS,
+        preset,
+        ..FleetSettings::default()
+    })
+    .await
+}
+
+/// Waits until every VM answers in full and handovers are over.
+async fn settle(fleet: &Fleet, vms: &[usize]) -> Result<(), HarnessError> {
+    wait_whole(fleet, vms).await?;
+    tokio::time::sleep(SETTLE_TIME).await;
+    wait_whole(fleet, vms).await?;
+    wait_answers(fleet, vms).await
+}
+
+async fn measure(
+    fleet: &mut Fleet,
+    rest: &[usize],
+    signal: Signal,
+) -> Result<Duration, HarnessError> {
+    let start = Instant::now();
+    fleet.signal(0, signal)?;
+    wait_answers(fleet, rest).await?;
+    Ok(start.elapsed())
+}
+
+/// Waits until each of the VMs has answered a search in full.
+async fn wait_answers(fleet: &Fleet, vms: &[usize]) -> Result<(), HarnessError> {
+    let waits = vms.iter().map(|vm| wait_answer(fleet, *vm));
+    try_join_all(waits).await.map(drop)
+}
+
+async fn wait_answer(fleet: &Fleet, vm: usize) -> Result<(), HarnessError> {
+    let mut caller = fleet.caller(&format!("caller-{vm}"))?;
+    let full = async || is_full(&mut caller, fleet, vm).await;
+    fleet.wait_for("an answer in full", full).await
+}
+
+async fn is_full(caller: &mut Caller, fleet: &Fleet, vm: usize) -> bool {
+    caller.hold(fleet.vm_address(vm));
+    let end = caller.search(RequestKind::WideSearch, None).await;
+    matches!(end, CallEnd::Answer(answer) if answer.coverage.missing.is_empty())
+}
+
+impl fmt::Display for Silence {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let [frozen, killed] = [self.frozen, self.killed].map(|time| time.as_secs_f64());
+        write!(f, "| {} | {frozen:.2} | {killed:.2} |", self.size)
+    }
+}
