gather: replicas that all look lost get a fifth of the deadline

Three overdue calls eject, so both were ejected, and four searches gave the shard up as unreachable 180 ms after they began, with 10 s to go.

Calls to ejected replicas are now given up after twice the overdue time as before, but not before a fifth of the deadline.

Ruled out: hopeless only 500 ms after the last rows. Also ruled out: a chance of the new waits that owners tell; the rule and the ejection are older.

The new test was seen failing with a share of 0 (given up after 92 ms).

--- a/crates/core/src/policy/gather/send.rs
+++ b/crates/core/src/policy/gather/send.rs
@@ -13,6 +13,10 @@
 const OVERDUE_SHARE: f64 = 0.25;
 /// The multiple of the overdue time after which calls to replicas in bad standing are given up.
 const HOPELESS_FACTOR: u32 = 2;
+/// The share of the deadline before which they are not given up.
+///
+/// Replicas that were held up for a moment together with this process all look lost at once.
+const HOPELESS_SHARE: f64 = 0.2;
 
 impl Gather {
     /// Sends a call to the best untried replica; returns false when there is none.
@@ -81,7 +85,8 @@
         let wait = context.tables.replicas.wait(&server, context.now);
         let patience = self.overdue_after(context) + wait;
         let overdue = context.now + patience;
-        let lost = context.now + patience * HOPELESS_FACTOR;
+        let lost =
+            context.now + (patience * HOPELESS_FACTOR).max(self.whole().mul_f64(HOPELESS_SHARE));
         let id = self.next_attempt;
         self.next_attempt += 1;
         let shard = &mut self.shards[index];
@@ -101,12 +106,14 @@
         });
     }
 
+    /// Returns the time that the request was given.
+    fn whole(&self) -> Duration {
+        let (started, deadline) = (self.spec.started, self.spec.deadline);
+        deadline.saturating_duration_since(started)
+    }
+
     fn overdue_after(&self, context: &Context<'_>) -> Duration {
-        let whole = self
-            .spec
-            .deadline
-            .saturating_duration_since(self.spec.started);
-        let most = whole.mul_f64(OVERDUE_SHARE);
+        let most = self.whole().mul_f64(OVERDUE_SHARE);
         let hedger = &context.tables.hedger;
         let usual = hedger.overdue(&self.spec.service, self.spec.kind);
         usual.map_or(most, |usual| usual.min(most))
--- a/crates/core/src/policy/gather/tests.rs
+++ b/crates/core/src/policy/gather/tests.rs
@@ -1,6 +1,9 @@
 //! Tests of scatter-gather.
 
-use std::time::{Duration, Instant};
+use std::{
+    net::{Ipv4Addr, SocketAddr},
+    time::{Duration, Instant},
+};
 
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
@@ -9,6 +12,7 @@
 use super::{Action, AttemptCause, Context, Gather, GatherEnd, GatherSpec, ShardTarget, Verdict};
 use crate::{
     ids::{AttemptId, IndexVersion, ServerId, ShardId},
+    index::{IndexDocument, ServerEntry, ServerState},
     policy::{
         EntryTables,
         outcome::{CallOutcome, NotRunCause, UnknownCause},
@@ -326,3 +330,40 @@
     assert_eq!(end.verdict, Verdict::Unknown);
     assert_eq!(end.coverage.included, [0]);
 }
+
+fn document(targets: &[ShardTarget]) -> IndexDocument {
+    let servers = targets.iter().flat_map(|target| &target.replicas);
+    let entry = |(port, id): (u16, &ServerId)| ServerEntry {
+        id: ServerId::clone(id),
+        address: SocketAddr::from((Ipv4Addr::LOCALHOST, port)),
+        centre: "dc-0".into(),
+        slots: 2,
+        connections: 25,
+        state: ServerState::Serving,
+    };
+    IndexDocument {
+        service: "counter".into(),
+        version: 1,
+        servers: (1..).zip(servers).map(entry).collect(),
+        shards: Vec::new(),
+    }
+}
+
+/// A pause of the machine ejects all replicas at once, and their replies come when it is over.
+#[test]
+fn test_gather_gives_ejected_replicas_a_fifth_of_the_deadline() {
+    let mut rig = Rig::new(1, RequestKind::WideSearch, KindPolicy::default());
+    let replicas = targets(1).remove(0).replicas;
+    rig.tables.replicas.sync(&document(&targets(1)), rig.now);
+    for server in replicas.iter().cycle().take(8) {
+        rig.tables.replicas.on_send(server);
+        rig.tables.replicas.on_overdue(server, rig.now, rig.now);
+    }
+    assert!(rig.tables.replicas.is_hopeless(&replicas, rig.now));
+    rig.start();
+    let (time, end) = rig.run_out();
+    assert_eq!(end.coverage.missing[0].reason, MissingReason::Unreachable);
+    // The second replica was called once the first call was overdue, after 30 ms.
+    let least = DEADLINE / 5 + Duration::from_millis(30);
+    assert!(time >= least && time < DEADLINE, "{time:?}");
+}
