--- a/crates/server/src/entry/gather.rs
+++ b/crates/server/src/entry/gather.rs
@@ -48,10 +48,9 @@
     pending: Pending,
     /// The calls without a reply, which the tables count until they are reported.
     live: HashMap<AttemptId, (AbortHandle, ServerId)>,
-    probes: (
-        mpsc::UnboundedSender<Arrival>,
-        mpsc::UnboundedReceiver<Arrival>,
-    ),
+    /// The replies to probes, which run in tasks of their own.
+    probes: mpsc::UnboundedReceiver<Arrival>,
+    probe_sender: mpsc::UnboundedSender<Arrival>,
     rows: BTreeMap<ShardId, Vec<Row>>,
     stalled: bool,
     end: Option<GatherEnd>,
@@ -88,6 +87,7 @@
             hedge: admitted.config.policy.hedge,
             retry: admitted.config.policy.retry,
         };
+        let (probe_sender, probes) = mpsc::unbounded_channel();
         Self {
             key: node.next_key(),
             node,
@@ -96,7 +96,8 @@
             gather: Gather::new(spec),
             pending: FuturesUnordered::new(),
             live: HashMap::new(),
-            probes: mpsc::unbounded_channel(),
+            probes,
+            probe_sender,
             rows: BTreeMap::new(),
             stalled: false,
             end: None,
@@ -112,7 +113,7 @@
                     self.on_arrival(arrival);
                 }
             }
-            Some(arrival) = self.probes.1.recv() => self.on_arrival(arrival),
+            Some(arrival) = self.probes.recv() => self.on_arrival(arrival),
             () = Timer.at(timer) => self.on_timer(),
         }
     }
@@ -238,7 +239,7 @@
         let run = async move { attempt.run(&node, &admitted, call).await };
         if cause == AttemptCause::Probe {
             // A probe is worth its reply even when the search has ended.
-            let arrived = self.probes.0.clone();
+            let arrived = self.probe_sender.clone();
             tokio::spawn(async move { drop(arrived.send(run.await)) });
             return;
         }
