tests: presets switched under load leave no gap

Three presets that differ in hedging, queues and retries come into force one after another under load of all kinds, and every call is answered with every shard under one of them.

--- a/crates/server/tests/processes/operators.rs
+++ b/crates/server/tests/processes/operators.rs
@@ -1,14 +1,23 @@
 //! Operators who publish at the same time as faults and as each other.
 
-use cassialift_core::index::ServerState;
+use std::collections::BTreeSet;
+
+use cassialift_core::{
+    index::ServerState,
+    presets::{HedgePolicy, KindPolicy, Preset, QueuePolicy, RetryPolicy},
+    request::RequestKind,
+    time::Millis,
+};
 use cassialift_testkit::{
-    harness::SEARCH_SERVICE,
+    harness::{FleetSettings, SEARCH_SERVICE},
+    history::CallEnd,
     standin::{backend::BackendChange, config::Edit},
 };
 use cassialift_wire::platform::PRESETS_KEY;
 
 use super::support::{
-    assert_whole, finish, load, run_for, start, wait_all_covered, wait_all_preset, wait_covered,
+    assert_whole, finish, load, run_for, start, start_with, wait_all_covered, wait_all_preset,
+    wait_covered,
 };
 
 #[tokio::test]
@@ -29,6 +38,76 @@
     finish(&fleet, traffic).await;
 }
 
+/// The presets of a day, with a deadline that outlasts a pause of the machine.
+fn presets() -> [(&'static str, Preset); 3] {
+    let kind = KindPolicy {
+        deadline: Millis::new(10_000),
+        ..KindPolicy::default()
+    };
+    let ordinary = Preset {
+        kinds: RequestKind::ALL.map(|one| (one, kind.clone())).into(),
+        ..Preset::default()
+    };
+    let peak = Preset {
+        hedge: HedgePolicy {
+            budget: 0.0,
+            ..HedgePolicy::default()
+        },
+        queue: QueuePolicy {
+            length: 512,
+            ..QueuePolicy::default()
+        },
+        ..ordinary.clone()
+    };
+    let maintenance = Preset {
+        retry: RetryPolicy {
+            attempts: 5,
+            ..RetryPolicy::default()
+        },
+        address_ttl: Millis::new(1_000),
+        ..ordinary.clone()
+    };
+    [
+        ("peak", peak),
+        ("maintenance", maintenance),
+        ("ordinary", ordinary),
+    ]
+}
+
+/// Every call is answered through all switches, under one of the presets.
+#[tokio::test]
+async fn test_operators_switch_presets_under_load() {
+    let [.., (_, ordinary)] = presets();
+    let fleet = start_with(FleetSettings {
+        preset: ordinary,
+        ..FleetSettings::default()
+    })
+    .await;
+    wait_all_covered(&fleet).await;
+    let before = fleet.history().unwrap().calls.len();
+    let traffic = load(&fleet);
+    for (name, preset) in presets() {
+        run_for(300).await;
+        fleet.publish_preset(name, &preset).await.unwrap();
+        wait_all_preset(&fleet, name).await;
+    }
+    run_for(300).await;
+    finish(&fleet, traffic).await;
+    let calls = &fleet.history().unwrap().calls[before..];
+    let mut seen = BTreeSet::new();
+    for record in calls {
+        match &record.end {
+            CallEnd::Answer(answer) => {
+                assert!(answer.coverage.missing.is_empty(), "{record:?}");
+                seen.insert(&*answer.preset);
+            }
+            CallEnd::Job(_) => {}
+            end => panic!("{end:?}"),
+        }
+    }
+    assert_eq!(Vec::from_iter(seen), ["maintenance", "ordinary", "peak"]);
+}
+
 #[tokio::test]
 async fn test_operators_publish_a_preset_that_is_rejected() {
     let fleet = start().await;
