control: one way to ask the control thread, one to make a heartbeat

Four methods of the handle made a channel, sent an event and waited for its answer, and three places of the thread made a heartbeat and the future that sends it. Each is one function now; behaviour is as before.

--- a/crates/server/src/control/handle.rs
+++ b/crates/server/src/control/handle.rs
@@ -43,33 +43,34 @@
         drop(self.events.send(event).await);
     }
 
+    /// Tells the control thread something that it answers; none when it has ended.
+    async fn ask<T>(&self, event: impl FnOnce(oneshot::Sender<T>) -> Event) -> Option<T> {
+        let (sender, receiver) = oneshot::channel();
+        self.tell(event(sender)).await;
+        receiver.await.ok()
+    }
+
     /// Declares that this process is leaving and returns whether every VM that may name it to
     /// callers was told.
     pub async fn leave(&self) -> bool {
-        let (sender, receiver) = oneshot::channel();
-        self.tell(Event::Leave(sender)).await;
-        receiver.await.unwrap_or_default()
+        self.ask(Event::Leave).await.unwrap_or_default()
     }
 
     /// Answers a peer's heartbeat; none when the control thread has ended.
     pub async fn ping(&self, ping: Ping) -> Option<PingReply> {
-        let (sender, receiver) = oneshot::channel();
-        self.tell(Event::Ping(Box::new(ping), sender)).await;
-        receiver.await.ok()
+        self.ask(|reply| Event::Ping(Box::new(ping), reply)).await
     }
 
     /// Pings a VM and returns whether it answered.
     pub async fn probe(&self, target: VmId) -> bool {
-        let (sender, receiver) = oneshot::channel();
-        self.tell(Event::Probe(target, sender)).await;
-        receiver.await.unwrap_or_default()
+        let answered = self.ask(|reply| Event::Probe(target, reply)).await;
+        answered.unwrap_or_default()
     }
 
     /// Returns the configuration documents changed after a revision.
     pub async fn pull(&self, pull: ConfigPull) -> ConfigPush {
-        let (sender, receiver) = oneshot::channel();
-        self.tell(Event::Pull(pull, sender)).await;
-        receiver.await.unwrap_or(ConfigPush {
+        let push = self.ask(|reply| Event::Pull(pull, reply)).await;
+        push.unwrap_or(ConfigPush {
             note: ConfigNote::default(),
             after: 0,
             documents: Vec::new(),
--- a/crates/server/src/control/thread.rs
+++ b/crates/server/src/control/thread.rs
@@ -179,11 +179,8 @@
     }
 
     fn leave(&mut self, reply: oneshot::Sender<bool>, now: Instant) {
-        let told = self.fleet.leave(now).into_iter().map(|vm| {
-            let ping = self.next_ping(&vm, now);
-            beats::beat(vm, ping, Arc::clone(&self.peers), self.handle.clone())
-        });
-        let told: Vec<_> = told.collect();
+        let members = self.fleet.leave(now).into_iter();
+        let told: Vec<_> = members.map(|vm| self.next_beat(vm, now)).collect();
         self.publish(now);
         tokio::spawn(async move {
             let told = futures::future::join_all(told).await;
@@ -231,27 +228,25 @@
     }
 
     fn probe(&mut self, target: VmId, reply: oneshot::Sender<bool>, now: Instant) {
-        let ping = self.next_ping(&target, now);
-        let (peers, handle) = (Arc::clone(&self.peers), self.handle.clone());
+        let beat = self.next_beat(target, now);
         tokio::spawn(async move {
-            let answered = beats::beat(target, ping, peers, handle).await;
-            if reply.send(answered).is_err() {
+            if reply.send(beat.await).is_err() {
                 log::debug!("fleet: The asker of an indirect probe hung up.");
             }
         });
     }
 
-    fn next_ping(&mut self, to: &VmId, now: Instant) -> Ping {
-        Ping {
-            beat: self.fleet.beat(to, now),
+    /// Makes the heartbeat to a peer; the future sends it and returns whether it was answered.
+    fn next_beat(&mut self, to: VmId, now: Instant) -> impl Future<Output = bool> + use<> {
+        let ping = Ping {
+            beat: self.fleet.beat(&to, now),
             config: self.handle.config().note(now),
-        }
+        };
+        beats::beat(to, ping, Arc::clone(&self.peers), self.handle.clone())
     }
 
     fn beat(&mut self, vm: VmId, now: Instant) {
-        let ping = self.next_ping(&vm, now);
-        let (peers, handle) = (Arc::clone(&self.peers), self.handle.clone());
-        tokio::spawn(beats::beat(vm, ping, peers, handle));
+        tokio::spawn(self.next_beat(vm, now));
     }
 
     fn send(&mut self, orders: Orders, now: Instant) {
