entry: refusals of what was not run are made in one place

Admission and the issue of tickets each had the same constructor, and the text of a missing configuration stood four times. `Refused::not_run` and `Refused::no_config` serve all; texts, reasons and statuses are as before.

--- a/crates/server/src/entry/addresses.rs
+++ b/crates/server/src/entry/addresses.rs
@@ -19,11 +19,7 @@
 pub(super) fn answer(node: &Node, query: AddressQuery) -> Result<AddressAnswer, Refused> {
     let view = node.control.view();
     let Some(config) = &view.config else {
-        return Err(Refused::new(
-            RefusalReason::NoConfig,
-            Ran::NotRun,
-            "no configuration has been accepted yet".to_owned(),
-        ));
+        return Err(Refused::no_config());
     };
     let near = query.near.unwrap_or_else(|| Arc::clone(&view.own.centre));
     let ttl = config.policy.address_ttl;
--- a/crates/server/src/entry/admit.rs
+++ b/crates/server/src/entry/admit.rs
@@ -38,21 +38,20 @@
 ) -> Result<Admitted, Refused> {
     let view = node.control.pin();
     let Some(config) = view.config.clone() else {
-        let detail = "no configuration has been accepted yet";
-        return Err(not_run(RefusalReason::NoConfig, detail));
+        return Err(Refused::no_config());
     };
     if !request.kind.is_repeatable() {
         let detail = "jobs are submitted under a ticket";
-        return Err(not_run(RefusalReason::Malformed, detail));
+        return Err(Refused::not_run(RefusalReason::Malformed, detail));
     }
     let policy = config.policy.kind(request.kind);
     if !policy.admit {
         let detail = "the preset in force does not admit this kind";
-        return Err(not_run(RefusalReason::NotAdmitted, detail));
+        return Err(Refused::not_run(RefusalReason::NotAdmitted, detail));
     }
     let Some(index) = config.indexes.get(&request.service).cloned() else {
         let detail = "no such service";
-        return Err(not_run(RefusalReason::UnknownService, detail));
+        return Err(Refused::not_run(RefusalReason::UnknownService, detail));
     };
     let shards = shards(request, &index)?;
     let longest = policy.deadline.0;
@@ -61,7 +60,7 @@
         .map_or(longest, |asked| asked.0.min(longest));
     if allowed == Duration::ZERO {
         let detail = "the deadline is zero";
-        return Err(not_run(RefusalReason::DeadlinePast, detail));
+        return Err(Refused::not_run(RefusalReason::DeadlinePast, detail));
     }
     let targets = targets(&index, shards.as_deref());
     node.policy.sync(&config);
@@ -101,7 +100,7 @@
         Err(refusal) => refusal,
     };
     let detail = "the shards asked for have too much to do";
-    let mut refused = not_run(refusal.reason, detail);
+    let mut refused = Refused::not_run(refusal.reason, detail);
     refused.refusal.retry = refusal.retry.map(Millis::from);
     Err(refused)
 }
@@ -130,7 +129,10 @@
     shards.sort_unstable();
     shards.dedup();
     if shards.is_empty() {
-        return Err(not_run(RefusalReason::Malformed, "no shard was named"));
+        return Err(Refused::not_run(
+            RefusalReason::Malformed,
+            "no shard was named",
+        ));
     }
     match shards.iter().find(|shard| index.shard(**shard).is_none()) {
         Some(shard) => Err(Refused::new(
@@ -141,7 +143,3 @@
         None => Ok(Some(shards)),
     }
 }
-
-fn not_run(reason: RefusalReason, detail: &str) -> Refused {
-    Refused::new(reason, Ran::NotRun, detail.to_owned())
-}
--- a/crates/server/src/entry/http/respond.rs
+++ b/crates/server/src/entry/http/respond.rs
@@ -1,6 +1,6 @@
 //! Responses: JSON answers and typed refusals.
 
-use cassialift_core::request::{Ran, RefusalReason};
+use cassialift_core::request::RefusalReason;
 use cassialift_wire::caller::Refusal;
 use serde::Serialize;
 use volo_http::{
@@ -52,7 +52,7 @@
 
 /// Makes a refusal of a request that was not looked at further, with a status of its own.
 pub(super) fn refuse(status: StatusCode, reason: RefusalReason, detail: &str) -> Response {
-    let refused = Refused::new(reason, Ran::NotRun, detail.to_owned());
+    let refused = Refused::not_run(reason, detail);
     marked(status, &refused.refusal)
 }
 
--- a/crates/server/src/entry/jobs/forward.rs
+++ b/crates/server/src/entry/jobs/forward.rs
@@ -17,7 +17,12 @@
 use tarpc::context;
 
 use super::hold;
-use crate::{entry::refuse::Refused, peers, process::Node, timer::Timer};
+use crate::{
+    entry::refuse::{NO_CONFIG, Refused},
+    peers,
+    process::Node,
+    timer::Timer,
+};
 
 /// How much longer than the job's own deadline a holder's reply is awaited.
 const REPLY_MARGIN: Duration = Duration::from_millis(100);
@@ -150,7 +155,7 @@
         RefusalReason::NoReply => "the process that holds the ticket gave no reply",
         RefusalReason::Overloaded => "as many outcomes are remembered as the settings allow",
         RefusalReason::CallerShare => "this caller has as many outcomes as the settings allow",
-        RefusalReason::NoConfig => "no configuration has been accepted yet",
+        RefusalReason::NoConfig => NO_CONFIG,
         RefusalReason::NotAdmitted => "the preset in force does not admit jobs",
         RefusalReason::UnknownService => "no such service",
         _ => "the job was refused",
--- a/crates/server/src/entry/jobs/issue.rs
+++ b/crates/server/src/entry/jobs/issue.rs
@@ -32,7 +32,10 @@
     }
     let config = admitting(&view)?;
     if !config.indexes.contains_key(&request.service) {
-        return Err(not_run(RefusalReason::UnknownService, "no such service"));
+        return Err(Refused::not_run(
+            RefusalReason::UnknownService,
+            "no such service",
+        ));
     }
     let ttl = config.policy.ticket_ttl.0;
     let expiry = node.jobs.now() + ttl;
@@ -46,7 +49,8 @@
         forget: expiry + ttl,
     };
     let sealed = node.jobs.key().seal(&ticket);
-    let ticket = sealed.map_err(|error| not_run(RefusalReason::Malformed, &error.to_string()))?;
+    let ticket =
+        sealed.map_err(|error| Refused::not_run(RefusalReason::Malformed, &error.to_string()))?;
     Ok(TicketAnswer {
         ticket,
         ttl: ttl.into(),
@@ -56,16 +60,11 @@
 /// Returns the configuration in force if its preset admits jobs.
 pub(super) fn admitting(view: &FleetView) -> Result<Arc<ConfigView>, Refused> {
     let Some(config) = view.config.clone() else {
-        let detail = "no configuration has been accepted yet";
-        return Err(not_run(RefusalReason::NoConfig, detail));
+        return Err(Refused::no_config());
     };
     if !config.policy.kind(RequestKind::Job).admit {
         let detail = "the preset in force does not admit jobs";
-        return Err(not_run(RefusalReason::NotAdmitted, detail));
+        return Err(Refused::not_run(RefusalReason::NotAdmitted, detail));
     }
     Ok(config)
 }
-
-fn not_run(reason: RefusalReason, detail: &str) -> Refused {
-    Refused::new(reason, Ran::NotRun, detail.to_owned())
-}
--- a/crates/server/src/entry/refuse.rs
+++ b/crates/server/src/entry/refuse.rs
@@ -4,6 +4,9 @@
 use cassialift_wire::caller::Refusal;
 use volo_http::http::StatusCode;
 
+/// Why a process that holds no configuration refuses.
+pub(super) const NO_CONFIG: &str = "no configuration has been accepted yet";
+
 /// A refusal on its way to the caller.
 #[derive(Debug)]
 pub(super) struct Refused {
@@ -25,6 +28,15 @@
         }
     }
 
+    /// Makes a refusal of what was not run.
+    pub(super) fn not_run(reason: RefusalReason, detail: &str) -> Self {
+        Self::new(reason, Ran::NotRun, detail.to_owned())
+    }
+
+    pub(super) fn no_config() -> Self {
+        Self::not_run(RefusalReason::NoConfig, NO_CONFIG)
+    }
+
     pub(super) fn with_id(mut self, id: &str) -> Self {
         self.refusal.id = Some(id.to_owned());
         self
