--- a/crates/core/src/ids/mod.rs
+++ b/crates/core/src/ids/mod.rs
@@ -13,6 +13,9 @@
 /// Names a service: one sharded index or one pool of job runners.
 pub type ServiceId = Arc<str>;
 
+/// Names a route.
+pub type RouteId = Arc<str>;
+
 /// Names a backend server, unique over all services.
 pub type ServerId = Arc<str>;
 
--- /dev/null
+++ b/crates/core/src/routes/split.rs
@@ -0,0 +1,35 @@
+//! The choice among the services of a split route.
+
+use std::collections::HashMap;
+
+use super::SplitShare;
+use crate::ids::{RouteId, ServiceId};
+
+/// Deals requests out to the services of split routes in proportion to their weights.
+///
+/// Smooth weighted round-robin: shares are met over any short run of requests, not only on
+/// average.
+#[derive(Clone, Debug, Default)]
+pub struct Splitter {
+    credits: HashMap<RouteId, HashMap<ServiceId, f64>>,
+}
+
+impl Splitter {
+    /// Chooses the service of the next request; none when there is no share.
+    pub fn pick(&mut self, route: &RouteId, shares: &[SplitShare]) -> Option<ServiceId> {
+        let credits = self.credits.entry(RouteId::clone(route)).or_default();
+        credits.retain(|service, _| shares.iter().any(|share| share.service == *service));
+        let mut total = 0.0;
+        for share in shares {
+            total += share.weight;
+            *credits.entry(ServiceId::clone(&share.service)).or_default() += share.weight;
+        }
+        let best = shares.iter().map(|share| &share.service).max_by(|a, b| {
+            let (a, b) = (credits[*a], credits[*b]);
+            a.total_cmp(&b)
+        })?;
+        let best = ServiceId::clone(best);
+        *credits.entry(ServiceId::clone(&best)).or_default() -= total;
+        Some(best)
+    }
+}
--- a/crates/core/src/time/mod.rs
+++ b/crates/core/src/time/mod.rs
@@ -42,3 +42,22 @@
         value.0
     }
 }
+
+/// A duration that is written as a number of seconds, fractions allowed.
+#[derive(Clone, Copy, Debug, Default, Deserialize, PartialEq, PartialOrd, Serialize)]
+#[serde(try_from = "f64", into = "f64")]
+pub struct Seconds(pub Duration);
+
+impl TryFrom<f64> for Seconds {
+    type Error = std::time::TryFromFloatSecsError;
+
+    fn try_from(seconds: f64) -> Result<Self, Self::Error> {
+        Duration::try_from_secs_f64(seconds).map(Self)
+    }
+}
+
+impl From<Seconds> for f64 {
+    fn from(value: Seconds) -> Self {
+        value.0.as_secs_f64()
+    }
+}
