config: route and server documents, complete batches, reading as a setting

The configuration's exchange carries route documents and documents of single backend servers like any other. A complete batch deletes what it does not name, which a listing needs after the history was lost. How many processes read, how long a read waits and how long a starting process waits for its peers' word are settings now, as a store that is linearizable needs neither.

--- a/crates/core/src/config/batch.rs
+++ b/crates/core/src/config/batch.rs
@@ -20,6 +20,8 @@
     pub after: Revision,
     /// The revision that the receiver holds afterwards.
     pub revision: Revision,
+    /// Whether all documents that exist at `revision` are in the batch, so that others are deleted.
+    pub complete: bool,
     /// The documents, in any order.
     pub documents: Vec<Document>,
 }
--- a/crates/core/src/config/document.rs
+++ b/crates/core/src/config/document.rs
@@ -6,6 +6,10 @@
 
 /// The key of the preset document.
 pub const PRESETS_KEY: &str = "presets";
+/// The key of the route document.
+pub const ROUTES_KEY: &str = "routes";
+/// The prefix of the keys of documents of single backend servers.
+pub const SERVER_PREFIX: &str = "servers/";
 /// The prefix of the keys of index documents.
 pub const INDEX_PREFIX: &str = "index/";
 
--- a/crates/core/src/config/gate.rs
+++ b/crates/core/src/config/gate.rs
@@ -20,6 +20,7 @@
 #[derive(Clone, Debug)]
 pub struct StartGate {
     started: Instant,
+    patience: Duration,
     asked: BTreeMap<VmId, Asked>,
     open: bool,
 }
@@ -32,11 +33,12 @@
 }
 
 impl StartGate {
-    /// Makes the gate of a process that starts now.
+    /// Makes the gate of a process that starts now and waits for its peers for `patience`.
     #[must_use]
-    pub const fn new(started: Instant) -> Self {
+    pub const fn new(started: Instant, patience: Duration) -> Self {
         Self {
             started,
+            patience,
             asked: BTreeMap::new(),
             open: false,
         }
@@ -85,7 +87,7 @@
         if self.open || !holds {
             return;
         }
-        let waited = now.saturating_duration_since(self.started) >= START_WAIT;
+        let waited = now.saturating_duration_since(self.started) >= self.patience;
         let answered = self.asked.values().any(|asked| *asked == Asked::Answered);
         let waiting = self.asked.values().any(|asked| *asked == Asked::Waiting);
         self.open = (answered && !waiting) || (waited && (answered || confirmed));
--- a/crates/core/src/config/node.rs
+++ b/crates/core/src/config/node.rs
@@ -11,7 +11,7 @@
 
 use super::{
     Batch, Candidate, ConfigEvent, ConfigNote, Confirmation, FANOUT, Freshness, Order, ReadInput,
-    ReadPlan, STALE_AGE, ServiceReach, Source, StartGate, Store, outranks, plan_reads,
+    ReadPlan, ReadSettings, ServiceReach, Source, StartGate, Store, outranks, plan_reads,
     spread::Spread,
 };
 use crate::{
@@ -35,6 +35,7 @@
     said: HashMap<VmId, ServiceReach>,
     service: ServiceReach,
     plan: ReadPlan,
+    settings: ReadSettings,
     aged: bool,
     exchanged: Instant,
     outranked: Option<Instant>,
@@ -57,18 +58,25 @@
 impl ConfigNode {
     /// Makes the part of a process that has just started and holds nothing.
     #[must_use]
-    pub fn new(own: VmId, centre: DataCentre, seed: u64, now: Instant) -> Self {
+    pub fn new(
+        own: VmId,
+        centre: DataCentre,
+        settings: ReadSettings,
+        seed: u64,
+        now: Instant,
+    ) -> Self {
         Self {
             own,
             centre,
             store: Store::default(),
             freshness: Freshness::default(),
-            gate: StartGate::new(now),
+            gate: StartGate::new(now, settings.start.0),
             spread: Spread::default(),
             peers: Vec::new(),
             said: HashMap::new(),
             service: ServiceReach::Untried,
             plan: ReadPlan::Idle,
+            settings,
             aged: false,
             exchanged: now,
             outranked: None,
@@ -373,6 +381,7 @@
             age: self.freshness.age(now),
             outranked: self.outranked.map(|at| now.saturating_duration_since(at)),
             plan: former,
+            settings: self.settings,
         });
         match (former, self.plan) {
             (ReadPlan::Idle, ReadPlan::Idle) => {}
@@ -383,13 +392,13 @@
     }
 
     fn update_age(&mut self, now: Instant) {
-        let age = self.freshness.age(now);
+        let (age, stale) = (self.freshness.age(now), self.settings.stale.0);
         match (self.aged, self.freshness.newest()) {
-            (false, Some(_)) if age.is_some_and(|age| age > 2 * STALE_AGE) => {
+            (false, Some(_)) if age.is_some_and(|age| age > 2 * stale) => {
                 self.aged = true;
                 self.events.extend(age.map(ConfigEvent::Aged));
             }
-            (true, Some(newest)) if age.is_some_and(|age| age < STALE_AGE) => {
+            (true, Some(newest)) if age.is_some_and(|age| age < stale) => {
                 self.aged = false;
                 let reader = VmId::clone(&newest.reader);
                 self.events.push(ConfigEvent::Confirmed(reader));
--- a/crates/core/src/config/parse.rs
+++ b/crates/core/src/config/parse.rs
@@ -1,12 +1,16 @@
 //! Reading a document's text into its domain type.
 
+use std::sync::Arc;
+
 use displaydoc::Display;
 
-use super::{INDEX_PREFIX, PRESETS_KEY};
+use super::{INDEX_PREFIX, PRESETS_KEY, ROUTES_KEY, SERVER_PREFIX};
 use crate::{
     ids::ServiceId,
     index::{IndexDocument, IndexError},
+    pool::ServerDocument,
     presets::{PresetDocument, PresetError},
+    routes::{RouteDocument, RouteError, RouteTable},
     text::{self, Path, Place, TextCause},
 };
 
@@ -17,8 +21,12 @@
     Presets(PresetDocument),
     /// The index of a service.
     Index(IndexDocument),
-    /// The service's document was deleted.
-    Withdrawn(ServiceId),
+    /// The routes.
+    Routes(Arc<RouteTable>),
+    /// One backend server.
+    Server(Arc<ServerDocument>),
+    /// The document of this service or backend server was deleted.
+    Withdrawn(Arc<str>),
 }
 
 /// Why a document is rejected, and where.
@@ -42,6 +50,8 @@
     Presets(PresetError),
     /// {0}
     Index(IndexError),
+    /// {0}
+    Routes(RouteError),
     /// the key names service {key}, the document service {document}
     OtherService {
         /// The service of the key.
@@ -53,6 +63,8 @@
     UnknownKey(String),
     /// the preset document cannot be deleted, since one preset must be in force
     PresetsDeleted,
+    /// the route document cannot be deleted; publish one without routes instead
+    RoutesDeleted,
 }
 
 impl std::error::Error for DocumentFault {}
@@ -68,6 +80,19 @@
         };
         return parse_presets(text).map(Accepted::Presets);
     }
+    if key == ROUTES_KEY {
+        let Some(text) = text else {
+            return Err(whole(DocumentCause::RoutesDeleted));
+        };
+        let document = parse_routes(text)?;
+        return Ok(Accepted::Routes(Arc::new(RouteTable::new(&document))));
+    }
+    if let Some(server) = key.strip_prefix(SERVER_PREFIX).filter(|s| !s.is_empty()) {
+        return match text {
+            Some(text) => Ok(Accepted::Server(Arc::new(parse_server(text)?))),
+            None => Ok(Accepted::Withdrawn(server.into())),
+        };
+    }
     let Some(service) = key.strip_prefix(INDEX_PREFIX).filter(|s| !s.is_empty()) else {
         return Err(whole(DocumentCause::UnknownKey(key.to_owned())));
     };
@@ -109,6 +134,28 @@
     Ok(document)
 }
 
+/// Reads a route document.
+///
+/// # Errors
+/// Returns the first fault, with its line and column.
+pub fn parse_routes(text: &str) -> Result<RouteDocument, DocumentFault> {
+    let document: RouteDocument = text::read(text)?;
+    document.validate().map_err(|error| DocumentFault {
+        place: text::locate(text, &error.path),
+        hint: error.cause.hint().map(str::to_owned),
+        cause: DocumentCause::Routes(error),
+    })?;
+    Ok(document)
+}
+
+/// Reads the document of one backend server.
+///
+/// # Errors
+/// Returns the first fault, with its line and column.
+pub fn parse_server(text: &str) -> Result<ServerDocument, DocumentFault> {
+    Ok(text::read(text)?)
+}
+
 impl From<text::Fault> for DocumentFault {
     fn from(fault: text::Fault) -> Self {
         Self {
--- a/crates/core/src/config/readers.rs
+++ b/crates/core/src/config/readers.rs
@@ -7,10 +7,14 @@
 
 use std::time::Duration;
 
+use serde::{Deserialize, Serialize};
 use xxhash_rust::xxh3::Xxh3;
 
-use super::ServiceReach;
-use crate::ids::{DataCentre, VmId};
+use super::{START_WAIT, ServiceReach};
+use crate::{
+    ids::{DataCentre, VmId},
+    time::Millis,
+};
 
 /// The elected readers of each data centre.
 pub const READERS: usize = 2;
@@ -25,6 +29,31 @@
 /// The shortest mean time between two reads of a process that is not elected.
 pub const FALLBACK_PERIOD: Duration = Duration::from_millis(500);
 
+/// Who reads the configuration service, and how often.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct ReadSettings {
+    /// The elected readers of each data centre.
+    pub readers: usize,
+    /// How long an elected reader's call waits for a change.
+    pub wait: Millis,
+    /// The age from which a process reads by itself.
+    pub stale: Millis,
+    /// How long a starting process that has read the service waits for its peers' word.
+    pub start: Millis,
+}
+
+impl Default for ReadSettings {
+    fn default() -> Self {
+        Self {
+            readers: READERS,
+            wait: Millis(WATCH_WAIT),
+            stale: Millis(STALE_AGE),
+            start: Millis(START_WAIT),
+        }
+    }
+}
+
 /// A process that may be elected.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct Candidate {
@@ -70,6 +99,8 @@
     pub outranked: Option<Duration>,
     /// The plan so far.
     pub plan: ReadPlan,
+    /// Who is to read, and how often.
+    pub settings: ReadSettings,
 }
 
 /// Decides how a process reads from now on.
@@ -86,7 +117,7 @@
     if unreachable && is_elected(input, |_| true) {
         return fallback;
     }
-    let stale = input.age.is_none_or(|age| age > STALE_AGE);
+    let stale = input.age.is_none_or(|age| age > input.settings.stale.0);
     if stale || (is_reading(input) && !stands_down(input)) {
         return fallback;
     }
@@ -108,7 +139,7 @@
         .iter()
         .filter(|other| other.usable && other.centre == *input.centre && can_read(other))
         .filter(|other| score(&other.vm) > own);
-    before.count() < READERS
+    before.count() < input.settings.readers
 }
 
 fn is_reading(input: &ReadInput<'_>) -> bool {
@@ -116,7 +147,9 @@
 }
 
 fn stands_down(input: &ReadInput<'_>) -> bool {
-    input.outranked.is_some_and(|age| age <= STALE_AGE)
+    input
+        .outranked
+        .is_some_and(|age| age <= input.settings.stale.0)
 }
 
 /// Returns whether a reader ranks before another; a total order, so that of two readers that hear
--- a/crates/core/src/config/store.rs
+++ b/crates/core/src/config/store.rs
@@ -14,12 +14,13 @@
 
 use super::{
     Accepted, Batch, BatchError, Change, Document, INDEX_PREFIX, MAX_DOCUMENTS, MAX_TOTAL_BYTES,
-    PRESETS_KEY, RejectedDocument,
+    PRESETS_KEY, ROUTES_KEY, RejectedDocument, SERVER_PREFIX,
     slot::{Slot, Version},
 };
 use crate::{
-    ids::{PresetId, Revision, ServiceId, VmId},
+    ids::{PresetId, Revision, ServerId, ServiceId, VmId},
     index::IndexDocument,
+    pool::ServerDocument,
     view::ConfigView,
 };
 
@@ -102,6 +103,7 @@
         Batch {
             after,
             revision: self.revision,
+            complete: false,
             documents: self
                 .slots
                 .iter()
@@ -122,7 +124,12 @@
     ) -> Result<Change, BatchError> {
         batch.check(self.revision)?;
         let mut slots = self.slots.clone();
-        let touched = merge(&mut slots, batch.documents);
+        let mut touched = Touched::default();
+        if batch.complete && batch.revision >= self.revision {
+            let gone = missing(&slots, &batch);
+            merge(&mut slots, gone, &mut touched);
+        }
+        merge(&mut slots, batch.documents, &mut touched);
         check_size(&slots)?;
         let former = std::mem::replace(&mut self.slots, slots);
         let mut change = self.describe(&former, touched);
@@ -163,7 +170,7 @@
             .slots
             .iter()
             .fold(0, |digest, (key, slot)| digest ^ slot.digest(key));
-        let view = build_view(self.revision, &self.slots, self.view.as_deref());
+        let view = build_view(self.revision, &self.slots, self.view.as_deref(), change);
         let former = self.view.as_deref();
         change.preset = match (&view, former) {
             (Some(view), Some(former)) => {
@@ -185,8 +192,20 @@
     accepted: BTreeSet<String>,
 }
 
-fn merge(slots: &mut BTreeMap<String, Slot>, documents: Vec<Document>) -> Touched {
-    let mut touched = Touched::default();
+/// Returns the deletions that a complete batch implies, each at the batch's revision.
+fn missing(slots: &BTreeMap<String, Slot>, batch: &Batch) -> Vec<Document> {
+    let named: BTreeSet<&str> = batch.documents.iter().map(|one| one.key.as_str()).collect();
+    let held = slots.iter().filter(|(_, slot)| slot.newest.text.is_some());
+    held.filter(|(key, _)| !named.contains(key.as_str()))
+        .map(|(key, _)| Document {
+            key: key.clone(),
+            revision: batch.revision,
+            text: None,
+        })
+        .collect()
+}
+
+fn merge(slots: &mut BTreeMap<String, Slot>, documents: Vec<Document>, touched: &mut Touched) {
     for mut document in documents {
         document.bound();
         let key = document.key.clone();
@@ -210,7 +229,6 @@
             touched.accepted.insert(key);
         }
     }
-    touched
 }
 
 fn check_size(slots: &BTreeMap<String, Slot>) -> Result<(), BatchError> {
@@ -238,6 +256,7 @@
     revision: Revision,
     slots: &BTreeMap<String, Slot>,
     former: Option<&ConfigView>,
+    change: &Change,
 ) -> Option<ConfigView> {
     let Accepted::Presets(presets) = accepted(slots.get(PRESETS_KEY)?)? else {
         return None;
@@ -252,14 +271,45 @@
         .filter(|(key, _)| key.starts_with(INDEX_PREFIX))
         .filter_map(|(_, slot)| index(slot, former))
         .collect();
+    let moved = change
+        .accepted
+        .iter()
+        .any(|key| key.starts_with(SERVER_PREFIX));
+    let servers = match former {
+        Some(former) if !moved => Arc::clone(&former.servers),
+        _ => Arc::new(servers(slots)),
+    };
+    let routes = slots.get(ROUTES_KEY).and_then(accepted);
+    let routes = match routes {
+        Some(Accepted::Routes(table)) => Some(Arc::clone(table)),
+        _ => None,
+    };
     Some(ConfigView {
         revision,
         preset: PresetId::clone(&presets.active),
         policy,
         indexes,
+        routes,
+        servers,
     })
 }
 
+/// Returns the accepted documents of single backend servers.
+fn servers(slots: &BTreeMap<String, Slot>) -> BTreeMap<ServerId, Arc<ServerDocument>> {
+    let keyed = slots
+        .iter()
+        .filter_map(|(key, slot)| Some((key.strip_prefix(SERVER_PREFIX)?, accepted(slot)?)));
+    keyed
+        .filter_map(|(id, accepted)| match accepted {
+            Accepted::Server(document) => Some((id.into(), Arc::clone(document))),
+            Accepted::Presets(_)
+            | Accepted::Index(_)
+            | Accepted::Routes(_)
+            | Accepted::Withdrawn(_) => None,
+        })
+        .collect()
+}
+
 fn accepted(slot: &Slot) -> Option<&Accepted> {
     slot.accepted.as_ref()?.verdict.as_ref().ok()
 }
--- a/crates/core/src/view/config.rs
+++ b/crates/core/src/view/config.rs
@@ -3,9 +3,11 @@
 use std::{collections::BTreeMap, sync::Arc};
 
 use crate::{
-    ids::{PresetId, Revision, ServiceId},
+    ids::{PresetId, Revision, ServerId, ServiceId},
     index::IndexDocument,
+    pool::ServerDocument,
     presets::Preset,
+    routes::RouteTable,
 };
 
 /// The accepted documents at one revision of the platform's configuration.
@@ -19,4 +21,8 @@
     pub policy: Arc<Preset>,
     /// The index document of each service.
     pub indexes: BTreeMap<ServiceId, Arc<IndexDocument>>,
+    /// The routes; none before a route document was accepted.
+    pub routes: Option<Arc<RouteTable>>,
+    /// The backend servers that are published one by one.
+    pub servers: Arc<BTreeMap<ServerId, Arc<ServerDocument>>>,
 }
--- a/crates/core/tests/config/history.rs
+++ b/crates/core/tests/config/history.rs
@@ -88,6 +88,7 @@
         Batch {
             after,
             revision: replica.min(self.revision()),
+            complete: false,
             documents: newest
                 .into_values()
                 .filter(|document| document.revision > after)
--- a/crates/core/tests/config/node.rs
+++ b/crates/core/tests/config/node.rs
@@ -8,7 +8,7 @@
 use cassialift_core::{
     config::{
         Batch, ConfigEvent, ConfigNode, ConfigNote, ConfigPeer, Order, READERS, ReadPlan,
-        STALE_AGE, START_WAIT, ServiceReach, outranks,
+        ReadSettings, STALE_AGE, START_WAIT, ServiceReach, outranks,
     },
     ids::{DataCentre, VmId},
     time::Millis,
@@ -31,7 +31,13 @@
         let node = |seed: usize| {
             let peer = &peers[seed];
             let centre = DataCentre::clone(&peer.centre);
-            let mut node = ConfigNode::new(VmId::clone(&peer.vm), centre, seed as u64, now);
+            let mut node = ConfigNode::new(
+                VmId::clone(&peer.vm),
+                centre,
+                ReadSettings::default(),
+                seed as u64,
+                now,
+            );
             node.set_peers(peers.clone());
             node
         };
--- a/crates/core/tests/config/readers.rs
+++ b/crates/core/tests/config/readers.rs
@@ -4,8 +4,8 @@
 
 use cassialift_core::{
     config::{
-        Candidate, FALLBACK_RATE, READERS, ReadInput, ReadPlan, STALE_AGE, ServiceReach,
-        WATCH_PERIOD, WATCH_WAIT, outranks, plan_reads,
+        Candidate, FALLBACK_RATE, READERS, ReadInput, ReadPlan, ReadSettings, STALE_AGE,
+        ServiceReach, WATCH_PERIOD, WATCH_WAIT, outranks, plan_reads,
     },
     ids::{DataCentre, VmId},
 };
@@ -42,6 +42,7 @@
             age,
             outranked,
             plan: former,
+            settings: ReadSettings::default(),
         })
     };
     fleet.iter().enumerate().map(plan).collect()
--- a/crates/core/tests/config/store.rs
+++ b/crates/core/tests/config/store.rs
@@ -128,6 +128,7 @@
     a.revision = 1;
     b.revision = 1;
     let batch = |documents| Batch {
+        complete: false,
         after: 0,
         revision: 1,
         documents,
--- a/crates/server/src/control/config.rs
+++ b/crates/server/src/control/config.rs
@@ -3,7 +3,7 @@
 use std::{sync::Arc, time::Instant};
 
 use cassialift_core::{
-    config::{Batch, ConfigNode, ConfigNote, ConfigPeer, Document, Order},
+    config::{Batch, ConfigNode, ConfigNote, ConfigPeer, Document, Order, ReadSettings},
     ids::VmId,
     view::{FleetView, OwnView, Reach},
 };
@@ -66,11 +66,12 @@
         own: &OwnView,
         journal: Arc<Journal>,
         metrics: Arc<Metrics>,
+        reads: ReadSettings,
         now: Instant,
     ) -> Self {
         let (vm, centre) = (VmId::clone(&own.vm), Arc::clone(&own.centre));
         Self {
-            node: ConfigNode::new(vm, centre, own.incarnation, now),
+            node: ConfigNode::new(vm, centre, reads, own.incarnation, now),
             journal,
             metrics,
         }
@@ -116,6 +117,7 @@
                 let batch = answer.map(|changes| Batch {
                     after,
                     revision: changes.revision,
+                    complete: changes.complete,
                     documents: changes.documents,
                 });
                 self.node.read(batch, sent, now);
@@ -126,6 +128,7 @@
                     let batch = Batch {
                         after: push.after,
                         revision: push.note.revision,
+                        complete: false,
                         documents: push.documents,
                     };
                     (push.note, batch)
--- a/crates/server/src/entry/admit.rs
+++ b/crates/server/src/entry/admit.rs
@@ -113,6 +113,7 @@
     let mut found: Vec<_> = wanted
         .map(|entry| ShardTarget {
             shard: entry.shard,
+            service: None,
             replicas: entry.replicas.clone(),
         })
         .collect();
--- a/crates/server/src/entry/gather.rs
+++ b/crates/server/src/entry/gather.rs
@@ -86,6 +86,7 @@
             policy: admitted.policy.clone(),
             hedge: admitted.config.policy.hedge,
             retry: admitted.config.policy.retry,
+            repeat: None,
         };
         let (probe_sender, probes) = mpsc::unbounded_channel();
         Self {
--- a/crates/server/tests/owner_support/mod.rs
+++ b/crates/server/tests/owner_support/mod.rs
@@ -264,6 +264,8 @@
             preset: "ordinary".into(),
             policy: Arc::new(Preset::default()),
             indexes: BTreeMap::from([("watches".into(), Arc::new(index))]),
+            routes: None,
+            servers: Arc::default(),
         })),
         members: Arc::default(),
         owners: OwnersView {
--- a/crates/testkit/src/capacity/config.rs
+++ b/crates/testkit/src/capacity/config.rs
@@ -85,6 +85,7 @@
     let batch = Batch {
         after: revision - 1,
         revision,
+        complete: false,
         documents,
     };
     let applied = store.apply(batch, &Source::Platform, Instant::now());
--- a/crates/testkit/src/policy_bench/arrival.rs
+++ b/crates/testkit/src/policy_bench/arrival.rs
@@ -113,6 +113,7 @@
                     policy,
                     hedge: self.preset.hedge,
                     retry: self.preset.retry,
+                    repeat: None,
                 })));
             }
             Strategy::Naive => (Some(self.settings.deployment.timeout), ReplicaOrder::Random),
@@ -153,6 +154,7 @@
 pub(super) fn target(entry: &cassialift_core::index::ShardEntry) -> ShardTarget {
     ShardTarget {
         shard: entry.shard,
+        service: None,
         replicas: entry.replicas.clone(),
     }
 }
--- a/crates/testkit/src/standin/config.rs
+++ b/crates/testkit/src/standin/config.rs
@@ -221,6 +221,7 @@
         let changed = newest.into_values().filter(|found| found.revision > after);
         Found::Changes(Changes {
             revision,
+            complete: false,
             documents: changed.cloned().collect(),
         })
     }
--- a/crates/wire/src/platform/mod.rs
+++ b/crates/wire/src/platform/mod.rs
@@ -4,12 +4,16 @@
 //!   the revision. With a `wait` above zero the service holds the call until there is a change.
 //! - `GET /v1/vms` gives a [`VmList`].
 
+mod edge;
+
 use std::net::SocketAddr;
 
 pub use cassialift_core::config::{Document, INDEX_PREFIX, PRESETS_KEY};
 use cassialift_core::ids::{DataCentre, Revision, VmId};
 use serde::{Deserialize, Serialize};
 
+pub use edge::{Dialect, HeaderNames, Reading, Source, SourceError};
+
 /// The path of the configuration service's changes.
 pub const CHANGES_PATH: &str = "/v1/changes";
 /// The path of the VM list.
@@ -20,6 +24,9 @@
 pub struct Changes {
     /// The service's revision; at least that of every document here.
     pub revision: Revision,
+    /// Whether `documents` holds all that exist, so that others have been deleted.
+    #[serde(default)]
+    pub complete: bool,
     /// The changed documents, each at its newest state.
     pub documents: Vec<Document>,
 }
