policy: budgets by service, near replicas first, answers within a time

Extra calls, hedges and retries alike, draw on a budget of their shard's service, and one shard call goes to a bounded number of backend servers. A replica in another data centre counts as slower by a bias. An answer may wait for every shard until a time and then go out once its share is reached. Callers are placed near the backend servers of sharded indexes.

--- a/crates/core/src/fleet/addresses/mod.rs
+++ b/crates/core/src/fleet/addresses/mod.rs
@@ -6,9 +6,11 @@
 
 mod choose;
 mod entry;
+mod place;
 
 #[cfg(test)]
 mod tests;
 
 pub use choose::choose;
 pub use entry::{AddressSettings, Entry};
+pub use place::place;
--- a/crates/core/src/fleet/addresses/tests.rs
+++ b/crates/core/src/fleet/addresses/tests.rs
@@ -1,6 +1,7 @@
 //! Tests of address answers.
 
 use std::{
+    collections::BTreeMap,
     net::SocketAddr,
     time::{Duration, Instant},
 };
@@ -8,8 +9,10 @@
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
-use super::{AddressSettings, Entry, choose};
-use crate::view::Reach;
+use yare::parameterized;
+
+use super::{AddressSettings, Entry, choose, place};
+use crate::{ids::DataCentre, view::Reach};
 
 const STEP: Duration = Duration::from_millis(100);
 const TTL: Duration = Duration::from_secs(2);
@@ -267,3 +270,62 @@
     let answer = choose(&entries, &"dc-0".into(), &settings, &mut rng, now);
     assert_eq!(answer, [entries[0].address]);
 }
+
+fn homes(centres: &[(&str, u32)]) -> BTreeMap<DataCentre, u32> {
+    centres
+        .iter()
+        .map(|&(centre, count)| (centre.into(), count))
+        .collect()
+}
+
+fn seven() -> Vec<Entry> {
+    ["a", "a", "b", "b", "c", "c", "d"]
+        .iter()
+        .zip(1_u16..)
+        .map(|(&centre, port)| Entry {
+            centre: centre.into(),
+            address: SocketAddr::from(([127, 0, 0, 1], port)),
+            reach: Reach::Alive,
+            load: 0,
+            since: None,
+        })
+        .collect()
+}
+
+fn ports(placed: &[SocketAddr]) -> Vec<u16> {
+    placed.iter().map(SocketAddr::port).collect()
+}
+
+#[parameterized(
+    homes_only = { &[("a", 20), ("b", 20)], "c", &[1, 2, 3, 4] },
+    near_home_first = { &[("a", 20), ("b", 20)], "b", &[3, 4, 1, 2] },
+    one_that_holds_little = { &[("a", 20), ("b", 20), ("c", 3)], "c", &[1, 2, 3, 4] },
+    homes_with_one_vm = { &[("d", 20)], "a", &[1, 2, 3, 4, 5, 6, 7] },
+    no_home = { &[], "d", &[7, 1, 2, 3, 4, 5, 6] },
+)]
+fn test_place_callers(centres: &[(&str, u32)], near: &str, expected: &[u16]) {
+    let placed = place(&seven(), &homes(centres), Some(near));
+    assert_eq!(ports(&placed), expected);
+}
+
+#[test]
+fn test_place_passes_over_vms_that_leave_or_are_lost() {
+    let mut entries = seven();
+    entries[0].reach = Reach::Leaving;
+    entries[2].reach = Reach::Dead;
+    let placed = place(&entries, &homes(&[("a", 20), ("b", 20)]), None);
+    assert_eq!(ports(&placed), [2, 4]);
+    entries[3].reach = Reach::Suspect;
+    let placed = place(&entries, &homes(&[("a", 20), ("b", 20)]), None);
+    assert_eq!(ports(&placed), [2, 5, 6, 7], "one VM is too few");
+}
+
+#[test]
+fn test_place_names_somebody_while_all_leave() {
+    let mut entries = seven();
+    for entry in &mut entries {
+        entry.reach = Reach::Leaving;
+    }
+    let placed = place(&entries, &homes(&[("a", 20)]), None);
+    assert_eq!(placed.len(), 2);
+}
--- a/crates/core/src/fleet/node.rs
+++ b/crates/core/src/fleet/node.rs
@@ -254,6 +254,15 @@
         }
     }
 
+    /// Takes in the reply of whoever listens at a seed's address.
+    pub fn hear_seed(&mut self, reply: &BeatReply, now: Instant) {
+        if self.members.is_former(&reply.from) {
+            self.members.dropped(&reply.from);
+        } else if reply.from.vm != self.members.own().vm {
+            self.meet(&reply.from, reply.status, &reply.updates, now);
+        }
+    }
+
     /// Takes in that a beat to `to` got no reply.
     pub fn hear_failure(&mut self, to: &VmId, failure: Failure, now: Instant) {
         self.members.failed(to, failure, now);
--- a/crates/core/src/policy/early.rs
+++ b/crates/core/src/policy/early.rs
@@ -21,17 +21,28 @@
     pub likely: Option<Instant>,
 }
 
+impl Progress {
+    /// Returns whether at least this share of the shards is included.
+    fn covers(&self, share: f64) -> bool {
+        f64::from(self.included) >= f64::from(self.total) * share
+    }
+}
+
 /// Returns when a request may be answered without the missing shards.
 ///
 /// With [`AnswerPolicy::Wait`] that is the deadline. With [`AnswerPolicy::Early`] it is the time
 /// from which the preset allows it, put off while every missing shard is still likely to reply.
+/// With [`AnswerPolicy::Within`] it is the time given, or later once the share is reached.
 #[must_use]
 pub fn answer_time(policy: AnswerPolicy, progress: &Progress) -> Instant {
-    let AnswerPolicy::Early { share, after } = policy else {
-        return progress.deadline;
+    let (share, after) = match policy {
+        AnswerPolicy::Early { share, after } => (share, after),
+        AnswerPolicy::Within { share, time } if progress.covers(share) => {
+            return (progress.started + time.0).min(progress.deadline);
+        }
+        AnswerPolicy::Wait | AnswerPolicy::Within { .. } => return progress.deadline,
     };
-    let least = f64::from(progress.total) * share;
-    if f64::from(progress.included) < least {
+    if !progress.covers(share) {
         return progress.deadline;
     }
     let whole = progress
--- a/crates/core/src/policy/gather/send.rs
+++ b/crates/core/src/policy/gather/send.rs
@@ -30,9 +30,10 @@
         let (now, tables) = (context.now, &mut *context.tables);
         let shard = &mut self.shards[index];
         let replicas = &shard.target.replicas;
+        let excluded = shard.excluded(self.spec.repeat.map(|policy| policy.servers));
         let pick = tables
             .replicas
-            .choose(replicas, &shard.tried, now, context.rng);
+            .choose(replicas, &excluded, now, context.rng);
         let Some(pick) = pick else {
             return false;
         };
@@ -41,6 +42,14 @@
             return false;
         }
         let (service, kind) = (&self.spec.service, self.spec.kind);
+        let target = shard.target.service.as_ref().unwrap_or(service);
+        if let Some(policy) = &self.spec.repeat {
+            if cause == AttemptCause::First {
+                tables.repeats.on_first(target, policy);
+            } else if !tables.repeats.allow(target) {
+                return false;
+            }
+        }
         if shard.sent == 0 {
             let delay = tables.hedger.delay(service, kind, &self.spec.hedge);
             shard.hedge_at = delay.map(|delay| now + delay);
@@ -67,7 +76,12 @@
         let Some(server) = probe else {
             return;
         };
-        if !shard.tried.contains(&server) {
+        let service = &self.spec.service;
+        let target = shard.target.service.as_ref().unwrap_or(service);
+        let allowed = self.spec.repeat.is_none_or(|policy| {
+            shard.asked.len() < policy.servers as usize && context.tables.repeats.allow(target)
+        });
+        if allowed && !shard.tried.contains(&server) {
             shard.tried.push(ServerId::clone(&server));
             self.push_call(index, server, AttemptCause::Probe, context, actions);
         }
@@ -90,6 +104,9 @@
         let id = self.next_attempt;
         self.next_attempt += 1;
         let shard = &mut self.shards[index];
+        if !shard.asked.contains(&server) {
+            shard.asked.push(ServerId::clone(&server));
+        }
         shard.live.push(Attempt {
             id,
             server: ServerId::clone(&server),
--- a/crates/core/src/policy/gather/shard.rs
+++ b/crates/core/src/policy/gather/shard.rs
@@ -46,6 +46,8 @@
     pub(super) live: Vec<Attempt>,
     /// The backend servers called in this round.
     pub(super) tried: Vec<ServerId>,
+    /// The backend servers called in any round.
+    pub(super) asked: Vec<ServerId>,
     /// The calls sent, probes apart.
     pub(super) sent: u32,
     /// When to hedge.
@@ -65,6 +67,7 @@
             status: ShardStatus::Open,
             live: Vec::new(),
             tried: Vec::new(),
+            asked: Vec::new(),
             sent: 0,
             hedge_at: None,
             retry_at: None,
@@ -77,6 +80,17 @@
         self.status == ShardStatus::Open
     }
 
+    /// Returns the backend servers that get no call in this round: those that had theirs and, once
+    /// as many were asked as may be, all others.
+    pub(super) fn excluded(&self, most: Option<u32>) -> Vec<ServerId> {
+        let full = most.is_some_and(|most| self.asked.len() >= most as usize);
+        let barred = |server: &&ServerId| {
+            self.tried.contains(server) || full && !self.asked.contains(server)
+        };
+        let replicas = self.target.replicas.iter();
+        replicas.filter(barred).map(ServerId::clone).collect()
+    }
+
     /// Takes a call out that has got its reply.
     pub(super) fn take(&mut self, attempt: AttemptId) -> Option<Attempt> {
         let index = self.live.iter().position(|live| live.id == attempt)?;
--- a/crates/core/src/policy/gather/spec.rs
+++ b/crates/core/src/policy/gather/spec.rs
@@ -6,7 +6,7 @@
 
 use crate::{
     ids::{AttemptId, IndexVersion, ServerId, ServiceId, ShardId},
-    policy::{EntryTables, retry::RetryReason},
+    policy::{EntryTables, repeat::RepeatPolicy, retry::RetryReason},
     presets::{HedgePolicy, KindPolicy, RetryPolicy},
     request::{Coverage, RequestKind},
 };
@@ -32,6 +32,8 @@
     pub hedge: HedgePolicy,
     /// When shard calls are tried again.
     pub retry: RetryPolicy,
+    /// What bounds the extra calls to each service; none where the entry's own budgets do alone.
+    pub repeat: Option<RepeatPolicy>,
 }
 
 /// A shard and the backend servers that hold it.
@@ -39,6 +41,8 @@
 pub struct ShardTarget {
     /// The shard.
     pub shard: ShardId,
+    /// The service whose budget of extra calls counts, where shards are services of their own.
+    pub service: Option<ServiceId>,
     /// The backend servers.
     pub replicas: Vec<ServerId>,
 }
--- a/crates/core/src/policy/gather/tests.rs
+++ b/crates/core/src/policy/gather/tests.rs
@@ -37,6 +37,7 @@
     (0..shards)
         .map(|shard| ShardTarget {
             shard,
+            service: None,
             replicas: vec![replica(shard, 'a'), replica(shard, 'b')],
         })
         .collect()
@@ -58,6 +59,7 @@
                 budget: 1.0,
                 ..RetryPolicy::default()
             },
+            repeat: None,
         };
         let mut tables = EntryTables::default();
         for _ in 0..100 {
--- a/crates/core/src/policy/mod.rs
+++ b/crates/core/src/policy/mod.rs
@@ -12,6 +12,7 @@
 pub mod limit;
 pub mod outcome;
 pub mod queue;
+pub mod repeat;
 pub mod replica;
 pub mod retry;
 mod tables;
--- /dev/null
+++ b/crates/core/src/policy/repeat.rs
@@ -0,0 +1,51 @@
+//! How many extra calls each service gets, over all the requests of one entry.
+
+use std::collections::HashMap;
+
+use super::budget::TokenBudget;
+use crate::ids::ServiceId;
+
+/// The extra calls, hedges and retries alike, that one entry may send to a service.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct RepeatPolicy {
+    /// The most extra calls as a share of first attempts.
+    pub ratio: f64,
+    /// The most extra calls beyond that share, over any period.
+    pub burst: f64,
+    /// The most backend servers that one shard call is sent to.
+    pub servers: u32,
+}
+
+/// The extra calls that one entry may still send, by service.
+///
+/// The budgets of all entries add up: over any period a service gets at most `ratio` of its first
+/// attempts plus the bursts of all entries.
+#[derive(Clone, Debug, Default)]
+pub struct Repeats {
+    budgets: HashMap<ServiceId, TokenBudget>,
+}
+
+impl Repeats {
+    /// Notes a first attempt, which earns extra calls to its service.
+    pub fn on_first(&mut self, service: &ServiceId, policy: &RepeatPolicy) {
+        if !self.budgets.contains_key(service) {
+            let budget = TokenBudget::new(policy.burst);
+            self.budgets.insert(ServiceId::clone(service), budget);
+        }
+        if let Some(budget) = self.budgets.get_mut(service) {
+            budget.earn(1, policy.ratio);
+        }
+    }
+
+    /// Takes an extra call out of a service's budget; returns false when it is used up.
+    pub fn allow(&mut self, service: &ServiceId) -> bool {
+        self.budgets
+            .get_mut(service)
+            .is_some_and(TokenBudget::spend)
+    }
+
+    /// Forgets the services that are not in `kept`.
+    pub fn keep_services(&mut self, kept: impl Fn(&ServiceId) -> bool) {
+        self.budgets.retain(|service, _| kept(service));
+    }
+}
--- a/crates/core/src/policy/replica/mod.rs
+++ b/crates/core/src/policy/replica/mod.rs
@@ -8,7 +8,7 @@
 pub use choose::Pick;
 pub use event::{EjectCause, ReplicaEvent};
 pub use stats::{HealthClaim, Standing};
-pub use table::{CallReport, ReplicaTable, WaitEstimate};
+pub use table::{CallReport, Listing, ReplicaTable, WaitEstimate};
 
 #[cfg(test)]
 mod tests;
--- a/crates/core/src/policy/replica/stats.rs
+++ b/crates/core/src/policy/replica/stats.rs
@@ -63,6 +63,8 @@
     pub(crate) slots: u32,
     /// Whether the platform publishes it as leaving.
     pub(crate) listed_leaving: bool,
+    /// What is added to its expected latency when replicas are compared.
+    pub(crate) bias: Duration,
     /// Whether it gets calls.
     pub(crate) standing: Standing,
     /// Calls of this entry without a reply.
@@ -87,6 +89,7 @@
         Self {
             slots: slots.max(1),
             listed_leaving: false,
+            bias: Duration::ZERO,
             standing,
             in_flight: 0,
             service: MovingAverage::default(),
--- a/crates/core/src/policy/replica/table.rs
+++ b/crates/core/src/policy/replica/table.rs
@@ -33,6 +33,20 @@
     listed: HashMap<ServiceId, HashSet<ServerId>>,
 }
 
+/// One backend server of a service, as the platform lists it.
+#[derive(Clone, Debug)]
+pub struct Listing {
+    /// The backend server.
+    pub server: ServerId,
+    /// The requests that it runs at once.
+    pub slots: u32,
+    /// Whether it is leaving.
+    pub leaving: bool,
+    /// What is added to its expected latency when replicas are compared; the price of the way to
+    /// another data centre.
+    pub bias: Duration,
+}
+
 /// What came of one shard call.
 #[derive(Clone, Copy, Debug)]
 pub struct CallReport {
@@ -59,13 +73,24 @@
 
 impl ReplicaTable {
     /// Takes over the backend servers of an index document and forgets those that it dropped.
+    pub fn sync(&mut self, document: &IndexDocument, now: Instant) {
+        let listings = document.servers.iter().map(|entry| Listing {
+            server: ServerId::clone(&entry.id),
+            slots: entry.slots,
+            leaving: entry.state == ServerState::Leaving,
+            bias: Duration::ZERO,
+        });
+        self.list(&document.service, listings.collect(), now);
+    }
+
+    /// Takes over the backend servers of a service and forgets those that it no longer has.
     ///
     /// A backend server that joins others which are in use already starts with a small share.
-    pub fn sync(&mut self, document: &IndexDocument, now: Instant) {
-        let known = self.listed.get(&document.service);
+    pub fn list(&mut self, service: &ServiceId, listings: Vec<Listing>, now: Instant) {
+        let known = self.listed.get(service);
         let joins = known.is_some_and(|known| !known.is_empty());
         let mut listed = HashSet::new();
-        for entry in &document.servers {
+        for listing in listings {
             let standing = if joins {
                 Standing::Ramp(now)
             } else {
@@ -73,18 +98,31 @@
             };
             let stats = self
                 .servers
-                .entry(ServerId::clone(&entry.id))
-                .or_insert_with(|| ReplicaStats::new(entry.slots, standing));
-            stats.slots = entry.slots.max(1);
-            stats.listed_leaving = entry.state == ServerState::Leaving;
-            listed.insert(ServerId::clone(&entry.id));
+                .entry(ServerId::clone(&listing.server))
+                .or_insert_with(|| ReplicaStats::new(listing.slots, standing));
+            stats.slots = listing.slots.max(1);
+            stats.listed_leaving = listing.leaving;
+            stats.bias = listing.bias;
+            listed.insert(listing.server);
         }
-        let former = self
-            .listed
-            .insert(ServiceId::clone(&document.service), listed);
+        let former = self.listed.insert(ServiceId::clone(service), listed);
         self.forget(former.unwrap_or_default());
     }
 
+    /// Forgets the services that are not in `kept`, and their backend servers.
+    pub fn keep_services(&mut self, kept: impl Fn(&ServiceId) -> bool) {
+        let dropped: Vec<_> = self
+            .listed
+            .keys()
+            .filter(|one| !kept(one))
+            .cloned()
+            .collect();
+        for service in dropped {
+            let former = self.listed.remove(&service);
+            self.forget(former.unwrap_or_default());
+        }
+    }
+
     /// Notes that a call was sent.
     pub fn on_send(&mut self, server: &ServerId) {
         if let Some(stats) = self.servers.get_mut(server) {
--- a/crates/core/src/policy/tables.rs
+++ b/crates/core/src/policy/tables.rs
@@ -6,6 +6,7 @@
     admission::Admission,
     hedge::Hedger,
     outcome::CallOutcome,
+    repeat::Repeats,
     replica::{CallReport, ReplicaTable, WaitEstimate},
     retry::Retrier,
 };
@@ -23,6 +24,8 @@
     pub hedger: Hedger,
     /// The budget of retries.
     pub retrier: Retrier,
+    /// The budget of extra calls of each service.
+    pub repeats: Repeats,
     /// The requests taken on.
     pub admission: Admission,
 }
--- a/crates/core/src/presets/document.rs
+++ b/crates/core/src/presets/document.rs
@@ -62,6 +62,13 @@
         /// The share of the deadline, 0 to 1, after which an early answer is allowed.
         after: f64,
     },
+    /// Waits for every shard until a time, then answers as soon as the share is reached.
+    Within {
+        /// The least share of shards, 0 to 1, to answer with.
+        share: f64,
+        /// How long after its admission the request waits for every shard.
+        time: Millis,
+    },
 }
 
 /// When a second replica is asked before the first has answered.
--- a/crates/server/src/entry/addresses.rs
+++ b/crates/server/src/entry/addresses.rs
@@ -63,14 +63,22 @@
     near: &DataCentre,
     wanted: impl Fn(&VmId, &MemberView) -> bool,
 ) -> Vec<SocketAddr> {
-    let members = view.members.iter();
-    let members = members.filter(|(vm, member)| wanted(vm, member));
-    let entries: Vec<_> = members.map(|(_, member)| entry(member)).collect();
+    let entries = address_entries(view, wanted);
     let mut rng = ChaCha8Rng::seed_from_u64(rand::random());
     let settings = AddressSettings::default();
     choose(&entries, near, &settings, &mut rng, Timer.now())
 }
 
+/// Returns the VMs of a view that callers may be sent to.
+pub(crate) fn address_entries(
+    view: &FleetView,
+    wanted: impl Fn(&VmId, &MemberView) -> bool,
+) -> Vec<Entry> {
+    let members = view.members.iter();
+    let members = members.filter(|(vm, member)| wanted(vm, member));
+    members.map(|(_, member)| entry(member)).collect()
+}
+
 fn entry(member: &MemberView) -> Entry {
     Entry {
         centre: Arc::clone(&member.centre),
--- a/crates/wire/src/operator/mod.rs
+++ b/crates/wire/src/operator/mod.rs
@@ -16,6 +16,8 @@
 pub const STATUS_PATH: &str = "/v1/status";
 /// The path of the counters.
 pub const COUNTERS_PATH: &str = "/v1/counters";
+/// The path of counters and latency histograms as text.
+pub const METRICS_PATH: &str = "/metrics";
 
 /// The fleet as one VM sees it.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
