--- a/crates/server/src/entry/http/connection.rs
+++ b/crates/server/src/entry/http/connection.rs
@@ -1,6 +1,6 @@
 //! One connection of a caller.
 
-use std::{convert::Infallible, net::SocketAddr, sync::Arc};
+use std::{net::SocketAddr, sync::Arc};
 
 use cassialift_core::{
     request::{Ran, RefusalReason},
@@ -55,11 +55,7 @@
     }
 
     /// Serves one request; dropping the future, as a hang-up does, cancels its work.
-    pub(super) async fn serve(
-        self,
-        peer: SocketAddr,
-        request: Request<Incoming>,
-    ) -> Result<Response, Infallible> {
+    pub(super) async fn serve(self, peer: SocketAddr, request: Request<Incoming>) -> Response {
         let mut response = self.respond(peer, request).await;
         if response.status().is_client_error() {
             self.metrics.count("callers.client_error");
@@ -71,7 +67,7 @@
             let close = header::HeaderValue::from_static("close");
             response.headers_mut().insert(header::CONNECTION, close);
         }
-        Ok(response)
+        response
     }
 
     async fn respond(&self, peer: SocketAddr, request: Request<Incoming>) -> Response {
--- a/crates/server/src/entry/http/routes.rs
+++ b/crates/server/src/entry/http/routes.rs
@@ -5,7 +5,7 @@
 use cassialift_core::request::{Ran, RefusalReason};
 use cassialift_wire::{
     caller::{ADDRESSES_PATH, AddressQuery, JOBS_PATH, OUTCOME_PATH, SEARCH_PATH, TICKETS_PATH},
-    operator::{COUNTERS_PATH, Counters, STATUS_PATH},
+    operator::{COUNTERS_PATH, Counters, METRICS_PATH, STATUS_PATH},
 };
 use serde::{Serialize, de::DeserializeOwned};
 use volo_http::{
@@ -28,6 +28,7 @@
 
 pub(super) fn router(node: &Arc<Node>) -> Router {
     let counters = Arc::clone(node);
+    let metrics = Arc::clone(node);
     let list = Arc::clone(node);
     let fleet = Arc::clone(node);
     Router::new()
@@ -61,6 +62,13 @@
                 async move { json(StatusCode::OK, &status) }
             }),
         )
+        .route(
+            METRICS_PATH,
+            get(move || {
+                let page = metrics.metrics.page();
+                async move { page }
+            }),
+        )
         .route(
             COUNTERS_PATH,
             get(move || {
--- a/crates/server/src/entry/mod.rs
+++ b/crates/server/src/entry/mod.rs
@@ -10,5 +10,6 @@
 mod refuse;
 mod search;
 
+pub(crate) use addresses::address_entries;
 pub use http::serve;
 pub use policy::PolicyTables;
--- a/crates/server/src/entry/policy.rs
+++ b/crates/server/src/entry/policy.rs
@@ -35,7 +35,7 @@
     }
 
     /// Takes one decision and tells the journal of backend servers that were ejected or returned.
-    pub(super) fn decide<R>(&self, node: &Node, run: impl FnOnce(&mut EntryTables) -> R) -> R {
+    pub(crate) fn decide<R>(&self, node: &Node, run: impl FnOnce(&mut EntryTables) -> R) -> R {
         let mut tables = self.lock();
         let result = run(&mut tables);
         let events = tables.replicas.take_events();
--- /dev/null
+++ b/crates/server/src/http/accept.rs
@@ -0,0 +1,151 @@
+//! The loop that accepts connections and drives them to their end.
+
+use std::{convert::Infallible, error::Error, net::SocketAddr, sync::Arc, time::Duration};
+
+use http_body::Body;
+use hyper::{Request, Response, body::Incoming, server::conn::http1, service::service_fn};
+use hyper_util::rt::{TokioIo, TokioTimer};
+use tokio::{
+    io::{AsyncReadExt, AsyncWriteExt},
+    net::{TcpListener, TcpStream},
+    sync::{OwnedSemaphorePermit, Semaphore, watch},
+};
+use tokio_util::task::TaskTracker;
+
+use crate::{sockets, timer::Timer};
+
+/// How long a connection beyond the limit is given to read its refusal.
+const LINGER: Duration = Duration::from_secs(1);
+
+/// The most connections beyond the limit that are given time to read their refusal.
+const LINGERERS: usize = 64;
+
+/// The pause after a connection could not be accepted.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+
+/// Bounds on connections.
+#[derive(Clone, Debug)]
+pub(crate) struct AcceptSettings {
+    /// The most connections open at once.
+    pub(crate) connections: usize,
+    /// The most headers of a request.
+    pub(crate) headers: usize,
+    /// The largest head of a request, bytes.
+    pub(crate) head: usize,
+    /// How long a connection may wait for a whole head.
+    pub(crate) receive: Duration,
+    /// The whole response to a connection beyond the limit.
+    pub(crate) refusal: String,
+}
+
+/// Accepts connections and serves their requests with one function.
+pub(crate) struct Acceptor<F> {
+    serve: F,
+    http: http1::Builder,
+    refusal: Arc<str>,
+    connections: Arc<Semaphore>,
+    lingerers: Arc<Semaphore>,
+    stopping: watch::Sender<()>,
+    tasks: TaskTracker,
+}
+
+impl<F, Served, Sent> Acceptor<F>
+where
+    F: Fn(SocketAddr, Request<Incoming>) -> Served + Clone + Send + 'static,
+    Served: Future<Output = Response<Sent>> + Send + 'static,
+    Sent: Body + Send + 'static,
+    Sent::Data: Send,
+    Sent::Error: Into<Box<dyn Error + Send + Sync>>,
+{
+    pub(crate) fn new(settings: &AcceptSettings, serve: F) -> Self {
+        let mut http = http1::Builder::new();
+        http.timer(TokioTimer::new())
+            .header_read_timeout(settings.receive)
+            .max_headers(settings.headers)
+            .max_buf_size(settings.head);
+        Self {
+            serve,
+            http,
+            refusal: settings.refusal.as_str().into(),
+            connections: Arc::new(Semaphore::new(settings.connections)),
+            lingerers: Arc::new(Semaphore::new(LINGERERS)),
+            stopping: watch::Sender::new(()),
+            tasks: TaskTracker::new(),
+        }
+    }
+
+    /// Serves until `stop` ends, then finishes what is in flight.
+    pub(crate) async fn run(self, listener: TcpListener, stop: impl Future<Output = ()>) {
+        tokio::select! {
+            () = self.accept_all(&listener) => {}
+            () = stop => {}
+        }
+        drop(listener);
+        self.stopping.send_replace(());
+        self.tasks.close();
+        self.tasks.wait().await;
+    }
+
+    async fn accept_all(&self, listener: &TcpListener) {
+        loop {
+            match sockets::accept(listener).await {
+                Ok((stream, peer)) => self.admit(stream, peer),
+                Err(error) => {
+                    log::warn!("callers: a connection could not be accepted: {error}.");
+                    Timer.after(ACCEPT_PAUSE).await;
+                }
+            }
+        }
+    }
+
+    fn admit(&self, stream: TcpStream, peer: SocketAddr) {
+        let connections = Arc::clone(&self.connections);
+        if let Ok(permit) = connections.try_acquire_owned() {
+            self.drive(stream, peer, permit);
+        } else if let Ok(permit) = Arc::clone(&self.lingerers).try_acquire_owned() {
+            let refusal = Arc::clone(&self.refusal);
+            self.tasks.spawn(turn_away(stream, refusal, permit));
+        }
+    }
+
+    fn drive(&self, stream: TcpStream, peer: SocketAddr, permit: OwnedSemaphorePermit) {
+        let serve = self.serve.clone();
+        let service = service_fn(move |request| {
+            let served = serve(peer, request);
+            async move { Ok::<_, Infallible>(served.await) }
+        });
+        let connection = self.http.serve_connection(TokioIo::new(stream), service);
+        let mut stopped = self.stopping.subscribe();
+        self.tasks.spawn(async move {
+            let _permit = permit;
+            let mut connection = std::pin::pin!(connection);
+            let ended = tokio::select! {
+                ended = connection.as_mut() => ended,
+                _ = stopped.changed() => {
+                    // Ends the connection once its request, if any, has been answered.
+                    connection.as_mut().graceful_shutdown();
+                    connection.await
+                }
+            };
+            if let Err(error) = ended {
+                log::debug!("callers: a connection ended: {error}.");
+            }
+        });
+    }
+}
+
+/// Tells a caller beyond the limit on connections why it is not served.
+async fn turn_away(mut stream: TcpStream, refusal: Arc<str>, permit: OwnedSemaphorePermit) {
+    let _permit = permit;
+    let told = tokio::time::timeout(LINGER, async {
+        stream.write_all(refusal.as_bytes()).await?;
+        stream.shutdown().await?;
+        // A socket that is closed with unread bytes is reset, which may destroy the response.
+        let mut rest = [0; 1_024];
+        while stream.read(&mut rest).await? > 0 {}
+        Ok::<(), std::io::Error>(())
+    });
+    if !matches!(told.await, Ok(Ok(()))) {
+        log::debug!("callers: a connection beyond the limit did not take its refusal.");
+    }
+}
