logging: structured lines on standard output that never block

Lines are key=value pairs with the part that logged them. A thread writes them in batches; what is faster than the bound is counted and the count is written. Latency histograms join the counters on a metrics page.

--- /dev/null
+++ b/crates/server/src/logging/tests.rs
@@ -0,0 +1,114 @@
+//! Tests of the log's lines, its bounds, and that it never blocks.
+
+use std::{
+    io::{self, Write},
+    sync::{Arc, Mutex, mpsc},
+    time::{Duration, Instant},
+};
+
+use log::{Level, Record};
+use yare::parameterized;
+
+use super::{
+    format::write_line,
+    writer::{LineWriter, LogBounds},
+};
+
+fn line(target: &str, text: &str) -> String {
+    let mut out = Vec::new();
+    let args = format_args!("{text}");
+    let record = Record::builder()
+        .target(target)
+        .level(Level::Info)
+        .args(args)
+        .build();
+    write_line(&mut out, &record).unwrap();
+    String::from_utf8(out).unwrap()
+}
+
+#[parameterized(
+    part = { "cassialift::x", "config: Revision 3 is held.", "part=config msg=\"Revision 3 is held.\"\n" },
+    no_part = { "cassialift::x", "Some Text: more", "part=process msg=\"Some Text: more\"\n" },
+    request = { "request", "event=end id=a", "part=request event=end id=a\n" },
+    quoted = { "cassialift::x", "entry: \"a\nb\"", "part=entry msg=\"'a b'\"\n" },
+)]
+fn test_log_line(target: &str, text: &str, expected: &str) {
+    let line = line(target, text);
+    assert!(line.starts_with("ts="), "{line}");
+    assert!(line.contains(" level=info vm="), "{line}");
+    assert!(line.ends_with(expected), "{line}");
+}
+
+/// Where a test reads what was written.
+#[derive(Clone, Default)]
+struct Sink(Arc<Mutex<Vec<u8>>>);
+
+impl Write for Sink {
+    fn write(&mut self, buf: &[u8]) -> io::Result<usize> {
+        self.0.lock().unwrap().extend_from_slice(buf);
+        Ok(buf.len())
+    }
+
+    fn flush(&mut self) -> io::Result<()> {
+        Ok(())
+    }
+}
+
+impl Sink {
+    fn wait_for(&self, wanted: &str) -> String {
+        let deadline = Instant::now() + Duration::from_secs(10);
+        loop {
+            let text = String::from_utf8(self.0.lock().unwrap().clone()).unwrap();
+            if text.contains(wanted) {
+                return text;
+            }
+            assert!(Instant::now() < deadline, "no {wanted} in {text}");
+            std::thread::sleep(Duration::from_millis(5));
+        }
+    }
+}
+
+#[test]
+fn test_log_volume_is_bounded_and_counted() {
+    let sink = Sink::default();
+    let bounds = LogBounds {
+        rate: 10,
+        ..LogBounds::default()
+    };
+    let mut writer = LineWriter::start(bounds, sink.clone());
+    for _ in 0..30 {
+        writer.write_all(b"line\n").unwrap();
+    }
+    let text = sink.wait_for("dropped=20");
+    assert_eq!(text.matches("line\n").count(), 10);
+}
+
+/// Blocks for ever, as a pipe does whose reader is stuck.
+struct Stuck(mpsc::Receiver<()>);
+
+impl Write for Stuck {
+    fn write(&mut self, buf: &[u8]) -> io::Result<usize> {
+        // The test drops the sender at its end.
+        let _ = self.0.recv();
+        Ok(buf.len())
+    }
+
+    fn flush(&mut self) -> io::Result<()> {
+        Ok(())
+    }
+}
+
+#[test]
+fn test_log_does_not_block_on_a_stuck_reader() {
+    let (_hold, stuck) = mpsc::channel();
+    let bounds = LogBounds {
+        waiting: 5,
+        rate: 1_000_000,
+    };
+    let mut writer = LineWriter::start(bounds, Stuck(stuck));
+    let began = Instant::now();
+    for _ in 0..10_000 {
+        writer.write_all(b"line\n").unwrap();
+    }
+    assert!(began.elapsed() < Duration::from_secs(5));
+}
--- a/crates/server/src/metrics/counters.rs
+++ b/crates/server/src/metrics/counters.rs
@@ -4,14 +4,15 @@
     collections::{BTreeMap, HashMap},
     net::{SocketAddr, UdpSocket},
     sync::{
-        RwLock,
+        Mutex, PoisonError, RwLock,
         atomic::{AtomicU64, Ordering},
     },
+    time::Duration,
 };
 
 use cadence::{BufferedUdpMetricSink, Counted, NopMetricSink, QueuingMetricSink, StatsdClient};
 
-use super::MetricsError;
+use super::{LatencyBuckets, MetricsError};
 
 const PREFIX: &str = "cassialift";
 
@@ -20,6 +21,7 @@
 pub struct Metrics {
     statsd: StatsdClient,
     counts: RwLock<HashMap<String, AtomicU64>>,
+    latencies: Mutex<BTreeMap<&'static str, LatencyBuckets>>,
 }
 
 impl Metrics {
@@ -37,8 +39,11 @@
             }
             None => StatsdClient::from_sink(PREFIX, NopMetricSink),
         };
-        let counts = RwLock::default();
-        Ok(Self { statsd, counts })
+        Ok(Self {
+            statsd,
+            counts: RwLock::default(),
+            latencies: Mutex::default(),
+        })
     }
 
     /// Adds one to a counter.
@@ -70,6 +75,37 @@
         count.fetch_add(amount, Ordering::Relaxed);
     }
 
+    /// Adds a latency to a histogram.
+    pub fn observe(&self, name: &'static str, latency: Duration) {
+        // The buckets are whole between any two steps.
+        let mut latencies = self
+            .latencies
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner);
+        latencies.entry(name).or_default().add(latency);
+    }
+
+    /// Returns counters and histograms as text, one value a line.
+    ///
+    /// A histogram has a line for each bucket, with the number of latencies up to that many
+    /// milliseconds, and the number and the sum of all.
+    #[must_use]
+    pub fn page(&self) -> String {
+        let counters = self.snapshot().into_iter();
+        let mut lines: Vec<String> = counters
+            .map(|(name, count)| format!("{} {count}", identifier(&name)))
+            .collect();
+        let latencies = self
+            .latencies
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner);
+        for (name, buckets) in latencies.iter() {
+            lines.extend(buckets.lines(&identifier(name)));
+        }
+        lines.push(String::new());
+        lines.join("\n")
+    }
+
     /// Returns all counters.
     ///
     /// # Panics
@@ -86,3 +122,10 @@
             .collect()
     }
 }
+
+/// Returns a name in the letters that metric names may have.
+fn identifier(name: &str) -> String {
+    let plain = |c: char| if c.is_ascii_alphanumeric() { c } else { '_' };
+    let name: String = name.chars().map(plain).collect();
+    format!("{PREFIX}_{name}")
+}
--- a/crates/server/src/metrics/mod.rs
+++ b/crates/server/src/metrics/mod.rs
@@ -2,6 +2,8 @@
 
 mod counters;
 mod error;
+mod latency;
 
 pub use counters::Metrics;
 pub use error::MetricsError;
+use latency::LatencyBuckets;
