gateway: a VM of another data centre asks its backend servers and merges their parts

Shards without a near replica are grouped by the data centre that holds most of them; one message asks a VM there, which hedges and retries by itself and replies with the merged records. What it does not include in 0.6 of the time is asked directly. Extra calls of both VMs stay within one budget.

--- a/crates/core/src/policy/gather/finish.rs
+++ b/crates/core/src/policy/gather/finish.rs
@@ -20,7 +20,8 @@
         }
         self.drop_hopeless(context, actions);
         let late = context.now >= self.spec.deadline;
-        let open = self.shards.iter().any(ShardState::is_open);
+        let own = self.shards.iter().any(ShardState::is_open);
+        let open = own || !self.elsewhere.open.is_empty();
         let waits = open && context.now < self.answer_time();
         if !late && (waits || self.stalled) {
             return;
@@ -44,9 +45,12 @@
             .shards
             .iter()
             .filter(|s| s.status == ShardStatus::Included);
+        let elsewhere = &self.elsewhere;
+        let included = included.count() + elsewhere.included.len();
+        let total = self.shards.len() + elsewhere.included.len() + elsewhere.open.len();
         let progress = Progress {
-            included: u32::try_from(included.count()).unwrap_or(u32::MAX),
-            total: u32::try_from(self.shards.len()).unwrap_or(u32::MAX),
+            included: u32::try_from(included).unwrap_or(u32::MAX),
+            total: u32::try_from(total).unwrap_or(u32::MAX),
             started: self.spec.started,
             deadline: self.spec.deadline,
             likely: self.likely_time(),
@@ -84,6 +88,12 @@
                 ShardStatus::Open => {}
             }
         }
+        coverage.included.extend(&self.elsewhere.included);
+        let open = self.elsewhere.open.iter();
+        coverage.missing.extend(open.map(|shard| MissingShard {
+            shard: *shard,
+            reason: MissingReason::Early,
+        }));
         coverage.included.sort_unstable();
         coverage
             .missing
--- a/crates/core/src/policy/gather/machine.rs
+++ b/crates/core/src/policy/gather/machine.rs
@@ -7,11 +7,20 @@
     spec::{Action, AttemptCause, Context, GatherSpec, ShardTarget},
 };
 use crate::{
-    ids::{AttemptId, IndexVersion},
-    policy::outcome::CallOutcome,
+    ids::{AttemptId, IndexVersion, ShardId},
+    policy::{outcome::CallOutcome, retry::RetryReason},
     request::MissingReason,
 };
 
+/// The shards of a search that another VM asks.
+#[derive(Clone, Debug, Default)]
+pub(super) struct Elsewhere {
+    /// Those that may still come in.
+    pub(super) open: Vec<ShardId>,
+    /// Those that are in.
+    pub(super) included: Vec<ShardId>,
+}
+
 /// The state machine of one search.
 #[derive(Clone, Debug)]
 pub struct Gather {
@@ -20,6 +29,7 @@
     pub(super) stalled: bool,
     /// Whether any call may have run.
     pub(super) may_have_run: bool,
+    pub(super) elsewhere: Elsewhere,
     ended: bool,
     pub(super) next_attempt: AttemptId,
 }
@@ -34,6 +44,7 @@
             shards,
             stalled: false,
             may_have_run: false,
+            elsewhere: Elsewhere::default(),
             ended: false,
             next_attempt: 0,
         }
@@ -55,6 +66,62 @@
         actions
     }
 
+    /// Notes shards that another VM asks; to be called before [`Self::start`].
+    pub fn delegate(&mut self, shards: Vec<ShardId>) {
+        self.elsewhere.open.extend(shards);
+        self.may_have_run = true;
+    }
+
+    /// Takes in the shards that another VM included; returns whether they enter the answer.
+    pub fn on_delegated(
+        &mut self,
+        included: &[ShardId],
+        context: &mut Context<'_>,
+        actions: &mut Vec<Action>,
+    ) -> bool {
+        if self.ended {
+            return false;
+        }
+        let Elsewhere {
+            open,
+            included: all,
+        } = &mut self.elsewhere;
+        open.retain(|shard| !included.contains(shard));
+        all.extend(included);
+        self.conclude(context, actions);
+        true
+    }
+
+    /// Asks shards directly that another VM was to ask and did not include.
+    ///
+    /// `repeated` says that the other VM may have sent calls for them, so that those sent now are
+    /// extra.
+    pub fn adopt(
+        &mut self,
+        targets: Vec<ShardTarget>,
+        repeated: bool,
+        context: &mut Context<'_>,
+        actions: &mut Vec<Action>,
+    ) {
+        if self.ended {
+            return;
+        }
+        let cause = if repeated {
+            AttemptCause::Retry(RetryReason::Timeout)
+        } else {
+            AttemptCause::First
+        };
+        for target in targets {
+            self.elsewhere.open.retain(|shard| *shard != target.shard);
+            let index = self.shards.len();
+            self.shards.push(ShardState::new(target));
+            if !self.send(index, cause, context, actions) {
+                self.shards[index].status = ShardStatus::Missing(MissingReason::Unreachable);
+            }
+        }
+        self.conclude(context, actions);
+    }
+
     /// Takes in the outcome of a call; returns whether its rows enter the answer.
     ///
     /// The driver reports the call to the tables itself, also when it comes after the end.
--- a/crates/core/src/policy/gather/recover.rs
+++ b/crates/core/src/policy/gather/recover.rs
@@ -65,11 +65,12 @@
             self.give_up(index, reason);
             return;
         }
+        let excluded = shard.excluded(self.spec.repeat.map(|policy| policy.servers));
         let fresh = shard
             .target
             .replicas
             .iter()
-            .any(|server| !shard.tried.contains(server) && !shard.newer.contains(server));
+            .any(|server| !excluded.contains(server) && !shard.newer.contains(server));
         if !fresh {
             self.pause(index, reason, context);
             return;
@@ -175,8 +176,9 @@
             return;
         }
         let waiting = shard.live.iter().any(|attempt| attempt.overdue.is_some());
+        let excluded = shard.excluded(self.spec.repeat.map(|policy| policy.servers));
         let replicas = &shard.target.replicas;
-        let untried = replicas.iter().any(|server| !shard.tried.contains(server));
+        let untried = replicas.iter().any(|server| !excluded.contains(server));
         if !waiting && untried && self.spec.kind.is_repeatable() {
             self.retry(index, RetryReason::Timeout, context, actions);
         }
--- a/crates/core/src/policy/gather/tests.rs
+++ b/crates/core/src/policy/gather/tests.rs
@@ -16,10 +16,12 @@
     policy::{
         EntryTables,
         outcome::{CallOutcome, NotRunCause, UnknownCause},
+        repeat::RepeatPolicy,
         retry::RetryReason,
     },
     presets::{AnswerPolicy, HedgePolicy, KindPolicy, RetryPolicy},
     request::{MissingReason, RequestKind},
+    time::Millis,
 };
 
 const DEADLINE: Duration = Duration::from_millis(400);
@@ -111,6 +113,31 @@
         self.gather.on_timer(&mut context)
     }
 
+    fn delegated(&mut self, included: &[ShardId]) -> (bool, Vec<Action>) {
+        let mut actions = Vec::new();
+        let mut context = Context {
+            tables: &mut self.tables,
+            now: self.now,
+            rng: &mut self.rng,
+        };
+        let taken = self
+            .gather
+            .on_delegated(included, &mut context, &mut actions);
+        (taken, actions)
+    }
+
+    fn adopt(&mut self, targets: Vec<ShardTarget>, repeated: bool) -> Vec<Action> {
+        let mut actions = Vec::new();
+        let mut context = Context {
+            tables: &mut self.tables,
+            now: self.now,
+            rng: &mut self.rng,
+        };
+        self.gather
+            .adopt(targets, repeated, &mut context, &mut actions);
+        actions
+    }
+
     fn restart(&mut self, version: IndexVersion, shards: u32) -> Vec<Action> {
         let mut context = Context {
             tables: &mut self.tables,
@@ -369,3 +396,166 @@
     let least = DEADLINE / 5 + Duration::from_millis(30);
     assert!(time >= least && time < DEADLINE, "{time:?}");
 }
+
+/// Answers with what is in after 50 ms, if that is three quarters.
+fn within() -> KindPolicy {
+    KindPolicy {
+        coverage: 0.75,
+        answer: AnswerPolicy::Within {
+            share: 0.75,
+            time: Millis::new(50),
+        },
+        ..KindPolicy::default()
+    }
+}
+
+#[parameterized(
+    all_in = { 4, 0, Verdict::Answer },
+    enough = { 3, 50, Verdict::Answer },
+    too_few = { 2, 400, Verdict::Unknown },
+)]
+fn test_gather_answers_within_a_time(included: u32, millis: u64, verdict: Verdict) {
+    let mut rig = Rig::new(4, RequestKind::WideSearch, within());
+    rig.start();
+    let mut finish = None;
+    for attempt in 0..included {
+        finish = end(&rig.reply(attempt, CallOutcome::Done(1)).1);
+    }
+    let (time, end) = match finish {
+        Some(end) => (Duration::ZERO, end),
+        None => rig.run_out(),
+    };
+    assert_eq!(time, Duration::from_millis(millis));
+    assert_eq!(end.verdict, verdict);
+}
+
+/// A reply after the time completes the share, and the answer does not wait any longer.
+#[test]
+fn test_gather_answers_late_once_the_share_is_reached() {
+    let mut rig = Rig::new(4, RequestKind::WideSearch, within());
+    rig.start();
+    rig.reply(0, CallOutcome::Done(1));
+    rig.reply(1, CallOutcome::Done(1));
+    rig.now = rig.start + Duration::from_millis(80);
+    let (_, actions) = rig.reply(2, CallOutcome::Done(1));
+    assert_eq!(end(&actions).unwrap().coverage.included, [0, 1, 2]);
+}
+
+/// Two shards are asked here, two by another VM; shares and times count all four.
+#[test]
+fn test_gather_counts_delegated_shards() {
+    let mut rig = Rig::new(2, RequestKind::WideSearch, within());
+    rig.gather.delegate(vec![2, 3]);
+    assert_eq!(sends(&rig.start()).len(), 2);
+    rig.reply(0, CallOutcome::Done(1));
+    assert!(end(&rig.reply(1, CallOutcome::Done(1)).1).is_none());
+    let (taken, actions) = rig.delegated(&[2, 3]);
+    let end = end(&actions).unwrap();
+    assert!(taken);
+    assert_eq!(end.verdict, Verdict::Answer);
+    assert_eq!(end.coverage.included, [0, 1, 2, 3]);
+}
+
+#[test]
+fn test_gather_names_delegated_shards_that_are_missing() {
+    let mut rig = Rig::new(3, RequestKind::WideSearch, within());
+    rig.gather.delegate(vec![3]);
+    rig.start();
+    for attempt in 0..3 {
+        rig.reply(attempt, CallOutcome::Done(1));
+    }
+    let (_, end) = rig.run_out();
+    assert_eq!(end.coverage.included, [0, 1, 2]);
+    assert_eq!(end.coverage.missing[0].shard, 3);
+    let (taken, _) = rig.delegated(&[3]);
+    assert!(!taken, "the answer has gone out");
+}
+
+#[test]
+fn test_gather_adopts_what_another_vm_did_not_include() {
+    let mut rig = Rig::new(1, RequestKind::WideSearch, within());
+    let far = targets(3).split_off(1);
+    rig.gather.delegate(vec![1, 2]);
+    rig.start();
+    rig.delegated(&[1]);
+    let sent = sends(&rig.adopt(far[1..].to_vec(), false));
+    assert_eq!(sent, [(1, 2, AttemptCause::First)]);
+    rig.reply(0, CallOutcome::Done(1));
+    let (included, actions) = rig.reply(1, CallOutcome::Done(1));
+    assert!(included);
+    assert_eq!(end(&actions).unwrap().coverage.included, [0, 1, 2]);
+}
+
+const TIGHT: RepeatPolicy = RepeatPolicy {
+    ratio: 0.0,
+    burst: 1.0,
+    servers: 2,
+};
+
+/// Each service has a budget of its own: a shard that fails uses up its own alone.
+#[test]
+fn test_gather_repeats_draw_on_the_budget_of_their_service() {
+    let mut rig = Rig::new(0, RequestKind::WideSearch, KindPolicy::default());
+    let mut shards = targets(2);
+    for (target, service) in shards.iter_mut().zip(["a", "b"]) {
+        target.service = Some(service.into());
+    }
+    rig.gather = Gather::new(GatherSpec {
+        shards,
+        repeat: Some(TIGHT),
+        hedge: HedgePolicy {
+            budget: 0.0,
+            ..HedgePolicy::default()
+        },
+        ..rig.gather.spec.clone()
+    });
+    rig.start();
+    let failed = CallOutcome::Unknown(UnknownCause::BadReply);
+    let (_, first) = rig.reply(0, failed);
+    assert_eq!(sends(&first).len(), 1, "the one extra call of service a");
+    rig.tables.repeats.on_first(&"a".into(), &TIGHT);
+    assert!(!rig.tables.repeats.allow(&"a".into()));
+    let (_, second) = rig.reply(1, failed);
+    assert_eq!(sends(&second).len(), 1, "service b has its own");
+}
+
+/// However often calls are refused, no more backend servers are asked than allowed.
+#[test]
+fn test_gather_asks_a_bounded_number_of_servers() {
+    let mut rig = Rig::new(0, RequestKind::WideSearch, KindPolicy::default());
+    let mut shards = targets(1);
+    shards[0].replicas.push("shard-0-c".into());
+    rig.gather = Gather::new(GatherSpec {
+        shards,
+        repeat: Some(RepeatPolicy {
+            burst: 100.0,
+            ratio: 50.0,
+            servers: 2,
+        }),
+        retry: RetryPolicy {
+            attempts: 16,
+            budget: 1.0,
+        },
+        ..rig.gather.spec.clone()
+    });
+    let mut asked: Vec<ServerId> = Vec::new();
+    let mut actions = rig.start();
+    while end(&actions).is_none() {
+        let mut next = Vec::new();
+        for action in &actions {
+            if let Action::Send {
+                attempt, server, ..
+            } = action
+            {
+                asked.push(ServerId::clone(server));
+                let busy = CallOutcome::NotRun(NotRunCause::Busy);
+                next.extend(rig.reply(*attempt, busy).1);
+            }
+        }
+        actions = if next.is_empty() { rig.timer() } else { next };
+    }
+    assert!(asked.len() > 2, "{asked:?}");
+    asked.sort();
+    asked.dedup();
+    assert_eq!(asked.len(), 2);
+}
--- a/crates/core/src/policy/mod.rs
+++ b/crates/core/src/policy/mod.rs
@@ -5,6 +5,7 @@
 
 pub mod admission;
 pub mod budget;
+pub mod delegate;
 pub mod early;
 pub mod gather;
 pub mod hedge;
--- a/crates/core/src/policy/tests.rs
+++ b/crates/core/src/policy/tests.rs
@@ -12,6 +12,7 @@
 use super::{
     admission::{Admission, AdmissionRequest},
     budget::TokenBudget,
+    delegate::{Group, group_far_shards},
     hedge::Hedger,
     limit::Limit,
     outcome::{CallOutcome, NotRunCause, UnknownCause},
@@ -19,6 +20,7 @@
     retry::RetryReason,
 };
 use crate::{
+    ids::DataCentre,
     presets::{HedgePolicy, KindPolicy, QueuePolicy},
     request::{RefusalReason, RequestKind},
 };
@@ -327,3 +329,38 @@
     }
     assert_eq!(limit.get(), 1);
 }
+
+fn centres(names: &[&str]) -> Vec<DataCentre> {
+    names.iter().map(|&name| name.into()).collect()
+}
+
+#[parameterized(
+    ring = { "a", &["ab", "bc", "cd", "da", "ab", "bc", "cd", "da"], "abcd", &[("c", &[1, 2, 5, 6])] },
+    from_another = { "c", &["ab", "bc", "cd", "da", "ab", "bc", "cd", "da"], "abcd", &[("a", &[0, 3, 4, 7])] },
+    one_far_home = { "a", &["b", "b", "b", "b"], "ab", &[("b", &[0, 1, 2, 3])] },
+    two_far_homes = { "a", &["b", "b", "b", "c", "c", "c"], "abc", &[("b", &[0, 1, 2]), ("c", &[3, 4, 5])] },
+    too_few_to_be_worth_it = { "a", &["ab", "b", "b"], "ab", &[] },
+    nobody_there = { "a", &["b", "b", "b", "bc"], "ac", &[] },
+    all_near = { "a", &["ab", "ac", "ad"], "abcd", &[] },
+)]
+fn test_delegate_far_shards(own: &str, shards: &[&str], vms: &str, expected: &[(&str, &[usize])]) {
+    let replicas: Vec<Vec<DataCentre>> = shards
+        .iter()
+        .map(|shard| {
+            shard
+                .chars()
+                .map(|c| c.to_string().as_str().into())
+                .collect()
+        })
+        .collect();
+    let can_ask = |centre: &DataCentre| vms.contains(&**centre);
+    let groups = group_far_shards(&own.into(), &replicas, can_ask);
+    let expected: Vec<Group> = expected
+        .iter()
+        .map(|(centre, shards)| Group {
+            centre: centres(&[centre]).remove(0),
+            shards: shards.to_vec(),
+        })
+        .collect();
+    assert_eq!(groups, expected);
+}
--- a/crates/server/src/gateway/fan.rs
+++ b/crates/server/src/gateway/fan.rs
@@ -11,15 +11,16 @@
 
 use bytes::Bytes;
 use cassialift_core::{
-    ids::{AttemptId, ServerId, ShardId},
+    ids::{AttemptId, ServerId, ShardId, VmId},
     policy::{
-        gather::{Action, AttemptCause, Context, Gather, GatherEnd, GatherSpec},
+        gather::{Action, AttemptCause, Context, Gather, GatherEnd, GatherSpec, ShardTarget},
         outcome::{CallOutcome, NotRunCause, UnknownCause},
         replica::CallReport,
     },
     routes::RouteTarget,
-    view::ConfigView,
+    view::{ConfigView, FleetView},
 };
+use cassialift_wire::peer::PartialReply;
 use hyper::header::HeaderValue;
 use tokio::{
     sync::{mpsc, oneshot},
@@ -32,6 +33,7 @@
     call::{Call, CallEnd, Reply},
     inbound::Inbound,
     lanes::LaneRequest,
+    partial::{self, DelegateError},
 };
 use crate::timer::Timer;
 
@@ -39,13 +41,35 @@
 /// backend server more to open anew than most calls take to end.
 const LINGER: Duration = Duration::from_millis(200);
 
-/// A shard's part of an answer.
+/// A part of an answer: of one shard, or of several that another VM merged.
 #[derive(Clone, Debug)]
 pub(super) struct Part {
-    pub(super) signature: HeaderValue,
+    /// The shard; none when the part was merged of several.
+    pub(super) shard: Option<ShardId>,
+    /// The signatures of the backend servers whose records it holds.
+    pub(super) signatures: Vec<HeaderValue>,
+    /// Records.
     pub(super) body: Bytes,
 }
 
+/// Shards that another VM is to ask.
+#[derive(Clone, Debug)]
+pub(super) struct Delegation {
+    pub(super) vm: VmId,
+    pub(super) targets: Vec<ShardTarget>,
+    /// How long after its start the request waits for what the VM has by then.
+    pub(super) within: Duration,
+}
+
+/// What a request goes by: what it was admitted under, and how it is decided.
+pub(super) struct Plan {
+    pub(super) view: Arc<FleetView>,
+    pub(super) config: Arc<ConfigView>,
+    pub(super) inbound: Arc<Inbound>,
+    pub(super) spec: GatherSpec,
+    pub(super) delegations: Vec<Delegation>,
+}
+
 /// How a request ended at the backend servers.
 #[derive(Debug)]
 pub(super) struct Fanned {
@@ -74,9 +98,17 @@
     dismiss: oneshot::Sender<()>,
 }
 
+/// What a request under way is told.
+enum Event {
+    Call(Arrival),
+    /// A VM replied for the delegation of this number, or did not.
+    Delegated(usize, Result<PartialReply, DelegateError>),
+}
+
 /// What came of one call.
 struct Arrival {
     attempt: AttemptId,
+    shard: ShardId,
     outcome: CallOutcome,
     reply: Option<Reply>,
 }
@@ -84,12 +116,15 @@
 /// A request under way.
 pub(super) struct Fan {
     gateway: Arc<Gateway>,
+    view: Arc<FleetView>,
     config: Arc<ConfigView>,
     inbound: Arc<Inbound>,
     gather: Gather,
+    delegations: Vec<Delegation>,
     live: HashMap<AttemptId, Live>,
-    arrivals: mpsc::UnboundedReceiver<Arrival>,
-    sender: mpsc::UnboundedSender<Arrival>,
+    asked: Vec<AbortHandle>,
+    events: mpsc::UnboundedReceiver<Event>,
+    sender: mpsc::UnboundedSender<Event>,
     parts: Vec<Part>,
     reply: Option<Reply>,
     counts: SendCounts,
@@ -97,20 +132,18 @@
 }
 
 impl Fan {
-    pub(super) fn new(
-        gateway: Arc<Gateway>,
-        config: Arc<ConfigView>,
-        inbound: Arc<Inbound>,
-        spec: GatherSpec,
-    ) -> Self {
-        let (sender, arrivals) = mpsc::unbounded_channel();
+    pub(super) fn new(gateway: Arc<Gateway>, plan: Plan) -> Self {
+        let (sender, events) = mpsc::unbounded_channel();
         Self {
             gateway,
-            config,
-            inbound,
-            gather: Gather::new(spec),
+            view: plan.view,
+            config: plan.config,
+            inbound: plan.inbound,
+            gather: Gather::new(plan.spec),
+            delegations: plan.delegations,
             live: HashMap::new(),
-            arrivals,
+            asked: Vec::new(),
+            events,
             sender,
             parts: Vec::new(),
             reply: None,
@@ -121,6 +154,7 @@
 
     /// Runs the request to its end; dropping the future cancels its calls.
     pub(super) async fn run(mut self) -> Fanned {
+        self.delegate();
         let actions = self.step(Gather::start);
         self.act(actions);
         loop {
@@ -134,7 +168,10 @@
             }
             let due = self.gather.next_timer().unwrap_or(self.inbound.deadline);
             tokio::select! {
-                Some(arrival) = self.arrivals.recv() => self.on_arrival(arrival),
+                Some(event) = self.events.recv() => match event {
+                    Event::Call(arrival) => self.on_arrival(arrival),
+                    Event::Delegated(index, reply) => self.on_delegated(index, reply),
+                },
                 () = Timer.at(due) => {
                     let actions = self.step(Gather::on_timer);
                     self.act(actions);
@@ -143,9 +180,63 @@
         }
     }
 
+    /// Hands the shards of each delegation to its VM.
+    fn delegate(&mut self) {
+        for (index, delegation) in self.delegations.iter().enumerate() {
+            let shards = delegation.targets.iter().map(|target| target.shard);
+            self.gather.delegate(shards.collect());
+            let asking = partial::ask(
+                Arc::clone(&self.gateway),
+                Arc::clone(&self.view),
+                Arc::clone(&self.inbound),
+                delegation.clone(),
+            );
+            let sender = self.sender.clone();
+            let asked = tokio::spawn(async move {
+                // The request has ended if nobody receives.
+                drop(sender.send(Event::Delegated(index, asking.await)));
+            });
+            self.asked.push(asked.abort_handle());
+        }
+    }
+
+    /// Takes in what a VM replied; shards that it did not include are asked directly.
+    fn on_delegated(&mut self, index: usize, reply: Result<PartialReply, DelegateError>) {
+        let mut targets = std::mem::take(&mut self.delegations[index].targets);
+        let repeated = !matches!(&reply, Err(error) if error.is_unsent());
+        if let Err(error) = &reply {
+            let vm = &self.delegations[index].vm;
+            self.gateway.node.metrics.count("gateway.delegation_failed");
+            log::info!(
+                target: "request",
+                "event=delegation_failed id={} vm={vm} shards={} cause=\"{error}\" after_ms={}",
+                self.inbound.id(),
+                targets.len(),
+                self.inbound.age().as_millis(),
+            );
+            self.gateway.servers.shun(vm, Timer.now());
+        }
+        let mut actions = Vec::new();
+        if let Ok(reply) = reply {
+            let shards: Vec<_> = reply.included.iter().map(|(shard, _)| *shard).collect();
+            let part = partial::part(reply, &targets);
+            if let Some(part) = part
+                && self.step(|gather, context| gather.on_delegated(&shards, context, &mut actions))
+            {
+                self.parts.push(part);
+                targets.retain(|target| !shards.contains(&target.shard));
+            }
+        }
+        if !targets.is_empty() {
+            self.step(|gather, context| gather.adopt(targets, repeated, context, &mut actions));
+        }
+        self.act(actions);
+    }
+
     fn on_arrival(&mut self, arrival: Arrival) {
         let Arrival {
             attempt,
+            shard,
             outcome,
             reply,
         } = arrival;
@@ -155,10 +246,11 @@
             self.step(|gather, context| gather.on_reply(attempt, outcome, context, &mut actions));
         match (&self.inbound.route.target, reply) {
             (RouteTarget::Shards(_), Some(reply)) if included => {
-                self.parts.extend(reply.signature.map(|signature| Part {
-                    signature,
+                self.parts.push(Part {
+                    shard: Some(shard),
+                    signatures: reply.signature.into_iter().collect(),
                     body: reply.body,
-                }));
+                });
             }
             (RouteTarget::Shards(_), _) | (_, None) => {}
             (RouteTarget::Service(_) | RouteTarget::Split(_), Some(reply)) => {
@@ -206,11 +298,12 @@
         let task = tokio::spawn(async move {
             if let Some((outcome, reply)) = run.run(dismissed).await {
                 // The request has ended if nobody receives.
-                drop(sender.send(Arrival {
+                drop(sender.send(Event::Call(Arrival {
                     attempt,
+                    shard,
                     outcome,
                     reply,
-                }));
+                })));
             }
         });
         let task = task.abort_handle();
@@ -277,6 +370,9 @@
         for live in self.live.values() {
             live.task.abort();
         }
+        for asked in &self.asked {
+            asked.abort();
+        }
         let live = &self.live;
         self.gateway.decide(|tables| {
             for live in live.values() {
--- a/crates/server/src/gateway/forward.rs
+++ b/crates/server/src/gateway/forward.rs
@@ -24,7 +24,7 @@
 use super::{
     Gateway,
     answer::{self, Answer, Refused},
-    fan::{Fan, Fanned, SendCounts},
+    fan::{Delegation, Fan, Fanned, Plan, SendCounts},
     inbound::{self, Head, Inbound, origin, printable, read_body, strip_hop_headers},
 };
 use crate::timer::Timer;
@@ -36,6 +36,12 @@
 /// way here and the way back.
 const OUTSIDE_TIME: Duration = Duration::from_millis(16);
 
+/// The share of a request's time that other VMs have for their shards.
+const DELEGATION_SHARE: f64 = 0.6;
+
+/// The share of the allowed extra calls that is used: VMs may count each other wrongly.
+const REPEAT_MARGIN: f64 = 0.85;
+
 /// When to come back to a VM that has no configuration yet.
 const RETRY_NO_CONFIG: Duration = Duration::from_millis(250);
 
@@ -91,11 +97,10 @@
             .servers
             .targets(&route.name, &route.target, trace.started);
         let _load = self.admit_load(&config, &inbound, &targets)?;
-        let spec = self.spec(&config, &inbound, targets);
         let inbound = Arc::new(inbound);
-        let fan = Fan::new(Arc::clone(self), config, Arc::clone(&inbound), spec);
+        let plan = self.plan(view, config, &inbound, targets);
         let fanned = tokio::select! {
-            fanned = fan.run() => fanned,
+            fanned = Fan::new(Arc::clone(self), plan).run() => fanned,
             () = self.cut() => return Err(Refused::unknown(RefusalReason::Leaving)),
         };
         trace.counts = fanned.counts;
@@ -177,29 +182,54 @@
         Ok(Load(Arc::clone(self)))
     }
 
-    fn spec(
+    /// Decides which shards this VM asks itself, and how.
+    fn plan(
         &self,
-        config: &ConfigView,
-        inbound: &Inbound,
-        targets: Vec<ShardTarget>,
-    ) -> GatherSpec {
+        view: Arc<FleetView>,
+        config: Arc<ConfigView>,
+        inbound: &Arc<Inbound>,
+        mut targets: Vec<ShardTarget>,
+    ) -> Plan {
         let route = &inbound.route;
         let preset = &config.policy;
-        GatherSpec {
+        let policy = policy(route, preset.kind(route.kind));
+        let mut delegations = Vec::new();
+        if matches!(route.target, RouteTarget::Shards(_)) {
+            let within = delegation_time(&policy, inbound);
+            let delegated = self.servers.delegate(&view, &mut targets, inbound.started);
+            delegations.extend(delegated.into_iter().map(|(vm, targets)| Delegation {
+                vm,
+                targets,
+                within,
+            }));
+        }
+        let spec = GatherSpec {
             service: Arc::clone(&route.name),
             kind: route.kind,
             version: config.revision,
             shards: targets,
             started: inbound.started,
             deadline: inbound.deadline,
-            policy: policy(route, preset.kind(route.kind)),
+            policy,
             hedge: preset.hedge,
             retry: preset.retry,
-            repeat: Some(RepeatPolicy {
-                ratio: self.settings.repeat_ratio,
-                burst: self.settings.repeat_burst / f64::from(self.servers.vms()),
-                servers: route.servers,
-            }),
+            repeat: Some(self.repeat(route.servers)),
+        };
+        Plan {
+            view,
+            config,
+            inbound: Arc::clone(inbound),
+            spec,
+            delegations,
+        }
+    }
+
+    /// Returns this VM's share of the extra calls that a service may get.
+    pub(super) fn repeat(&self, servers: u32) -> RepeatPolicy {
+        RepeatPolicy {
+            ratio: self.settings.repeat_ratio * REPEAT_MARGIN,
+            burst: self.settings.repeat_burst * REPEAT_MARGIN / f64::from(self.servers.vms()),
+            servers,
         }
     }
 }
@@ -282,6 +312,17 @@
     }
 }
 
+/// Returns how long after its start a request waits for what other VMs have by then: long enough
+/// for their hedges, and with time left to ask the missing shards itself.
+fn delegation_time(policy: &KindPolicy, inbound: &Inbound) -> Duration {
+    let whole = inbound.deadline.saturating_duration_since(inbound.started);
+    let time = match policy.answer {
+        AnswerPolicy::Within { time, .. } => time.0,
+        AnswerPolicy::Wait | AnswerPolicy::Early { .. } => whole,
+    };
+    time.min(whole).mul_f64(DELEGATION_SHARE)
+}
+
 /// Returns the policy of a request: the preset's, and of the route how much an answer must cover
 /// and until when it waits for the rest.
 fn policy(route: &Route, preset: KindPolicy) -> KindPolicy {
--- a/crates/server/src/gateway/mod.rs
+++ b/crates/server/src/gateway/mod.rs
@@ -12,6 +12,7 @@
 mod lanes;
 mod listen;
 mod pages;
+mod partial;
 mod roster;
 mod settings;
 mod state;
@@ -20,5 +21,6 @@
 mod tests;
 
 pub use listen::serve;
+pub(crate) use partial::refuse_partial;
 pub use settings::GatewaySettings;
 pub use state::Gateway;
--- /dev/null
+++ b/crates/server/src/gateway/partial.rs
@@ -0,0 +1,242 @@
+//! Asking another VM for some shards of a search, and doing so for another VM.
+
+use std::{
+    collections::HashSet,
+    sync::Arc,
+    time::{Duration, Instant},
+};
+
+use bytes::Bytes;
+use cassialift_core::{
+    ids::{ServiceId, ShardId},
+    policy::{
+        gather::{GatherSpec, ShardTarget},
+        repeat::RepeatPolicy,
+    },
+    presets::{AnswerPolicy, KindPolicy},
+    request::{MissingReason, MissingShard, RequestKind},
+    routes::{Route, RouteTarget, ShardSet},
+    time::Millis,
+    view::FleetView,
+};
+use cassialift_wire::peer::{PartialGather, PartialReply};
+use displaydoc::Display;
+use hyper::header::{HeaderMap, HeaderName, HeaderValue};
+use tarpc::context;
+use tokio::time::timeout;
+
+use super::{
+    Gateway,
+    fan::{Delegation, Fan, Part, Plan},
+    inbound::Inbound,
+};
+use crate::{peers::PeerError, timer::Timer};
+
+/// How much later than it was told a VM may reply: the way there and back, and its own lateness.
+const REPLY_SLACK: Duration = Duration::from_millis(15);
+
+/// The share of the extra calls for delegated shards that the asked VM may send; the asking VM
+/// has the rest, for those that the asked VM did not include.
+const ASKED_SHARE: f64 = 0.7;
+
+/// Why a VM gave no reply for a delegation.
+#[derive(Debug, Display)]
+pub(super) enum DelegateError {
+    /// {0}
+    Peer(PeerError),
+    /// no reply in time
+    Timeout,
+}
+
+impl DelegateError {
+    /// Returns whether the VM certainly sent no call.
+    pub(super) const fn is_unsent(&self) -> bool {
+        match self {
+            Self::Peer(error) => error.is_unsent(),
+            Self::Timeout => false,
+        }
+    }
+}
+
+/// Asks a VM for the shards of a delegation.
+pub(super) async fn ask(
+    gateway: Arc<Gateway>,
+    view: Arc<FleetView>,
+    inbound: Arc<Inbound>,
+    delegation: Delegation,
+) -> Result<PartialReply, DelegateError> {
+    let partial = message(&inbound, &delegation);
+    let limit = partial.within.0 + REPLY_SLACK;
+    let asking = async {
+        let connected = gateway.node.peers.client(&view, &delegation.vm).await;
+        let client = connected.map_err(DelegateError::Peer)?;
+        let mut context = context::current();
+        context.deadline = inbound.deadline;
+        let called = client.gather(context, partial).await;
+        called.map_err(|error| {
+            gateway.node.peers.forget(&delegation.vm, &error);
+            DelegateError::Peer(PeerError::Call(error))
+        })
+    };
+    let reply = timeout(limit, asking).await;
+    let reply = reply.unwrap_or(Err(DelegateError::Timeout))?;
+    if reply.attempt == *inbound.attempt {
+        Ok(reply)
+    } else {
+        Err(DelegateError::Peer(PeerError::Foreign))
+    }
+}
+
+fn message(inbound: &Inbound, delegation: &Delegation) -> PartialGather {
+    let route = &inbound.route;
+    let top = match &route.target {
+        RouteTarget::Shards(set) => set.top,
+        RouteTarget::Service(_) | RouteTarget::Split(_) => 0,
+    };
+    let headers = inbound.headers.iter();
+    let headers = headers.map(|(name, value)| (name.to_string(), value.as_bytes().to_vec()));
+    let shards = delegation.targets.iter();
+    let left = inbound.deadline.saturating_duration_since(Timer.now());
+    PartialGather {
+        attempt: inbound.attempt.to_vec(),
+        method: inbound.method.to_string(),
+        target: inbound.target.to_string(),
+        headers: headers.collect(),
+        route: Arc::clone(&route.name),
+        shards: shards
+            .filter_map(|target| Some((target.shard, target.service.clone()?)))
+            .collect(),
+        top,
+        servers: route.servers,
+        remaining: left.into(),
+        within: delegation.within.saturating_sub(inbound.age()).into(),
+    }
+}
+
+/// Reads a VM's reply; none if it includes a shard that was not asked for, or one twice.
+pub(super) fn part(reply: PartialReply, targets: &[ShardTarget]) -> Option<Part> {
+    let mut seen = HashSet::new();
+    let asked = |shard: ShardId| targets.iter().any(|target| target.shard == shard);
+    let sound = |(shard, _): &(ShardId, Vec<u8>)| asked(*shard) && seen.insert(*shard);
+    if !reply.included.iter().all(sound) {
+        return None;
+    }
+    let signatures = reply.included.iter();
+    let signatures = signatures.map(|(_, signature)| HeaderValue::from_bytes(signature));
+    Some(Part {
+        shard: None,
+        signatures: signatures.collect::<Result<_, _>>().ok()?,
+        body: Bytes::from(reply.records),
+    })
+}
+
+/// Makes the reply of a process that asks no backend servers for others.
+pub(crate) fn refuse_partial(partial: &PartialGather) -> PartialReply {
+    let missing = partial.shards.iter().map(|(shard, _)| MissingShard {
+        shard: *shard,
+        reason: MissingReason::NoOwner,
+    });
+    PartialReply {
+        attempt: partial.attempt.clone(),
+        included: Vec::new(),
+        records: Vec::new(),
+        missing: missing.collect(),
+    }
+}
+
+impl Gateway {
+    /// Asks shards of a search for another VM and merges their parts.
+    pub(crate) async fn gather_partial(self: Arc<Self>, partial: PartialGather) -> PartialReply {
+        let started = Timer.now();
+        let view = self.node.control.pin();
+        let (Some(config), Some(inbound)) = (view.config.clone(), inbound(&partial, started))
+        else {
+            return refuse_partial(&partial);
+        };
+        self.sync(&view, &config);
+        self.node.metrics.count("gateway.partial");
+        let route = &inbound.route;
+        let mut targets = self.servers.targets(&route.name, &route.target, started);
+        for (target, (shard, _)) in targets.iter_mut().zip(&partial.shards) {
+            target.shard = *shard;
+        }
+        let preset = &config.policy;
+        let repeat = self.repeat(partial.servers);
+        let spec = GatherSpec {
+            service: Arc::clone(&partial.route),
+            kind: RequestKind::WideSearch,
+            version: config.revision,
+            shards: targets,
+            started,
+            deadline: inbound.deadline,
+            policy: KindPolicy {
+                answer: AnswerPolicy::Within {
+                    share: 0.0,
+                    time: partial.within,
+                },
+                ..KindPolicy::default()
+            },
+            hedge: preset.hedge,
+            retry: preset.retry,
+            repeat: Some(RepeatPolicy {
+                ratio: repeat.ratio * ASKED_SHARE,
+                ..repeat
+            }),
+        };
+        let plan = Plan {
+            view,
+            config,
+            inbound: Arc::new(inbound),
+            spec,
+            delegations: Vec::new(),
+        };
+        let fanned = Fan::new(Arc::clone(&self), plan).run().await;
+        let bodies = fanned.parts.iter().map(|part| &*part.body);
+        let records = cassialift_core::records::merge(bodies, partial.top);
+        let included = fanned.parts.iter().filter_map(|part| {
+            let signature = part.signatures.first()?;
+            Some((part.shard?, signature.as_bytes().to_vec()))
+        });
+        PartialReply {
+            attempt: partial.attempt,
+            included: included.collect(),
+            records,
+            missing: fanned.end.coverage.missing,
+        }
+    }
+}
+
+/// Makes a request of a VM's message; none if it is no HTTP request.
+fn inbound(partial: &PartialGather, started: Instant) -> Option<Inbound> {
+    let mut headers = HeaderMap::new();
+    for (name, value) in &partial.headers {
+        let name: HeaderName = name.parse().ok()?;
+        headers.append(name, HeaderValue::from_bytes(value).ok()?);
+    }
+    let services = partial.shards.iter().map(|(_, service)| service);
+    let route = Route {
+        name: Arc::clone(&partial.route),
+        host: String::new(),
+        prefix: String::new(),
+        kind: RequestKind::WideSearch,
+        target: RouteTarget::Shards(ShardSet {
+            services: services.map(ServiceId::clone).collect(),
+            top: partial.top,
+            coverage: 0.0,
+        }),
+        timeout: partial.remaining,
+        objective: Millis::default(),
+        servers: partial.servers,
+        priority: 0,
+    };
+    Some(Inbound {
+        route: Arc::new(route),
+        method: partial.method.parse().ok()?,
+        target: partial.target.parse().ok()?,
+        headers,
+        body: Bytes::new(),
+        attempt: Bytes::from(partial.attempt.clone()),
+        started,
+        deadline: started + partial.remaining.0,
+    })
+}
--- a/crates/server/src/gateway/roster.rs
+++ b/crates/server/src/gateway/roster.rs
@@ -10,16 +10,21 @@
 use cassialift_core::{
     ids::{DataCentre, Revision, RouteId, ServerId, ServiceId, ShardId, VmId},
     index::ServerState,
-    policy::{EntryTables, gather::ShardTarget, replica::Listing},
+    policy::{EntryTables, delegate::group_far_shards, gather::ShardTarget, replica::Listing},
     pool::{Roster, VmCounts, connection_share},
     routes::{RouteTarget, SplitShare, Splitter},
     view::{ConfigView, FleetView, MemberView, Reach},
 };
+use rand::seq::IndexedRandom;
 
 /// What a call to another data centre has to save before it is preferred: the way there and back
 /// several times over, since links between data centres are dear.
 const FAR_BIAS: Duration = Duration::from_millis(15);
 
+/// How long a VM is passed over that failed to ask shards: longer than a call, shorter than
+/// membership takes to tell whether it is gone.
+const SHUN_TIME: Duration = Duration::from_secs(1);
+
 /// The connections of a backend server whose service does not say.
 const CONNECTIONS: u32 = 16;
 
@@ -40,6 +45,8 @@
     /// The members that the counts stand for.
     members: Option<Arc<HashMap<VmId, Arc<MemberView>>>>,
     vms: BTreeMap<DataCentre, u32>,
+    /// VMs that failed to ask shards lately, and until when they are passed over.
+    shunned: HashMap<VmId, Instant>,
     /// The most VMs that answered at once; those that are cut off may still serve.
     most_vms: u32,
 }
@@ -103,6 +110,51 @@
         }
     }
 
+    /// Takes the shards out of `targets` that VMs of other data centres are to ask, with the VMs.
+    pub(super) fn delegate(
+        &self,
+        view: &FleetView,
+        targets: &mut Vec<ShardTarget>,
+        now: Instant,
+    ) -> Vec<(VmId, Vec<ShardTarget>)> {
+        let mut inner = self.lock();
+        inner.shunned.retain(|_, until| *until > now);
+        let centres: Vec<Vec<DataCentre>> = targets
+            .iter()
+            .map(|target| inner.centres(&target.replicas))
+            .collect();
+        let mut helpers: BTreeMap<DataCentre, Vec<&VmId>> = BTreeMap::new();
+        for (vm, member) in view.members.iter() {
+            if member.reach == Reach::Alive && !inner.shunned.contains_key(vm) {
+                let centre = DataCentre::clone(&member.centre);
+                helpers.entry(centre).or_default().push(vm);
+            }
+        }
+        let can_ask = |centre: &DataCentre| helpers.contains_key(centre);
+        let groups = group_far_shards(&view.own.centre, &centres, can_ask);
+        let mut taken = Vec::new();
+        let delegations = groups.into_iter().filter_map(|group| {
+            let vm = helpers[&group.centre].choose(&mut rand::rng())?;
+            let shards = group.shards.iter().map(|index| targets[*index].clone());
+            let delegation = (VmId::clone(vm), shards.collect());
+            taken.extend(group.shards);
+            Some(delegation)
+        });
+        let delegations = delegations.collect();
+        let mut index = 0;
+        targets.retain(|_| {
+            index += 1;
+            !taken.contains(&(index - 1))
+        });
+        delegations
+    }
+
+    /// Passes a VM over for a while that failed to ask shards.
+    pub(super) fn shun(&self, vm: &VmId, now: Instant) {
+        let mut inner = self.lock();
+        inner.shunned.insert(VmId::clone(vm), now + SHUN_TIME);
+    }
+
     /// Returns how a backend server is reached; none when it is gone.
     pub(super) fn address(&self, server: &str, config: &ConfigView) -> Option<ServerAddress> {
         let inner = self.lock();
@@ -189,6 +241,14 @@
         self.own.as_ref() == Some(centre)
     }
 
+    /// Returns the data centre of each backend server.
+    fn centres(&self, servers: &[ServerId]) -> Vec<DataCentre> {
+        let known = servers.iter().filter_map(|server| self.roster.get(server));
+        known
+            .map(|document| DataCentre::clone(&document.centre))
+            .collect()
+    }
+
     fn split(&mut self, route: &RouteId, shares: &[SplitShare]) -> Option<ServiceId> {
         self.splitter.pick(route, shares)
     }
--- a/crates/server/src/peers/serve.rs
+++ b/crates/server/src/peers/serve.rs
@@ -7,8 +7,8 @@
     request::{Ran, RefusalReason},
 };
 use cassialift_wire::peer::{
-    CallRefusal, CallResult, ConfigPull, ConfigPush, JobForward, JobReply, Peer, Ping, PingReply,
-    ProbeReply, ShardCall, ShardReply,
+    CallRefusal, CallResult, ConfigPull, ConfigPush, JobForward, JobReply, PartialGather,
+    PartialReply, Peer, Ping, PingReply, ProbeReply, ShardCall, ShardReply,
 };
 use futures::StreamExt;
 use tarpc::{
@@ -20,6 +20,7 @@
 
 use crate::{
     entry::jobs::hold,
+    gateway,
     process::{Node, ProcessError},
     sockets,
     timer::Timer,
@@ -63,6 +64,14 @@
         }
     }
 
+    async fn gather(self, _: Context, partial: PartialGather) -> PartialReply {
+        let _running = self.node.drain.enter();
+        match self.node.gateway() {
+            Some(gateway) => gateway.gather_partial(partial).await,
+            None => gateway::refuse_partial(&partial),
+        }
+    }
+
     async fn ping(self, _: Context, ping: Ping) -> PingReply {
         match self.node.control.ping(ping).await {
             Some(reply) => reply,
--- a/crates/server/src/peers/tests/replies.rs
+++ b/crates/server/src/peers/tests/replies.rs
@@ -11,8 +11,8 @@
     backend::ServerLoad,
     caller::{JobAnswer, JobState},
     peer::{
-        CallResult, ConfigPull, ConfigPush, JobForward, JobReply, Peer, PeerClient, Ping,
-        PingReply, ProbeReply, ShardCall, ShardReply,
+        CallResult, ConfigPull, ConfigPush, JobForward, JobReply, PartialGather, PartialReply,
+        Peer, PeerClient, Ping, PingReply, ProbeReply, ShardCall, ShardReply,
     },
 };
 use futures::StreamExt;
@@ -65,6 +65,10 @@
         })
     }
 
+    async fn gather(self, _: Context, _: PartialGather) -> PartialReply {
+        std::future::pending().await
+    }
+
     async fn ping(self, _: Context, _: Ping) -> PingReply {
         std::future::pending().await
     }
--- a/crates/server/src/process/node.rs
+++ b/crates/server/src/process/node.rs
@@ -2,7 +2,7 @@
 
 use std::{
     sync::{
-        Arc,
+        Arc, OnceLock, Weak,
         atomic::{AtomicU64, Ordering},
     },
     time::{Duration, Instant},
@@ -20,6 +20,7 @@
     control::ControlHandle,
     entry::PolicyTables,
     entry::jobs::Jobs,
+    gateway::Gateway,
     journal::Journal,
     metrics::Metrics,
     owner::Owner,
@@ -56,6 +57,8 @@
     /// The tickets that this run of the process holds.
     pub jobs: Jobs,
     sequence: AtomicU64,
+    /// The gateway, once it is made; it holds this node, so that it is not held in turn.
+    gateway: OnceLock<Weak<Gateway>>,
 }
 
 impl Node {
@@ -81,9 +84,20 @@
             policy: PolicyTables::default(),
             drain,
             sequence: AtomicU64::new(0),
+            gateway: OnceLock::new(),
         }
     }
 
+    /// Makes the gateway known to those who serve peers.
+    pub(crate) fn set_gateway(&self, gateway: &Arc<Gateway>) {
+        self.gateway.get_or_init(|| Arc::downgrade(gateway));
+    }
+
+    /// Returns the gateway; none where this process has none.
+    pub(crate) fn gateway(&self) -> Option<Arc<Gateway>> {
+        self.gateway.get()?.upgrade()
+    }
+
     /// Returns the key of a new request.
     #[must_use]
     pub fn next_key(&self) -> RequestKey {
--- a/crates/server/src/process/run.rs
+++ b/crates/server/src/process/run.rs
@@ -62,6 +62,7 @@
         return entry::serve(Arc::clone(&node), leave(&node)).await;
     };
     let gateway = Arc::new(Gateway::new(Arc::clone(&node), edges.dialect, gateway));
+    node.set_gateway(&gateway);
     let (stopping, stopped) = tokio::sync::oneshot::channel::<()>();
     let own = entry::serve(Arc::clone(&node), async {
         // An error means that the gateway could not start.
--- a/crates/wire/src/peer/mod.rs
+++ b/crates/wire/src/peer/mod.rs
@@ -4,6 +4,7 @@
 mod control;
 mod job;
 mod outcome;
+mod partial;
 mod service;
 
 pub use cassialift_core::config::ConfigNote;
@@ -12,4 +13,5 @@
 pub use cassialift_core::fleet::members::{Contact, MemberState, MemberUpdate};
 pub use control::{ConfigPull, ConfigPush, Ping, PingReply, ProbeReply};
 pub use job::{JobForward, JobReply};
+pub use partial::{PartialGather, PartialReply};
 pub use service::{Peer, PeerClient, PeerRequest, PeerResponse, ServePeer};
--- a/crates/wire/src/peer/service.rs
+++ b/crates/wire/src/peer/service.rs
@@ -3,8 +3,8 @@
 use cassialift_core::ids::{Incarnation, VmId};
 
 use super::{
-    ConfigPull, ConfigPush, JobForward, JobReply, Ping, PingReply, ProbeReply, ShardCall,
-    ShardReply,
+    ConfigPull, ConfigPush, JobForward, JobReply, PartialGather, PartialReply, Ping, PingReply,
+    ProbeReply, ShardCall, ShardReply,
 };
 
 /// What a process offers its peers.
@@ -14,6 +14,8 @@
     async fn call_shard(call: ShardCall) -> ShardReply;
     /// Runs a job, or tells its outcome, if `holder` is this run of the process.
     async fn forward_job(holder: Incarnation, job: JobForward) -> JobReply;
+    /// Asks some shards of a search and merges their parts.
+    async fn gather(partial: PartialGather) -> PartialReply;
     /// Exchanges heartbeats.
     async fn ping(ping: Ping) -> PingReply;
     /// Pings `target` on the asker's behalf.
