--- a/crates/core/src/policy/budget.rs
+++ b/crates/core/src/policy/budget.rs
@@ -17,6 +17,14 @@
         Self { tokens: 1.0, burst }
     }
 
+    /// Makes a budget that starts with half of the tokens that it may hold, so that an entry that
+    /// has just started can repeat calls, and one that starts often gains little by it.
+    #[must_use]
+    pub const fn half(burst: f64) -> Self {
+        let tokens = burst / 2.0;
+        Self { tokens, burst }
+    }
+
     /// Makes a budget that starts with all the tokens that it may hold.
     #[must_use]
     pub const fn full(burst: f64) -> Self {
@@ -29,6 +37,12 @@
         self.tokens = (self.tokens + f64::from(calls) * ratio).min(self.burst);
     }
 
+    /// Returns whether at least this many tokens are left.
+    #[must_use]
+    pub fn holds(&self, tokens: f64) -> bool {
+        self.tokens >= tokens
+    }
+
     /// Spends a token; returns false when there is none.
     pub fn spend(&mut self) -> bool {
         if self.tokens < 1.0 {
--- a/crates/core/src/policy/delegate.rs
+++ b/crates/core/src/policy/delegate.rs
@@ -5,7 +5,9 @@
 
 use std::collections::BTreeMap;
 
-use crate::ids::DataCentre;
+use xxhash_rust::xxh3::Xxh3;
+
+use crate::ids::{DataCentre, ServerId};
 
 /// The fewest shards that are worth a message to another VM.
 pub const LEAST_GROUP: usize = 3;
@@ -63,3 +65,23 @@
         groups.push(Group { centre, shards });
     }
 }
+
+/// Keeps the replicas of a shard that two VMs may choose among, at most `most`.
+///
+/// Near ones come first, then others in an order that differs from attempt to attempt; VMs that
+/// know the same replicas keep the same ones.
+pub fn bound_replicas(
+    replicas: &mut Vec<ServerId>,
+    is_near: impl Fn(&ServerId) -> bool,
+    attempt: &[u8],
+    most: u32,
+) {
+    let rank = |server: &ServerId| {
+        let mut hasher = Xxh3::new();
+        hasher.update(attempt);
+        hasher.update(server.as_bytes());
+        (!is_near(server), hasher.digest())
+    };
+    replicas.sort_by_cached_key(rank);
+    replicas.truncate(most as usize);
+}
--- a/crates/core/src/policy/gather/send.rs
+++ b/crates/core/src/policy/gather/send.rs
@@ -44,9 +44,16 @@
         let (service, kind) = (&self.spec.service, self.spec.kind);
         let target = shard.target.service.as_ref().unwrap_or(service);
         if let Some(policy) = &self.spec.repeat {
-            if cause == AttemptCause::First {
-                tables.repeats.on_first(target, policy);
-            } else if !tables.repeats.allow(target) {
+            let allowed = match cause {
+                AttemptCause::First => {
+                    tables.repeats.on_first(target, policy);
+                    true
+                }
+                AttemptCause::Retry(reason) if reason.is_unsent() => true,
+                AttemptCause::Retry(_) | AttemptCause::Probe => tables.repeats.allow(target),
+                AttemptCause::Hedge => tables.repeats.allow_hedge(target, policy),
+            };
+            if !allowed {
                 return false;
             }
         }
@@ -79,7 +86,8 @@
         let service = &self.spec.service;
         let target = shard.target.service.as_ref().unwrap_or(service);
         let allowed = self.spec.repeat.is_none_or(|policy| {
-            shard.asked.len() < policy.servers as usize && context.tables.repeats.allow(target)
+            shard.asked.len() < policy.servers as usize
+                && context.tables.repeats.allow_hedge(target, &policy)
         });
         if allowed && !shard.tried.contains(&server) {
             shard.tried.push(ServerId::clone(&server));
--- a/crates/core/src/policy/gather/tests.rs
+++ b/crates/core/src/policy/gather/tests.rs
@@ -488,7 +488,7 @@
 
 const TIGHT: RepeatPolicy = RepeatPolicy {
     ratio: 0.0,
-    burst: 1.0,
+    burst: 2.0,
     servers: 2,
 };
 
--- a/crates/core/src/policy/repeat.rs
+++ b/crates/core/src/policy/repeat.rs
@@ -5,6 +5,9 @@
 use super::budget::TokenBudget;
 use crate::ids::ServiceId;
 
+/// The share of a budget that is kept for calls that failed.
+const HEDGE_RESERVE: f64 = 0.25;
+
 /// The extra calls, hedges and retries alike, that one entry may send to a service.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct RepeatPolicy {
@@ -29,7 +32,7 @@
     /// Notes a first attempt, which earns extra calls to its service.
     pub fn on_first(&mut self, service: &ServiceId, policy: &RepeatPolicy) {
         if !self.budgets.contains_key(service) {
-            let budget = TokenBudget::new(policy.burst);
+            let budget = TokenBudget::half(policy.burst);
             self.budgets.insert(ServiceId::clone(service), budget);
         }
         if let Some(budget) = self.budgets.get_mut(service) {
@@ -44,6 +47,14 @@
             .is_some_and(TokenBudget::spend)
     }
 
+    /// Takes an extra call out of a service's budget that only saves time; returns false when what
+    /// is left is kept for calls that failed.
+    pub fn allow_hedge(&mut self, service: &ServiceId, policy: &RepeatPolicy) -> bool {
+        let reserve = policy.burst * HEDGE_RESERVE;
+        let budget = self.budgets.get_mut(service);
+        budget.is_some_and(|budget| budget.holds(reserve + 1.0) && budget.spend())
+    }
+
     /// Forgets the services that are not in `kept`.
     pub fn keep_services(&mut self, kept: impl Fn(&ServiceId) -> bool) {
         self.budgets.retain(|service, _| kept(service));
--- a/crates/core/src/policy/retry.rs
+++ b/crates/core/src/policy/retry.rs
@@ -80,6 +80,26 @@
         }
     }
 
+    /// Returns whether the call before never reached a backend server, so that trying again puts
+    /// no extra load on the service.
+    #[must_use]
+    pub const fn is_unsent(self) -> bool {
+        match self {
+            Self::NotOwner
+            | Self::QueueFull
+            | Self::Infeasible
+            | Self::Connect
+            | Self::Cancelled => true,
+            Self::Busy
+            | Self::Leaving
+            | Self::VersionGone
+            | Self::UnknownShard
+            | Self::Broken
+            | Self::Timeout
+            | Self::BadReply => false,
+        }
+    }
+
     /// Returns why an attempt with this outcome may be tried again; none when it must not be.
     ///
     /// Only what was proved not run, or may be repeated, is tried again.
--- a/crates/core/src/policy/tables.rs
+++ b/crates/core/src/policy/tables.rs
@@ -49,16 +49,36 @@
         }
     }
 
-    /// Returns the expected time of the slowest of several shard calls.
+    /// Returns the expected time until a share of several shard calls, 0 to 1, is done.
     #[must_use]
     pub fn estimate<'a>(
         &self,
         shards: impl Iterator<Item = &'a [ServerId]>,
+        share: f64,
         now: Instant,
     ) -> WaitEstimate {
         let estimates = shards.map(|replicas| self.replicas.estimate(replicas, now));
-        estimates
-            .max_by(|a, b| (a.wait + a.service).cmp(&(b.wait + b.service)))
-            .unwrap_or_default()
+        let mut estimates: Vec<_> = estimates.collect();
+        estimates.sort_by_key(|one| one.wait + one.service);
+        let needed = whole(share.clamp(0.0, 1.0) * count(estimates.len())).max(1);
+        estimates.into_iter().nth(needed - 1).unwrap_or_default()
     }
 }
+
+#[expect(
+    clippy::cast_precision_loss,
+    reason = "shard counts are far below 2^52"
+)]
+const fn count(shards: usize) -> f64 {
+    shards as f64
+}
+
+#[expect(
+    clippy::cast_possible_truncation,
+    clippy::cast_sign_loss,
+    reason = "a number of shards, not negative"
+)]
+fn whole(shards: f64) -> usize {
+    // Rounding must not add a shard that is not needed.
+    (shards - 1e-9).ceil() as usize
+}
--- a/crates/core/src/policy/tests.rs
+++ b/crates/core/src/policy/tests.rs
@@ -10,17 +10,19 @@
 use yare::parameterized;
 
 use super::{
+    EntryTables,
     admission::{Admission, AdmissionRequest},
     budget::TokenBudget,
-    delegate::{Group, group_far_shards},
+    delegate::{Group, bound_replicas, group_far_shards},
     hedge::Hedger,
     limit::Limit,
     outcome::{CallOutcome, NotRunCause, UnknownCause},
-    replica::WaitEstimate,
+    repeat::{RepeatPolicy, Repeats},
+    replica::{CallReport, Listing, WaitEstimate},
     retry::RetryReason,
 };
 use crate::{
-    ids::DataCentre,
+    ids::{DataCentre, ServerId},
     presets::{HedgePolicy, KindPolicy, QueuePolicy},
     request::{RefusalReason, RequestKind},
 };
@@ -364,3 +366,73 @@
         .collect();
     assert_eq!(groups, expected);
 }
+
+/// Two VMs that know the same replicas in another order keep the same ones, the near one first.
+#[test]
+fn test_delegate_bounds_replicas_alike() {
+    let names = ["a", "b", "c", "d"].map(ServerId::from);
+    let near = |server: &ServerId| &**server == "c";
+    for attempt in 0_u8..50 {
+        let mut one = names.to_vec();
+        let mut other: Vec<ServerId> = names.iter().rev().cloned().collect();
+        bound_replicas(&mut one, near, &[attempt], 2);
+        bound_replicas(&mut other, near, &[attempt], 2);
+        assert_eq!(one, other);
+        assert_eq!((one.len(), &*one[0]), (2, "c"));
+    }
+}
+
+#[parameterized(
+    all = { 1.0, 40 },
+    nine_tenths_of_four_is_all = { 0.9, 40 },
+    three_quarters = { 0.75, 30 },
+    half = { 0.5, 20 },
+    none = { 0.0, 10 },
+)]
+fn test_estimate_counts_the_shards_that_are_needed(share: f64, millis: u64) {
+    let mut tables = EntryTables::default();
+    let now = Instant::now();
+    let service = "s".into();
+    let names = ["a", "b", "c", "d"].map(ServerId::from);
+    let listings = names.iter().map(|server| Listing {
+        server: ServerId::clone(server),
+        slots: 2,
+        leaving: false,
+        bias: Duration::ZERO,
+    });
+    tables.replicas.list(&service, listings.collect(), now);
+    for (server, millis) in names.iter().zip([40, 10, 30, 20]) {
+        tables.replicas.on_send(server);
+        let report = CallReport {
+            outcome: CallOutcome::Done(1),
+            latency: Duration::from_millis(millis),
+            queued: None,
+            wait: Duration::ZERO,
+        };
+        tables.replicas.on_report(server, &report, now);
+    }
+    let sets = names.iter().map(std::slice::from_ref);
+    let estimate = tables.estimate(sets, share, now);
+    assert_eq!(estimate.service.as_millis(), u128::from(millis));
+}
+
+/// Hedges leave the last part of a budget to calls that failed.
+#[test]
+fn test_repeats_keep_a_reserve_for_failures() {
+    let policy = RepeatPolicy {
+        ratio: 0.0,
+        burst: 8.0,
+        servers: 2,
+    };
+    let service = "s".into();
+    let mut repeats = Repeats::default();
+    assert!(
+        !repeats.allow(&service),
+        "a service without a first attempt"
+    );
+    repeats.on_first(&service, &policy);
+    let hedges = std::iter::from_fn(|| repeats.allow_hedge(&service, &policy).then_some(()));
+    assert_eq!(hedges.count(), 2);
+    let retries = std::iter::from_fn(|| repeats.allow(&service).then_some(()));
+    assert_eq!(retries.count(), 2);
+}
--- a/crates/server/src/entry/admit.rs
+++ b/crates/server/src/entry/admit.rs
@@ -91,7 +91,7 @@
         caller: CallerId::clone(&request.caller),
         kind: request.kind,
         remaining: allowed,
-        estimate: tables.estimate(sets, now),
+        estimate: tables.estimate(sets, 1.0, now),
     };
     let preset = &config.policy;
     let admission = &mut tables.admission;
--- a/crates/server/src/gateway/forward.rs
+++ b/crates/server/src/gateway/forward.rs
@@ -32,12 +32,12 @@
 /// What of a request's time is kept for the way back to its caller.
 const RETURN_TIME: Duration = Duration::from_millis(10);
 
-/// What of the latency objective passes outside this process: the caller's new connection, the
-/// way here and the way back.
-const OUTSIDE_TIME: Duration = Duration::from_millis(16);
+/// What of a request's time is kept for the way back from a VM that asked shards for it.
+const DELEGATION_RETURN: Duration = Duration::from_millis(8);
 
-/// The share of a request's time that other VMs have for their shards.
-const DELEGATION_SHARE: f64 = 0.6;
+/// The share of a service's extra calls that the VM which asks a delegated shard may send; the
+/// rest is for the VM that delegated it, should the other one fail.
+const ASKED_SHARE: f64 = 0.85;
 
 /// The share of the allowed extra calls that is used: VMs may count each other wrongly.
 const REPEAT_MARGIN: f64 = 0.85;
@@ -166,13 +166,17 @@
         let now = Timer.now();
         let preset = &config.policy;
         let kind = inbound.route.kind;
+        let needed = match &inbound.route.target {
+            RouteTarget::Shards(set) => set.coverage,
+            RouteTarget::Service(_) | RouteTarget::Split(_) => 1.0,
+        };
         self.decide(|tables| {
             let sets = targets.iter().map(|target| target.replicas.as_slice());
             let asked = AdmissionRequest {
                 caller: CallerId::from(CALLER),
                 kind,
                 remaining: inbound.deadline.saturating_duration_since(now),
-                estimate: tables.estimate(sets, now),
+                estimate: tables.estimate(sets, needed, now),
             };
             let policy = preset.kind(kind);
             let admission = &mut tables.admission;
@@ -192,11 +196,12 @@
     ) -> Plan {
         let route = &inbound.route;
         let preset = &config.policy;
-        let policy = policy(route, preset.kind(route.kind));
+        let outside = self.settings.outside.0;
+        let policy = policy(route, preset.kind(route.kind), outside);
         let mut delegations = Vec::new();
         if matches!(route.target, RouteTarget::Shards(_)) {
             let within = delegation_time(&policy, inbound);
-            let delegated = self.servers.delegate(&view, &mut targets, inbound.started);
+            let delegated = self.servers.delegate(&view, inbound, &mut targets);
             delegations.extend(delegated.into_iter().map(|(vm, targets)| Delegation {
                 vm,
                 targets,
@@ -215,6 +220,7 @@
             retry: preset.retry,
             repeat: Some(self.repeat(route.servers)),
         };
+        self.earn(&delegations);
         Plan {
             view,
             config,
@@ -224,6 +230,29 @@
         }
     }
 
+    /// Earns the extra calls for delegated shards that are left to this VM.
+    fn earn(&self, delegations: &[Delegation]) {
+        let targets = delegations.iter().flat_map(|one| &one.targets);
+        let policy = RepeatPolicy {
+            ratio: self.settings.repeat_ratio * REPEAT_MARGIN * (1.0 - ASKED_SHARE),
+            ..self.repeat(1)
+        };
+        self.decide(|tables| {
+            for service in targets.filter_map(|target| target.service.as_ref()) {
+                tables.repeats.on_first(service, &policy);
+            }
+        });
+    }
+
+    /// Returns the extra calls that this VM may send for shards that another one delegated to it.
+    pub(super) fn asked_repeat(&self, servers: u32) -> RepeatPolicy {
+        let all = self.repeat(servers);
+        RepeatPolicy {
+            ratio: all.ratio * ASKED_SHARE,
+            ..all
+        }
+    }
+
     /// Returns this VM's share of the extra calls that a service may get.
     pub(super) fn repeat(&self, servers: u32) -> RepeatPolicy {
         RepeatPolicy {
@@ -312,25 +341,25 @@
     }
 }
 
-/// Returns how long after its start a request waits for what other VMs have by then: long enough
-/// for their hedges, and with time left to ask the missing shards itself.
+/// Returns how long after its start a request waits for what other VMs have by then: until it is
+/// answered, less the way back.
 fn delegation_time(policy: &KindPolicy, inbound: &Inbound) -> Duration {
     let whole = inbound.deadline.saturating_duration_since(inbound.started);
     let time = match policy.answer {
         AnswerPolicy::Within { time, .. } => time.0,
         AnswerPolicy::Wait | AnswerPolicy::Early { .. } => whole,
     };
-    time.min(whole).mul_f64(DELEGATION_SHARE)
+    time.min(whole).saturating_sub(DELEGATION_RETURN)
 }
 
 /// Returns the policy of a request: the preset's, and of the route how much an answer must cover
 /// and until when it waits for the rest.
-fn policy(route: &Route, preset: KindPolicy) -> KindPolicy {
+fn policy(route: &Route, preset: KindPolicy, outside: Duration) -> KindPolicy {
     let RouteTarget::Shards(set) = &route.target else {
         return preset;
     };
     let objective = route.objective.0;
-    let time = objective.saturating_sub(OUTSIDE_TIME).max(objective / 2);
+    let time = objective.saturating_sub(outside).max(objective / 2);
     let answer = if objective.is_zero() {
         AnswerPolicy::Wait
     } else {
--- a/crates/server/src/gateway/lanes.rs
+++ b/crates/server/src/gateway/lanes.rs
@@ -17,9 +17,9 @@
 
 use crate::{sockets, timer::Timer};
 
-/// How long opening a connection may take: many round trips between data centres, and less than
-/// the second after which a lost opening packet is sent again.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
+/// How long opening a connection may take: many round trips between data centres. A server that
+/// takes longer is asked elsewhere, which costs it nothing.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(100);
 
 /// How long before a backend server's own idle timeout a lane counts as too old.
 const IDLE_MARGIN: Duration = Duration::from_millis(500);
--- a/crates/server/src/gateway/partial.rs
+++ b/crates/server/src/gateway/partial.rs
@@ -8,10 +8,10 @@
 
 use bytes::Bytes;
 use cassialift_core::{
-    ids::{ServiceId, ShardId},
+    ids::{ServerId, ServiceId, ShardId},
     policy::{
+        delegate::bound_replicas,
         gather::{GatherSpec, ShardTarget},
-        repeat::RepeatPolicy,
     },
     presets::{AnswerPolicy, KindPolicy},
     request::{MissingReason, MissingShard, RequestKind},
@@ -35,10 +35,6 @@
 /// How much later than it was told a VM may reply: the way there and back, and its own lateness.
 const REPLY_SLACK: Duration = Duration::from_millis(15);
 
-/// The share of the extra calls for delegated shards that the asked VM may send; the asking VM
-/// has the rest, for those that the asked VM did not include.
-const ASKED_SHARE: f64 = 0.7;
-
 /// Why a VM gave no reply for a delegation.
 #[derive(Debug, Display)]
 pub(super) enum DelegateError {
@@ -159,9 +155,15 @@
         let mut targets = self.servers.targets(&route.name, &route.target, started);
         for (target, (shard, _)) in targets.iter_mut().zip(&partial.shards) {
             target.shard = *shard;
+            let near = |server: &ServerId| self.servers.is_near(server, &view.own.centre);
+            bound_replicas(
+                &mut target.replicas,
+                near,
+                &partial.attempt,
+                partial.servers,
+            );
         }
         let preset = &config.policy;
-        let repeat = self.repeat(partial.servers);
         let spec = GatherSpec {
             service: Arc::clone(&partial.route),
             kind: RequestKind::WideSearch,
@@ -178,10 +180,7 @@
             },
             hedge: preset.hedge,
             retry: preset.retry,
-            repeat: Some(RepeatPolicy {
-                ratio: repeat.ratio * ASKED_SHARE,
-                ..repeat
-            }),
+            repeat: Some(self.asked_repeat(partial.servers)),
         };
         let plan = Plan {
             view,
--- a/crates/server/src/gateway/roster.rs
+++ b/crates/server/src/gateway/roster.rs
@@ -10,16 +10,19 @@
 use cassialift_core::{
     ids::{DataCentre, Revision, RouteId, ServerId, ServiceId, ShardId, VmId},
     index::ServerState,
-    policy::{EntryTables, delegate::group_far_shards, gather::ShardTarget, replica::Listing},
+    policy::{
+        EntryTables,
+        delegate::{bound_replicas, group_far_shards},
+        gather::ShardTarget,
+        replica::Listing,
+    },
     pool::{Roster, VmCounts, connection_share},
     routes::{RouteTarget, SplitShare, Splitter},
     view::{ConfigView, FleetView, MemberView, Reach},
 };
 use rand::seq::IndexedRandom;
 
-/// What a call to another data centre has to save before it is preferred: the way there and back
-/// several times over, since links between data centres are dear.
-const FAR_BIAS: Duration = Duration::from_millis(15);
+use super::inbound::Inbound;
 
 /// How long a VM is passed over that failed to ask shards: longer than a call, shorter than
 /// membership takes to tell whether it is gone.
@@ -65,6 +68,7 @@
         &self,
         view: &FleetView,
         config: &ConfigView,
+        far_bias: Duration,
         tables: &mut EntryTables,
         now: Instant,
     ) -> bool {
@@ -78,7 +82,9 @@
         let own = &view.own.centre;
         let roster = &inner.roster;
         for (service, ids) in roster.services() {
-            let listings = ids.iter().filter_map(|id| listing(roster, id, own));
+            let listings = ids
+                .iter()
+                .filter_map(|id| listing(roster, id, own, far_bias));
             tables.replicas.list(service, listings.collect(), now);
         }
         let known = |service: &ServiceId| roster.services().any(|(id, _)| id == service);
@@ -111,12 +117,15 @@
     }
 
     /// Takes the shards out of `targets` that VMs of other data centres are to ask, with the VMs.
+    ///
+    /// Either VM may ask a shard's backend servers, so that both choose among the same `most`.
     pub(super) fn delegate(
         &self,
         view: &FleetView,
+        inbound: &Inbound,
         targets: &mut Vec<ShardTarget>,
-        now: Instant,
     ) -> Vec<(VmId, Vec<ShardTarget>)> {
+        let now = inbound.started;
         let mut inner = self.lock();
         inner.shunned.retain(|_, until| *until > now);
         let centres: Vec<Vec<DataCentre>> = targets
@@ -135,7 +144,16 @@
         let mut taken = Vec::new();
         let delegations = groups.into_iter().filter_map(|group| {
             let vm = helpers[&group.centre].choose(&mut rand::rng())?;
-            let shards = group.shards.iter().map(|index| targets[*index].clone());
+            let shards = group.shards.iter().map(|index| {
+                let mut target = targets[*index].clone();
+                let near = |server: &ServerId| {
+                    let document = inner.roster.get(server);
+                    document.is_some_and(|document| document.centre == group.centre)
+                };
+                let most = inbound.route.servers;
+                bound_replicas(&mut target.replicas, near, &inbound.attempt, most);
+                target
+            });
             let delegation = (VmId::clone(vm), shards.collect());
             taken.extend(group.shards);
             Some(delegation)
@@ -149,6 +167,13 @@
         delegations
     }
 
+    /// Returns whether a backend server stands in a data centre.
+    pub(super) fn is_near(&self, server: &str, centre: &DataCentre) -> bool {
+        let inner = self.lock();
+        let document = inner.roster.get(server);
+        document.is_some_and(|document| document.centre == *centre)
+    }
+
     /// Passes a VM over for a while that failed to ask shards.
     pub(super) fn shun(&self, vm: &VmId, now: Instant) {
         let mut inner = self.lock();
@@ -262,13 +287,18 @@
     }
 }
 
-fn listing(roster: &Roster, id: &ServerId, own: &DataCentre) -> Option<Listing> {
+fn listing(
+    roster: &Roster,
+    id: &ServerId,
+    own: &DataCentre,
+    far_bias: Duration,
+) -> Option<Listing> {
     let document = roster.get(id)?;
     let far = document.centre != *own;
     Some(Listing {
         server: ServerId::clone(id),
         slots: document.slots,
         leaving: document.state == ServerState::Leaving,
-        bias: if far { FAR_BIAS } else { Duration::ZERO },
+        bias: if far { far_bias } else { Duration::ZERO },
     })
 }
--- a/crates/server/src/gateway/settings.rs
+++ b/crates/server/src/gateway/settings.rs
@@ -2,7 +2,7 @@
 
 use std::{net::SocketAddr, time::Duration};
 
-use cassialift_core::time::Seconds;
+use cassialift_core::time::{Millis, Seconds};
 use serde::{Deserialize, Serialize};
 
 /// Settings of the gateway.
@@ -25,6 +25,14 @@
     /// The extra calls beyond that share, over any period.
     #[serde(default = "default_burst")]
     pub repeat_burst: f64,
+    /// What of a latency objective passes outside this process: the caller's new connection, the
+    /// way here and the way back.
+    #[serde(default = "default_outside")]
+    pub outside: Millis,
+    /// What is added to the expected latency of backend servers in other data centres when they
+    /// are compared with near ones: the way there and back, and what the links cost.
+    #[serde(default = "default_far_bias")]
+    pub far_bias: Millis,
 }
 
 /// The usual time between the signal to stop and the kill.
@@ -41,3 +49,13 @@
 const fn default_burst() -> f64 {
     20.0
 }
+
+/// Two round trips of a caller a few milliseconds away, and some lateness.
+const fn default_outside() -> Millis {
+    Millis::new(16)
+}
+
+/// Several round trips between data centres of one region.
+const fn default_far_bias() -> Millis {
+    Millis::new(15)
+}
--- a/crates/server/src/gateway/state.rs
+++ b/crates/server/src/gateway/state.rs
@@ -47,7 +47,10 @@
     /// Keeps the backend servers in step with a view.
     pub(super) fn sync(&self, view: &FleetView, config: &ConfigView) {
         let now = Timer.now();
-        let changed = self.decide(|tables| self.servers.sync(view, config, tables, now));
+        let changed = self.decide(|tables| {
+            let far_bias = self.settings.far_bias.0;
+            self.servers.sync(view, config, far_bias, tables, now)
+        });
         if changed {
             self.lanes.keep(|server| self.servers.knows(server));
         }
--- a/crates/testkit/src/harness/binaries.rs
+++ b/crates/testkit/src/harness/binaries.rs
@@ -44,3 +44,11 @@
         Err(HarnessError::NoBinary(path))
     }
 }
+
+/// Returns the path of the cassialift program beside the running test.
+///
+/// # Errors
+/// Returns that it is not built.
+pub fn program() -> Result<PathBuf, HarnessError> {
+    Ok(Binaries::find()?.cassialift)
+}
--- a/crates/testkit/src/harness/child.rs
+++ b/crates/testkit/src/harness/child.rs
@@ -14,6 +14,8 @@
     Kill,
     /// Asks it to stop gracefully.
     Terminate,
+    /// Tells it that its settings changed.
+    Hangup,
     /// Freezes it.
     Stop,
     /// Thaws it.
@@ -59,6 +61,7 @@
         let number = match signal {
             Signal::Kill => libc::SIGKILL,
             Signal::Terminate => libc::SIGTERM,
+            Signal::Hangup => libc::SIGHUP,
             Signal::Stop => libc::SIGSTOP,
             Signal::Continue => libc::SIGCONT,
         };
--- a/crates/testkit/src/policy_bench/arrival.rs
+++ b/crates/testkit/src/policy_bench/arrival.rs
@@ -141,7 +141,7 @@
             caller: CallerId::clone(&search.caller),
             kind: search.kind,
             remaining: search.deadline - self.now,
-            estimate: tables.estimate(sets, self.now),
+            estimate: tables.estimate(sets, 1.0, self.now),
         };
         let policy = self.preset.kind(search.kind);
         let admitted = tables
