--- a/crates/core/src/config/readers.rs
+++ b/crates/core/src/config/readers.rs
@@ -37,6 +37,8 @@
     pub readers: usize,
     /// How long an elected reader's call waits for a change.
     pub wait: Millis,
+    /// The shortest time between two calls of an elected reader.
+    pub period: Millis,
     /// The age from which a process reads by itself.
     pub stale: Millis,
     /// How long a starting process that has read the service waits for its peers' word.
@@ -48,6 +50,7 @@
         Self {
             readers: READERS,
             wait: Millis(WATCH_WAIT),
+            period: Millis(WATCH_PERIOD),
             stale: Millis(STALE_AGE),
             start: Millis(START_WAIT),
         }
--- a/crates/core/src/policy/gather/send.rs
+++ b/crates/core/src/policy/gather/send.rs
@@ -59,6 +59,7 @@
         }
         if shard.sent == 0 {
             let delay = tables.hedger.delay(service, kind, &self.spec.hedge);
+            let delay = delay.or(self.spec.first_hedge.filter(|_| kind.is_repeatable()));
             shard.hedge_at = delay.map(|delay| now + delay);
         }
         shard.sent += 1;
--- a/crates/core/src/policy/gather/spec.rs
+++ b/crates/core/src/policy/gather/spec.rs
@@ -1,6 +1,6 @@
 //! What a gather is given and what it asks for.
 
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use rand::RngCore;
 
@@ -30,6 +30,8 @@
     pub policy: KindPolicy,
     /// When shard calls are hedged.
     pub hedge: HedgePolicy,
+    /// After how long they are hedged before enough latencies were seen; none for not at all.
+    pub first_hedge: Option<Duration>,
     /// When shard calls are tried again.
     pub retry: RetryPolicy,
     /// What bounds the extra calls to each service; none where the entry's own budgets do alone.
--- a/crates/core/src/policy/gather/tests.rs
+++ b/crates/core/src/policy/gather/tests.rs
@@ -57,6 +57,7 @@
             deadline: start + DEADLINE,
             policy,
             hedge: HedgePolicy::default(),
+            first_hedge: None,
             retry: RetryPolicy {
                 budget: 1.0,
                 ..RetryPolicy::default()
@@ -559,3 +560,19 @@
     asked.dedup();
     assert_eq!(asked.len(), 2);
 }
+
+/// Before any latency is known calls are hedged after the time that the request gives.
+#[test]
+fn test_gather_hedges_before_latencies_are_known() {
+    let mut rig = Rig::new(1, RequestKind::WideSearch, within());
+    rig.tables = EntryTables::default();
+    rig.tables.hedger.on_first(100, &HedgePolicy::default());
+    rig.gather = Gather::new(GatherSpec {
+        first_hedge: Some(Duration::from_millis(20)),
+        ..rig.gather.spec.clone()
+    });
+    rig.start();
+    let sent = sends(&rig.timer());
+    assert_eq!(rig.now - rig.start, Duration::from_millis(20));
+    assert_eq!(sent, [(1, 0, AttemptCause::Hedge)]);
+}
--- a/crates/server/src/control/config_read.rs
+++ b/crates/server/src/control/config_read.rs
@@ -5,7 +5,7 @@
     time::{Duration, Instant},
 };
 
-use cassialift_core::config::{ReadPlan, ReadSettings, WATCH_PERIOD};
+use cassialift_core::config::{ReadPlan, ReadSettings};
 use cassialift_wire::platform::Source;
 use rand::Rng;
 
@@ -31,7 +31,7 @@
             ReadPlan::Watch => {
                 let read = read(&*source, &control, &metrics, reads.wait.0).await;
                 if read {
-                    WATCH_PERIOD
+                    reads.period.0
                 } else {
                     jittered(RETRY_PERIOD)
                 }
--- a/crates/server/src/gateway/forward.rs
+++ b/crates/server/src/gateway/forward.rs
@@ -35,6 +35,10 @@
 /// What of a request's time is kept for the way back from a VM that asked shards for it.
 const DELEGATION_RETURN: Duration = Duration::from_millis(8);
 
+/// The share of the time until an answer after which calls are hedged while it is not known how
+/// long they take: a second call has time to end.
+const FIRST_HEDGE_SHARE: f64 = 0.4;
+
 /// The share of a service's extra calls that the VM which asks a delegated shard may send; the
 /// rest is for the VM that delegated it, should the other one fail.
 const ASKED_SHARE: f64 = 0.85;
@@ -215,8 +219,9 @@
             shards: targets,
             started: inbound.started,
             deadline: inbound.deadline,
-            policy,
             hedge: preset.hedge,
+            first_hedge: first_hedge(&policy),
+            policy,
             retry: preset.retry,
             repeat: Some(self.repeat(route.servers)),
         };
@@ -341,6 +346,14 @@
     }
 }
 
+/// Returns after how long calls are hedged before enough latencies were seen.
+pub(super) fn first_hedge(policy: &KindPolicy) -> Option<Duration> {
+    match policy.answer {
+        AnswerPolicy::Within { time, .. } => Some(time.0.mul_f64(FIRST_HEDGE_SHARE)),
+        AnswerPolicy::Wait | AnswerPolicy::Early { .. } => None,
+    }
+}
+
 /// Returns how long after its start a request waits for what other VMs have by then: until it is
 /// answered, less the way back.
 fn delegation_time(policy: &KindPolicy, inbound: &Inbound) -> Duration {
--- a/crates/server/src/gateway/partial.rs
+++ b/crates/server/src/gateway/partial.rs
@@ -28,6 +28,7 @@
 use super::{
     Gateway,
     fan::{Delegation, Fan, Part, Plan},
+    forward::first_hedge,
     inbound::Inbound,
 };
 use crate::{peers::PeerError, timer::Timer};
@@ -164,6 +165,13 @@
             );
         }
         let preset = &config.policy;
+        let policy = KindPolicy {
+            answer: AnswerPolicy::Within {
+                share: 0.0,
+                time: partial.within,
+            },
+            ..KindPolicy::default()
+        };
         let spec = GatherSpec {
             service: Arc::clone(&partial.route),
             kind: RequestKind::WideSearch,
@@ -171,14 +179,9 @@
             shards: targets,
             started,
             deadline: inbound.deadline,
-            policy: KindPolicy {
-                answer: AnswerPolicy::Within {
-                    share: 0.0,
-                    time: partial.within,
-                },
-                ..KindPolicy::default()
-            },
             hedge: preset.hedge,
+            first_hedge: first_hedge(&policy),
+            policy,
             retry: preset.retry,
             repeat: Some(self.asked_repeat(partial.servers)),
         };
--- a/crates/testkit/src/policy_bench/arrival.rs
+++ b/crates/testkit/src/policy_bench/arrival.rs
@@ -112,6 +112,7 @@
                     deadline,
                     policy,
                     hedge: self.preset.hedge,
+                    first_hedge: None,
                     retry: self.preset.retry,
                     repeat: None,
                 })));
