gather: a shard that a search needs is waited for while its replicas answer

A shard without which the search fails is waited for while one of its replicas gave rows in the last second, and while its service's budget fills. Silent replicas are given up as before. Two of the three new tests were seen failing with the waits switched off; the third holds before and after.

--- a/crates/core/src/policy/gather/finish.rs
+++ b/crates/core/src/policy/gather/finish.rs
@@ -58,6 +58,12 @@
         answer_time(self.spec.policy.answer, &progress)
     }
 
+    /// Returns whether some shards of all are enough for an answer.
+    pub(super) fn covers(&self, shards: usize, total: usize) -> bool {
+        let count = |shards: usize| f64::from(u32::try_from(shards).unwrap_or(u32::MAX));
+        count(shards) >= count(total) * self.spec.policy.coverage
+    }
+
     /// Returns when the youngest call of an open shard becomes overdue.
     fn likely_time(&self) -> Option<Instant> {
         let open = self.shards.iter().filter(|shard| shard.is_open());
--- a/crates/core/src/policy/gather/machine.rs
+++ b/crates/core/src/policy/gather/machine.rs
@@ -116,7 +116,8 @@
             let index = self.shards.len();
             self.shards.push(ShardState::new(target));
             if !self.send(index, cause, context, actions) {
-                self.shards[index].status = ShardStatus::Missing(MissingReason::Unreachable);
+                let (reason, missing) = (RetryReason::Timeout, MissingReason::Unreachable);
+                self.await_budget(index, reason, missing, context);
             }
         }
         self.conclude(context, actions);
--- a/crates/core/src/policy/gather/recover.rs
+++ b/crates/core/src/policy/gather/recover.rs
@@ -4,7 +4,7 @@
 
 use super::{
     machine::Gather,
-    shard::{Attempt, ShardStatus},
+    shard::{Attempt, ShardState, ShardStatus},
     spec::{Action, AttemptCause, Context},
 };
 use crate::{
@@ -19,6 +19,9 @@
 const ROUND_PAUSE: f64 = 0.05;
 /// The least wait before a hedge is tried again that found its replica busy.
 const HEDGE_PAUSE: Duration = Duration::from_millis(1);
+/// The wait for extra calls that a service's budget does not hold yet: first calls of other requests
+/// earn them in the meantime.
+const BUDGET_PAUSE: Duration = Duration::from_millis(40);
 /// The longest wait before replicas that all failed are tried again.
 const ROUND_PAUSE_MAX: Duration = Duration::from_millis(50);
 
@@ -82,7 +85,7 @@
         // A call that met no owner put no load on any backend server.
         let free = reason == RetryReason::NotOwner;
         if !free && !context.tables.retrier.allow() {
-            self.give_up(index, MissingReason::Budget);
+            self.await_budget(index, reason, MissingReason::Budget, context);
             return;
         }
         if self.send(index, AttemptCause::Retry(reason), context, actions) {
@@ -91,7 +94,27 @@
         if !free {
             context.tables.retrier.refund();
         }
-        self.give_up(index, self.shards[index].reason());
+        let missing = self.shards[index].reason();
+        self.await_budget(index, reason, missing, context);
+    }
+
+    /// Waits for the budget of extra calls to fill if the request fails without the shard; else
+    /// gives the shard up.
+    pub(super) fn await_budget(
+        &mut self,
+        index: usize,
+        reason: RetryReason,
+        missing: MissingReason,
+        context: &Context<'_>,
+    ) {
+        let again = context.now + BUDGET_PAUSE;
+        let shard = &self.shards[index];
+        let bounded = self.spec.repeat.is_some() && shard.live.is_empty();
+        if bounded && again < self.spec.deadline && self.is_needed(index) {
+            self.shards[index].retry_at = Some((again, reason));
+        } else {
+            self.give_up(index, missing);
+        }
     }
 
     /// Returns whether the entry is overloaded and calls wait for each untried replica.
@@ -210,13 +233,29 @@
             let late = !shard.live.is_empty() && shard.live.iter().all(late);
             let replicas = &shard.target.replicas;
             let tables = &context.tables.replicas;
-            if shard.is_open() && late && tables.is_hopeless(replicas, context.now) {
+            // A late answer is better than none while the replicas are slow only.
+            let worth_waiting = self.is_needed(index) && tables.is_answering(replicas, context.now);
+            if shard.is_open()
+                && late
+                && !worth_waiting
+                && tables.is_hopeless(replicas, context.now)
+            {
                 self.shards[index].status = ShardStatus::Missing(MissingReason::Unreachable);
                 self.cancel_live(index, context, actions);
             }
         }
     }
 
+    /// Returns whether the request fails without this shard.
+    fn is_needed(&self, index: usize) -> bool {
+        let missing = |shard: &&ShardState| matches!(shard.status, ShardStatus::Missing(_));
+        let missing = self.shards.iter().filter(missing).count();
+        let this = usize::from(self.shards[index].is_open());
+        let elsewhere = self.elsewhere.included.len() + self.elsewhere.open.len();
+        let total = self.shards.len() + elsewhere;
+        !self.covers(total - missing - this, total)
+    }
+
     fn stall(&mut self, context: &mut Context<'_>, actions: &mut Vec<Action>) {
         self.stalled = true;
         for index in 0..self.shards.len() {
--- a/crates/core/src/policy/gather/tests.rs
+++ b/crates/core/src/policy/gather/tests.rs
@@ -17,6 +17,7 @@
         EntryTables,
         outcome::{CallOutcome, NotRunCause, UnknownCause},
         repeat::RepeatPolicy,
+        replica::CallReport,
         retry::RetryReason,
     },
     presets::{AnswerPolicy, HedgePolicy, KindPolicy, RetryPolicy},
@@ -576,3 +577,89 @@
     assert_eq!(rig.now - rig.start, Duration::from_millis(20));
     assert_eq!(sent, [(1, 0, AttemptCause::Hedge)]);
 }
+
+/// Returns a rig of one shard whose two replicas are ejected as slow; `age` ago one gave rows.
+fn ejected(age: Duration) -> Rig {
+    let policy = KindPolicy {
+        coverage: 1.0,
+        ..KindPolicy::default()
+    };
+    let mut rig = Rig::new(1, RequestKind::WideSearch, policy);
+    rig.tables.replicas.sync(&document(&targets(1)), rig.now);
+    let replicas = targets(1).remove(0).replicas;
+    let report = CallReport {
+        outcome: CallOutcome::Done(1),
+        latency: Duration::from_millis(10),
+        queued: None,
+        wait: Duration::ZERO,
+    };
+    rig.tables.replicas.on_send(&replicas[0]);
+    rig.tables
+        .replicas
+        .on_report(&replicas[0], &report, rig.now);
+    rig.now += age;
+    for server in replicas.iter().cycle().take(8) {
+        rig.tables.replicas.on_send(server);
+        rig.tables.replicas.on_overdue(server, rig.now, rig.now);
+    }
+    assert!(rig.tables.replicas.is_hopeless(&replicas, rig.now));
+    rig.start = rig.now;
+    rig.gather = Gather::new(GatherSpec {
+        started: rig.now,
+        deadline: rig.now + DEADLINE,
+        ..rig.gather.spec.clone()
+    });
+    rig.start();
+    rig
+}
+
+/// Load: both replicas of a shard are several times as slow as usual, and the search needs it.
+#[test]
+fn test_gather_waits_for_slow_replicas_of_a_shard_that_it_needs() {
+    let mut rig = ejected(Duration::from_millis(100));
+    while rig.gather.next_timer().unwrap() < rig.start + Duration::from_millis(300) {
+        assert!(end(&rig.timer()).is_none(), "{:?}", rig.now - rig.start);
+    }
+    let (included, actions) = rig.reply(0, CallOutcome::Done(1));
+    assert!(included);
+    assert_eq!(end(&actions).unwrap().verdict, Verdict::Answer);
+}
+
+/// Load: both replicas of a shard went silent; the search fails at once without it.
+#[test]
+fn test_gather_does_not_wait_for_silent_replicas() {
+    let mut rig = ejected(Duration::from_secs(2));
+    let (time, end) = rig.run_out();
+    assert_eq!(end.verdict, Verdict::Unknown);
+    assert!(time < DEADLINE * 3 / 4, "{time:?}");
+}
+
+/// Load: a service has used up its extra calls, and the search needs its shard; first calls of
+/// other requests earn new ones.
+#[test]
+fn test_gather_awaits_the_budget_for_a_shard_that_it_needs() {
+    let policy = KindPolicy {
+        coverage: 1.0,
+        ..KindPolicy::default()
+    };
+    let mut rig = Rig::new(0, RequestKind::WideSearch, policy);
+    let repeat = RepeatPolicy {
+        ratio: 0.5,
+        burst: 1.0,
+        servers: 2,
+    };
+    rig.gather = Gather::new(GatherSpec {
+        repeat: Some(repeat),
+        ..rig.gather.spec.clone()
+    });
+    rig.gather.delegate(vec![0]);
+    rig.start();
+    assert!(sends(&rig.adopt(targets(1), true)).is_empty());
+    let service = "counter".into();
+    rig.tables.repeats.on_first(&service, &repeat);
+    rig.tables.repeats.on_first(&service, &repeat);
+    let sent = sends(&rig.timer());
+    assert_eq!(sent, [(0, 0, AttemptCause::Retry(RetryReason::Timeout))]);
+    let (_, actions) = rig.reply(0, CallOutcome::Done(1));
+    assert_eq!(end(&actions).unwrap().verdict, Verdict::Answer);
+}
--- a/crates/core/src/policy/replica/choose.rs
+++ b/crates/core/src/policy/replica/choose.rs
@@ -17,6 +17,9 @@
 const OUTLIER_FLOOR: Duration = Duration::from_millis(5);
 /// The latencies seen below which a replica is not ejected for slowness.
 const OUTLIER_SAMPLES: u32 = 5;
+/// How long ago a replica may have given rows to count as slow and not as silent: several calls to
+/// a server that is ten times as slow as the others.
+const ANSWERING_AGE: Duration = Duration::from_secs(1);
 /// The random share by which expected latencies are varied, so that entries don't move in step.
 const JITTER: f64 = 0.1;
 
@@ -103,6 +106,16 @@
             .any(|server| self.takes_calls(server, now) && self.is_sound(server))
     }
 
+    /// Returns whether a replica gave rows lately, however slowly.
+    #[must_use]
+    pub fn is_answering(&self, replicas: &[ServerId], now: Instant) -> bool {
+        let since = now.checked_sub(ANSWERING_AGE);
+        replicas
+            .iter()
+            .filter_map(|server| self.servers.get(server))
+            .any(|stats| since.is_some_and(|since| stats.gave_rows_since(since)))
+    }
+
     /// Ends ramps and ejects replicas that are far slower than the best.
     fn review(&mut self, replicas: &[ServerId], now: Instant) {
         let best = self.best_of(replicas);
