addresses: callers and far shards go to the VMs with most processor time

VMs heard of by news only were not named at all.

A VM says how much processor time it has; callers are sent to those with at least half of the largest, if they have a fifth of the whole, and far shards to the largest of a data centre.

--- a/crates/core/src/fleet/addresses/entry.rs
+++ b/crates/core/src/fleet/addresses/entry.rs
@@ -42,6 +42,8 @@
     pub centre: DataCentre,
     /// Where it listens for callers.
     pub address: SocketAddr,
+    /// The processor time that its VM has, thousandths of a core; zero when that is not known.
+    pub capacity: u32,
     /// Whether it can be used.
     pub reach: Reach,
     /// The requests that it last said were in flight.
--- a/crates/core/src/fleet/addresses/place.rs
+++ b/crates/core/src/fleet/addresses/place.rs
@@ -9,14 +9,22 @@
 /// of the index.
 const HOME_SHARE: f64 = 0.5;
 
-/// The share of the VMs that answer, below which the homes' VMs are too few to take all callers.
-const LEAST_SHARE: f64 = 0.25;
+/// The share of the processor time of all VMs that answer, below which those chosen have too little
+/// to take all callers.
+const LEAST_SHARE: f64 = 0.2;
+
+/// The fewest VMs that take all callers.
+const LEAST_VMS: usize = 2;
+
+/// The share of the largest VM's processor time from which a VM counts as large.
+const LARGE_SHARE: f64 = 0.5;
 
 /// Returns the addresses of all VMs that callers are to be spread over, in a fixed order.
 ///
 /// A request over many shards costs one message to each; from a data centre that holds a replica
 /// of every shard none of them crosses to another. So callers are sent to the data centres that
-/// hold most backend servers of sharded indexes (`homes`), or to all VMs if those are few. The
+/// hold most backend servers of sharded indexes (`homes`), and there to the large VMs, unless those
+/// are too few or too small. The
 /// order does not change from answer to answer, so that callers keep their connections.
 #[must_use]
 pub fn place(
@@ -30,20 +38,41 @@
         chosen = of(Reach::Suspect).chain(of(Reach::Leaving)).collect();
     }
     let best = homes.values().copied().max().unwrap_or_default();
-    let is_home = |entry: &&&Entry| {
+    let is_home = |entry: &Entry| {
         let held = homes.get(&entry.centre).copied().unwrap_or_default();
         best > 0 && f64::from(held) >= f64::from(best) * HOME_SHARE
     };
-    let home: Vec<&Entry> = chosen.iter().filter(is_home).copied().collect();
-    let least = (count(&chosen) * LEAST_SHARE).max(2.0);
-    if count(&home) >= least {
-        chosen = home;
-    }
+    let whole = power(&chosen);
+    let chosen = narrow(chosen, whole, is_home);
+    let is_large = large(&chosen);
+    let mut chosen = narrow(chosen, whole, is_large);
     let far = |entry: &&Entry| near.is_some_and(|near| &*entry.centre != near);
     chosen.sort_by_key(|entry| (far(entry), entry.address));
     chosen.iter().map(|entry| entry.address).collect()
 }
 
-fn count(entries: &[&Entry]) -> f64 {
-    f64::from(u32::try_from(entries.len()).unwrap_or(u32::MAX))
+/// Keeps the VMs that are wanted, if they are enough for callers of `whole`.
+fn narrow(chosen: Vec<&Entry>, whole: f64, wanted: impl Fn(&Entry) -> bool) -> Vec<&Entry> {
+    let kept: Vec<&Entry> = chosen.iter().filter(|one| wanted(one)).copied().collect();
+    if kept.len() >= LEAST_VMS && power(&kept) >= whole * LEAST_SHARE {
+        return kept;
+    }
+    chosen
+}
+
+/// Returns the test for VMs that are not much smaller than the largest: one that has little
+/// processor time answers searches over many shards late.
+fn large(entries: &[&Entry]) -> impl Fn(&Entry) -> bool + use<> {
+    let largest = entries.iter().map(|entry| entry.capacity).max();
+    let least = f64::from(largest.unwrap_or_default()) * LARGE_SHARE;
+    move |entry| f64::from(entry.capacity) >= least
+}
+
+/// Returns the processor time of VMs; those that do not say count as one core.
+fn power(entries: &[&Entry]) -> f64 {
+    let one = |entry: &&Entry| match entry.capacity {
+        0 => 1_000.0,
+        known => f64::from(known),
+    };
+    entries.iter().map(one).sum()
 }
--- a/crates/core/src/fleet/addresses/tests.rs
+++ b/crates/core/src/fleet/addresses/tests.rs
@@ -24,6 +24,7 @@
     Entry {
         centre: centre.into(),
         address: SocketAddr::from(([127, 0, 0, 1], 9_000 + index)),
+        capacity: 0,
         reach: Reach::Alive,
         load: 0,
         since: Some(since),
@@ -285,6 +286,7 @@
         .map(|(&centre, port)| Entry {
             centre: centre.into(),
             address: SocketAddr::from(([127, 0, 0, 1], port)),
+            capacity: 0,
             reach: Reach::Alive,
             load: 0,
             since: None,
@@ -329,3 +331,25 @@
     let placed = place(&entries, &homes(&[("a", 20)]), None);
     assert_eq!(placed.len(), 2);
 }
+
+/// Load: a fleet of few large and many small VMs, on which a search over all shards takes long.
+#[test]
+fn test_place_prefers_large_vms_while_they_are_enough() {
+    let mut entries: Vec<Entry> = (0..10).flat_map(|_| seven()).collect();
+    for (port, entry) in (1..).zip(&mut entries) {
+        entry.address.set_port(port);
+        entry.capacity = if port <= 7 { 500 } else { 120 };
+    }
+    let homes = homes(&[("a", 20), ("b", 20), ("c", 20), ("d", 20)]);
+    let placed = place(&entries, &homes, None);
+    assert_eq!(ports(&placed), [1, 2, 3, 4, 5, 6, 7]);
+    for entry in &mut entries[..5] {
+        entry.reach = Reach::Dead;
+    }
+    let placed = place(&entries, &homes, None);
+    assert_eq!(
+        placed.len(),
+        65,
+        "two large ones are too few for all callers"
+    );
+}
--- a/crates/core/src/fleet/members/member.rs
+++ b/crates/core/src/fleet/members/member.rs
@@ -39,6 +39,8 @@
     pub peers: SocketAddr,
     /// Where it listens for callers.
     pub callers: SocketAddr,
+    /// The processor time that its VM has, thousandths of a core; zero when that is not known.
+    pub capacity: u32,
     /// The run of the process; none before it was first heard of.
     pub incarnation: Option<Incarnation>,
     /// Whether it can be used.
@@ -80,6 +82,7 @@
             centre: DataCentre::clone(&entry.centre),
             peers: entry.peers,
             callers: entry.callers,
+            capacity: 0,
             incarnation: None,
             reach: Reach::Unknown,
             listed: true,
@@ -111,6 +114,7 @@
         member.listed = false;
         member.known = false;
         member.incarnation = Some(contact.incarnation);
+        member.capacity = contact.capacity;
         member
     }
 
@@ -159,6 +163,7 @@
         self.centre = DataCentre::clone(&contact.centre);
         self.peers = contact.peers;
         self.callers = contact.callers;
+        self.capacity = contact.capacity;
         self.version = 0;
         self.leaving = false;
     }
@@ -182,6 +187,7 @@
             centre: DataCentre::clone(&self.centre),
             peers: self.peers,
             callers: self.callers,
+            capacity: self.capacity,
         })
     }
 }
--- a/crates/core/src/fleet/members/tests.rs
+++ b/crates/core/src/fleet/members/tests.rs
@@ -25,6 +25,7 @@
         centre: "dc-0".into(),
         peers: SocketAddr::from(([127, 0, 0, 1], 8_000 + index)),
         callers: SocketAddr::from(([127, 0, 0, 1], 9_000 + index)),
+        capacity: 0,
     }
 }
 
--- a/crates/core/src/fleet/members/update.rs
+++ b/crates/core/src/fleet/members/update.rs
@@ -19,6 +19,8 @@
     pub peers: SocketAddr,
     /// Where it listens for callers.
     pub callers: SocketAddr,
+    /// The processor time that its VM has, thousandths of a core; zero when that is not known.
+    pub capacity: u32,
 }
 
 /// What a process says of itself with each heartbeat.
--- a/crates/core/src/fleet/tests/bench.rs
+++ b/crates/core/src/fleet/tests/bench.rs
@@ -75,6 +75,7 @@
             centre: entry.centre,
             peers: entry.peers,
             callers: entry.callers,
+            capacity: 0,
         };
         let seed = self.rng.random();
         let mut node = Node::new(own, NodeSettings::default(), seed, self.now);
--- a/crates/core/src/fleet/views.rs
+++ b/crates/core/src/fleet/views.rs
@@ -97,7 +97,8 @@
 fn member(member: &Member) -> MemberView {
     let reach = match member.reach {
         Reach::Alive if member.leaving => Reach::Leaving,
-        Reach::Alive if !member.serving => Reach::Unknown,
+        // News of a member that was never heard does not tell whether it serves.
+        Reach::Alive if !member.serving && member.heard.is_some() => Reach::Unknown,
         reach => reach,
     };
     MemberView {
@@ -105,6 +106,7 @@
         centre: DataCentre::clone(&member.centre),
         peers: member.peers,
         callers: member.callers,
+        capacity: member.capacity,
         reach,
         load: member.load,
         since: member.since,
@@ -119,6 +121,7 @@
         centre: DataCentre::clone(&own.centre),
         peers: own.peers,
         callers: own.callers,
+        capacity: own.capacity,
         reach: match status {
             Status { leaving: true, .. } => Reach::Leaving,
             Status { serving: false, .. } => Reach::Unknown,
--- a/crates/core/src/view/fleet.rs
+++ b/crates/core/src/view/fleet.rs
@@ -44,6 +44,8 @@
     pub peers: SocketAddr,
     /// Where it listens for callers.
     pub callers: SocketAddr,
+    /// The processor time that its VM has, thousandths of a core; zero when that is not known.
+    pub capacity: u32,
     /// Whether it can be used.
     pub reach: Reach,
     /// The requests that it last said were in flight.
--- a/crates/server/src/entry/addresses.rs
+++ b/crates/server/src/entry/addresses.rs
@@ -83,6 +83,7 @@
     Entry {
         centre: Arc::clone(&member.centre),
         address: member.callers,
+        capacity: member.capacity,
         reach: member.reach,
         load: member.load,
         since: member.since,
--- a/crates/server/src/gateway/roster.rs
+++ b/crates/server/src/gateway/roster.rs
@@ -132,13 +132,7 @@
             .iter()
             .map(|target| inner.centres(&target.replicas))
             .collect();
-        let mut helpers: BTreeMap<DataCentre, Vec<&VmId>> = BTreeMap::new();
-        for (vm, member) in view.members.iter() {
-            if member.reach == Reach::Alive && !inner.shunned.contains_key(vm) {
-                let centre = DataCentre::clone(&member.centre);
-                helpers.entry(centre).or_default().push(vm);
-            }
-        }
+        let helpers = inner.helpers(view);
         let can_ask = |centre: &DataCentre| helpers.contains_key(centre);
         let groups = group_far_shards(&view.own.centre, &centres, can_ask);
         let mut taken = Vec::new();
@@ -274,6 +268,32 @@
             .collect()
     }
 
+    /// Returns the VMs of each data centre that may ask shards for others: those that answer, the
+    /// largest of them.
+    fn helpers<'a>(&self, view: &'a FleetView) -> BTreeMap<DataCentre, Vec<&'a VmId>> {
+        let usable = |vm: &VmId, member: &MemberView| {
+            member.reach == Reach::Alive && !self.shunned.contains_key(vm)
+        };
+        let mut largest: BTreeMap<&DataCentre, u32> = BTreeMap::new();
+        let members = || {
+            view.members
+                .iter()
+                .filter(|(vm, member)| usable(vm, member))
+        };
+        for (_, member) in members() {
+            let known = largest.entry(&member.centre).or_default();
+            *known = (*known).max(member.capacity);
+        }
+        let mut helpers: BTreeMap<DataCentre, Vec<&VmId>> = BTreeMap::new();
+        for (vm, member) in members() {
+            if member.capacity >= largest[&member.centre] {
+                let centre = DataCentre::clone(&member.centre);
+                helpers.entry(centre).or_default().push(vm);
+            }
+        }
+        helpers
+    }
+
     fn split(&mut self, route: &RouteId, shares: &[SplitShare]) -> Option<ServiceId> {
         self.splitter.pick(route, shares)
     }
--- a/crates/server/src/gateway/settings.rs
+++ b/crates/server/src/gateway/settings.rs
@@ -25,6 +25,10 @@
     /// The extra calls beyond that share, over any period.
     #[serde(default = "default_burst")]
     pub repeat_burst: f64,
+    /// The processor time that the VM has, cores; callers and other VMs' shards go to the VMs that
+    /// have most. Zero when it is not known.
+    #[serde(default)]
+    pub cores: f64,
     /// What of a latency objective passes outside this process: the caller's new connection, the
     /// way here and the way back.
     #[serde(default = "default_outside")]
@@ -35,6 +39,24 @@
     pub far_bias: Millis,
 }
 
+impl GatewaySettings {
+    /// Returns the processor time that the VM has, thousandths of a core.
+    #[must_use]
+    pub fn capacity(&self) -> u32 {
+        let thousandths = (self.cores * 1_000.0).round();
+        if thousandths >= f64::from(u32::MAX) {
+            return u32::MAX;
+        }
+        #[expect(
+            clippy::cast_possible_truncation,
+            clippy::cast_sign_loss,
+            reason = "compared with the largest, and a negative number becomes zero"
+        )]
+        let thousandths = thousandths.max(0.0) as u32;
+        thousandths
+    }
+}
+
 /// The usual time between the signal to stop and the kill.
 const fn default_grace() -> Seconds {
     Seconds(Duration::from_secs(30))
--- a/crates/server/src/peers/tests/table.rs
+++ b/crates/server/src/peers/tests/table.rs
@@ -19,6 +19,7 @@
         centre: "dc-0".into(),
         peers,
         callers: peers,
+        capacity: 0,
         reach: Reach::Alive,
         load: 0,
         since: None,
--- a/crates/server/src/process/run.rs
+++ b/crates/server/src/process/run.rs
@@ -14,7 +14,7 @@
 use crate::{
     control::{self, ControlInput},
     entry,
-    gateway::{self, Gateway},
+    gateway::{self, Gateway, GatewaySettings},
     journal::Journal,
     logging,
     metrics::Metrics,
@@ -120,6 +120,7 @@
             centre: Arc::clone(&own.centre),
             peers: settings.peers,
             callers: callers.map_or(settings.callers, |gateway| gateway.requests),
+            capacity: callers.map_or(0, GatewaySettings::capacity),
         },
         own,
         journal: Arc::clone(&journal),
--- a/crates/testkit/src/capacity/fleet.rs
+++ b/crates/testkit/src/capacity/fleet.rs
@@ -318,6 +318,7 @@
         centre: config::centre(number),
         peers: SocketAddr::from((ip, 8_001)),
         callers: SocketAddr::from((ip, 8_000)),
+        capacity: 0,
     }
 }
 
