--- a/crates/core/src/config/node.rs
+++ b/crates/core/src/config/node.rs
@@ -225,7 +225,13 @@
             self.read_failed();
             return;
         };
-        let given = batch.revision;
+        let (asked, given) = (batch.after, batch.revision);
+        if given < held && given >= asked {
+            // What is held came from peers while the service was asked about less.
+            self.apply(batch, &Source::Platform, now);
+            self.reached();
+            return;
+        }
         if given < held {
             self.events.push(ConfigEvent::StaleAnswer { given, held });
             self.apply(batch, &Source::Platform, now);
@@ -236,11 +242,15 @@
             self.read_failed();
             return;
         }
+        self.reached();
+        self.freshness.confirm(sent, VmId::clone(&self.own));
+    }
+
+    fn reached(&mut self) {
         if self.service != ServiceReach::Reached {
             self.service = ServiceReach::Reached;
             self.events.push(ConfigEvent::ServiceReached);
         }
-        self.freshness.confirm(sent, VmId::clone(&self.own));
     }
 
     /// Forgets what may have changed during a pause of the process.
--- a/crates/core/tests/config/node.rs
+++ b/crates/core/tests/config/node.rs
@@ -362,3 +362,29 @@
     let rejected = events.iter().any(|one| one.counter() == "config.rejected");
     assert!(rejected, "{events:?}");
 }
+
+/// While a read waits, peers bring what is newer than it asked about; its answer is not stale.
+#[test]
+fn test_node_takes_an_overtaken_read_for_no_outage() {
+    let platform = platform(5);
+    let mut bench = Bench::new(2);
+    bench.read(0, &platform, 2);
+    let now = bench.now;
+    let waiting = platform.changes(2, 2);
+    bench.nodes[0].pushed(
+        &peer(1).vm,
+        Some((naming(5), platform.changes(2, 5))),
+        now,
+        now,
+    );
+    bench.nodes[0].take_events();
+    bench.nodes[0].read(Some(waiting), now, now);
+    let events = bench.nodes[0].take_events();
+    assert!(events.is_empty(), "{events:?}");
+    assert_eq!(bench.nodes[0].store().revision(), 5);
+    // A replica that has not even what was asked about is stale.
+    bench.nodes[0].read(Some(platform.changes(5, 3)), now, now);
+    let events = bench.nodes[0].take_events();
+    let stale = |event: &ConfigEvent| matches!(event, ConfigEvent::StaleAnswer { .. });
+    assert!(events.iter().any(stale), "{events:?}");
+}
--- a/crates/server/src/gateway/listen.rs
+++ b/crates/server/src/gateway/listen.rs
@@ -1,6 +1,6 @@
 //! The gateway's listeners.
 
-use std::{net::SocketAddr, sync::Arc};
+use std::{net::SocketAddr, sync::Arc, time::Duration};
 
 use hyper::{
     Request,
@@ -13,9 +13,14 @@
 use crate::{
     http::{AcceptSettings, Acceptor},
     process::ProcessError,
+    timer::Timer,
 };
 use cassialift_core::routes::TrafficLimits;
 
+/// How often changes of backend servers are taken over without a request: several times within the
+/// time that a server drains.
+const SYNC_PERIOD: Duration = Duration::from_millis(200);
+
 /// How many headers the library takes.
 const HEADERS: usize = 128;
 
@@ -32,6 +37,7 @@
     let directory = listen(settings.directory).await?;
     let readiness = listen(settings.readiness).await?;
     let accepting = accepting(&gateway);
+    let in_step = tokio::spawn(keep_in_step(Arc::clone(&gateway)));
     let (stopping, stopped) = watch::channel(false);
     for listener in [directory, readiness] {
         let pages = Arc::clone(&gateway);
@@ -52,9 +58,25 @@
     };
     Acceptor::new(&accepting, serve).run(requests, stop).await;
     stopping.send_replace(true);
+    in_step.abort();
     Ok(())
 }
 
+/// Takes over each change of backend servers, also while no request comes.
+///
+/// A server that drained and left between two requests would else look like one whose entry
+/// lapsed while it served.
+async fn keep_in_step(gateway: Arc<Gateway>) {
+    let mut ticks = Timer.subscribe(SYNC_PERIOD);
+    loop {
+        ticks.next().await;
+        let view = gateway.node.control.pin();
+        if let Some(config) = &view.config {
+            gateway.sync(&view, config);
+        }
+    }
+}
+
 async fn wait(mut stopped: watch::Receiver<bool>) {
     // An error means that the process ends.
     drop(stopped.wait_for(|stopped| *stopped).await);
--- a/crates/server/src/gateway/roster.rs
+++ b/crates/server/src/gateway/roster.rs
@@ -16,7 +16,7 @@
         gather::ShardTarget,
         replica::Listing,
     },
-    pool::{Roster, VmCounts, connection_share},
+    pool::{Roster, ServerDocument, VmCounts, connection_share},
     routes::{RouteTarget, SplitShare, Splitter},
     view::{ConfigView, FleetView, MemberView, Reach},
 };
@@ -31,6 +31,9 @@
 /// The connections of a backend server whose service does not say.
 const CONNECTIONS: u32 = 16;
 
+/// The documents of backend servers at one revision.
+type Published = Arc<BTreeMap<ServerId, Arc<ServerDocument>>>;
+
 /// The backend servers that requests may go to.
 #[derive(Debug, Default)]
 pub(super) struct Servers {
@@ -43,8 +46,8 @@
     splitter: Splitter,
     /// The data centre of this VM; none before the first view.
     own: Option<DataCentre>,
-    /// The revision that the roster stands for; none before the first.
-    revision: Option<Revision>,
+    /// The revision and the documents that the roster stands for; none before the first.
+    synced: Option<(Revision, Published)>,
     /// The members that the counts stand for.
     members: Option<Arc<HashMap<VmId, Arc<MemberView>>>>,
     vms: BTreeMap<DataCentre, u32>,
@@ -74,10 +77,12 @@
     ) -> bool {
         let mut inner = self.lock();
         inner.count(view);
-        if inner.revision >= Some(config.revision) {
+        if let Some((revision, known)) = &inner.synced
+            && (config.revision < *revision || Arc::ptr_eq(known, &config.servers))
+        {
             return false;
         }
-        inner.revision = Some(config.revision);
+        inner.synced = Some((config.revision, Arc::clone(&config.servers)));
         inner.roster.sync(&config.servers, now);
         let own = &view.own.centre;
         let roster = &inner.roster;
