replica: calls that lost to one pause together count as one loss

Servers pause for 150 ms now and then; with four calls under way that was one pause, and its server got probes only for half a second and few calls for three more, so that the other replica, mostly in another data centre, took the load.

A loss counts if its call was sent after the last loss was noted. The two tests of ejection by losses sent their calls at one moment, which no longer is a sequence; they now send each after the loss before, four as before, and a new test holds that one pause ejects nobody.

--- a/crates/core/src/policy/replica/stats.rs
+++ b/crates/core/src/policy/replica/stats.rs
@@ -77,6 +77,8 @@
     told: Option<Instant>,
     faults: u32,
     losses: u32,
+    /// When the last loss was noted.
+    lost: Option<Instant>,
     refusals: u32,
     refused: Option<Instant>,
     probe_delay: Duration,
@@ -100,6 +102,7 @@
             told: None,
             faults: 0,
             losses: 0,
+            lost: None,
             refusals: 0,
             refused: None,
             probe_delay: PROBE_DELAY,
@@ -162,6 +165,14 @@
             return;
         }
         self.add_sample(least, now);
+        // Calls that were under way together lost to one and the same pause.
+        if self
+            .lost
+            .is_some_and(|lost| sent.is_none_or(|sent| sent < lost))
+        {
+            return;
+        }
+        self.lost = Some(now);
         self.losses += 1;
         if self.losses >= EJECT_LOSSES {
             self.eject(now);
--- a/crates/core/src/policy/replica/tests.rs
+++ b/crates/core/src/policy/replica/tests.rs
@@ -247,10 +247,11 @@
     let (mut table, _) = table(now);
     settle(&mut table, "b", FAST, now);
     let server = ServerId::from("b");
+    // Each call is sent when the one before has lost.
     for loss in 1..=4 {
         assert_eq!(table.standing(&server), Some(Standing::Active), "{loss}");
         table.on_send(&server);
-        table.on_cancelled(&server, FAST * 10, now + FAST * 10);
+        table.on_cancelled(&server, FAST * 10, now + FAST * 10 * loss);
     }
     assert!(matches!(
         table.standing(&server),
@@ -258,6 +259,22 @@
     ));
 }
 
+/// Load: a server pauses for a moment as all do now and then, with many calls under way.
+#[test]
+fn test_replica_that_paused_once_is_not_ejected() {
+    let now = Instant::now();
+    let (mut table, _) = table(now);
+    settle(&mut table, "b", FAST, now);
+    let server = ServerId::from("b");
+    for call in 0..20 {
+        table.on_send(&server);
+        // All were sent before the first of them lost.
+        let sent = now + FAST * call / 20;
+        table.on_cancelled(&server, FAST * 10, sent + FAST * 10);
+    }
+    assert_eq!(table.standing(&server), Some(Standing::Active));
+}
+
 #[test]
 fn test_replica_events_tell_ejection_with_its_cause_and_return() {
     let now = Instant::now();
@@ -283,9 +300,9 @@
     assert_eq!(table.take_events(), [ejected(EjectCause::Slow)]);
     settle(&mut table, "b", FAST, now);
     assert_eq!(table.take_events(), [returned]);
-    for _ in 0..4 {
+    for loss in 1..=4 {
         table.on_send(&"b".into());
-        table.on_cancelled(&"b".into(), FAST * 10, now + FAST * 10);
+        table.on_cancelled(&"b".into(), FAST * 10, now + FAST * 10 * loss);
     }
     assert_eq!(table.take_events(), [ejected(EjectCause::Hedges)]);
 }
