gateway: a once-only request waits a moment for a reset of its new connection

Backend servers still counted the connections of VMs that had lost power, were over their cap, and reset new ones; the request was on its way by then, so that it could not be said not to have run.

A new connection for such a request waits 8 ms and is passed over if it was reset; it is closed afterwards instead of being kept for calls that never take it.

--- a/crates/server/src/gateway/call.rs
+++ b/crates/server/src/gateway/call.rs
@@ -166,7 +166,8 @@
             CallEnd::NotRun(cause) => *cause != NotRunCause::Leaving,
             CallEnd::Unknown(_) => false,
         };
-        sound && self.inbound.body.len() <= MAX_REUSED_BODY
+        // Calls of the kind that needs new connections would never take it.
+        sound && !self.lane.fresh && self.inbound.body.len() <= MAX_REUSED_BODY
     }
 }
 
--- a/crates/server/src/gateway/lanes.rs
+++ b/crates/server/src/gateway/lanes.rs
@@ -21,6 +21,10 @@
 /// takes longer is asked elsewhere, which costs it nothing.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(100);
 
+/// How long a new connection waits for a reset by a server that has too many: two round trips
+/// between data centres of one region.
+const SETTLE_TIME: Duration = Duration::from_millis(8);
+
 /// How long before a backend server's own idle timeout a lane counts as too old.
 const IDLE_MARGIN: Duration = Duration::from_millis(500);
 
@@ -190,6 +194,13 @@
         let Some(lane) = Lane::open(request.address).await else {
             return Err(LaneError::Connect);
         };
+        if request.fresh {
+            // A reset that came after the request was sent would leave open whether it ran.
+            Timer.after(SETTLE_TIME).await;
+            if lane.sender.is_closed() {
+                return Err(LaneError::Connect);
+            }
+        }
         Ok((lane, permit))
     }
 
