gateway: plans, single calls and the log line in files of their own

Refactoring, but for the log: a request's line names its extra calls and the VMs that were asked for shards, and such a VM logs a line under the same id. Tests of heads, hop headers, refusals' statuses and delegated parts.

--- a/crates/server/src/gateway/answer.rs
+++ b/crates/server/src/gateway/answer.rs
@@ -14,7 +14,7 @@
     header::{CONTENT_TYPE, HeaderName, HeaderValue, RETRY_AFTER},
 };
 
-use super::{call::Reply, fan::Part};
+use super::{call::Reply, plan::Part};
 
 /// What a caller gets.
 pub(super) type Answer = Response<Full<Bytes>>;
--- a/crates/server/src/gateway/fan.rs
+++ b/crates/server/src/gateway/fan.rs
@@ -1,74 +1,34 @@
 //! Drives the policy's gather over HTTP: sends and cancels calls and keeps the replies.
 
-use std::{
-    collections::HashMap,
-    sync::{
-        Arc,
-        atomic::{AtomicBool, Ordering},
-    },
-    time::{Duration, Instant},
-};
+use std::{collections::HashMap, sync::Arc, time::Duration};
 
-use bytes::Bytes;
 use cassialift_core::{
-    ids::{AttemptId, ServerId, ShardId, VmId},
+    ids::{AttemptId, ServerId, ShardId},
     policy::{
-        gather::{Action, AttemptCause, Context, Gather, GatherEnd, GatherSpec, ShardTarget},
-        outcome::{CallOutcome, NotRunCause, UnknownCause},
-        replica::CallReport,
+        gather::{Action, AttemptCause, Context, Gather, GatherEnd},
+        outcome::CallOutcome,
     },
     routes::RouteTarget,
     view::{ConfigView, FleetView},
 };
 use cassialift_wire::peer::PartialReply;
-use hyper::header::HeaderValue;
 use tokio::{
     sync::{mpsc, oneshot},
     task::AbortHandle,
-    time::timeout,
 };
 
 use super::{
     Gateway,
-    call::{Call, CallEnd, Reply},
+    call::Reply,
     inbound::Inbound,
-    lanes::LaneRequest,
+    one_call::OneCall,
     partial::{self, DelegateError},
+    plan::{Delegation, Part, Plan},
 };
 use crate::timer::Timer;
 
-/// How long a call whose reply is no longer needed may keep its connection, which costs the
-/// backend server more to open anew than most calls take to end.
-const LINGER: Duration = Duration::from_millis(200);
-
-/// A part of an answer: of one shard, or of several that another VM merged.
-#[derive(Clone, Debug)]
-pub(super) struct Part {
-    /// The shard; none when the part was merged of several.
-    pub(super) shard: Option<ShardId>,
-    /// The signatures of the backend servers whose records it holds.
-    pub(super) signatures: Vec<HeaderValue>,
-    /// Records.
-    pub(super) body: Bytes,
-}
-
-/// Shards that another VM is to ask.
-#[derive(Clone, Debug)]
-pub(super) struct Delegation {
-    pub(super) vm: VmId,
-    pub(super) targets: Vec<ShardTarget>,
-    /// How long after its start the request waits for what the VM has by then.
-    pub(super) within: Duration,
-}
-
-/// What a request goes by: what it was admitted under, and how it is decided.
-pub(super) struct Plan {
-    pub(super) view: Arc<FleetView>,
-    pub(super) config: Arc<ConfigView>,
-    pub(super) inbound: Arc<Inbound>,
-    pub(super) spec: GatherSpec,
-    pub(super) delegations: Vec<Delegation>,
-}
+/// The most notes on one log line.
+const MOST_NOTES: usize = 24;
 
 /// How a request ended at the backend servers.
 #[derive(Debug)]
@@ -79,6 +39,8 @@
     /// The last whole reply, where a single backend server answers.
     pub(super) reply: Option<Reply>,
     pub(super) counts: SendCounts,
+    /// What a log line tells of the calls that were not first ones.
+    pub(super) notes: Vec<String>,
 }
 
 /// The calls that a request took.
@@ -128,6 +90,7 @@
     parts: Vec<Part>,
     reply: Option<Reply>,
     counts: SendCounts,
+    notes: Vec<String>,
     end: Option<GatherEnd>,
 }
 
@@ -148,6 +111,7 @@
             parts: Vec::new(),
             reply: None,
             counts: SendCounts::default(),
+            notes: Vec::new(),
             end: None,
         }
     }
@@ -164,6 +128,7 @@
                     parts: std::mem::take(&mut self.parts),
                     reply: self.reply.take(),
                     counts: self.counts,
+                    notes: std::mem::take(&mut self.notes),
                 };
             }
             let due = self.gather.next_timer().unwrap_or(self.inbound.deadline);
@@ -183,6 +148,8 @@
     /// Hands the shards of each delegation to its VM.
     fn delegate(&mut self) {
         for (index, delegation) in self.delegations.iter().enumerate() {
+            let shards = delegation.targets.len();
+            self.notes.push(format!("{shards}:asked:{}", delegation.vm));
             let shards = delegation.targets.iter().map(|target| target.shard);
             self.gather.delegate(shards.collect());
             let asking = partial::ask(
@@ -339,13 +306,15 @@
                 "probe".to_owned()
             }
         };
-        log::debug!(
-            target: "request",
-            "event=extra_call id={} route={} shard={shard} server={server} cause=\"{why}\" after_ms={}",
-            self.inbound.id(),
-            self.inbound.route.name,
-            self.inbound.age().as_millis(),
-        );
+        let after = self.inbound.age().as_millis();
+        self.note(format!("{shard}:{why}:{server}:{after}ms"));
+    }
+
+    /// Keeps something for the request's log line, up to a bound.
+    fn note(&mut self, text: String) {
+        if self.notes.len() < MOST_NOTES {
+            self.notes.push(text);
+        }
     }
 
     /// Takes one step of the policy under its lock.
@@ -382,95 +351,3 @@
         });
     }
 }
-
-/// One call of a request.
-struct OneCall {
-    gateway: Arc<Gateway>,
-    config: Arc<ConfigView>,
-    inbound: Arc<Inbound>,
-    server: ServerId,
-    version: u64,
-    fresh: bool,
-}
-
-impl OneCall {
-    /// Runs the call and reports it to the policy; none if it was dismissed before its reply.
-    async fn run(
-        self,
-        mut dismissed: oneshot::Receiver<()>,
-    ) -> Option<(CallOutcome, Option<Reply>)> {
-        let began = Timer.now();
-        let sent = AtomicBool::new(false);
-        let ended = {
-            let mut calling = std::pin::pin!(self.call(&sent));
-            tokio::select! {
-                end = calling.as_mut() => Some(end),
-                _ = &mut dismissed => {
-                    if sent.load(Ordering::Relaxed) {
-                        // Only the connection is worth the wait.
-                        drop(timeout(LINGER, calling).await);
-                    }
-                    None
-                }
-            }
-        };
-        let (outcome, reply) = self.classify(ended?);
-        self.report(outcome, began);
-        Some((outcome, reply))
-    }
-
-    async fn call(&self, sent: &AtomicBool) -> CallEnd {
-        let gateway = &self.gateway;
-        let Some(found) = gateway.servers.address(&self.server, &self.config) else {
-            return CallEnd::NotRun(NotRunCause::Leaving);
-        };
-        let call = Call {
-            inbound: Arc::clone(&self.inbound),
-            lane: LaneRequest {
-                server: ServerId::clone(&self.server),
-                address: found.address,
-                most: found.connections,
-                attempt: self.inbound.attempt.clone(),
-                fresh: self.fresh,
-            },
-            deadline: self.inbound.deadline,
-        };
-        call.run(&gateway.lanes, gateway.dialect.headers(), sent)
-            .await
-    }
-
-    fn classify(&self, end: CallEnd) -> (CallOutcome, Option<Reply>) {
-        let reply = match end {
-            CallEnd::Reply(reply) => reply,
-            CallEnd::NotRun(cause) => return (CallOutcome::NotRun(cause), None),
-            CallEnd::Unknown(cause) => return (CallOutcome::Unknown(cause), None),
-        };
-        let route = &self.inbound.route;
-        let is_part = matches!(route.target, RouteTarget::Shards(_));
-        let failed = if is_part {
-            !reply.status.is_success()
-        } else {
-            reply.status.is_server_error() && route.kind.is_repeatable()
-        };
-        if failed {
-            // The backend server ran it and failed; another may not.
-            let outcome = CallOutcome::Unknown(UnknownCause::BadReply);
-            return (outcome, Some(reply));
-        }
-        (CallOutcome::Done(self.version), Some(reply))
-    }
-
-    fn report(&self, outcome: CallOutcome, began: Instant) {
-        let now = Timer.now();
-        let report = CallReport {
-            outcome,
-            latency: now.saturating_duration_since(began),
-            queued: Some(self.gateway.lanes.waiting(&self.server)),
-            wait: Duration::ZERO,
-        };
-        let route = &self.inbound.route;
-        self.gateway.decide(|tables| {
-            tables.on_report(&route.name, route.kind, &self.server, &report, now);
-        });
-    }
-}
--- a/crates/server/src/gateway/forward.rs
+++ b/crates/server/src/gateway/forward.rs
@@ -1,21 +1,15 @@
 //! One request of a caller, from its head to its answer.
 
-use std::{
-    sync::Arc,
-    time::{Duration, Instant},
-};
+use std::{sync::Arc, time::Duration};
 
 use cassialift_core::{
     ids::CallerId,
     policy::{
         admission::AdmissionRequest,
-        gather::{GatherSpec, ShardTarget, Verdict},
-        repeat::RepeatPolicy,
+        gather::{ShardTarget, Verdict},
     },
-    presets::{AnswerPolicy, KindPolicy},
-    request::{Coverage, MissingReason, Ran, RefusalReason},
-    routes::{Route, RouteTarget},
-    time::Millis,
+    request::{MissingReason, Ran, RefusalReason},
+    routes::RouteTarget,
     view::{ConfigView, FleetView},
 };
 use cassialift_wire::platform::HeaderNames;
@@ -24,28 +18,15 @@
 use super::{
     Gateway,
     answer::{self, Answer, Refused},
-    fan::{Delegation, Fan, Fanned, Plan, SendCounts},
+    fan::{Fan, Fanned},
     inbound::{self, Head, Inbound, origin, printable, read_body, strip_hop_headers},
+    trace::Trace,
 };
 use crate::timer::Timer;
 
 /// What of a request's time is kept for the way back to its caller.
 const RETURN_TIME: Duration = Duration::from_millis(10);
 
-/// What of a request's time is kept for the way back from a VM that asked shards for it.
-const DELEGATION_RETURN: Duration = Duration::from_millis(8);
-
-/// The share of the time until an answer after which calls are hedged while it is not known how
-/// long they take: a second call has time to end.
-const FIRST_HEDGE_SHARE: f64 = 0.4;
-
-/// The share of a service's extra calls that the VM which asks a delegated shard may send; the
-/// rest is for the VM that delegated it, should the other one fail.
-const ASKED_SHARE: f64 = 0.85;
-
-/// The share of the allowed extra calls that is used: VMs may count each other wrongly.
-const REPEAT_MARGIN: f64 = 0.85;
-
 /// When to come back to a VM that has no configuration yet.
 const RETRY_NO_CONFIG: Duration = Duration::from_millis(250);
 
@@ -103,11 +84,12 @@
         let _load = self.admit_load(&config, &inbound, &targets)?;
         let inbound = Arc::new(inbound);
         let plan = self.plan(view, config, &inbound, targets);
-        let fanned = tokio::select! {
+        let mut fanned = tokio::select! {
             fanned = Fan::new(Arc::clone(self), plan).run() => fanned,
             () = self.cut() => return Err(Refused::unknown(RefusalReason::Leaving)),
         };
         trace.counts = fanned.counts;
+        trace.notes = std::mem::take(&mut fanned.notes);
         trace.coverage = fanned.end.coverage.clone();
         answer(&inbound, fanned, names)
     }
@@ -189,135 +171,6 @@
         })?;
         Ok(Load(Arc::clone(self)))
     }
-
-    /// Decides which shards this VM asks itself, and how.
-    fn plan(
-        &self,
-        view: Arc<FleetView>,
-        config: Arc<ConfigView>,
-        inbound: &Arc<Inbound>,
-        mut targets: Vec<ShardTarget>,
-    ) -> Plan {
-        let route = &inbound.route;
-        let preset = &config.policy;
-        let outside = self.settings.outside.0;
-        let policy = policy(route, preset.kind(route.kind), outside);
-        let mut delegations = Vec::new();
-        if matches!(route.target, RouteTarget::Shards(_)) {
-            let within = delegation_time(&policy, inbound);
-            let delegated = self.servers.delegate(&view, inbound, &mut targets);
-            delegations.extend(delegated.into_iter().map(|(vm, targets)| Delegation {
-                vm,
-                targets,
-                within,
-            }));
-        }
-        let spec = GatherSpec {
-            service: Arc::clone(&route.name),
-            kind: route.kind,
-            version: config.revision,
-            shards: targets,
-            started: inbound.started,
-            deadline: inbound.deadline,
-            hedge: preset.hedge,
-            first_hedge: first_hedge(&policy),
-            policy,
-            retry: preset.retry,
-            repeat: Some(self.repeat(route.servers)),
-        };
-        self.earn(&delegations);
-        Plan {
-            view,
-            config,
-            inbound: Arc::clone(inbound),
-            spec,
-            delegations,
-        }
-    }
-
-    /// Earns the extra calls for delegated shards that are left to this VM.
-    fn earn(&self, delegations: &[Delegation]) {
-        let targets = delegations.iter().flat_map(|one| &one.targets);
-        let policy = RepeatPolicy {
-            ratio: self.settings.repeat_ratio * REPEAT_MARGIN * (1.0 - ASKED_SHARE),
-            ..self.repeat(1)
-        };
-        self.decide(|tables| {
-            for service in targets.filter_map(|target| target.service.as_ref()) {
-                tables.repeats.on_first(service, &policy);
-            }
-        });
-    }
-
-    /// Returns the extra calls that this VM may send for shards that another one delegated to it.
-    pub(super) fn asked_repeat(&self, servers: u32) -> RepeatPolicy {
-        let all = self.repeat(servers);
-        RepeatPolicy {
-            ratio: all.ratio * ASKED_SHARE,
-            ..all
-        }
-    }
-
-    /// Returns this VM's share of the extra calls that a service may get.
-    pub(super) fn repeat(&self, servers: u32) -> RepeatPolicy {
-        RepeatPolicy {
-            ratio: self.settings.repeat_ratio * REPEAT_MARGIN,
-            burst: self.settings.repeat_burst * REPEAT_MARGIN / f64::from(self.servers.vms()),
-            servers,
-        }
-    }
-}
-
-/// What a request is logged with.
-#[derive(Debug)]
-struct Trace {
-    started: Instant,
-    id: String,
-    route: String,
-    /// The operators' number of the configuration that it ran under.
-    version: u64,
-    /// The platform's revision of that configuration.
-    revision: u64,
-    counts: SendCounts,
-    coverage: Coverage,
-}
-
-impl Trace {
-    fn new(started: Instant) -> Self {
-        Self {
-            started,
-            id: String::new(),
-            route: String::new(),
-            version: 0,
-            revision: 0,
-            counts: SendCounts::default(),
-            coverage: Coverage::default(),
-        }
-    }
-
-    fn log(&self, status: u16, end: &str, took: Duration) {
-        let Self {
-            id,
-            route,
-            version,
-            revision,
-            counts,
-            coverage,
-            ..
-        } = self;
-        let missing = coverage.missing.iter();
-        let missing: Vec<_> = missing
-            .map(|one| format!("{}:{:?}", one.shard, one.reason))
-            .collect();
-        log::info!(
-            target: "request",
-            "event=end id={id} route={route} status={status} end={end} took_ms={} \
-             config={version} revision={revision} shards_in={} missing=[{}] \
-             calls={} hedges={} retries={} probes={}",
-            took.as_millis(), coverage.included.len(), missing.join(","),
-            counts.sent, counts.hedges, counts.retries, counts.probes,
-        );
-    }
 }
 
 /// Makes the answer of what came from the backend servers.
@@ -346,47 +199,6 @@
     }
 }
 
-/// Returns after how long calls are hedged before enough latencies were seen.
-pub(super) fn first_hedge(policy: &KindPolicy) -> Option<Duration> {
-    match policy.answer {
-        AnswerPolicy::Within { time, .. } => Some(time.0.mul_f64(FIRST_HEDGE_SHARE)),
-        AnswerPolicy::Wait | AnswerPolicy::Early { .. } => None,
-    }
-}
-
-/// Returns how long after its start a request waits for what other VMs have by then: until it is
-/// answered, less the way back.
-fn delegation_time(policy: &KindPolicy, inbound: &Inbound) -> Duration {
-    let whole = inbound.deadline.saturating_duration_since(inbound.started);
-    let time = match policy.answer {
-        AnswerPolicy::Within { time, .. } => time.0,
-        AnswerPolicy::Wait | AnswerPolicy::Early { .. } => whole,
-    };
-    time.min(whole).saturating_sub(DELEGATION_RETURN)
-}
-
-/// Returns the policy of a request: the preset's, and of the route how much an answer must cover
-/// and until when it waits for the rest.
-fn policy(route: &Route, preset: KindPolicy, outside: Duration) -> KindPolicy {
-    let RouteTarget::Shards(set) = &route.target else {
-        return preset;
-    };
-    let objective = route.objective.0;
-    let time = objective.saturating_sub(outside).max(objective / 2);
-    let answer = if objective.is_zero() {
-        AnswerPolicy::Wait
-    } else {
-        let share = set.coverage;
-        let time = Millis(time);
-        AnswerPolicy::Within { share, time }
-    };
-    KindPolicy {
-        coverage: set.coverage,
-        answer,
-        ..preset
-    }
-}
-
 /// Tells why there is no answer, and whether anything ran.
 fn refusal(inbound: &Inbound, fanned: &Fanned) -> Refused {
     if fanned.end.verdict == Verdict::NotRun {
--- a/crates/server/src/gateway/mod.rs
+++ b/crates/server/src/gateway/mod.rs
@@ -11,11 +11,14 @@
 mod inbound;
 mod lanes;
 mod listen;
+mod one_call;
 mod pages;
 mod partial;
+mod plan;
 mod roster;
 mod settings;
 mod state;
+mod trace;
 
 #[cfg(test)]
 mod tests;
--- a/crates/server/src/gateway/partial.rs
+++ b/crates/server/src/gateway/partial.rs
@@ -27,9 +27,9 @@
 
 use super::{
     Gateway,
-    fan::{Delegation, Fan, Part, Plan},
-    forward::first_hedge,
-    inbound::Inbound,
+    fan::Fan,
+    inbound::{Inbound, printable},
+    plan::{Delegation, Part, Plan, first_hedge},
 };
 use crate::{peers::PeerError, timer::Timer};
 
@@ -185,6 +185,7 @@
             retry: preset.retry,
             repeat: Some(self.asked_repeat(partial.servers)),
         };
+        let revision = config.revision;
         let plan = Plan {
             view,
             config,
@@ -193,6 +194,14 @@
             delegations: Vec::new(),
         };
         let fanned = Fan::new(Arc::clone(&self), plan).run().await;
+        let coverage = &fanned.end.coverage;
+        log::info!(
+            target: "request",
+            "event=partial id={} route={} revision={} took_ms={} shards_in={} missing={:?} notes=[{}]",
+            printable(&partial.attempt), partial.route, revision,
+            Timer.now().saturating_duration_since(started).as_millis(),
+            coverage.included.len(), coverage.missing, fanned.notes.join(","),
+        );
         let bodies = fanned.parts.iter().map(|part| &*part.body);
         let records = cassialift_core::records::merge(bodies, partial.top);
         let included = fanned.parts.iter().filter_map(|part| {
--- a/crates/server/src/gateway/tests.rs
+++ b/crates/server/src/gateway/tests.rs
@@ -1,1 +1,122 @@
-//! Tests of the gateway.
+//! Tests of the gateway's small decisions; whole requests are tested with the platform's adapter.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use cassialift_core::{
+    policy::gather::ShardTarget,
+    request::{Ran, RefusalReason},
+};
+use cassialift_wire::{peer::PartialReply, platform::HeaderNames};
+use hyper::header::{HeaderMap, HeaderName, HeaderValue, RETRY_AFTER};
+use yare::parameterized;
+
+use super::{
+    answer::Refused,
+    inbound::{Head, printable, strip_hop_headers},
+    partial,
+};
+
+fn names() -> HeaderNames {
+    let name = HeaderName::from_static;
+    HeaderNames {
+        attempt: name("x-attempt"),
+        deadline: name("x-deadline"),
+        instance: name("x-instance"),
+        signature: name("x-signature"),
+        refused: name("x-refused"),
+        parts: name("x-parts"),
+        missing: name("x-missing"),
+    }
+}
+
+fn headers(pairs: &[(&'static str, &'static str)]) -> HeaderMap {
+    let mut headers = HeaderMap::new();
+    for (name, value) in pairs {
+        headers.append(*name, HeaderValue::from_static(value));
+    }
+    headers
+}
+
+#[parameterized(
+    whole = { &[("x-attempt", "a1"), ("x-deadline", "250")], Some(Some(250)) },
+    no_deadline = { &[("x-attempt", "a1")], Some(None) },
+    no_id = { &[("x-deadline", "250")], None },
+    empty_id = { &[("x-attempt", "")], None },
+    bad_deadline = { &[("x-attempt", "a1"), ("x-deadline", "soon")], None },
+    negative_deadline = { &[("x-attempt", "a1"), ("x-deadline", "-5")], None },
+)]
+fn test_head(pairs: &[(&'static str, &'static str)], expected: Option<Option<u64>>) {
+    let head = Head::read(&headers(pairs), &names());
+    let patience = head.map(|head| head.patience);
+    let expected = expected.map(|millis| millis.map(Duration::from_millis));
+    assert_eq!(patience.ok(), expected);
+}
+
+#[test]
+fn test_hop_headers_are_stripped() {
+    let mut all = headers(&[
+        ("connection", "close, X-Hop"),
+        ("x-hop", "1"),
+        ("keep-alive", "timeout=5"),
+        ("te", "trailers"),
+        ("transfer-encoding", "chunked"),
+        ("content-length", "3"),
+        ("expect", "100-continue"),
+        ("x-kept", "1"),
+    ]);
+    strip_hop_headers(&mut all);
+    assert_eq!(all, headers(&[("x-kept", "1")]));
+}
+
+/// Only a request that certainly did not run is answered with 503, and then with a time.
+#[parameterized(
+    overloaded = { RefusalReason::Overloaded, Ran::NotRun, 503 },
+    unreachable = { RefusalReason::Unreachable, Ran::NotRun, 503 },
+    late_not_run = { RefusalReason::DeadlinePast, Ran::NotRun, 503 },
+    late = { RefusalReason::DeadlinePast, Ran::Unknown, 504 },
+    no_reply = { RefusalReason::NoReply, Ran::Unknown, 502 },
+    leaving = { RefusalReason::Leaving, Ran::Unknown, 502 },
+    no_route = { RefusalReason::UnknownService, Ran::NotRun, 404 },
+    too_large = { RefusalReason::TooLarge, Ran::NotRun, 413 },
+    malformed = { RefusalReason::Malformed, Ran::NotRun, 400 },
+)]
+fn test_refusal_status(reason: RefusalReason, ran: Ran, status: u16) {
+    let retry = Some(Duration::from_millis(150));
+    let response = Refused { reason, ran, retry }.response();
+    assert_eq!(response.status().as_u16(), status);
+    assert_eq!(response.headers()[RETRY_AFTER], "0.150");
+}
+
+#[test]
+fn test_caller_ids_cannot_forge_log_lines() {
+    assert_eq!(printable(b"a b\nid=c\xff"), "a?b?id=c?");
+    assert_eq!(printable(&[b'x'; 500]).len(), 64);
+}
+
+#[parameterized(
+    whole = { &[1, 2], true },
+    fewer = { &[2], true },
+    none = { &[], true },
+    twice = { &[1, 1], false },
+    not_asked = { &[1, 3], false },
+)]
+fn test_delegated_part(included: &[u32], taken: bool) {
+    let targets = [1, 2].map(|shard| ShardTarget {
+        shard,
+        service: None,
+        replicas: Vec::new(),
+    });
+    let included = included.iter().map(|shard| (*shard, b"signed".to_vec()));
+    let reply = PartialReply {
+        attempt: b"a1".to_vec(),
+        included: included.collect(),
+        records: vec![7; 16],
+        missing: Vec::new(),
+    };
+    let part = partial::part(reply, &targets);
+    assert_eq!(part.is_some(), taken);
+    if let Some(part) = part {
+        assert_eq!(part.body, Bytes::from_static(&[7; 16]));
+    }
+}
