replica: only servers that pause count losses together

The rule was made for backend servers that pause; behind an owner it ejects slow ones late.

A listing says whether its server pauses; the gateway's do.

--- a/crates/core/src/policy/replica/stats.rs
+++ b/crates/core/src/policy/replica/stats.rs
@@ -65,6 +65,8 @@
     pub(crate) listed_leaving: bool,
     /// What is added to its expected latency when replicas are compared.
     pub(crate) bias: Duration,
+    /// Whether calls that lost to their hedges together count as one loss.
+    pub(crate) pauses: bool,
     /// Whether it gets calls.
     pub(crate) standing: Standing,
     /// Calls of this entry without a reply.
@@ -92,6 +94,7 @@
             slots: slots.max(1),
             listed_leaving: false,
             bias: Duration::ZERO,
+            pauses: false,
             standing,
             in_flight: 0,
             service: MovingAverage::default(),
@@ -166,10 +169,8 @@
         }
         self.add_sample(least, now);
         // Calls that were under way together lost to one and the same pause.
-        if self
-            .lost
-            .is_some_and(|lost| sent.is_none_or(|sent| sent < lost))
-        {
+        let together = |lost| sent.is_none_or(|sent| sent < lost);
+        if self.pauses && self.lost.is_some_and(together) {
             return;
         }
         self.lost = Some(now);
--- a/crates/core/src/policy/replica/table.rs
+++ b/crates/core/src/policy/replica/table.rs
@@ -45,6 +45,9 @@
     /// What is added to its expected latency when replicas are compared; the price of the way to
     /// another data centre.
     pub bias: Duration,
+    /// Whether it pauses now and then while it is sound, so that calls which were under way
+    /// together and lost to their hedges count as one loss.
+    pub pauses: bool,
 }
 
 /// What came of one shard call.
@@ -79,6 +82,7 @@
             slots: entry.slots,
             leaving: entry.state == ServerState::Leaving,
             bias: Duration::ZERO,
+            pauses: false,
         });
         self.list(&document.service, listings.collect(), now);
     }
@@ -103,6 +107,7 @@
             stats.slots = listing.slots.max(1);
             stats.listed_leaving = listing.leaving;
             stats.bias = listing.bias;
+            stats.pauses = listing.pauses;
             listed.insert(listing.server);
         }
         let former = self.listed.insert(ServiceId::clone(service), listed);
--- a/crates/core/src/policy/replica/tests.rs
+++ b/crates/core/src/policy/replica/tests.rs
@@ -6,7 +6,7 @@
 use rand_chacha::ChaCha8Rng;
 use yare::parameterized;
 
-use super::{CallReport, EjectCause, HealthClaim, ReplicaEvent, ReplicaTable, Standing};
+use super::{CallReport, EjectCause, HealthClaim, Listing, ReplicaEvent, ReplicaTable, Standing};
 use crate::{
     ids::ServerId,
     index::{IndexDocument, ServerEntry, ServerState, ShardEntry},
@@ -247,11 +247,10 @@
     let (mut table, _) = table(now);
     settle(&mut table, "b", FAST, now);
     let server = ServerId::from("b");
-    // Each call is sent when the one before has lost.
     for loss in 1..=4 {
         assert_eq!(table.standing(&server), Some(Standing::Active), "{loss}");
         table.on_send(&server);
-        table.on_cancelled(&server, FAST * 10, now + FAST * 10 * loss);
+        table.on_cancelled(&server, FAST * 10, now + FAST * 10);
     }
     assert!(matches!(
         table.standing(&server),
@@ -259,13 +258,27 @@
     ));
 }
 
+/// Returns a table with one server that pauses now and then.
+fn pausing(server: &ServerId, now: Instant) -> ReplicaTable {
+    let mut table = ReplicaTable::default();
+    let listing = Listing {
+        server: ServerId::clone(server),
+        slots: 2,
+        leaving: false,
+        bias: Duration::ZERO,
+        pauses: true,
+    };
+    table.list(&"counter".into(), vec![listing], now);
+    settle(&mut table, server, FAST, now);
+    table
+}
+
 /// Load: a server pauses for a moment as all do now and then, with many calls under way.
 #[test]
 fn test_replica_that_paused_once_is_not_ejected() {
     let now = Instant::now();
-    let (mut table, _) = table(now);
-    settle(&mut table, "b", FAST, now);
     let server = ServerId::from("b");
+    let mut table = pausing(&server, now);
     for call in 0..20 {
         table.on_send(&server);
         // All were sent before the first of them lost.
@@ -275,6 +288,22 @@
     assert_eq!(table.standing(&server), Some(Standing::Active));
 }
 
+/// Load: a server is slow for long; calls lose one after the other.
+#[test]
+fn test_replica_that_pauses_is_ejected_once_it_keeps_losing() {
+    let now = Instant::now();
+    let server = ServerId::from("b");
+    let mut table = pausing(&server, now);
+    // Each call is sent when the one before has lost.
+    for loss in 1..=4 {
+        assert_eq!(table.standing(&server), Some(Standing::Active), "{loss}");
+        table.on_send(&server);
+        table.on_cancelled(&server, FAST * 10, now + FAST * 10 * loss);
+    }
+    let standing = table.standing(&server);
+    assert!(matches!(standing, Some(Standing::Ejected(_))));
+}
+
 #[test]
 fn test_replica_events_tell_ejection_with_its_cause_and_return() {
     let now = Instant::now();
@@ -300,9 +329,9 @@
     assert_eq!(table.take_events(), [ejected(EjectCause::Slow)]);
     settle(&mut table, "b", FAST, now);
     assert_eq!(table.take_events(), [returned]);
-    for loss in 1..=4 {
+    for _ in 0..4 {
         table.on_send(&"b".into());
-        table.on_cancelled(&"b".into(), FAST * 10, now + FAST * 10 * loss);
+        table.on_cancelled(&"b".into(), FAST * 10, now + FAST * 10);
     }
     assert_eq!(table.take_events(), [ejected(EjectCause::Hedges)]);
 }
--- a/crates/core/src/policy/tests.rs
+++ b/crates/core/src/policy/tests.rs
@@ -399,6 +399,7 @@
         slots: 2,
         leaving: false,
         bias: Duration::ZERO,
+        pauses: false,
     });
     tables.replicas.list(&service, listings.collect(), now);
     for (server, millis) in names.iter().zip([40, 10, 30, 20]) {
--- a/crates/server/src/gateway/roster.rs
+++ b/crates/server/src/gateway/roster.rs
@@ -325,5 +325,6 @@
         slots: document.slots,
         leaving: document.state == ServerState::Leaving,
         bias: if far { far_bias } else { Duration::ZERO },
+        pauses: true,
     })
 }
