--- a/crates/testkit/tests/proofs.rs
+++ b/crates/testkit/tests/proofs.rs
@@ -17,10 +17,9 @@
     fs::read_to_string(root().join("docs/PROOFS.md")).unwrap()
 }
 
-/// Returns the path below `crates` and the text of each source file.
+/// Returns the path below the root and the text of each source file of the packages.
 fn sources() -> Vec<(PathBuf, String)> {
-    let crates = root().join("crates");
-    let mut folders = vec![crates.clone()];
+    let mut folders = vec![root().join("crates"), root().join("platform")];
     let mut found = Vec::new();
     while let Some(folder) = folders.pop() {
         for path in fs::read_dir(folder).unwrap().map(|one| one.unwrap().path()) {
@@ -28,7 +27,7 @@
                 folders.push(path);
             } else if path.extension().is_some_and(|kind| kind == "rs") {
                 let text = fs::read_to_string(&path).unwrap();
-                let below = path.strip_prefix(&crates).unwrap().with_extension("");
+                let below = path.strip_prefix(root()).unwrap().with_extension("");
                 found.push((below, text));
             }
         }
