--- a/crates/ctl/tests/operators_page.rs
+++ b/crates/ctl/tests/operators_page.rs
@@ -6,7 +6,7 @@
 use cassialiftctl::run;
 
 /// How the names of counters begin.
-const FAMILIES: [&str; 10] = [
+const FAMILIES: [&str; 11] = [
     "callers.",
     "config.",
     "entry.",
@@ -17,6 +17,7 @@
     "platform.",
     "queue.",
     "retry.",
+    "gateway.",
 ];
 /// Where sources hold names that look like counters and are keys of settings.
 const SETTINGS_FOLDER: &str = "settings";
