server: searches and requests take steps of the policy by one function

The search's driver and the gateway's each had a copy of the same function that locks the learned tables and makes the context of a gather's step. It stands with the tables now, and both call it. Behaviour is unchanged.

The tests of the server and of the adapter pass.

--- a/crates/server/src/entry/gather.rs
+++ b/crates/server/src/entry/gather.rs
@@ -178,16 +178,7 @@
 
     /// Takes one step of the policy under its lock.
     fn step<R>(&mut self, run: impl FnOnce(&mut Gather, &mut Context<'_>) -> R) -> R {
-        let mut rng = rand::rng();
-        let gather = &mut self.gather;
-        self.node.policy.decide(&self.node, |tables| {
-            let mut context = Context {
-                tables,
-                now: Timer.now(),
-                rng: &mut rng,
-            };
-            run(gather, &mut context)
-        })
+        self.node.policy.step(&self.node, &mut self.gather, run)
     }
 
     fn act(&mut self, actions: Vec<Action>) {
--- a/crates/server/src/entry/policy.rs
+++ b/crates/server/src/entry/policy.rs
@@ -5,7 +5,13 @@
     atomic::{AtomicU64, Ordering},
 };
 
-use cassialift_core::{policy::EntryTables, view::ConfigView};
+use cassialift_core::{
+    policy::{
+        EntryTables,
+        gather::{Context, Gather},
+    },
+    view::ConfigView,
+};
 
 use crate::{journal::Part, process::Node, timer::Timer};
 
@@ -47,6 +53,24 @@
         result
     }
 
+    /// Takes one step of a gather.
+    pub(crate) fn step<R>(
+        &self,
+        node: &Node,
+        gather: &mut Gather,
+        run: impl FnOnce(&mut Gather, &mut Context<'_>) -> R,
+    ) -> R {
+        let mut rng = rand::rng();
+        self.decide(node, |tables| {
+            let mut context = Context {
+                tables,
+                now: Timer.now(),
+                rng: &mut rng,
+            };
+            run(gather, &mut context)
+        })
+    }
+
     /// Locks the tables for one decision.
     pub(super) fn lock(&self) -> MutexGuard<'_, EntryTables> {
         // A panic while deciding leaves counts that are off by one at most.
--- a/crates/server/src/gateway/fan.rs
+++ b/crates/server/src/gateway/fan.rs
@@ -319,16 +319,8 @@
 
     /// Takes one step of the policy under its lock.
     fn step<R>(&mut self, run: impl FnOnce(&mut Gather, &mut Context<'_>) -> R) -> R {
-        let mut rng = rand::rng();
-        let gather = &mut self.gather;
-        self.gateway.decide(|tables| {
-            let mut context = Context {
-                tables,
-                now: Timer.now(),
-                rng: &mut rng,
-            };
-            run(gather, &mut context)
-        })
+        let node = &self.gateway.node;
+        node.policy.step(node, &mut self.gather, run)
     }
 }
 
