gateway: a request that delegates nothing does not take the tables' lock to earn

Each request took the lock of the learned tables to earn extra calls for shards that another VM asks, also where there were none; it returns before that now. The three places that made a share of a service's extra calls use one function with the share as a parameter. Behaviour is unchanged; no gain is claimed, as the lock was held for an empty loop only.

The library's tests and those of the real program pass.

--- a/crates/server/src/gateway/plan.rs
+++ b/crates/server/src/gateway/plan.rs
@@ -95,7 +95,7 @@
             first_hedge: first_hedge(&policy),
             policy,
             retry: preset.retry,
-            repeat: Some(self.repeat(route.servers)),
+            repeat: Some(self.repeat(1.0, route.servers)),
         };
         self.earn(&delegations);
         Plan {
@@ -109,11 +109,12 @@
 
     /// Earns the extra calls for delegated shards that are left to this VM.
     fn earn(&self, delegations: &[Delegation]) {
+        // Most requests delegate nothing; those take no lock.
+        if delegations.is_empty() {
+            return;
+        }
         let targets = delegations.iter().flat_map(|one| &one.targets);
-        let policy = RepeatPolicy {
-            ratio: self.settings.repeat_ratio * REPEAT_MARGIN * (1.0 - ASKED_SHARE),
-            ..self.repeat(1)
-        };
+        let policy = self.repeat(1.0 - ASKED_SHARE, 1);
         self.decide(|tables| {
             for service in targets.filter_map(|target| target.service.as_ref()) {
                 tables.repeats.on_first(service, &policy);
@@ -123,17 +124,13 @@
 
     /// Returns the extra calls that this VM may send for shards that another one delegated to it.
     pub(super) fn asked_repeat(&self, servers: u32) -> RepeatPolicy {
-        let all = self.repeat(servers);
-        RepeatPolicy {
-            ratio: all.ratio * ASKED_SHARE,
-            ..all
-        }
+        self.repeat(ASKED_SHARE, servers)
     }
 
-    /// Returns this VM's share of the extra calls that a service may get.
-    pub(super) fn repeat(&self, servers: u32) -> RepeatPolicy {
+    /// Returns a share of the extra calls that a service may get through this VM.
+    fn repeat(&self, share: f64, servers: u32) -> RepeatPolicy {
         RepeatPolicy {
-            ratio: self.settings.repeat_ratio * REPEAT_MARGIN,
+            ratio: self.settings.repeat_ratio * REPEAT_MARGIN * share,
             burst: self.settings.repeat_burst * REPEAT_MARGIN / f64::from(self.servers.vms()),
             servers,
         }
