gateway: the roster answers each question in one place

Whether a backend server stands in a data centre was checked by a method and, for delegated shards, by a copy of it; both call one function. Two wrappers of a line with one caller each are gone. Whether a service still has a backend server is a lookup by key instead of a walk over all services for each service. Behaviour is unchanged.

The libraries' tests and those of the real program pass.

--- a/crates/core/src/pool/roster.rs
+++ b/crates/core/src/pool/roster.rs
@@ -91,6 +91,12 @@
         self.servers.get(server).map(|listing| &listing.document)
     }
 
+    /// Returns whether a service has a backend server.
+    #[must_use]
+    pub fn has(&self, service: &str) -> bool {
+        self.services.contains_key(service)
+    }
+
     /// Returns the services that have a backend server.
     pub fn services(&self) -> impl Iterator<Item = (&ServiceId, &Vec<ServerId>)> {
         self.services.iter()
--- a/crates/server/src/gateway/roster.rs
+++ b/crates/server/src/gateway/roster.rs
@@ -17,12 +17,13 @@
         replica::Listing,
     },
     pool::{Roster, ServerDocument, VmCounts, connection_share},
-    routes::{RouteTarget, SplitShare, Splitter},
+    routes::{RouteTarget, Splitter},
     view::{ConfigView, FleetView, MemberView, Reach},
 };
 use rand::seq::IndexedRandom;
 
 use super::inbound::Inbound;
+use crate::timer::Timer;
 
 /// How long a VM is passed over that failed to ask shards: longer than a call, shorter than
 /// membership takes to tell whether it is gone.
@@ -97,7 +98,7 @@
                 .filter_map(|id| listing(roster, id, own, far_bias));
             tables.replicas.list(service, listings.collect(), now);
         }
-        let known = |service: &ServiceId| roster.services().any(|(id, _)| id == service);
+        let known = |service: &ServiceId| roster.has(service);
         tables.replicas.keep_services(known);
         tables.repeats.keep_services(known);
         true
@@ -115,7 +116,7 @@
         match target {
             RouteTarget::Service(service) => vec![inner.target(0, service, now)],
             RouteTarget::Split(shares) => {
-                let service = inner.split(name, shares);
+                let service = inner.splitter.pick(name, shares);
                 let found = service.map(|service| inner.target(0, &service, now));
                 found.into_iter().collect()
             }
@@ -150,10 +151,7 @@
             let vm = helpers[&group.centre].choose(&mut rand::rng())?;
             let shards = group.shards.iter().map(|index| {
                 let mut target = targets[*index].clone();
-                let near = |server: &ServerId| {
-                    let document = inner.roster.get(server);
-                    document.is_some_and(|document| document.centre == group.centre)
-                };
+                let near = |server: &ServerId| inner.is_near(server, &group.centre);
                 let most = inbound.route.servers;
                 bound_replicas(&mut target.replicas, near, &inbound.attempt, most);
                 target
@@ -163,19 +161,15 @@
             Some(delegation)
         });
         let delegations = delegations.collect();
-        let mut index = 0;
-        targets.retain(|_| {
-            index += 1;
-            !taken.contains(&(index - 1))
-        });
+        let all = std::mem::take(targets).into_iter().enumerate();
+        let left = all.filter(|(index, _)| !taken.contains(index));
+        *targets = left.map(|(_, target)| target).collect();
         delegations
     }
 
     /// Returns whether a backend server stands in a data centre.
     pub(super) fn is_near(&self, server: &str, centre: &DataCentre) -> bool {
-        let inner = self.lock();
-        let document = inner.roster.get(server);
-        document.is_some_and(|document| document.centre == *centre)
+        self.lock().is_near(server, centre)
     }
 
     /// Passes a VM over for a while that failed to ask shards.
@@ -221,7 +215,7 @@
         let mut services: Vec<_> = sets.flatten().collect();
         services.sort();
         services.dedup();
-        let now = crate::timer::Timer.now();
+        let now = Timer.now();
         for service in services {
             for server in inner.roster.usable(service, now) {
                 if let Some(document) = inner.roster.get(&server) {
@@ -274,13 +268,14 @@
     fn share(&self, most: u32, centre: &DataCentre) -> u32 {
         let near = self.vms.get(centre).copied().unwrap_or_default();
         let all: u32 = self.vms.values().sum();
-        let is_near = self.is_own(centre);
+        let is_near = self.own.as_ref() == Some(centre);
         let far = all.saturating_sub(near);
         connection_share(most, is_near, VmCounts { near, far })
     }
 
-    fn is_own(&self, centre: &DataCentre) -> bool {
-        self.own.as_ref() == Some(centre)
+    fn is_near(&self, server: &str, centre: &DataCentre) -> bool {
+        let document = self.roster.get(server);
+        document.is_some_and(|document| document.centre == *centre)
     }
 
     /// Returns the data centre of each backend server.
@@ -317,10 +312,6 @@
         helpers
     }
 
-    fn split(&mut self, route: &RouteId, shares: &[SplitShare]) -> Option<ServiceId> {
-        self.splitter.pick(route, shares)
-    }
-
     fn target(&self, shard: ShardId, service: &ServiceId, now: Instant) -> ShardTarget {
         ShardTarget {
             shard,
