gateway: a call takes its deadline from its request

The call held a copy of the deadline that the request beside it holds, and one refusal was written out field by field where a function makes it. Behaviour is unchanged.

--- a/crates/server/src/gateway/call.rs
+++ b/crates/server/src/gateway/call.rs
@@ -5,7 +5,7 @@
         Arc,
         atomic::{AtomicBool, Ordering},
     },
-    time::{Duration, Instant},
+    time::Duration,
 };
 
 use bytes::{Bytes, BytesMut};
@@ -60,8 +60,6 @@
 pub(super) struct Call {
     pub(super) inbound: Arc<Inbound>,
     pub(super) lane: LaneRequest,
-    /// When nobody waits for the reply any more.
-    pub(super) deadline: Instant,
 }
 
 impl Call {
@@ -74,12 +72,13 @@
         names: &HeaderNames,
         sent: &AtomicBool,
     ) -> CallEnd {
-        let (mut lane, permit) = match lanes.take(&self.lane, self.deadline).await {
+        let deadline = self.inbound.deadline;
+        let (mut lane, permit) = match lanes.take(&self.lane, deadline).await {
             Ok(taken) => taken,
             Err(LaneError::Busy) => return CallEnd::NotRun(NotRunCause::QueueFull),
             Err(LaneError::Connect) => return CallEnd::NotRun(NotRunCause::Connect),
         };
-        let left = self.deadline.saturating_duration_since(Timer.now());
+        let left = deadline.saturating_duration_since(Timer.now());
         if left.is_zero() {
             permit.give(lane);
             return CallEnd::NotRun(NotRunCause::Expired);
@@ -103,7 +102,7 @@
         };
         let exchanged = tokio::select! {
             exchanged = exchange => exchanged,
-            () = Timer.at(self.deadline) => Err(Failure::Timeout),
+            () = Timer.at(deadline) => Err(Failure::Timeout),
         };
         match exchanged {
             Ok((reply, whole)) => {
--- a/crates/server/src/gateway/forward.rs
+++ b/crates/server/src/gateway/forward.rs
@@ -8,7 +8,7 @@
         admission::AdmissionRequest,
         gather::{ShardTarget, Verdict},
     },
-    request::{MissingReason, Ran, RefusalReason},
+    request::{MissingReason, RefusalReason},
     routes::RouteTarget,
     view::{ConfigView, FleetView},
 };
@@ -218,9 +218,5 @@
     } else {
         RefusalReason::NoReply
     };
-    Refused {
-        reason,
-        ran: Ran::Unknown,
-        retry: None,
-    }
+    Refused::unknown(reason)
 }
--- a/crates/server/src/gateway/one_call.rs
+++ b/crates/server/src/gateway/one_call.rs
@@ -83,7 +83,6 @@
                 attempt: self.inbound.attempt.clone(),
                 fresh: self.fresh,
             },
-            deadline: self.inbound.deadline,
         };
         call.run(&gateway.lanes, gateway.dialect.headers(), sent)
             .await
