process: the grace of a leaving process comes from the gateway's settings

A method on the settings returned an endless grace where there is no gateway. Its one caller runs only with a gateway, so the fallback could not be reached; the caller reads the setting. Behaviour is unchanged. The tests of the real program pass.

--- a/crates/server/src/process/run.rs
+++ b/crates/server/src/process/run.rs
@@ -61,6 +61,7 @@
     let Some((edges, gateway)) = edges.zip(settings.gateway) else {
         return entry::serve(Arc::clone(&node), leave(&node)).await;
     };
+    let grace = gateway.grace.0;
     let gateway = Arc::new(Gateway::new(Arc::clone(&node), edges.dialect, gateway));
     node.set_gateway(&gateway);
     let (stopping, stopped) = tokio::sync::oneshot::channel::<()>();
@@ -73,7 +74,7 @@
             stop_signal().await;
             gateway.leave();
             log::info!("process: {} is leaving.", node.settings.vm);
-            drain(&node, Some(node.settings.gateway_grace())).await;
+            drain(&node, Some(grace)).await;
         });
         let served = served.await;
         drop(stopping);
--- a/crates/server/src/settings/document.rs
+++ b/crates/server/src/settings/document.rs
@@ -1,6 +1,6 @@
 //! The settings document.
 
-use std::{net::SocketAddr, time::Duration};
+use std::net::SocketAddr;
 
 use cassialift_core::{
     config::ReadSettings,
@@ -92,12 +92,3 @@
         }
     }
 }
-
-impl Settings {
-    /// Returns how long a leaving process may take before it is killed.
-    #[must_use]
-    pub fn gateway_grace(&self) -> Duration {
-        let gateway = self.gateway.as_ref();
-        gateway.map_or(Duration::MAX, |gateway| gateway.grace.0)
-    }
-}
