gather: what bounds a shard's calls is asked of the shard and its target

The most backend servers a shard may ask was drawn from the spec at three places and compared again by the probe, and the service whose budget counts was derived twice. Each is a method now. Also mends the line breaks of one doc comment. Behaviour is unchanged; the library's tests pass.

--- a/crates/core/src/fleet/addresses/place.rs
+++ b/crates/core/src/fleet/addresses/place.rs
@@ -24,8 +24,8 @@
 /// A request over many shards costs one message to each; from a data centre that holds a replica
 /// of every shard none of them crosses to another. So callers are sent to the data centres that
 /// hold most backend servers of sharded indexes (`homes`), and there to the large VMs, unless those
-/// are too few or too small. The
-/// order does not change from answer to answer, so that callers keep their connections.
+/// are too few or too small. The order does not change from answer to answer, so that callers keep
+/// their connections.
 #[must_use]
 pub fn place(
     entries: &[Entry],
--- a/crates/core/src/policy/gather/recover.rs
+++ b/crates/core/src/policy/gather/recover.rs
@@ -68,7 +68,7 @@
             self.give_up(index, reason);
             return;
         }
-        let excluded = shard.excluded(self.spec.repeat.map(|policy| policy.servers));
+        let excluded = shard.excluded(&self.spec);
         let fresh = shard
             .target
             .replicas
@@ -199,7 +199,7 @@
             return;
         }
         let waiting = shard.live.iter().any(|attempt| attempt.overdue.is_some());
-        let excluded = shard.excluded(self.spec.repeat.map(|policy| policy.servers));
+        let excluded = shard.excluded(&self.spec);
         let replicas = &shard.target.replicas;
         let untried = replicas.iter().any(|server| !excluded.contains(server));
         if !waiting && untried && self.spec.kind.is_repeatable() {
--- a/crates/core/src/policy/gather/send.rs
+++ b/crates/core/src/policy/gather/send.rs
@@ -30,7 +30,7 @@
         let (now, tables) = (context.now, &mut *context.tables);
         let shard = &mut self.shards[index];
         let replicas = &shard.target.replicas;
-        let excluded = shard.excluded(self.spec.repeat.map(|policy| policy.servers));
+        let excluded = shard.excluded(&self.spec);
         let pick = tables
             .replicas
             .choose(replicas, &excluded, now, context.rng);
@@ -42,7 +42,7 @@
             return false;
         }
         let (service, kind) = (&self.spec.service, self.spec.kind);
-        let target = shard.target.service.as_ref().unwrap_or(service);
+        let target = shard.target.service(service);
         if let Some(policy) = &self.spec.repeat {
             let allowed = match cause {
                 AttemptCause::First => {
@@ -84,12 +84,11 @@
         let Some(server) = probe else {
             return;
         };
-        let service = &self.spec.service;
-        let target = shard.target.service.as_ref().unwrap_or(service);
-        let allowed = self.spec.repeat.is_none_or(|policy| {
-            shard.asked.len() < policy.servers as usize
-                && context.tables.repeats.allow_hedge(target, &policy)
-        });
+        let target = shard.target.service(&self.spec.service);
+        let repeats = &mut context.tables.repeats;
+        let repeat = self.spec.repeat.as_ref();
+        let allowed = !shard.is_full(&self.spec)
+            && repeat.is_none_or(|policy| repeats.allow_hedge(target, policy));
         if allowed && !shard.tried.contains(&server) {
             shard.tried.push(ServerId::clone(&server));
             self.push_call(index, server, AttemptCause::Probe, context, actions);
--- a/crates/core/src/policy/gather/shard.rs
+++ b/crates/core/src/policy/gather/shard.rs
@@ -11,7 +11,7 @@
     request::MissingReason,
 };
 
-use super::spec::{AttemptCause, ShardTarget};
+use super::spec::{AttemptCause, GatherSpec, ShardTarget};
 
 /// One call that was sent.
 #[derive(Clone, Debug)]
@@ -80,10 +80,16 @@
         self.status == ShardStatus::Open
     }
 
+    /// Returns whether as many backend servers were asked as may be.
+    pub(super) fn is_full(&self, spec: &GatherSpec) -> bool {
+        let bound = spec.repeat.as_ref();
+        bound.is_some_and(|bound| self.asked.len() >= bound.servers as usize)
+    }
+
     /// Returns the backend servers that get no call in this round: those that had theirs and, once
     /// as many were asked as may be, all others.
-    pub(super) fn excluded(&self, most: Option<u32>) -> Vec<ServerId> {
-        let full = most.is_some_and(|most| self.asked.len() >= most as usize);
+    pub(super) fn excluded(&self, spec: &GatherSpec) -> Vec<ServerId> {
+        let full = self.is_full(spec);
         let barred = |server: &&ServerId| {
             self.tried.contains(server) || full && !self.asked.contains(server)
         };
--- a/crates/core/src/policy/gather/spec.rs
+++ b/crates/core/src/policy/gather/spec.rs
@@ -49,6 +49,13 @@
     pub replicas: Vec<ServerId>,
 }
 
+impl ShardTarget {
+    /// Returns the service whose budget of extra calls counts: the shard's, or else `asked`.
+    pub(super) fn service<'a>(&'a self, asked: &'a ServiceId) -> &'a ServiceId {
+        self.service.as_ref().unwrap_or(asked)
+    }
+}
+
 /// What every step of a gather needs besides its own state.
 pub struct Context<'a> {
     /// What the entry has learned.
