--- a/crates/testkit/src/lib.rs
+++ b/crates/testkit/src/lib.rs
@@ -1,5 +1,4 @@
-//! Stand-ins, process harness, histories, load and cost for testing cassialift; never shipped.
-//! Stand-ins, process harness, histories, load and benchmarks for cassialift; never shipped.
+//! Stand-ins, process harness, histories, load, cost and benchmarks for cassialift; never shipped.
 
 pub mod capacity;
 pub mod client;
@@ -13,4 +12,5 @@
 pub mod naive;
 pub mod overhead;
 pub mod policy_bench;
+pub mod sources;
 pub mod standin;
--- a/crates/testkit/tests/proofs.rs
+++ b/crates/testkit/tests/proofs.rs
@@ -1,40 +1,16 @@
 //! The table of docs/PROOFS.md names tests that exist, and has no empty cell.
 
-use std::{
-    collections::BTreeSet,
-    fs,
-    path::{Path, PathBuf},
-};
+use std::{collections::BTreeSet, fs, path::Path};
+
+use cassialift_testkit::sources::{root, sources};
 
 /// The points that must always hold, one a row.
 const POINTS: [&str; 8] = ["S", "C", "I", "R", "O", "L", "G", "P"];
 
-fn root() -> PathBuf {
-    Path::new(env!("CARGO_MANIFEST_DIR")).join("../..")
-}
-
 fn page() -> String {
     fs::read_to_string(root().join("docs/PROOFS.md")).unwrap()
 }
 
-/// Returns the path below the root and the text of each source file of the packages.
-fn sources() -> Vec<(PathBuf, String)> {
-    let mut folders = vec![root().join("crates"), root().join("platform")];
-    let mut found = Vec::new();
-    while let Some(folder) = folders.pop() {
-        for path in fs::read_dir(folder).unwrap().map(|one| one.unwrap().path()) {
-            if path.is_dir() {
-                folders.push(path);
-            } else if path.extension().is_some_and(|kind| kind == "rs") {
-                let text = fs::read_to_string(&path).unwrap();
-                let below = path.strip_prefix(root()).unwrap().with_extension("");
-                found.push((below, text));
-            }
-        }
-    }
-    found
-}
-
 /// Returns the names of tests on the page: texts in backticks with a part that begins with `test_`.
 fn named(page: &str) -> BTreeSet<&str> {
     let quoted = page.split('`').skip(1).step_by(2);
@@ -52,6 +28,7 @@
     let Some(start) = text.find(&format!("fn {}(", parts[at])) else {
         return false;
     };
+    let path = path.with_extension("");
     let folders: Vec<_> = path.iter().collect();
     let in_module = |module: &&str| folders.iter().any(|one| one == module);
     let table = text[..start].rfind("#[parameterized(");
@@ -62,7 +39,9 @@
 
 #[test]
 fn test_proofs_name_tests_that_are_there() {
-    let (page, sources) = (page(), sources());
+    let page = page();
+    let sources = ["crates", "platform"].map(|folder| sources(folder).unwrap());
+    let sources = sources.concat();
     let names = named(&page);
     assert!(names.len() > 30, "{names:?}");
     let is_missing = |name: &&&str| !sources.iter().any(|(path, text)| holds(path, text, name));
