repeat: the budget of extra calls holds when all VMs start again

Cause: all VMs were killed at once. The first request of each came before it had found the others, so that its budgets were made with the burst of the whole fleet, half of it to begin with, and kept that size; in the second after the start shard 0 got 67 hedges for 95 requests. Ruled out: calls that arrived and were not counted (the log lines of the window have as many as the rule counts); delegations that failed (none in the window).

Now a budget's burst follows the VMs found, and a VM starts without extra calls but for the first start of the fleet. The burst of one VM is at least a hedge and the reserve, as the share of one VM in 76 holds no call.

Two tests drew their tokens from the start; they earn them now, with the same counts to hold.

--- a/crates/core/src/policy/budget.rs
+++ b/crates/core/src/policy/budget.rs
@@ -14,22 +14,20 @@
     /// Makes a budget that holds at most `burst` tokens and starts with one.
     #[must_use]
     pub const fn new(burst: f64) -> Self {
-        Self { tokens: 1.0, burst }
+        Self::with(1.0, burst)
     }
 
-    /// Makes a budget that starts with half of the tokens that it may hold, so that an entry that
-    /// has just started can repeat calls, and one that starts often gains little by it.
+    /// Makes a budget that starts with some tokens.
     #[must_use]
-    pub const fn half(burst: f64) -> Self {
-        let tokens = burst / 2.0;
+    pub const fn with(tokens: f64, burst: f64) -> Self {
+        let tokens = tokens.min(burst);
         Self { tokens, burst }
     }
 
     /// Makes a budget that starts with all the tokens that it may hold.
     #[must_use]
     pub const fn full(burst: f64) -> Self {
-        let tokens = burst;
-        Self { tokens, burst }
+        Self::with(burst, burst)
     }
 
     /// Earns the tokens of `calls` first attempts.
@@ -37,6 +35,12 @@
         self.tokens = (self.tokens + f64::from(calls) * ratio).min(self.burst);
     }
 
+    /// Sets how many tokens it may hold; those beyond are lost.
+    pub const fn limit(&mut self, burst: f64) {
+        self.burst = burst;
+        self.tokens = self.tokens.min(burst);
+    }
+
     /// Returns whether at least this many tokens are left.
     #[must_use]
     pub fn holds(&self, tokens: f64) -> bool {
--- a/crates/core/src/policy/gather/tests.rs
+++ b/crates/core/src/policy/gather/tests.rs
@@ -489,8 +489,9 @@
 }
 
 const TIGHT: RepeatPolicy = RepeatPolicy {
-    ratio: 0.0,
+    ratio: 1.0,
     burst: 2.0,
+    start: 0.0,
     servers: 2,
 };
 
@@ -515,7 +516,6 @@
     let failed = CallOutcome::Unknown(UnknownCause::BadReply);
     let (_, first) = rig.reply(0, failed);
     assert_eq!(sends(&first).len(), 1, "the one extra call of service a");
-    rig.tables.repeats.on_first(&"a".into(), &TIGHT);
     assert!(!rig.tables.repeats.allow(&"a".into()));
     let (_, second) = rig.reply(1, failed);
     assert_eq!(sends(&second).len(), 1, "service b has its own");
@@ -532,6 +532,7 @@
         repeat: Some(RepeatPolicy {
             burst: 100.0,
             ratio: 50.0,
+            start: 0.0,
             servers: 2,
         }),
         retry: RetryPolicy {
@@ -646,6 +647,7 @@
     let repeat = RepeatPolicy {
         ratio: 0.5,
         burst: 1.0,
+        start: 0.0,
         servers: 2,
     };
     rig.gather = Gather::new(GatherSpec {
--- a/crates/core/src/policy/repeat.rs
+++ b/crates/core/src/policy/repeat.rs
@@ -8,21 +8,34 @@
 /// The share of a budget that is kept for calls that failed.
 const HEDGE_RESERVE: f64 = 0.25;
 
+/// The least burst of one entry, calls: a hedge and the reserve. In a fleet so large that the
+/// share of one entry is below, the entries' bursts add up to more than the fleet's.
+const LEAST_BURST: f64 = 1.5;
+
 /// The extra calls, hedges and retries alike, that one entry may send to a service.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct RepeatPolicy {
     /// The most extra calls as a share of first attempts.
     pub ratio: f64,
-    /// The most extra calls beyond that share, over any period.
+    /// The most extra calls beyond that share, over any period; [`LEAST_BURST`] at least.
     pub burst: f64,
+    /// The extra calls that the entry may send to a service at once after its start.
+    pub start: f64,
     /// The most backend servers that one shard call is sent to.
     pub servers: u32,
 }
 
+impl RepeatPolicy {
+    const fn cap(&self) -> f64 {
+        self.burst.max(LEAST_BURST)
+    }
+}
+
 /// The extra calls that one entry may still send, by service.
 ///
 /// The budgets of all entries add up: over any period a service gets at most `ratio` of its first
-/// attempts plus the bursts of all entries.
+/// attempts plus the bursts of all entries. An entry that starts again must not be given the burst
+/// once more: those before it may just have used theirs.
 #[derive(Clone, Debug, Default)]
 pub struct Repeats {
     budgets: HashMap<ServiceId, TokenBudget>,
@@ -32,10 +45,12 @@
     /// Notes a first attempt, which earns extra calls to its service.
     pub fn on_first(&mut self, service: &ServiceId, policy: &RepeatPolicy) {
         if !self.budgets.contains_key(service) {
-            let budget = TokenBudget::half(policy.burst);
+            let budget = TokenBudget::with(policy.start, policy.cap());
             self.budgets.insert(ServiceId::clone(service), budget);
         }
         if let Some(budget) = self.budgets.get_mut(service) {
+            // The share of one entry changes as the others are found.
+            budget.limit(policy.cap());
             budget.earn(1, policy.ratio);
         }
     }
@@ -50,7 +65,7 @@
     /// Takes an extra call out of a service's budget that only saves time; returns false when what
     /// is left is kept for calls that failed.
     pub fn allow_hedge(&mut self, service: &ServiceId, policy: &RepeatPolicy) -> bool {
-        let reserve = policy.burst * HEDGE_RESERVE;
+        let reserve = policy.cap() * HEDGE_RESERVE;
         let budget = self.budgets.get_mut(service);
         budget.is_some_and(|budget| budget.holds(reserve + 1.0) && budget.spend())
     }
--- a/crates/server/src/gateway/plan.rs
+++ b/crates/server/src/gateway/plan.rs
@@ -129,9 +129,12 @@
 
     /// Returns a share of the extra calls that a service may get through this VM.
     fn repeat(&self, share: f64, servers: u32) -> RepeatPolicy {
+        let settings = &self.settings;
+        let burst = settings.repeat_burst * REPEAT_MARGIN / f64::from(self.servers.vms());
         RepeatPolicy {
-            ratio: self.settings.repeat_ratio * REPEAT_MARGIN * share,
-            burst: self.settings.repeat_burst * REPEAT_MARGIN / f64::from(self.servers.vms()),
+            ratio: settings.repeat_ratio * REPEAT_MARGIN * share,
+            burst,
+            start: if settings.first_start { burst } else { 0.0 },
             servers,
         }
     }
--- a/crates/server/src/gateway/settings.rs
+++ b/crates/server/src/gateway/settings.rs
@@ -25,6 +25,10 @@
     /// The extra calls beyond that share, over any period.
     #[serde(default = "default_burst")]
     pub repeat_burst: f64,
+    /// Whether the whole fleet starts for the first time. Else VMs that ran a moment ago may have
+    /// used the burst, and this one sends no extra calls before it has earned them.
+    #[serde(default)]
+    pub first_start: bool,
     /// The processor time that the VM has, cores; callers and other VMs' shards go to the VMs that
     /// have most. Zero when it is not known.
     #[serde(default)]
