gather: a request with an open probe may have run

Cause: calls that are cancelled at the end of a request count as possibly run, but probes, which go on, were passed over; a request whose other calls were all refused was then said not to have run, though a probe runs it too. Test seen failing first: test_gather_open_probe_may_have_run.

--- a/crates/core/src/policy/gather/send.rs
+++ b/crates/core/src/policy/gather/send.rs
@@ -152,13 +152,13 @@
         actions: &mut Vec<Action>,
     ) {
         for attempt in self.shards[index].live.drain(..) {
+            self.may_have_run = true;
             if attempt.cause == AttemptCause::Probe {
                 continue;
             }
             let elapsed = context.now.saturating_duration_since(attempt.sent);
             let tables = &mut context.tables.replicas;
             tables.on_cancelled(&attempt.server, elapsed, context.now);
-            self.may_have_run = true;
             actions.push(Action::Cancel {
                 attempt: attempt.id,
                 server: attempt.server,
--- a/crates/core/src/policy/gather/tests.rs
+++ b/crates/core/src/policy/gather/tests.rs
@@ -17,7 +17,7 @@
         EntryTables,
         outcome::{CallOutcome, NotRunCause, UnknownCause},
         repeat::RepeatPolicy,
-        replica::CallReport,
+        replica::{CallReport, Standing},
         retry::RetryReason,
     },
     presets::{AnswerPolicy, HedgePolicy, KindPolicy, RetryPolicy},
@@ -665,3 +665,36 @@
     let (_, actions) = rig.reply(0, CallOutcome::Done(1));
     assert_eq!(end(&actions).unwrap().verdict, Verdict::Answer);
 }
+
+/// A request that fails while its probe has no reply may have run there.
+#[test]
+fn test_gather_open_probe_may_have_run() {
+    let mut rig = Rig::new(1, RequestKind::WideSearch, KindPolicy::default());
+    let probed = &targets(1)[0].replicas[1];
+    rig.tables.replicas.sync(&document(&targets(1)), rig.now);
+    let broken = CallReport {
+        outcome: CallOutcome::Unknown(UnknownCause::Broken),
+        latency: Duration::from_millis(5),
+        queued: None,
+        wait: Duration::ZERO,
+    };
+    for _ in 0..8 {
+        rig.tables.replicas.on_send(probed);
+        rig.tables.replicas.on_report(probed, &broken, rig.now);
+    }
+    let Some(Standing::Ejected(due)) = rig.tables.replicas.standing(probed) else {
+        panic!("not ejected");
+    };
+    rig.now = due;
+    rig.gather = Gather::new(GatherSpec {
+        started: due,
+        deadline: due + DEADLINE,
+        ..rig.gather.spec.clone()
+    });
+    let sent = sends(&rig.start());
+    assert_eq!(sent[1].2, AttemptCause::Probe, "{sent:?}");
+    let refused = CallOutcome::NotRun(NotRunCause::Expired);
+    rig.reply(sent[0].0, refused);
+    let (_, end) = rig.run_out();
+    assert_eq!(end.verdict, Verdict::Unknown);
+}
