wire: a run that was stopped is no refusal

Cause: a backend server that its deadline stops in the middle of a run had no other reply than refused, expired, which stands for not run. The entry believed it when the reply came before the owner's own timer, which takes a busy machine. The same held for cancelled runs. Ruled out: the send mark, as the call was sent and the owner said so; the verdict, which takes a refusal of the backend server for one.

Backend servers say stopped now, which may have run.

--- a/crates/server/src/owner/run.rs
+++ b/crates/server/src/owner/run.rs
@@ -194,6 +194,7 @@
     let refusal = match outcome {
         RunOutcome::Done { version, rows } => return CallResult::Done { version, rows },
         RunOutcome::Refused(refusal) => refusal,
+        RunOutcome::Stopped => return CallResult::Unknown(CallFailure::Timeout),
     };
     CallResult::NotRun(match refusal {
         RunRefusal::Busy => CallRefusal::Busy,
--- a/crates/server/tests/owner_edge.rs
+++ b/crates/server/tests/owner_edge.rs
@@ -57,6 +57,7 @@
     other_server = { Behaviour::OtherServer, CallFailure::BadReply },
     garbage = { Behaviour::Garbage, CallFailure::BadReply },
     flood = { Behaviour::Flood, CallFailure::BadReply },
+    stopped = { Behaviour::Stop, CallFailure::Timeout },
 )]
 #[test_macro(tokio::test)]
 async fn test_call_unknown_sent_once(behaviour: Behaviour, expected: CallFailure) {
--- a/crates/server/tests/owner_support/mod.rs
+++ b/crates/server/tests/owner_support/mod.rs
@@ -47,6 +47,8 @@
     Hold,
     /// Refuses.
     Refuse(RunRefusal),
+    /// Says that it began to run and was stopped.
+    Stop,
     /// Closes the connection after it read the request.
     ReadAndClose,
     /// Replies with one row and closes the connection without saying so.
@@ -156,6 +158,7 @@
         match behaviour {
             Behaviour::Answer | Behaviour::Hold => {}
             Behaviour::Refuse(refusal) => reply.outcome = RunOutcome::Refused(refusal),
+            Behaviour::Stop => reply.outcome = RunOutcome::Stopped,
             Behaviour::ReadAndClose => return None,
             Behaviour::AnswerAndClose => {
                 write_reply(stream, &reply).await?;
--- a/crates/wire/src/backend/mod.rs
+++ b/crates/wire/src/backend/mod.rs
@@ -73,6 +73,8 @@
     },
     /// It was not run.
     Refused(RunRefusal),
+    /// It began to run and was stopped, by its deadline or by a cancellation.
+    Stopped,
 }
 
 /// One row of an answer.
@@ -93,7 +95,7 @@
     Busy,
     /// The server is leaving.
     Leaving,
-    /// The time left was too short.
+    /// The time left was too short to begin.
     Expired,
     /// The request was cancelled before it ran.
     Cancelled,
