logging: JSON lines, one for each decision of a request that did not go well

Cause: an on-call engineer saw a request's repeated calls on one line in a form of its own, but not what failed at which server, which service was left out, nor what the decisions went by.

A line is a JSON object now. Each decision (admitted, rejected, asked, sent, failed, left out) is a line with the request's id, its inputs and its time, for requests that failed, came late or lack shards, and for one in 16 of the others, the same on all VMs. Half of the bound on lines is kept for failures and for what a VM believes; what is dropped is counted in log.dropped.

--- a/crates/core/src/policy/gather/mod.rs
+++ b/crates/core/src/policy/gather/mod.rs
@@ -11,7 +11,9 @@
 mod spec;
 
 pub use machine::Gather;
-pub use spec::{Action, AttemptCause, Context, GatherEnd, GatherSpec, ShardTarget, Verdict};
+pub use spec::{
+    Action, AttemptCause, Context, GatherEnd, GatherSpec, SendBasis, ShardTarget, Verdict,
+};
 
 #[cfg(test)]
 mod tests;
--- a/crates/core/src/policy/gather/send.rs
+++ b/crates/core/src/policy/gather/send.rs
@@ -5,7 +5,7 @@
 use super::{
     machine::Gather,
     shard::Attempt,
-    spec::{Action, AttemptCause, Context},
+    spec::{Action, AttemptCause, Context, SendBasis},
 };
 use crate::ids::ServerId;
 
@@ -128,6 +128,7 @@
             shard: shard.target.shard,
             server,
             cause,
+            basis: SendBasis { wait, patience },
         });
     }
 
--- a/crates/core/src/policy/gather/spec.rs
+++ b/crates/core/src/policy/gather/spec.rs
@@ -87,6 +87,15 @@
     Probe,
 }
 
+/// What is expected of a call when it is sent.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct SendBasis {
+    /// How long it waits for the backend server.
+    pub wait: Duration,
+    /// After how long it counts as overdue, with the wait.
+    pub patience: Duration,
+}
+
 /// What the driver has to do.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub enum Action {
@@ -100,6 +109,8 @@
         server: ServerId,
         /// Why it is sent.
         cause: AttemptCause,
+        /// What is expected of it.
+        basis: SendBasis,
     },
     /// Cancel a shard call, whose reply is dropped from now on.
     Cancel {
--- a/crates/ctl/tests/operators_page.rs
+++ b/crates/ctl/tests/operators_page.rs
@@ -6,12 +6,13 @@
 use cassialiftctl::run;
 
 /// How the names of counters begin.
-const FAMILIES: [&str; 11] = [
+const FAMILIES: [&str; 12] = [
     "callers.",
     "config.",
     "entry.",
     "fleet.",
     "job.",
+    "log.",
     "owner.",
     "peers.",
     "platform.",
--- a/crates/server/src/entry/gather.rs
+++ b/crates/server/src/entry/gather.rs
@@ -190,6 +190,7 @@
                     shard,
                     server,
                     cause,
+                    ..
                 } => self.send(attempt, shard, server, cause),
                 Action::Cancel { attempt, .. } => {
                     // The gather has told the tables already.
--- a/crates/server/src/gateway/fan.rs
+++ b/crates/server/src/gateway/fan.rs
@@ -1,17 +1,18 @@
 //! Drives the policy's gather over HTTP: sends and cancels calls and keeps the replies.
 
-use std::{collections::HashMap, sync::Arc, time::Duration};
+use std::{borrow::Cow, collections::HashMap, sync::Arc, time::Duration};
 
 use cassialift_core::{
-    ids::{AttemptId, ServerId, ShardId},
+    ids::{AttemptId, ServerId, ShardId, VmId},
     policy::{
-        gather::{Action, AttemptCause, Context, Gather, GatherEnd},
+        gather::{Action, AttemptCause, Context, Gather, GatherEnd, SendBasis},
         outcome::CallOutcome,
     },
     routes::RouteTarget,
     view::{ConfigView, FleetView},
 };
 use cassialift_wire::peer::PartialReply;
+use serde::Serialize;
 use tokio::{
     sync::{mpsc, oneshot},
     task::AbortHandle,
@@ -20,6 +21,7 @@
 use super::{
     Gateway,
     call::Reply,
+    decision::{Decision, Decisions, FIRST, millis},
     inbound::Inbound,
     one_call::OneCall,
     partial::{self, DelegateError},
@@ -27,9 +29,6 @@
 };
 use crate::timer::Timer;
 
-/// The most notes on one log line.
-const MOST_NOTES: usize = 24;
-
 /// How a request ended at the backend servers.
 #[derive(Debug)]
 pub(super) struct Fanned {
@@ -39,13 +38,13 @@
     /// The last whole reply, where a single backend server answers.
     pub(super) reply: Option<Reply>,
     pub(super) counts: SendCounts,
-    /// What a log line tells of the calls that were not first ones.
-    pub(super) notes: Vec<String>,
+    pub(super) decisions: Decisions,
 }
 
 /// The calls that a request took.
-#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq, Serialize)]
 pub(super) struct SendCounts {
+    #[serde(rename = "calls")]
     pub(super) sent: u32,
     pub(super) hedges: u32,
     pub(super) retries: u32,
@@ -90,7 +89,7 @@
     parts: Vec<Part>,
     reply: Option<Reply>,
     counts: SendCounts,
-    notes: Vec<String>,
+    decisions: Decisions,
     end: Option<GatherEnd>,
 }
 
@@ -111,7 +110,7 @@
             parts: Vec::new(),
             reply: None,
             counts: SendCounts::default(),
-            notes: Vec::new(),
+            decisions: Decisions::default(),
             end: None,
         }
     }
@@ -128,7 +127,7 @@
                     parts: std::mem::take(&mut self.parts),
                     reply: self.reply.take(),
                     counts: self.counts,
-                    notes: std::mem::take(&mut self.notes),
+                    decisions: std::mem::take(&mut self.decisions),
                 };
             }
             let due = self.gather.next_timer().unwrap_or(self.inbound.deadline);
@@ -148,8 +147,12 @@
     /// Hands the shards of each delegation to its VM.
     fn delegate(&mut self) {
         for (index, delegation) in self.delegations.iter().enumerate() {
-            let shards = delegation.targets.len();
-            self.notes.push(format!("{shards}:asked:{}", delegation.vm));
+            let asked = Decision::Asked {
+                vm: VmId::clone(&delegation.vm),
+                shards: delegation.targets.len(),
+                within_ms: millis(delegation.within),
+            };
+            self.decisions.note(self.inbound.age(), asked);
             let shards = delegation.targets.iter().map(|target| target.shard);
             self.gather.delegate(shards.collect());
             let asking = partial::ask(
@@ -174,13 +177,12 @@
         if let Err(error) = &reply {
             let vm = &self.delegations[index].vm;
             self.gateway.node.metrics.count("gateway.delegation_failed");
-            log::info!(
-                target: "request",
-                "event=delegation_failed id={} vm={vm} shards={} cause=\"{error}\" after_ms={}",
-                self.inbound.id(),
-                targets.len(),
-                self.inbound.age().as_millis(),
-            );
+            let failed = Decision::AskFailed {
+                vm: VmId::clone(vm),
+                shards: targets.len(),
+                cause: error.to_string(),
+            };
+            self.decisions.note(self.inbound.age(), failed);
             self.gateway.servers.shun(vm, Timer.now());
         }
         let mut actions = Vec::new();
@@ -207,7 +209,15 @@
             outcome,
             reply,
         } = arrival;
-        self.live.remove(&attempt);
+        let live = self.live.remove(&attempt);
+        if let (Some(live), CallOutcome::NotRun(_) | CallOutcome::Unknown(_)) = (live, outcome) {
+            let failed = Decision::Failed {
+                shard,
+                server: live.server,
+                cause: format!("{outcome:?}"),
+            };
+            self.note(failed);
+        }
         let mut actions = Vec::new();
         let included =
             self.step(|gather, context| gather.on_reply(attempt, outcome, context, &mut actions));
@@ -235,7 +245,11 @@
                     shard,
                     server,
                     cause,
-                } => self.send(attempt, shard, server, cause),
+                    basis,
+                } => {
+                    self.note_send(shard, &server, cause, basis);
+                    self.send(attempt, shard, server);
+                }
                 Action::Cancel { attempt, .. } => {
                     if let Some(live) = self.live.remove(&attempt) {
                         // The call has ended already if it does not listen.
@@ -249,8 +263,7 @@
         }
     }
 
-    fn send(&mut self, attempt: AttemptId, shard: ShardId, server: ServerId, cause: AttemptCause) {
-        self.note_send(shard, &server, cause);
+    fn send(&mut self, attempt: AttemptId, shard: ShardId, server: ServerId) {
         let repeatable = self.inbound.route.kind.is_repeatable();
         let (dismiss, dismissed) = oneshot::channel();
         let run = OneCall {
@@ -282,39 +295,47 @@
         self.live.insert(attempt, live);
     }
 
-    fn note_send(&mut self, shard: ShardId, server: &ServerId, cause: AttemptCause) {
+    fn note_send(
+        &mut self,
+        shard: ShardId,
+        server: &ServerId,
+        cause: AttemptCause,
+        basis: SendBasis,
+    ) {
         self.counts.sent += 1;
         let metrics = &self.gateway.node.metrics;
         let why = match cause {
             AttemptCause::First => {
                 metrics.count("gateway.first");
-                return;
+                Cow::Borrowed(FIRST)
             }
             AttemptCause::Hedge => {
                 self.counts.hedges += 1;
                 metrics.count("gateway.hedge");
-                "hedge".to_owned()
+                Cow::Borrowed("hedge")
             }
             AttemptCause::Retry(reason) => {
                 self.counts.retries += 1;
                 metrics.count(reason.counter());
-                reason.to_string()
+                Cow::Owned(format!("retry, as {reason}"))
             }
             AttemptCause::Probe => {
                 self.counts.probes += 1;
                 metrics.count("gateway.probe");
-                "probe".to_owned()
+                Cow::Borrowed("probe")
             }
         };
-        let after = self.inbound.age().as_millis();
-        self.note(format!("{shard}:{why}:{server}:{after}ms"));
+        self.note(Decision::Sent {
+            shard,
+            server: ServerId::clone(server),
+            cause: why,
+            wait_ms: millis(basis.wait),
+            patience_ms: millis(basis.patience),
+        });
     }
 
-    /// Keeps something for the request's log line, up to a bound.
-    fn note(&mut self, text: String) {
-        if self.notes.len() < MOST_NOTES {
-            self.notes.push(text);
-        }
+    fn note(&mut self, decision: Decision) {
+        self.decisions.note(self.inbound.age(), decision);
     }
 
     /// Takes one step of the policy under its lock.
--- a/crates/server/src/gateway/forward.rs
+++ b/crates/server/src/gateway/forward.rs
@@ -3,7 +3,7 @@
 use std::{sync::Arc, time::Duration};
 
 use cassialift_core::{
-    ids::CallerId,
+    ids::{CallerId, ShardId},
     policy::{
         admission::AdmissionRequest,
         gather::{ShardTarget, Verdict},
@@ -18,9 +18,10 @@
 use super::{
     Gateway,
     answer::{self, Answer, Refused},
+    decision::{Decision, Outlook},
     fan::{Fan, Fanned},
     inbound::{self, Head, Inbound, origin, printable, read_body, strip_hop_headers},
-    trace::Trace,
+    trace::{Trace, TraceEnd},
 };
 use crate::timer::Timer;
 
@@ -53,14 +54,24 @@
                     "gateway.passed_failure"
                 });
                 metrics.observe("gateway.answer_ms", took);
-                trace.log(status.as_u16(), "answered", took);
+                trace.log(TraceEnd {
+                    event: "end",
+                    status: status.as_u16(),
+                    reason: "answered",
+                    took,
+                });
                 answer
             }
             Err(refused) => {
                 let reason = refused.reason.name();
                 metrics.count(&format!("refused.{reason}"));
                 metrics.observe("gateway.refusal_ms", took);
-                trace.log(refused.status().as_u16(), reason, took);
+                trace.log(TraceEnd {
+                    event: "end",
+                    status: refused.status().as_u16(),
+                    reason,
+                    took,
+                });
                 refused.response()
             }
         }
@@ -81,7 +92,7 @@
         let targets = self
             .servers
             .targets(&route.name, &route.target, trace.started);
-        let _load = self.admit_load(&config, &inbound, &targets)?;
+        let _load = self.admit_load(&config, &inbound, &targets, trace)?;
         let inbound = Arc::new(inbound);
         let plan = self.plan(view, config, &inbound, targets);
         let mut fanned = tokio::select! {
@@ -89,8 +100,18 @@
             () = self.cut() => return Err(Refused::unknown(RefusalReason::Leaving)),
         };
         trace.counts = fanned.counts;
-        trace.notes = std::mem::take(&mut fanned.notes);
+        trace
+            .decisions
+            .append(std::mem::take(&mut fanned.decisions));
         trace.coverage = fanned.end.coverage.clone();
+        let service = |shard: ShardId| match &inbound.route.target {
+            RouteTarget::Shards(set) => set.services.get(shard as usize).cloned(),
+            RouteTarget::Service(_) | RouteTarget::Split(_) => None,
+        };
+        let missing = &trace.coverage.missing;
+        trace
+            .decisions
+            .note_left_out(inbound.age(), missing, service);
         answer(&inbound, fanned, names)
     }
 
@@ -119,6 +140,7 @@
         };
         let route = Arc::clone(route);
         route.name.as_ref().clone_into(&mut trace.route);
+        trace.objective = route.objective.0;
         self.sync(view, &config);
         let (mut parts, body) = request.into_parts();
         let body = read_body(body, &routes.limits)
@@ -148,6 +170,7 @@
         config: &ConfigView,
         inbound: &Inbound,
         targets: &[ShardTarget],
+        trace: &mut Trace,
     ) -> Result<Load, Refused> {
         let now = Timer.now();
         let preset = &config.policy;
@@ -156,7 +179,7 @@
             RouteTarget::Shards(set) => set.coverage,
             RouteTarget::Service(_) | RouteTarget::Split(_) => 1.0,
         };
-        self.decide(|tables| {
+        let (outlook, admitted) = self.decide(|tables| {
             let sets = targets.iter().map(|target| target.replicas.as_slice());
             let asked = AdmissionRequest {
                 caller: CallerId::from(CALLER),
@@ -167,8 +190,14 @@
             let policy = preset.kind(kind);
             let admission = &mut tables.admission;
             let admitted = admission.admit(&asked, &policy, &preset.queue, now);
-            admitted.map_err(|refusal| Refused::not_run(refusal.reason, refusal.retry))
-        })?;
+            (Outlook::new(&asked), admitted)
+        });
+        let decision = match &admitted {
+            Ok(()) => Decision::Admitted(outlook),
+            Err(_) => Decision::Rejected(outlook),
+        };
+        trace.decisions.note(inbound.age(), decision);
+        admitted.map_err(|refusal| Refused::not_run(refusal.reason, refusal.retry))?;
         Ok(Load(Arc::clone(self)))
     }
 }
--- a/crates/server/src/gateway/inbound.rs
+++ b/crates/server/src/gateway/inbound.rs
@@ -53,11 +53,6 @@
 }
 
 impl Inbound {
-    /// Returns the caller's id of this attempt, for logs.
-    pub(super) fn id(&self) -> String {
-        printable(&self.attempt)
-    }
-
     /// Returns how long ago the request came.
     pub(super) fn age(&self) -> Duration {
         Timer.now().saturating_duration_since(self.started)
--- a/crates/server/src/gateway/mod.rs
+++ b/crates/server/src/gateway/mod.rs
@@ -6,6 +6,7 @@
 
 mod answer;
 mod call;
+mod decision;
 mod fan;
 mod forward;
 mod inbound;
--- a/crates/server/src/gateway/partial.rs
+++ b/crates/server/src/gateway/partial.rs
@@ -27,9 +27,10 @@
 
 use super::{
     Gateway,
-    fan::Fan,
+    fan::{Fan, Fanned},
     inbound::{Inbound, printable},
     plan::{Delegation, Part, Plan, first_hedge},
+    trace::{Trace, TraceEnd},
 };
 use crate::{peers::PeerError, timer::Timer};
 
@@ -194,14 +195,7 @@
             delegations: Vec::new(),
         };
         let fanned = Fan::new(Arc::clone(&self), plan).run().await;
-        let coverage = &fanned.end.coverage;
-        log::info!(
-            target: "request",
-            "event=partial id={} route={} revision={} took_ms={} shards_in={} missing={:?} notes=[{}]",
-            printable(&partial.attempt), partial.route, revision,
-            Timer.now().saturating_duration_since(started).as_millis(),
-            coverage.included.len(), coverage.missing, fanned.notes.join(","),
-        );
+        log_partial(&partial, started, revision, &fanned);
         let bodies = fanned.parts.iter().map(|part| &*part.body);
         let records = cassialift_core::records::merge(bodies, partial.top);
         let included = fanned.parts.iter().filter_map(|part| {
@@ -217,6 +211,33 @@
     }
 }
 
+/// Logs what this VM did for a request of another one.
+fn log_partial(partial: &PartialGather, started: Instant, revision: u64, fanned: &Fanned) {
+    let took = Timer.now().saturating_duration_since(started);
+    let mut trace = Trace {
+        id: printable(&partial.attempt),
+        route: partial.route.to_string(),
+        revision,
+        counts: fanned.counts,
+        coverage: fanned.end.coverage.clone(),
+        decisions: fanned.decisions.clone(),
+        ..Trace::new(started)
+    };
+    let service = |shard: ShardId| {
+        let mut shards = partial.shards.iter();
+        let (_, service) = shards.find(|(one, _)| *one == shard)?;
+        Some(ServiceId::clone(service))
+    };
+    let missing = &trace.coverage.missing;
+    trace.decisions.note_left_out(took, missing, service);
+    trace.log(TraceEnd {
+        event: "partial",
+        status: 0,
+        reason: "handed_over",
+        took,
+    });
+}
+
 /// Makes a request of a VM's message; none if it is no HTTP request.
 fn inbound(partial: &PartialGather, started: Instant) -> Option<Inbound> {
     let mut headers = HeaderMap::new();
--- a/crates/server/src/gateway/trace.rs
+++ b/crates/server/src/gateway/trace.rs
@@ -1,10 +1,23 @@
-//! The line that tells of a request's end.
+//! What the log tells of a request: its end, and the decisions that led there.
 
-use std::time::{Duration, Instant};
+use std::{
+    hash::{DefaultHasher, Hash, Hasher},
+    time::{Duration, Instant},
+};
 
-use cassialift_core::request::Coverage;
+use cassialift_core::request::{Coverage, MissingShard};
+use log::Level;
+use serde::Serialize;
 
-use super::fan::SendCounts;
+use super::{
+    decision::{Decisions, Noted, millis},
+    fan::SendCounts,
+};
+use crate::logging::log_request;
+
+/// Of the requests that went well, one in this many is logged with its decisions: a few a second
+/// on a loaded VM.
+const SAMPLED: u64 = 16;
 
 /// What a request is logged with.
 #[derive(Debug)]
@@ -12,14 +25,53 @@
     pub(super) started: Instant,
     pub(super) id: String,
     pub(super) route: String,
+    /// The time by which an answer is wanted; zero for the deadline.
+    pub(super) objective: Duration,
     /// The operators' number of the configuration that it ran under.
     pub(super) version: u64,
     /// The platform's revision of that configuration.
     pub(super) revision: u64,
     pub(super) counts: SendCounts,
     pub(super) coverage: Coverage,
-    /// Calls that were not first ones, and VMs that were asked for shards.
-    pub(super) notes: Vec<String>,
+    pub(super) decisions: Decisions,
+}
+
+/// How a request ended, for the log.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct TraceEnd<'a> {
+    /// `end` at the VM that the caller asked, `partial` at one that was asked for shards.
+    pub(super) event: &'a str,
+    /// The status; zero at a VM that was asked for shards.
+    pub(super) status: u16,
+    /// Why it ended.
+    pub(super) reason: &'a str,
+    pub(super) took: Duration,
+}
+
+/// The line of a request's end.
+#[derive(Serialize)]
+struct EndLine<'a> {
+    event: &'a str,
+    id: &'a str,
+    route: &'a str,
+    status: u16,
+    end: &'a str,
+    took_ms: u64,
+    objective_ms: u64,
+    config: u64,
+    revision: u64,
+    shards_in: usize,
+    missing: &'a [MissingShard],
+    #[serde(flatten)]
+    counts: SendCounts,
+}
+
+/// The line of a decision.
+#[derive(Serialize)]
+struct DecisionLine<'a> {
+    id: &'a str,
+    #[serde(flatten)]
+    noted: &'a Noted,
 }
 
 impl Trace {
@@ -28,36 +80,51 @@
             started,
             id: String::new(),
             route: String::new(),
+            objective: Duration::ZERO,
             version: 0,
             revision: 0,
             counts: SendCounts::default(),
             coverage: Coverage::default(),
-            notes: Vec::new(),
+            decisions: Decisions::default(),
+        }
+    }
+
+    /// Logs the end of the request, and its decisions unless it went well.
+    pub(super) fn log(&self, end: TraceEnd<'_>) {
+        let failed = end.status >= 500;
+        let level = if failed { Level::Warn } else { Level::Info };
+        let missing = &self.coverage.missing;
+        let late = !self.objective.is_zero() && end.took > self.objective;
+        if failed || late || !missing.is_empty() || self.is_sampled() {
+            for noted in self.decisions.iter() {
+                if failed && missing.is_empty() || noted.explains(missing) {
+                    let id = &self.id;
+                    log_request(level, &DecisionLine { id, noted });
+                }
+            }
         }
+        let line = EndLine {
+            event: end.event,
+            id: &self.id,
+            route: &self.route,
+            status: end.status,
+            end: end.reason,
+            took_ms: millis(end.took),
+            objective_ms: millis(self.objective),
+            config: self.version,
+            revision: self.revision,
+            shards_in: self.coverage.included.len(),
+            missing,
+            counts: self.counts,
+        };
+        log_request(level, &line);
     }
 
-    pub(super) fn log(&self, status: u16, end: &str, took: Duration) {
-        let Self {
-            id,
-            route,
-            version,
-            revision,
-            counts,
-            coverage,
-            notes,
-            ..
-        } = self;
-        let missing = coverage.missing.iter();
-        let missing: Vec<_> = missing
-            .map(|one| format!("{}:{:?}", one.shard, one.reason))
-            .collect();
-        log::info!(
-            target: "request",
-            "event=end id={id} route={route} status={status} end={end} took_ms={} \
-             config={version} revision={revision} shards_in={} missing=[{}] \
-             calls={} hedges={} retries={} probes={} notes=[{}]",
-            took.as_millis(), coverage.included.len(), missing.join(","),
-            counts.sent, counts.hedges, counts.retries, counts.probes, notes.join(","),
-        );
+    /// Returns whether the request is one of those that are always logged with their decisions;
+    /// all VMs that it touches agree.
+    fn is_sampled(&self) -> bool {
+        let mut hasher = DefaultHasher::new();
+        self.id.hash(&mut hasher);
+        hasher.finish().is_multiple_of(SAMPLED)
     }
 }
--- a/crates/server/src/logging/format.rs
+++ b/crates/server/src/logging/format.rs
@@ -6,9 +6,12 @@
     time::{SystemTime, UNIX_EPOCH},
 };
 
-use log::Record;
+use log::{Level, Record};
+use serde::Serialize;
 
-/// The target of lines that are pairs already and concern one request.
+use super::writer::Importance;
+
+/// The target of lines that are JSON objects already and concern one request.
 const REQUEST: &str = "request";
 
 /// The name of this VM, once the settings were read.
@@ -19,22 +22,64 @@
     VM.get_or_init(|| name.to_owned());
 }
 
-/// Writes a record as one line of `key=value` pairs.
+/// Logs a line about one request, an object of its own fields.
+pub(crate) fn log_request(level: Level, line: &impl Serialize) {
+    if !log::log_enabled!(target: REQUEST, level) {
+        return;
+    }
+    match serde_json::to_string(line) {
+        Ok(text) => log::log!(target: REQUEST, level, "{text}"),
+        Err(error) => log::error!("process: a line of the log cannot be written: {error}."),
+    }
+}
+
+/// The fields that every line begins with.
+#[derive(Serialize)]
+struct Head<'a> {
+    /// Unix time, ms.
+    ts: u128,
+    level: &'a str,
+    vm: &'a str,
+    part: &'a str,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    msg: Option<&'a str>,
+}
+
+/// Writes a record as one line that holds a JSON object, after a byte that tells its importance.
 ///
 /// The prefix of a text, such as `config: `, becomes the line's part.
 pub(super) fn write_line(out: &mut dyn Write, record: &Record<'_>) -> io::Result<()> {
     let since = SystemTime::now().duration_since(UNIX_EPOCH);
-    let millis = since.map_or(0, |since| since.as_millis());
-    let level = record.level().as_str().to_ascii_lowercase();
-    let vm = VM.get().map_or("-", String::as_str);
     let text = record.args().to_string();
-    write!(out, "ts={millis} level={level} vm={vm} ")?;
-    if record.target() == REQUEST {
-        return writeln!(out, "part=request {}", one_line(&text));
+    let is_request = record.target() == REQUEST;
+    let (part, msg) = if is_request {
+        (REQUEST, None)
+    } else {
+        let (part, text) = split_part(&text);
+        (part, Some(text))
+    };
+    let head = Head {
+        ts: since.map_or(0, |since| since.as_millis()),
+        level: &record.level().as_str().to_ascii_lowercase(),
+        vm: VM.get().map_or("-", String::as_str),
+        part,
+        msg,
+    };
+    let importance = if is_request && record.level() > Level::Warn {
+        Importance::Routine
+    } else {
+        Importance::Essential
+    };
+    let mut line = vec![importance.byte()];
+    serde_json::to_writer(&mut line, &head)?;
+    if let Some(fields) = is_request.then(|| text.strip_prefix('{')).flatten() {
+        // The request's fields follow in the same object.
+        line.pop();
+        line.push(b',');
+        line.extend_from_slice(fields.as_bytes());
     }
-    let (part, text) = split_part(&text);
-    let text = one_line(text).replace('"', "'");
-    writeln!(out, "part={part} msg=\"{text}\"")
+    line.push(b'\n');
+    out.write_all(&line)
 }
 
 fn split_part(text: &str) -> (&str, &str) {
@@ -44,9 +89,3 @@
         _ => ("process", text),
     }
 }
-
-/// Keeps a text that quotes others on one line.
-fn one_line(text: &str) -> String {
-    let plain = |c: char| if c.is_control() { ' ' } else { c };
-    text.chars().map(plain).collect()
-}
--- a/crates/server/src/logging/mod.rs
+++ b/crates/server/src/logging/mod.rs
@@ -1,8 +1,8 @@
 //! Structured logs on standard output, bounded in volume, that never block.
 //!
-//! A line is a list of `key=value` pairs. A thread of its own writes them in batches; lines that
-//! come faster than the bound, or faster than standard output takes them, are counted and the
-//! count is written in their place.
+//! A line is a JSON object. A thread of its own writes them in batches; lines that come faster
+//! than the bound, or faster than standard output takes them, are counted and the count is written
+//! in their place. Lines on requests that went well give way to all others.
 
 mod format;
 mod writer;
@@ -10,8 +10,9 @@
 #[cfg(test)]
 mod tests;
 
+pub(crate) use format::log_request;
 pub use format::set_vm;
-pub use writer::flush;
+pub use writer::{dropped, flush};
 
 use env_logger::{Builder, Env, Target};
 
--- a/crates/server/src/logging/tests.rs
+++ b/crates/server/src/logging/tests.rs
@@ -7,11 +7,12 @@
 };
 
 use log::{Level, Record};
+use serde_json::{Map, Value};
 use yare::parameterized;
 
 use super::{
     format::write_line,
-    writer::{LineWriter, LogBounds},
+    writer::{LineWriter, LogBounds, dropped},
 };
 
 fn line(target: &str, text: &str) -> String {
@@ -27,16 +28,24 @@
 }
 
 #[parameterized(
-    part = { "cassialift::x", "config: Revision 3 is held.", "part=config msg=\"Revision 3 is held.\"\n" },
-    no_part = { "cassialift::x", "Some Text: more", "part=process msg=\"Some Text: more\"\n" },
-    request = { "request", "event=end id=a", "part=request event=end id=a\n" },
-    quoted = { "cassialift::x", "entry: \"a\nb\"", "part=entry msg=\"'a b'\"\n" },
+    part = { "cassialift::x", "config: Revision 3 is held.", r#"{"part":"config","msg":"Revision 3 is held."}"# },
+    no_part = { "cassialift::x", "Some Text: more", r#"{"part":"process","msg":"Some Text: more"}"# },
+    request = { "request", r#"{"event":"end","id":"a"}"#, r#"{"part":"request","event":"end","id":"a"}"# },
+    quoted = { "cassialift::x", "entry: \"a\nb\"", r#"{"part":"entry","msg":"\"a\nb\""}"# },
 )]
 fn test_log_line(target: &str, text: &str, expected: &str) {
     let line = line(target, text);
-    assert!(line.starts_with("ts="), "{line}");
-    assert!(line.contains(" level=info vm="), "{line}");
-    assert!(line.ends_with(expected), "{line}");
+    let [_, object @ .., b'\n'] = line.as_bytes() else {
+        panic!("{line}");
+    };
+    assert!(!object.contains(&b'\n'), "{line}");
+    let mut found: Map<String, Value> = serde_json::from_slice(object).unwrap();
+    let (time, level) = (found.remove("ts"), found.remove("level"));
+    assert!(time.is_some_and(|time| time.is_u64()), "{line}");
+    assert_eq!(level, Some("info".into()));
+    assert!(found.remove("vm").is_some(), "{line}");
+    let expected: Map<String, Value> = serde_json::from_str(expected).unwrap();
+    assert_eq!(found, expected);
 }
 
 /// Where a test reads what was written.
@@ -73,14 +82,38 @@
     let sink = Sink::default();
     let bounds = LogBounds {
         rate: 10,
+        kept: 4,
         ..LogBounds::default()
     };
+    let before = dropped();
     let mut writer = LineWriter::start(bounds, sink.clone());
     for _ in 0..30 {
-        writer.write_all(b"line\n").unwrap();
+        writer.write_all(b"eline\n").unwrap();
     }
-    let text = sink.wait_for("dropped=20");
+    let text = sink.wait_for("\"dropped\":20}");
     assert_eq!(text.matches("line\n").count(), 10);
+    assert!(dropped() >= before + 20);
+}
+
+/// Lines on requests that went well never take the place of others.
+#[test]
+fn test_log_keeps_room_for_essential_lines() {
+    let sink = Sink::default();
+    let bounds = LogBounds {
+        rate: 10,
+        kept: 4,
+        ..LogBounds::default()
+    };
+    let mut writer = LineWriter::start(bounds, sink.clone());
+    for _ in 0..20 {
+        writer.write_all(b"rwell\n").unwrap();
+    }
+    for _ in 0..6 {
+        writer.write_all(b"efailed\n").unwrap();
+    }
+    let text = sink.wait_for("\"dropped\":16}");
+    assert_eq!(text.matches("well\n").count(), 6);
+    assert_eq!(text.matches("failed\n").count(), 4);
 }
 
 /// Blocks for ever, as a pipe does whose reader is stuck.
@@ -104,11 +137,12 @@
     let bounds = LogBounds {
         waiting: 5,
         rate: 1_000_000,
+        kept: 0,
     };
     let mut writer = LineWriter::start(bounds, Stuck(stuck));
     let began = Instant::now();
     for _ in 0..10_000 {
-        writer.write_all(b"line\n").unwrap();
+        writer.write_all(b"eline\n").unwrap();
     }
     assert!(began.elapsed() < Duration::from_secs(5));
 }
--- a/crates/server/src/logging/writer.rs
+++ b/crates/server/src/logging/writer.rs
@@ -21,6 +21,41 @@
 /// Sends to the thread of the process's log.
 static SENDER: OnceLock<SyncSender<Item>> = OnceLock::new();
 
+/// The lines that were not written since the process started.
+static DROPPED: AtomicU64 = AtomicU64::new(0);
+
+/// Returns how many lines were not written since the process started.
+#[must_use]
+pub fn dropped() -> u64 {
+    DROPPED.load(Ordering::Relaxed)
+}
+
+/// Whether a line gives way to others.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(super) enum Importance {
+    /// It tells of a request that went well.
+    Routine,
+    /// It tells of a failure, or of what the process believes.
+    Essential,
+}
+
+impl Importance {
+    /// Returns the byte that stands before a line of this importance.
+    pub(super) const fn byte(self) -> u8 {
+        match self {
+            Self::Routine => b'r',
+            Self::Essential => b'e',
+        }
+    }
+
+    const fn of(byte: u8) -> Self {
+        match byte {
+            b'r' => Self::Routine,
+            _ => Self::Essential,
+        }
+    }
+}
+
 /// Bounds on the volume of the log.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct LogBounds {
@@ -28,6 +63,8 @@
     pub(super) waiting: usize,
     /// The lines a second, over a second or more.
     pub(super) rate: u32,
+    /// Those of them that are kept for essential lines.
+    pub(super) kept: u32,
 }
 
 impl Default for LogBounds {
@@ -36,6 +73,7 @@
         Self {
             waiting: 2_000,
             rate: 400,
+            kept: 200,
         }
     }
 }
@@ -75,21 +113,29 @@
         }
     }
 
-    fn admits(&mut self) -> bool {
+    fn admits(&mut self, importance: Importance) -> bool {
         let now = Instant::now();
         if now.saturating_duration_since(self.window.0) >= Duration::from_secs(1) {
             self.window = (now, 0);
         }
-        self.window.1 += 1;
-        self.window.1 <= self.bounds.rate
+        let limit = match importance {
+            Importance::Routine => self.bounds.rate.saturating_sub(self.bounds.kept),
+            Importance::Essential => self.bounds.rate,
+        };
+        let admitted = self.window.1 < limit;
+        self.window.1 += u32::from(admitted);
+        admitted
     }
 }
 
 impl Write for LineWriter {
-    /// Takes one whole line; a line that cannot be taken is counted.
+    /// Takes one whole line after its importance; a line that cannot be taken is counted.
     fn write(&mut self, buf: &[u8]) -> io::Result<usize> {
-        let taken = self.admits() && {
-            let sent = self.sender.try_send(Item::Line(buf.to_vec()));
+        let Some((first, line)) = buf.split_first() else {
+            return Ok(0);
+        };
+        let taken = self.admits(Importance::of(*first)) && {
+            let sent = self.sender.try_send(Item::Line(line.to_vec()));
             !matches!(
                 sent,
                 Err(TrySendError::Full(_) | TrySendError::Disconnected(_))
@@ -97,6 +143,7 @@
         };
         if !taken {
             self.dropped.fetch_add(1, Ordering::Relaxed);
+            DROPPED.fetch_add(1, Ordering::Relaxed);
         }
         Ok(buf.len())
     }
@@ -121,7 +168,9 @@
         }
         let lost = dropped.swap(0, Ordering::Relaxed);
         if lost > 0 {
-            batch.extend_from_slice(format!("level=warn part=log dropped={lost}\n").as_bytes());
+            batch.extend_from_slice(
+                format!("{{\"level\":\"warn\",\"part\":\"log\",\"dropped\":{lost}}}\n").as_bytes(),
+            );
         }
         // Nobody reads the log any more; the process goes on without it.
         drop(out.write_all(&batch).and_then(|()| out.flush()));
--- a/crates/server/src/metrics/counters.rs
+++ b/crates/server/src/metrics/counters.rs
@@ -13,6 +13,7 @@
 use cadence::{BufferedUdpMetricSink, Counted, NopMetricSink, QueuingMetricSink, StatsdClient};
 
 use super::{LatencyBuckets, MetricsError};
+use crate::logging::dropped;
 
 const PREFIX: &str = "cassialift";
 
@@ -95,6 +96,8 @@
         let mut lines: Vec<String> = counters
             .map(|(name, count)| format!("{} {count}", identifier(&name)))
             .collect();
+        // The log counts by itself, as it never waits for anything.
+        lines.push(format!("{} {}", identifier("log.dropped"), dropped()));
         let latencies = self
             .latencies
             .lock()
--- a/crates/testkit/src/naive/gather.rs
+++ b/crates/testkit/src/naive/gather.rs
@@ -5,7 +5,7 @@
 use cassialift_core::{
     ids::{AttemptId, IndexVersion, ServerId},
     policy::{
-        gather::{Action, AttemptCause, GatherEnd, ShardTarget, Verdict},
+        gather::{Action, AttemptCause, GatherEnd, SendBasis, ShardTarget, Verdict},
         outcome::{CallOutcome, NotRunCause},
         retry::RetryReason,
     },
@@ -218,6 +218,7 @@
             shard: shard.target.shard,
             server,
             cause,
+            basis: SendBasis::default(),
         });
     }
 
--- a/crates/testkit/src/policy_bench/entry_side.rs
+++ b/crates/testkit/src/policy_bench/entry_side.rs
@@ -130,6 +130,7 @@
                     shard,
                     server,
                     cause,
+                    ..
                 } => self.send(id, attempt, shard, &server, cause),
                 Action::Cancel { attempt, .. } => self.cancel(id, attempt),
                 Action::Stall { .. } => stalled = true,
