gateway: a VM asked for far shards goes on with them after its first reply

The search failed at its deadline although no server had. Ruled out: failed servers (no failed lines), lost VMs (no ask_failed lines).

Such a VM now replies with what is in and, if that is less than the share that an answer needs, says that it goes on; the VM of the caller asks for the rest and answers when enough is in. The rest is given up when nobody waits for it.

--- a/crates/core/src/policy/gather/machine.rs
+++ b/crates/core/src/policy/gather/machine.rs
@@ -9,7 +9,9 @@
 use crate::{
     ids::{AttemptId, IndexVersion, ShardId},
     policy::{outcome::CallOutcome, retry::RetryReason},
+    presets::AnswerPolicy,
     request::MissingReason,
+    time::Millis,
 };
 
 /// The shards of a search that another VM asks.
@@ -170,6 +172,18 @@
         actions
     }
 
+    /// Ends the request at once with what is in.
+    pub fn answer_now(&mut self, context: &mut Context<'_>) -> Vec<Action> {
+        let mut actions = Vec::new();
+        self.spec.policy.answer = AnswerPolicy::Within {
+            share: 0.0,
+            time: Millis::default(),
+        };
+        self.stalled = false;
+        self.conclude(context, &mut actions);
+        actions
+    }
+
     /// Returns when [`Self::on_timer`] is due; none after the end.
     #[must_use]
     pub fn next_timer(&self) -> Option<Instant> {
--- a/crates/core/src/policy/gather/tests.rs
+++ b/crates/core/src/policy/gather/tests.rs
@@ -666,6 +666,30 @@
     assert_eq!(end(&actions).unwrap().verdict, Verdict::Answer);
 }
 
+/// A gather that nobody waits for ends at once with what is in, and cancels the rest.
+#[test]
+fn test_gather_answer_now_cancels_the_rest() {
+    let policy = KindPolicy {
+        coverage: 1.0,
+        ..KindPolicy::default()
+    };
+    let mut rig = Rig::new(3, RequestKind::WideSearch, policy);
+    rig.start();
+    assert!(rig.reply(1, CallOutcome::Done(1)).0);
+    let mut context = Context {
+        tables: &mut rig.tables,
+        now: rig.now,
+        rng: &mut rig.rng,
+    };
+    let actions = rig.gather.answer_now(&mut context);
+    let is_cancel = |action: &&Action| matches!(action, Action::Cancel { .. });
+    assert_eq!(actions.iter().filter(is_cancel).count(), 2);
+    let end = end(&actions).unwrap();
+    assert_eq!(end.coverage.included, [1]);
+    assert_eq!(end.verdict, Verdict::Unknown);
+    assert_eq!(rig.gather.next_timer(), None);
+}
+
 /// A request that fails while its probe has no reply may have run there.
 #[test]
 fn test_gather_open_probe_may_have_run() {
--- a/crates/server/src/gateway/decision.rs
+++ b/crates/server/src/gateway/decision.rs
@@ -27,6 +27,8 @@
         /// How long after the request's start its reply is awaited, ms.
         within_ms: u64,
     },
+    /// A VM that was asked replied with what was in and goes on with other shards.
+    GoesOn { vm: VmId, shards: usize },
     /// A VM that was asked gave no reply that can be used.
     AskFailed {
         vm: VmId,
@@ -106,7 +108,8 @@
                 cause != FIRST || missing.iter().any(|one| one.shard == *shard)
             }
             Decision::Admitted(_) | Decision::Asked { .. } => !missing.is_empty(),
-            Decision::Rejected(_)
+            Decision::GoesOn { .. }
+            | Decision::Rejected(_)
             | Decision::AskFailed { .. }
             | Decision::Failed { .. }
             | Decision::LeftOut { .. } => true,
--- a/crates/server/src/gateway/fan.rs
+++ b/crates/server/src/gateway/fan.rs
@@ -1,11 +1,16 @@
 //! Drives the policy's gather over HTTP: sends and cancels calls and keeps the replies.
 
-use std::{borrow::Cow, collections::HashMap, sync::Arc, time::Duration};
+use std::{
+    borrow::Cow,
+    collections::HashMap,
+    sync::Arc,
+    time::{Duration, Instant},
+};
 
 use cassialift_core::{
     ids::{AttemptId, ServerId, ShardId, VmId},
     policy::{
-        gather::{Action, AttemptCause, Context, Gather, GatherEnd, SendBasis},
+        gather::{Action, AttemptCause, Context, Gather, GatherEnd, SendBasis, ShardTarget},
         outcome::CallOutcome,
     },
     routes::RouteTarget,
@@ -117,36 +122,86 @@
 
     /// Runs the request to its end; dropping the future cancels its calls.
     pub(super) async fn run(mut self) -> Fanned {
+        self.start();
+        self.finish().await
+    }
+
+    /// Sends the first calls; to be called once.
+    pub(super) fn start(&mut self) {
         self.delegate();
         let actions = self.step(Gather::start);
         self.act(actions);
+    }
+
+    /// Goes on until the request's end.
+    pub(super) async fn finish(&mut self) -> Fanned {
+        loop {
+            if let Some(fanned) = self.ended() {
+                return fanned;
+            }
+            self.turn().await;
+        }
+    }
+
+    /// Goes on until the request's end, or until a time; none if it has not ended by then.
+    pub(super) async fn run_until(&mut self, time: Instant) -> Option<Fanned> {
         loop {
-            if let Some(end) = self.end.take() {
-                return Fanned {
-                    end,
-                    parts: std::mem::take(&mut self.parts),
-                    reply: self.reply.take(),
-                    counts: self.counts,
-                    decisions: std::mem::take(&mut self.decisions),
-                };
+            if let Some(fanned) = self.ended() {
+                return Some(fanned);
             }
-            let due = self.gather.next_timer().unwrap_or(self.inbound.deadline);
             tokio::select! {
-                Some(event) = self.events.recv() => match event {
-                    Event::Call(arrival) => self.on_arrival(arrival),
-                    Event::Delegated(index, reply) => self.on_delegated(index, reply),
-                },
-                () = Timer.at(due) => {
+                () = self.turn() => {}
+                () = Timer.at(time) => {
                     let actions = self.step(Gather::on_timer);
                     self.act(actions);
+                    return self.ended();
                 }
             }
         }
     }
 
+    /// Ends the request with what is in, for nobody waits for more.
+    pub(super) fn give_up(mut self) -> Fanned {
+        let actions = self.step(Gather::answer_now);
+        self.act(actions);
+        self.ended().expect("a gather that is given up has ended")
+    }
+
+    /// Takes out the parts that are in so far.
+    pub(super) fn take_parts(&mut self) -> Vec<Part> {
+        std::mem::take(&mut self.parts)
+    }
+
+    fn ended(&mut self) -> Option<Fanned> {
+        let end = self.end.take()?;
+        Some(Fanned {
+            end,
+            parts: self.take_parts(),
+            reply: self.reply.take(),
+            counts: self.counts,
+            decisions: std::mem::take(&mut self.decisions),
+        })
+    }
+
+    /// Waits for the next event and acts on it.
+    async fn turn(&mut self) {
+        let due = self.gather.next_timer().unwrap_or(self.inbound.deadline);
+        tokio::select! {
+            Some(event) = self.events.recv() => match event {
+                Event::Call(arrival) => self.on_arrival(arrival),
+                Event::Delegated(index, reply) => self.on_delegated(index, reply),
+            },
+            () = Timer.at(due) => {
+                let actions = self.step(Gather::on_timer);
+                self.act(actions);
+            }
+        }
+    }
+
     /// Hands the shards of each delegation to its VM.
     fn delegate(&mut self) {
-        for (index, delegation) in self.delegations.iter().enumerate() {
+        for index in 0..self.delegations.len() {
+            let delegation = self.delegations[index].clone();
             let asked = Decision::Asked {
                 vm: VmId::clone(&delegation.vm),
                 shards: delegation.targets.len(),
@@ -159,14 +214,9 @@
                 Arc::clone(&self.gateway),
                 Arc::clone(&self.view),
                 Arc::clone(&self.inbound),
-                delegation.clone(),
+                delegation,
             );
-            let sender = self.sender.clone();
-            let asked = tokio::spawn(async move {
-                // The request has ended if nobody receives.
-                drop(sender.send(Event::Delegated(index, asking.await)));
-            });
-            self.asked.push(asked.abort_handle());
+            self.ask(index, asking);
         }
     }
 
@@ -186,6 +236,7 @@
             self.gateway.servers.shun(vm, Timer.now());
         }
         let mut actions = Vec::new();
+        let goes_on = reply.as_ref().is_ok_and(|reply| reply.open);
         if let Ok(reply) = reply {
             let shards: Vec<_> = reply.included.iter().map(|(shard, _)| *shard).collect();
             let part = partial::part(reply, &targets);
@@ -196,12 +247,46 @@
                 targets.retain(|target| !shards.contains(&target.shard));
             }
         }
-        if !targets.is_empty() {
+        if goes_on {
+            self.await_rest(index, targets);
+        } else if !targets.is_empty() {
             self.step(|gather, context| gather.adopt(targets, repeated, context, &mut actions));
         }
         self.act(actions);
     }
 
+    /// Waits for the shards that a VM goes on with.
+    fn await_rest(&mut self, index: usize, targets: Vec<ShardTarget>) {
+        let vm = VmId::clone(&self.delegations[index].vm);
+        let goes_on = Decision::GoesOn {
+            vm: VmId::clone(&vm),
+            shards: targets.len(),
+        };
+        self.note(goes_on);
+        self.delegations[index].targets = targets;
+        let asking = partial::ask_rest(
+            Arc::clone(&self.gateway),
+            Arc::clone(&self.view),
+            Arc::clone(&self.inbound),
+            vm,
+        );
+        self.ask(index, asking);
+    }
+
+    /// Runs a question to the VM of a delegation.
+    fn ask(
+        &mut self,
+        index: usize,
+        asking: impl Future<Output = Result<PartialReply, DelegateError>> + Send + 'static,
+    ) {
+        let sender = self.sender.clone();
+        let asked = tokio::spawn(async move {
+            // The request has ended if nobody receives.
+            drop(sender.send(Event::Delegated(index, asking.await)));
+        });
+        self.asked.push(asked.abort_handle());
+    }
+
     fn on_arrival(&mut self, arrival: Arrival) {
         let Arrival {
             attempt,
--- a/crates/server/src/gateway/mod.rs
+++ b/crates/server/src/gateway/mod.rs
@@ -16,6 +16,7 @@
 mod pages;
 mod partial;
 mod plan;
+mod rests;
 mod roster;
 mod settings;
 mod state;
@@ -25,6 +26,6 @@
 mod tests;
 
 pub use listen::serve;
-pub(crate) use partial::refuse_partial;
+pub(crate) use partial::{empty_reply, refuse_partial};
 pub use settings::GatewaySettings;
 pub use state::Gateway;
--- a/crates/server/src/gateway/partial.rs
+++ b/crates/server/src/gateway/partial.rs
@@ -8,7 +8,7 @@
 
 use bytes::Bytes;
 use cassialift_core::{
-    ids::{ServerId, ServiceId, ShardId},
+    ids::{ServerId, ServiceId, ShardId, VmId},
     policy::{
         delegate::bound_replicas,
         gather::{GatherSpec, ShardTarget},
@@ -23,13 +23,14 @@
 use displaydoc::Display;
 use hyper::header::{HeaderMap, HeaderName, HeaderValue};
 use tarpc::context;
-use tokio::time::timeout;
+use tokio::{sync::oneshot, time::timeout};
 
 use super::{
     Gateway,
     fan::{Fan, Fanned},
     inbound::{Inbound, printable},
     plan::{Delegation, Part, Plan, first_hedge},
+    rests::{OpenSearch, Rest},
     trace::{Trace, TraceEnd},
 };
 use crate::{peers::PeerError, timer::Timer};
@@ -42,6 +43,8 @@
 pub(super) enum DelegateError {
     /// {0}
     Peer(PeerError),
+    /// no rest after an open reply: {0}
+    Rest(PeerError),
     /// no reply in time
     Timeout,
 }
@@ -51,7 +54,7 @@
     pub(super) const fn is_unsent(&self) -> bool {
         match self {
             Self::Peer(error) => error.is_unsent(),
-            Self::Timeout => false,
+            Self::Rest(_) | Self::Timeout => false,
         }
     }
 }
@@ -77,7 +80,30 @@
         })
     };
     let reply = timeout(limit, asking).await;
-    let reply = reply.unwrap_or(Err(DelegateError::Timeout))?;
+    own(reply.unwrap_or(Err(DelegateError::Timeout))?, &inbound)
+}
+
+/// Asks a VM for what comes after its open reply.
+pub(super) async fn ask_rest(
+    gateway: Arc<Gateway>,
+    view: Arc<FleetView>,
+    inbound: Arc<Inbound>,
+    vm: VmId,
+) -> Result<PartialReply, DelegateError> {
+    let connected = gateway.node.peers.client(&view, &vm).await;
+    let client = connected.map_err(DelegateError::Peer)?;
+    let mut context = context::current();
+    context.deadline = inbound.deadline;
+    let called = client.rest(context, inbound.attempt.to_vec()).await;
+    let reply = called.map_err(|error| {
+        gateway.node.peers.forget(&vm, &error);
+        DelegateError::Rest(PeerError::Call(error))
+    })?;
+    own(reply, &inbound)
+}
+
+/// Returns a reply if it is to this request.
+fn own(reply: PartialReply, inbound: &Inbound) -> Result<PartialReply, DelegateError> {
     if reply.attempt == *inbound.attempt {
         Ok(reply)
     } else {
@@ -87,9 +113,9 @@
 
 fn message(inbound: &Inbound, delegation: &Delegation) -> PartialGather {
     let route = &inbound.route;
-    let top = match &route.target {
-        RouteTarget::Shards(set) => set.top,
-        RouteTarget::Service(_) | RouteTarget::Split(_) => 0,
+    let (top, coverage) = match &route.target {
+        RouteTarget::Shards(set) => (set.top, set.coverage),
+        RouteTarget::Service(_) | RouteTarget::Split(_) => (0, 0.0),
     };
     let headers = inbound.headers.iter();
     let headers = headers.map(|(name, value)| (name.to_string(), value.as_bytes().to_vec()));
@@ -108,6 +134,7 @@
         servers: route.servers,
         remaining: left.into(),
         within: delegation.within.saturating_sub(inbound.age()).into(),
+        coverage,
     }
 }
 
@@ -136,9 +163,19 @@
     });
     PartialReply {
         attempt: partial.attempt.clone(),
+        missing: missing.collect(),
+        ..empty_reply(partial.attempt.clone())
+    }
+}
+
+/// Makes a reply that holds nothing.
+pub(crate) const fn empty_reply(attempt: Vec<u8>) -> PartialReply {
+    PartialReply {
+        attempt,
         included: Vec::new(),
         records: Vec::new(),
-        missing: missing.collect(),
+        missing: Vec::new(),
+        open: false,
     }
 }
 
@@ -168,7 +205,7 @@
         let preset = &config.policy;
         let policy = KindPolicy {
             answer: AnswerPolicy::Within {
-                share: 0.0,
+                share: partial.coverage,
                 time: partial.within,
             },
             ..KindPolicy::default()
@@ -194,23 +231,77 @@
             spec,
             delegations: Vec::new(),
         };
-        let fanned = Fan::new(Arc::clone(&self), plan).run().await;
+        let mut fan = Fan::new(Arc::clone(&self), plan);
+        fan.start();
+        let Some(fanned) = fan.run_until(started + partial.within.0).await else {
+            return self.reply_open(fan, partial, started, revision);
+        };
         log_partial(&partial, started, revision, &fanned);
-        let bodies = fanned.parts.iter().map(|part| &*part.body);
-        let records = cassialift_core::records::merge(bodies, partial.top);
-        let included = fanned.parts.iter().filter_map(|part| {
-            let signature = part.signatures.first()?;
-            Some((part.shard?, signature.as_bytes().to_vec()))
+        PartialReply {
+            missing: fanned.end.coverage.missing,
+            ..reply(partial.attempt, &fanned.parts, partial.top)
+        }
+    }
+
+    /// Replies with what is in, and goes on.
+    fn reply_open(
+        self: Arc<Self>,
+        mut fan: Fan,
+        partial: PartialGather,
+        started: Instant,
+        revision: u64,
+    ) -> PartialReply {
+        self.node.metrics.count("gateway.partial_open");
+        let parts = fan.take_parts();
+        let (waiter, ended) = oneshot::channel();
+        let top = partial.top;
+        self.rests
+            .keep(partial.attempt.clone(), Rest { top, ended });
+        let open = PartialReply {
+            open: true,
+            ..reply(partial.attempt.clone(), &parts, top)
+        };
+        tokio::spawn(async move {
+            let search = OpenSearch {
+                fan,
+                attempt: partial.attempt.clone(),
+                waiter,
+            };
+            let ended = |fanned: &Fanned| log_partial(&partial, started, revision, fanned);
+            search.run(&self.rests, ended).await;
         });
+        open
+    }
+
+    /// Waits for the rest of a search that an open reply was given for.
+    pub(crate) async fn gather_rest(self: Arc<Self>, attempt: Vec<u8>) -> PartialReply {
+        let Some(rest) = self.rests.claim(&attempt) else {
+            return empty_reply(attempt);
+        };
+        let Ok(fanned) = rest.ended.await else {
+            return empty_reply(attempt);
+        };
         PartialReply {
-            attempt: partial.attempt,
-            included: included.collect(),
-            records,
             missing: fanned.end.coverage.missing,
+            ..reply(attempt, &fanned.parts, rest.top)
         }
     }
 }
 
+/// Makes a reply of parts.
+fn reply(attempt: Vec<u8>, parts: &[Part], top: usize) -> PartialReply {
+    let bodies = parts.iter().map(|part| &*part.body);
+    let included = parts.iter().filter_map(|part| {
+        let signature = part.signatures.first()?;
+        Some((part.shard?, signature.as_bytes().to_vec()))
+    });
+    PartialReply {
+        records: cassialift_core::records::merge(bodies, top),
+        included: included.collect(),
+        ..empty_reply(attempt)
+    }
+}
+
 /// Logs what this VM did for a request of another one.
 fn log_partial(partial: &PartialGather, started: Instant, revision: u64, fanned: &Fanned) {
     let took = Timer.now().saturating_duration_since(started);
--- a/crates/server/src/gateway/state.rs
+++ b/crates/server/src/gateway/state.rs
@@ -12,7 +12,7 @@
 use cassialift_wire::platform::Dialect;
 use tokio::sync::watch;
 
-use super::{GatewaySettings, lanes::LaneTable, roster::Servers};
+use super::{GatewaySettings, lanes::LaneTable, rests::Rests, roster::Servers};
 use crate::{process::Node, timer::Timer};
 
 /// How long before the kill a leaving process answers what is still in flight.
@@ -26,6 +26,7 @@
     pub(super) settings: GatewaySettings,
     pub(super) lanes: LaneTable,
     pub(super) servers: Servers,
+    pub(super) rests: Rests,
     /// When requests in flight have to end because the process does; none before it leaves.
     cut: watch::Sender<Option<Instant>>,
 }
@@ -40,6 +41,7 @@
             settings,
             lanes: LaneTable::default(),
             servers: Servers::default(),
+            rests: Rests::default(),
             cut: watch::Sender::new(None),
         }
     }
--- a/crates/server/src/gateway/tests.rs
+++ b/crates/server/src/gateway/tests.rs
@@ -113,6 +113,7 @@
         included: included.collect(),
         records: vec![7; 16],
         missing: Vec::new(),
+        open: false,
     };
     let part = partial::part(reply, &targets);
     assert_eq!(part.is_some(), taken);
--- a/crates/server/src/peers/serve.rs
+++ b/crates/server/src/peers/serve.rs
@@ -72,6 +72,14 @@
         }
     }
 
+    async fn rest(self, _: Context, attempt: Vec<u8>) -> PartialReply {
+        let _running = self.node.drain.enter();
+        match self.node.gateway() {
+            Some(gateway) => gateway.gather_rest(attempt).await,
+            None => gateway::empty_reply(attempt),
+        }
+    }
+
     async fn ping(self, _: Context, ping: Ping) -> PingReply {
         match self.node.control.ping(ping).await {
             Some(reply) => reply,
--- a/crates/server/src/peers/tests/replies.rs
+++ b/crates/server/src/peers/tests/replies.rs
@@ -65,6 +65,10 @@
         })
     }
 
+    async fn rest(self, _: Context, _: Vec<u8>) -> PartialReply {
+        unreachable!("not called")
+    }
+
     async fn gather(self, _: Context, _: PartialGather) -> PartialReply {
         std::future::pending().await
     }
--- a/crates/wire/src/peer/partial.rs
+++ b/crates/wire/src/peer/partial.rs
@@ -8,7 +8,7 @@
 use serde::{Deserialize, Serialize};
 
 /// A request to ask some shards of a search and to merge their parts.
-#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 #[serde(deny_unknown_fields)]
 pub struct PartialGather {
     /// The caller's id of the attempt.
@@ -31,6 +31,8 @@
     pub remaining: Millis,
     /// The time after which to reply with what is in.
     pub within: Millis,
+    /// The share of the shards, 0 to 1, without which to go on after that reply.
+    pub coverage: f64,
 }
 
 /// The reply to a [`PartialGather`].
@@ -45,4 +47,6 @@
     pub records: Vec<u8>,
     /// The shards that are not, and why.
     pub missing: Vec<MissingShard>,
+    /// Whether it goes on with the shards that are not in, so that the rest can be asked for.
+    pub open: bool,
 }
--- a/crates/wire/src/peer/service.rs
+++ b/crates/wire/src/peer/service.rs
@@ -16,6 +16,8 @@
     async fn forward_job(holder: Incarnation, job: JobForward) -> JobReply;
     /// Asks some shards of a search and merges their parts.
     async fn gather(partial: PartialGather) -> PartialReply;
+    /// Waits for what comes after an open reply to [`Self::gather`] for the same attempt.
+    async fn rest(attempt: Vec<u8>) -> PartialReply;
     /// Exchanges heartbeats.
     async fn ping(ping: Ping) -> PingReply;
     /// Pings `target` on the asker's behalf.
