--- a/crates/core/src/policy/repeat.rs
+++ b/crates/core/src/policy/repeat.rs
@@ -17,7 +17,7 @@
 pub struct RepeatPolicy {
     /// The most extra calls as a share of first attempts.
     pub ratio: f64,
-    /// The most extra calls beyond that share, over any period; [`LEAST_BURST`] at least.
+    /// The most extra calls beyond that share, over any period; a hedge and a reserve at least.
     pub burst: f64,
     /// The extra calls that the entry may send to a service at once after its start.
     pub start: f64,
