gateway: a process that replaced another waits for resets of new connections

Ruled out: servers down (other VMs' calls to them ended well in the same second).

New connections wait 8 ms for a reset before they carry a request, for 3 s after a process has started again, and for 3 s for a server whose new connection broke at its first request; a reset in that time proves that nothing was sent. Requests that must not run twice did so always.

--- a/crates/server/src/gateway/call.rs
+++ b/crates/server/src/gateway/call.rs
@@ -86,7 +86,7 @@
         if lane.sender.ready().await.is_err() {
             return CallEnd::NotRun(NotRunCause::Connect);
         }
-        lane.attempt = Some(self.lane.attempt.clone());
+        let is_new = lane.attempt.replace(self.lane.attempt.clone()).is_none();
         sent.store(true, Ordering::Relaxed);
         let began = Timer.now();
         let sending = lane.sender.try_send_request(self.request(names, left));
@@ -114,7 +114,12 @@
                 end
             }
             Err(Failure::Unsent) => CallEnd::NotRun(NotRunCause::Connect),
-            Err(Failure::Broken) => CallEnd::Unknown(UnknownCause::Broken),
+            Err(Failure::Broken) => {
+                if is_new {
+                    lanes.on_new_broken(&self.lane.server);
+                }
+                CallEnd::Unknown(UnknownCause::Broken)
+            }
             Err(Failure::Timeout) => {
                 lanes.close_older(&self.lane.server, began);
                 CallEnd::Unknown(UnknownCause::Timeout)
--- a/crates/server/src/gateway/lanes.rs
+++ b/crates/server/src/gateway/lanes.rs
@@ -25,6 +25,11 @@
 /// between data centres of one region.
 const SETTLE_TIME: Duration = Duration::from_millis(8);
 
+/// How long new connections are waited for after one broke at its first request, and after this
+/// process has replaced another: a backend server may still count connections of processes that
+/// were killed, and finds out within a few seconds.
+const WARY_TIME: Duration = Duration::from_secs(3);
+
 /// How long before a backend server's own idle timeout a lane counts as too old.
 const IDLE_MARGIN: Duration = Duration::from_millis(500);
 
@@ -103,6 +108,8 @@
 #[derive(Debug, Default)]
 pub(super) struct LaneTable {
     servers: Mutex<HashMap<ServerId, Arc<Lanes>>>,
+    /// Until when all new connections may be reset; none if that is not to be expected.
+    wary: Option<Instant>,
 }
 
 /// The lanes to one backend server.
@@ -116,6 +123,8 @@
     busy: u32,
     idle: Vec<Lane>,
     waiting: VecDeque<oneshot::Sender<()>>,
+    /// Until when new connections may be reset; none if that is not to be expected.
+    wary: Option<Instant>,
 }
 
 /// What a call asks of its lane.
@@ -162,6 +171,19 @@
 }
 
 impl LaneTable {
+    /// Makes a table of a process that may have replaced one that was killed.
+    pub(super) fn of_replacement(now: Instant) -> Self {
+        Self {
+            wary: Some(now + WARY_TIME),
+            ..Self::default()
+        }
+    }
+
+    /// Notes that a new connection to a backend server broke at its first request.
+    pub(super) fn on_new_broken(&self, server: &ServerId) {
+        self.lanes(server).lock().wary = Some(Timer.now() + WARY_TIME);
+    }
+
     /// Returns how many calls wait for a lane to a backend server.
     pub(super) fn waiting(&self, server: &ServerId) -> u32 {
         let servers = self.lock();
@@ -194,7 +216,8 @@
         let Some(lane) = Lane::open(request.address).await else {
             return Err(LaneError::Connect);
         };
-        if request.fresh {
+        let wary = self.wary.max(lanes.lock().wary);
+        if request.fresh || wary.is_some_and(|until| Timer.now() < until) {
             // A reset that came after the request was sent would leave open whether it ran.
             Timer.after(SETTLE_TIME).await;
             if lane.sender.is_closed() {
--- a/crates/server/src/gateway/state.rs
+++ b/crates/server/src/gateway/state.rs
@@ -35,11 +35,16 @@
     /// Makes the gateway of a process.
     #[must_use]
     pub fn new(node: Arc<Node>, dialect: Arc<dyn Dialect>, settings: GatewaySettings) -> Self {
+        let lanes = if settings.first_start {
+            LaneTable::default()
+        } else {
+            LaneTable::of_replacement(Timer.now())
+        };
         Self {
             node,
             dialect,
             settings,
-            lanes: LaneTable::default(),
+            lanes,
             servers: Servers::default(),
             rests: Rests::default(),
             cut: watch::Sender::new(None),
