gateway: what failed after an open reply never counts as unsent

Read in the diff: if no connection to the VM could be opened to ask for the rest of a search, its shards were asked for anew as first calls, which cost no extra calls although that VM had sent some. All failures of that question are of one kind now, which is not unsent; test_delegation_unsent.

--- a/crates/server/src/gateway/partial.rs
+++ b/crates/server/src/gateway/partial.rs
@@ -82,7 +82,8 @@
         })
     };
     let reply = timeout(limit, asking).await;
-    own(reply.unwrap_or(Err(DelegateError::Timeout))?, &inbound)
+    let reply = reply.unwrap_or(Err(DelegateError::Timeout))?;
+    own(reply, &inbound).map_err(DelegateError::Peer)
 }
 
 /// Asks a VM for what comes after its open reply.
@@ -92,24 +93,35 @@
     inbound: Arc<Inbound>,
     vm: VmId,
 ) -> Result<PartialReply, DelegateError> {
-    let connected = gateway.node.peers.client(&view, &vm).await;
-    let client = connected.map_err(DelegateError::Peer)?;
+    // Whatever fails now, the VM has sent calls before.
+    call_rest(&gateway, &view, &inbound, &vm)
+        .await
+        .map_err(DelegateError::Rest)
+}
+
+async fn call_rest(
+    gateway: &Gateway,
+    view: &FleetView,
+    inbound: &Inbound,
+    vm: &VmId,
+) -> Result<PartialReply, PeerError> {
+    let client = gateway.node.peers.client(view, vm).await?;
     let mut context = context::current();
     context.deadline = inbound.deadline;
     let called = client.rest(context, inbound.attempt.to_vec()).await;
     let reply = called.map_err(|error| {
-        gateway.node.peers.forget(&vm, &error);
-        DelegateError::Rest(PeerError::Call(error))
+        gateway.node.peers.forget(vm, &error);
+        PeerError::Call(error)
     })?;
-    own(reply, &inbound)
+    own(reply, inbound)
 }
 
 /// Returns a reply if it is to this request.
-fn own(reply: PartialReply, inbound: &Inbound) -> Result<PartialReply, DelegateError> {
+fn own(reply: PartialReply, inbound: &Inbound) -> Result<PartialReply, PeerError> {
     if reply.attempt == *inbound.attempt {
         Ok(reply)
     } else {
-        Err(DelegateError::Peer(PeerError::Foreign))
+        Err(PeerError::Foreign)
     }
 }
 
--- a/crates/server/src/gateway/tests.rs
+++ b/crates/server/src/gateway/tests.rs
@@ -14,8 +14,9 @@
 use super::{
     answer::Refused,
     inbound::{Head, printable, strip_hop_headers},
-    partial,
+    partial::{self, DelegateError},
 };
+use crate::peers::PeerError;
 
 fn names() -> HeaderNames {
     let name = HeaderName::from_static;
@@ -69,6 +70,17 @@
     assert_eq!(all, headers(&[("x-kept", "1")]));
 }
 
+/// Shards are asked for anew, without extra calls, only if the VM certainly sent none.
+#[parameterized(
+    unknown_vm = { DelegateError::Peer(PeerError::Unknown), true },
+    foreign = { DelegateError::Peer(PeerError::Foreign), false },
+    no_reply = { DelegateError::Timeout, false },
+    no_rest = { DelegateError::Rest(PeerError::Unknown), false },
+)]
+fn test_delegation_unsent(error: DelegateError, unsent: bool) {
+    assert_eq!(error.is_unsent(), unsent);
+}
+
 /// Only a request that certainly did not run is answered with 503, and then with a time.
 #[parameterized(
     overloaded = { RefusalReason::Overloaded, Ran::NotRun, 503 },
