peers: replies to questions for shards are matched where other replies are

Read in the whole change: the gateway compared the attempt that a VM echoes and forgot broken connections by itself, and did so twice, for a delegation and for its rest. peers::calls does that for every other call, and PeerTable::failed counts replies that are not believed: such a reply to a delegation is counted in peers.foreign_reply now. A delegation's targets are no longer copied to ask. Test: test_partial_reply.

--- a/crates/server/src/gateway/fan.rs
+++ b/crates/server/src/gateway/fan.rs
@@ -201,21 +201,22 @@
     /// Hands the shards of each delegation to its VM.
     fn delegate(&mut self) {
         for index in 0..self.delegations.len() {
-            let delegation = self.delegations[index].clone();
+            let delegation = &self.delegations[index];
             let asked = Decision::Asked {
                 vm: VmId::clone(&delegation.vm),
                 shards: delegation.targets.len(),
                 within_ms: millis(delegation.within),
             };
-            self.decisions.note(self.inbound.age(), asked);
             let shards = delegation.targets.iter().map(|target| target.shard);
             self.gather.delegate(shards.collect());
             let asking = partial::ask(
                 Arc::clone(&self.gateway),
                 Arc::clone(&self.view),
                 Arc::clone(&self.inbound),
-                delegation,
+                VmId::clone(&delegation.vm),
+                partial::message(&self.inbound, delegation),
             );
+            self.note(asked);
             self.ask(index, asking);
         }
     }
--- a/crates/server/src/gateway/partial.rs
+++ b/crates/server/src/gateway/partial.rs
@@ -33,7 +33,10 @@
     rests::{OpenSearch, Rest},
     trace::{Trace, TraceEnd},
 };
-use crate::{peers::PeerError, timer::Timer};
+use crate::{
+    peers::{self, PeerError},
+    timer::Timer,
+};
 
 /// How much later than it was told a VM may reply: the way there and back between regions, and the
 /// lateness of a loaded VM. A reply that is thrown away takes the work of a whole group of shards
@@ -66,24 +69,21 @@
     gateway: Arc<Gateway>,
     view: Arc<FleetView>,
     inbound: Arc<Inbound>,
-    delegation: Delegation,
+    vm: VmId,
+    partial: PartialGather,
 ) -> Result<PartialReply, DelegateError> {
-    let partial = message(&inbound, &delegation);
     let limit = partial.within.0 + REPLY_SLACK;
     let asking = async {
-        let connected = gateway.node.peers.client(&view, &delegation.vm).await;
-        let client = connected.map_err(DelegateError::Peer)?;
-        let mut context = context::current();
-        context.deadline = inbound.deadline;
-        let called = client.gather(context, partial).await;
-        called.map_err(|error| {
-            gateway.node.peers.forget(&delegation.vm, &error);
-            DelegateError::Peer(PeerError::Call(error))
-        })
+        let client = gateway.node.peers.client(&view, &vm).await?;
+        peers::gather(&client, until(inbound.deadline), partial).await
+    };
+    let Ok(replied) = timeout(limit, asking).await else {
+        return Err(DelegateError::Timeout);
     };
-    let reply = timeout(limit, asking).await;
-    let reply = reply.unwrap_or(Err(DelegateError::Timeout))?;
-    own(reply, &inbound).map_err(DelegateError::Peer)
+    replied.map_err(|error| {
+        gateway.failed(&vm, &error);
+        DelegateError::Peer(error)
+    })
 }
 
 /// Asks a VM for what comes after its open reply.
@@ -93,39 +93,25 @@
     inbound: Arc<Inbound>,
     vm: VmId,
 ) -> Result<PartialReply, DelegateError> {
+    let asking = async {
+        let client = gateway.node.peers.client(&view, &vm).await?;
+        peers::rest(&client, until(inbound.deadline), &inbound.attempt).await
+    };
     // Whatever fails now, the VM has sent calls before.
-    call_rest(&gateway, &view, &inbound, &vm)
-        .await
-        .map_err(DelegateError::Rest)
+    asking.await.map_err(|error| {
+        gateway.failed(&vm, &error);
+        DelegateError::Rest(error)
+    })
 }
 
-async fn call_rest(
-    gateway: &Gateway,
-    view: &FleetView,
-    inbound: &Inbound,
-    vm: &VmId,
-) -> Result<PartialReply, PeerError> {
-    let client = gateway.node.peers.client(view, vm).await?;
+fn until(deadline: Instant) -> context::Context {
     let mut context = context::current();
-    context.deadline = inbound.deadline;
-    let called = client.rest(context, inbound.attempt.to_vec()).await;
-    let reply = called.map_err(|error| {
-        gateway.node.peers.forget(vm, &error);
-        PeerError::Call(error)
-    })?;
-    own(reply, inbound)
-}
-
-/// Returns a reply if it is to this request.
-fn own(reply: PartialReply, inbound: &Inbound) -> Result<PartialReply, PeerError> {
-    if reply.attempt == *inbound.attempt {
-        Ok(reply)
-    } else {
-        Err(PeerError::Foreign)
-    }
+    context.deadline = deadline;
+    context
 }
 
-fn message(inbound: &Inbound, delegation: &Delegation) -> PartialGather {
+/// Makes the question to the VM of a delegation.
+pub(super) fn message(inbound: &Inbound, delegation: &Delegation) -> PartialGather {
     let route = &inbound.route;
     let (top, coverage) = match &route.target {
         RouteTarget::Shards(set) => (set.top, set.coverage),
@@ -194,6 +180,10 @@
 }
 
 impl Gateway {
+    fn failed(&self, vm: &VmId, error: &PeerError) {
+        self.node.peers.failed(vm, error, &self.node.metrics);
+    }
+
     /// Asks shards of a search for another VM and merges their parts.
     pub(crate) async fn gather_partial(self: Arc<Self>, partial: PartialGather) -> PartialReply {
         let started = Timer.now();
--- a/crates/server/src/peers/calls.rs
+++ b/crates/server/src/peers/calls.rs
@@ -3,7 +3,9 @@
 use std::sync::Arc;
 
 use cassialift_core::ids::Incarnation;
-use cassialift_wire::peer::{JobForward, JobReply, PeerClient, ShardCall, ShardReply};
+use cassialift_wire::peer::{
+    JobForward, JobReply, PartialGather, PartialReply, PeerClient, ShardCall, ShardReply,
+};
 use tarpc::context::Context;
 
 use super::PeerError;
@@ -46,3 +48,38 @@
         reply => Ok(reply),
     }
 }
+
+/// Asks a peer for some shards of a search.
+///
+/// # Errors
+/// Returns how the call failed, or that the reply belongs to another call.
+pub async fn gather(
+    client: &PeerClient,
+    context: Context,
+    partial: PartialGather,
+) -> Result<PartialReply, PeerError> {
+    let attempt = partial.attempt.clone();
+    let called = client.gather(context, partial).await;
+    own(called.map_err(PeerError::Call)?, &attempt)
+}
+
+/// Asks a peer for what comes after its open reply to an attempt.
+///
+/// # Errors
+/// Returns how the call failed, or that the reply belongs to another call.
+pub async fn rest(
+    client: &PeerClient,
+    context: Context,
+    attempt: &[u8],
+) -> Result<PartialReply, PeerError> {
+    let called = client.rest(context, attempt.to_vec()).await;
+    own(called.map_err(PeerError::Call)?, attempt)
+}
+
+fn own(reply: PartialReply, attempt: &[u8]) -> Result<PartialReply, PeerError> {
+    if reply.attempt == attempt {
+        Ok(reply)
+    } else {
+        Err(PeerError::Foreign)
+    }
+}
--- a/crates/server/src/peers/mod.rs
+++ b/crates/server/src/peers/mod.rs
@@ -10,7 +10,7 @@
 #[cfg(test)]
 mod tests;
 
-pub use calls::{call_shard, forward_job};
+pub use calls::{call_shard, forward_job, gather, rest};
 pub use error::PeerError;
 pub use serve::{PeerServer, serve};
 pub use table::PeerTable;
--- a/crates/server/src/peers/tests/replies.rs
+++ b/crates/server/src/peers/tests/replies.rs
@@ -24,7 +24,7 @@
 };
 use yare::parameterized;
 
-use super::super::{PeerError, PeerTable, Traffic, call_shard, forward_job};
+use super::super::{PeerError, PeerTable, Traffic, call_shard, forward_job, gather, rest};
 use crate::metrics::Metrics;
 
 /// Changes a reply that is the caller's own.
@@ -37,6 +37,18 @@
     id: &'static str,
 }
 
+impl Foreign {
+    fn partial(&self) -> PartialReply {
+        PartialReply {
+            attempt: self.id.as_bytes().to_vec(),
+            included: Vec::new(),
+            records: Vec::new(),
+            missing: Vec::new(),
+            open: false,
+        }
+    }
+}
+
 impl Peer for Foreign {
     async fn call_shard(self, _: Context, call: ShardCall) -> ShardReply {
         let mut reply = ShardReply {
@@ -66,11 +78,11 @@
     }
 
     async fn rest(self, _: Context, _: Vec<u8>) -> PartialReply {
-        unreachable!("not called")
+        self.partial()
     }
 
     async fn gather(self, _: Context, _: PartialGather) -> PartialReply {
-        std::future::pending().await
+        self.partial()
     }
 
     async fn ping(self, _: Context, _: Ping) -> PingReply {
@@ -147,6 +159,36 @@
     assert_eq!(foreign_count(reply.err()), u64::from(!believed));
 }
 
+#[parameterized(
+    own = { "1", true },
+    of_another_attempt = { "2", false },
+)]
+#[test_macro(tokio::test)]
+async fn test_partial_reply(id: &'static str, believed: bool) {
+    let client = connect(Foreign { change: |_| {}, id });
+    let partial = PartialGather {
+        attempt: b"1".to_vec(),
+        method: "GET".to_owned(),
+        target: "/".to_owned(),
+        headers: Vec::new(),
+        route: "find".into(),
+        shards: Vec::new(),
+        top: 1,
+        servers: 1,
+        remaining: Millis::new(1_000),
+        within: Millis::new(100),
+        coverage: 0.0,
+    };
+    let replies = [
+        gather(&client, context::current(), partial).await,
+        rest(&client, context::current(), b"1").await,
+    ];
+    for reply in replies {
+        assert_eq!(reply.is_ok(), believed, "{reply:?}");
+        assert_eq!(foreign_count(reply.err()), u64::from(!believed));
+    }
+}
+
 /// Returns what the counter of foreign replies says after a call ended with an error or none.
 fn foreign_count(error: Option<PeerError>) -> u64 {
     let metrics = Metrics::new(None).unwrap();
