peers: replies for delegated shards carry no list of missing ones

Nobody read it: the VM that asked knows what it asked for, and the log of the VM that was asked tells why. One function makes an empty reply, on the wire type.

--- a/crates/server/src/gateway/mod.rs
+++ b/crates/server/src/gateway/mod.rs
@@ -26,6 +26,5 @@
 mod tests;
 
 pub use listen::serve;
-pub(crate) use partial::{empty_reply, refuse_partial};
 pub use settings::GatewaySettings;
 pub use state::Gateway;
--- a/crates/server/src/gateway/partial.rs
+++ b/crates/server/src/gateway/partial.rs
@@ -14,7 +14,7 @@
         gather::{GatherSpec, ShardTarget},
     },
     presets::{AnswerPolicy, KindPolicy},
-    request::{MissingReason, MissingShard, RequestKind},
+    request::RequestKind,
     routes::{Route, RouteTarget, ShardSet},
     time::Millis,
     view::FleetView,
@@ -155,30 +155,6 @@
     })
 }
 
-/// Makes the reply of a process that asks no backend servers for others.
-pub(crate) fn refuse_partial(partial: &PartialGather) -> PartialReply {
-    let missing = partial.shards.iter().map(|(shard, _)| MissingShard {
-        shard: *shard,
-        reason: MissingReason::NoOwner,
-    });
-    PartialReply {
-        attempt: partial.attempt.clone(),
-        missing: missing.collect(),
-        ..empty_reply(partial.attempt.clone())
-    }
-}
-
-/// Makes a reply that holds nothing.
-pub(crate) const fn empty_reply(attempt: Vec<u8>) -> PartialReply {
-    PartialReply {
-        attempt,
-        included: Vec::new(),
-        records: Vec::new(),
-        missing: Vec::new(),
-        open: false,
-    }
-}
-
 impl Gateway {
     fn failed(&self, vm: &VmId, error: &PeerError) {
         self.node.peers.failed(vm, error, &self.node.metrics);
@@ -190,7 +166,7 @@
         let view = self.node.control.pin();
         let (Some(config), Some(inbound)) = (view.config.clone(), inbound(&partial, started))
         else {
-            return refuse_partial(&partial);
+            return PartialReply::empty(partial.attempt);
         };
         self.sync(&view, &config);
         self.node.metrics.count("gateway.partial");
@@ -241,10 +217,7 @@
             return self.reply_open(fan, partial, started, revision);
         };
         log_partial(&partial, started, revision, &fanned);
-        PartialReply {
-            missing: fanned.end.coverage.missing,
-            ..reply(partial.attempt, &fanned.parts, partial.top)
-        }
+        reply(partial.attempt, &fanned.parts, partial.top)
     }
 
     /// Replies with what is in, and goes on.
@@ -280,15 +253,12 @@
     /// Waits for the rest of a search that an open reply was given for.
     pub(crate) async fn gather_rest(self: Arc<Self>, attempt: Vec<u8>) -> PartialReply {
         let Some(rest) = self.rests.claim(&attempt) else {
-            return empty_reply(attempt);
+            return PartialReply::empty(attempt);
         };
         let Ok(fanned) = rest.ended.await else {
-            return empty_reply(attempt);
+            return PartialReply::empty(attempt);
         };
-        PartialReply {
-            missing: fanned.end.coverage.missing,
-            ..reply(attempt, &fanned.parts, rest.top)
-        }
+        reply(attempt, &fanned.parts, rest.top)
     }
 }
 
@@ -302,7 +272,7 @@
     PartialReply {
         records: cassialift_core::records::merge(bodies, top),
         included: included.collect(),
-        ..empty_reply(attempt)
+        ..PartialReply::empty(attempt)
     }
 }
 
--- a/crates/server/src/gateway/tests.rs
+++ b/crates/server/src/gateway/tests.rs
@@ -121,11 +121,9 @@
     });
     let included = included.iter().map(|shard| (*shard, b"signed".to_vec()));
     let reply = PartialReply {
-        attempt: b"a1".to_vec(),
         included: included.collect(),
         records: vec![7; 16],
-        missing: Vec::new(),
-        open: false,
+        ..PartialReply::empty(b"a1".to_vec())
     };
     let part = partial::part(reply, &targets);
     assert_eq!(part.is_some(), taken);
--- a/crates/server/src/peers/serve.rs
+++ b/crates/server/src/peers/serve.rs
@@ -20,7 +20,6 @@
 
 use crate::{
     entry::jobs::hold,
-    gateway,
     process::{Node, ProcessError},
     sockets,
     timer::Timer,
@@ -68,7 +67,7 @@
         let _running = self.node.drain.enter();
         match self.node.gateway() {
             Some(gateway) => gateway.gather_partial(partial).await,
-            None => gateway::refuse_partial(&partial),
+            None => PartialReply::empty(partial.attempt),
         }
     }
 
@@ -76,7 +75,7 @@
         let _running = self.node.drain.enter();
         match self.node.gateway() {
             Some(gateway) => gateway.gather_rest(attempt).await,
-            None => gateway::empty_reply(attempt),
+            None => PartialReply::empty(attempt),
         }
     }
 
--- a/crates/server/src/peers/tests/replies.rs
+++ b/crates/server/src/peers/tests/replies.rs
@@ -39,13 +39,7 @@
 
 impl Foreign {
     fn partial(&self) -> PartialReply {
-        PartialReply {
-            attempt: self.id.as_bytes().to_vec(),
-            included: Vec::new(),
-            records: Vec::new(),
-            missing: Vec::new(),
-            open: false,
-        }
+        PartialReply::empty(self.id.as_bytes().to_vec())
     }
 }
 
--- a/crates/wire/src/peer/partial.rs
+++ b/crates/wire/src/peer/partial.rs
@@ -2,7 +2,6 @@
 
 use cassialift_core::{
     ids::{RouteId, ServiceId, ShardId},
-    request::MissingShard,
     time::Millis,
 };
 use serde::{Deserialize, Serialize};
@@ -45,8 +44,19 @@
     pub included: Vec<(ShardId, Vec<u8>)>,
     /// The greatest records of their parts, greatest first.
     pub records: Vec<u8>,
-    /// The shards that are not, and why.
-    pub missing: Vec<MissingShard>,
     /// Whether it goes on with the shards that are not in, so that the rest can be asked for.
     pub open: bool,
 }
+
+impl PartialReply {
+    /// Makes a reply that holds nothing.
+    #[must_use]
+    pub const fn empty(attempt: Vec<u8>) -> Self {
+        Self {
+            attempt,
+            included: Vec::new(),
+            records: Vec::new(),
+            open: false,
+        }
+    }
+}
