gateway: decisions of a request are kept as values and written only if they are logged

Each call made a text of its cause or its failure and read the clock, for log lines that most requests do not have, and the decisions of every search asked for another VM were copied. Causes and outcomes are kept as the types that they are and become text when a line is written; the calls of one step share one look at the clock; a first call is told by its type, not by a text.

--- a/crates/server/src/gateway/decision.rs
+++ b/crates/server/src/gateway/decision.rs
@@ -1,19 +1,19 @@
 //! The decisions of a request, for the log.
 
-use std::{borrow::Cow, time::Duration};
+use std::time::Duration;
 
 use cassialift_core::{
     ids::{ServerId, ServiceId, ShardId, VmId},
-    policy::admission::AdmissionRequest,
+    policy::{admission::AdmissionRequest, gather::AttemptCause, outcome::CallOutcome},
     request::{MissingReason, MissingShard},
 };
-use serde::Serialize;
+use serde::{Serialize, Serializer};
 
 /// The most decisions of one request that are kept: those of a few dozen shards.
 const MOST: usize = 96;
 
 /// A decision that touches a request, with what decided it.
-#[derive(Clone, Debug, Serialize)]
+#[derive(Debug, Serialize)]
 #[serde(tag = "event", rename_all = "snake_case")]
 pub(super) enum Decision {
     /// It was taken on.
@@ -40,7 +40,8 @@
         shard: ShardId,
         server: ServerId,
         /// Why it was sent.
-        cause: Cow<'static, str>,
+        #[serde(serialize_with = "write_cause")]
+        cause: AttemptCause,
         /// How long calls to the server were expected to wait, ms.
         wait_ms: u64,
         /// After how long it counts as overdue, ms.
@@ -50,7 +51,8 @@
     Failed {
         shard: ShardId,
         server: ServerId,
-        cause: String,
+        #[serde(rename = "cause", serialize_with = "write_outcome")]
+        outcome: CallOutcome,
     },
     /// A shard was left out.
     LeftOut {
@@ -83,8 +85,22 @@
     }
 }
 
-/// The cause of the first call for a shard.
-pub(super) const FIRST: &str = "first";
+#[expect(
+    clippy::trivially_copy_pass_by_ref,
+    reason = "the library hands out references"
+)]
+fn write_cause<S: Serializer>(cause: &AttemptCause, serializer: S) -> Result<S::Ok, S::Error> {
+    match cause {
+        AttemptCause::First => serializer.serialize_str("first"),
+        AttemptCause::Hedge => serializer.serialize_str("hedge"),
+        AttemptCause::Probe => serializer.serialize_str("probe"),
+        AttemptCause::Retry(reason) => serializer.collect_str(&format_args!("retry, as {reason}")),
+    }
+}
+
+fn write_outcome<S: Serializer>(outcome: &CallOutcome, serializer: S) -> Result<S::Ok, S::Error> {
+    serializer.collect_str(&format_args!("{outcome:?}"))
+}
 
 /// Returns whole milliseconds, as log lines tell them.
 pub(super) fn millis(time: Duration) -> u64 {
@@ -92,7 +108,7 @@
 }
 
 /// A decision and when it was taken.
-#[derive(Clone, Debug, Serialize)]
+#[derive(Debug, Serialize)]
 pub(super) struct Noted {
     #[serde(flatten)]
     pub(super) decision: Decision,
@@ -105,7 +121,7 @@
     pub(super) fn explains(&self, missing: &[MissingShard]) -> bool {
         match &self.decision {
             Decision::Sent { shard, cause, .. } => {
-                cause != FIRST || missing.iter().any(|one| one.shard == *shard)
+                *cause != AttemptCause::First || missing.iter().any(|one| one.shard == *shard)
             }
             Decision::Admitted(_) | Decision::Asked { .. } => !missing.is_empty(),
             Decision::GoesOn { .. }
@@ -118,7 +134,7 @@
 }
 
 /// The decisions of one request, up to a bound.
-#[derive(Clone, Debug, Default)]
+#[derive(Debug, Default)]
 pub(super) struct Decisions(Vec<Noted>);
 
 impl Decisions {
--- a/crates/server/src/gateway/fan.rs
+++ b/crates/server/src/gateway/fan.rs
@@ -1,7 +1,6 @@
 //! Drives the policy's gather over HTTP: sends and cancels calls and keeps the replies.
 
 use std::{
-    borrow::Cow,
     collections::HashMap,
     sync::Arc,
     time::{Duration, Instant},
@@ -10,7 +9,7 @@
 use cassialift_core::{
     ids::{AttemptId, ServerId, ShardId, VmId},
     policy::{
-        gather::{Action, AttemptCause, Context, Gather, GatherEnd, SendBasis, ShardTarget},
+        gather::{Action, AttemptCause, Context, Gather, GatherEnd, ShardTarget},
         outcome::CallOutcome,
     },
     routes::RouteTarget,
@@ -26,7 +25,7 @@
 use super::{
     Gateway,
     call::Reply,
-    decision::{Decision, Decisions, FIRST, millis},
+    decision::{Decision, Decisions, millis},
     inbound::Inbound,
     one_call::OneCall,
     partial::{self, DelegateError},
@@ -152,8 +151,7 @@
             tokio::select! {
                 () = self.turn() => {}
                 () = Timer.at(time) => {
-                    let actions = self.step(Gather::on_timer);
-                    self.act(actions);
+                    self.on_timer();
                     return self.ended();
                 }
             }
@@ -191,13 +189,15 @@
                 Event::Call(arrival) => self.on_arrival(arrival),
                 Event::Delegated(index, reply) => self.on_delegated(index, reply),
             },
-            () = Timer.at(due) => {
-                let actions = self.step(Gather::on_timer);
-                self.act(actions);
-            }
+            () = Timer.at(due) => self.on_timer(),
         }
     }
 
+    fn on_timer(&mut self) {
+        let actions = self.step(Gather::on_timer);
+        self.act(actions);
+    }
+
     /// Hands the shards of each delegation to its VM.
     fn delegate(&mut self) {
         for index in 0..self.delegations.len() {
@@ -226,15 +226,14 @@
         let mut targets = std::mem::take(&mut self.delegations[index].targets);
         let repeated = !matches!(&reply, Err(error) if error.is_unsent());
         if let Err(error) = &reply {
-            let vm = &self.delegations[index].vm;
+            let vm = VmId::clone(&self.delegations[index].vm);
             self.gateway.node.metrics.count("gateway.delegation_failed");
-            let failed = Decision::AskFailed {
-                vm: VmId::clone(vm),
+            self.gateway.servers.shun(&vm, Timer.now());
+            self.note(Decision::AskFailed {
+                vm,
                 shards: targets.len(),
                 cause: error.to_string(),
-            };
-            self.decisions.note(self.inbound.age(), failed);
-            self.gateway.servers.shun(vm, Timer.now());
+            });
         }
         let mut actions = Vec::new();
         let goes_on = reply.as_ref().is_ok_and(|reply| reply.open);
@@ -300,7 +299,7 @@
             let failed = Decision::Failed {
                 shard,
                 server: live.server,
-                cause: format!("{outcome:?}"),
+                outcome,
             };
             self.note(failed);
         }
@@ -324,6 +323,11 @@
     }
 
     fn act(&mut self, actions: Vec<Action>) {
+        if actions.is_empty() {
+            return;
+        }
+        // A search sends its first calls at once; they share one look at the clock.
+        let age = self.inbound.age();
         for action in actions {
             match action {
                 Action::Send {
@@ -333,7 +337,15 @@
                     cause,
                     basis,
                 } => {
-                    self.note_send(shard, &server, cause, basis);
+                    self.count_send(cause);
+                    let sent = Decision::Sent {
+                        shard,
+                        server: ServerId::clone(&server),
+                        cause,
+                        wait_ms: millis(basis.wait),
+                        patience_ms: millis(basis.patience),
+                    };
+                    self.decisions.note(age, sent);
                     self.send(attempt, shard, server);
                 }
                 Action::Cancel { attempt, .. } => {
@@ -381,43 +393,24 @@
         self.live.insert(attempt, live);
     }
 
-    fn note_send(
-        &mut self,
-        shard: ShardId,
-        server: &ServerId,
-        cause: AttemptCause,
-        basis: SendBasis,
-    ) {
-        self.counts.sent += 1;
+    fn count_send(&mut self, cause: AttemptCause) {
         let metrics = &self.gateway.node.metrics;
-        let why = match cause {
-            AttemptCause::First => {
-                metrics.count("gateway.first");
-                Cow::Borrowed(FIRST)
-            }
+        self.counts.sent += 1;
+        match cause {
+            AttemptCause::First => metrics.count("gateway.first"),
             AttemptCause::Hedge => {
                 self.counts.hedges += 1;
                 metrics.count("gateway.hedge");
-                Cow::Borrowed("hedge")
             }
             AttemptCause::Retry(reason) => {
                 self.counts.retries += 1;
                 metrics.count(reason.counter());
-                Cow::Owned(format!("retry, as {reason}"))
             }
             AttemptCause::Probe => {
                 self.counts.probes += 1;
                 metrics.count("gateway.probe");
-                Cow::Borrowed("probe")
             }
-        };
-        self.note(Decision::Sent {
-            shard,
-            server: ServerId::clone(server),
-            cause: why,
-            wait_ms: millis(basis.wait),
-            patience_ms: millis(basis.patience),
-        });
+        }
     }
 
     fn note(&mut self, decision: Decision) {
--- a/crates/server/src/gateway/partial.rs
+++ b/crates/server/src/gateway/partial.rs
@@ -213,10 +213,10 @@
         };
         let mut fan = Fan::new(Arc::clone(&self), plan);
         fan.start();
-        let Some(fanned) = fan.run_until(started + partial.within.0).await else {
+        let Some(mut fanned) = fan.run_until(started + partial.within.0).await else {
             return self.reply_open(fan, partial, started, revision);
         };
-        log_partial(&partial, started, revision, &fanned);
+        log_partial(&partial, started, revision, &mut fanned);
         reply(partial.attempt, &fanned.parts, partial.top)
     }
 
@@ -244,7 +244,7 @@
                 attempt: partial.attempt.clone(),
                 waiter,
             };
-            let ended = |fanned: &Fanned| log_partial(&partial, started, revision, fanned);
+            let ended = |fanned: &mut Fanned| log_partial(&partial, started, revision, fanned);
             search.run(&self.rests, ended).await;
         });
         open
@@ -276,16 +276,16 @@
     }
 }
 
-/// Logs what this VM did for a request of another one.
-fn log_partial(partial: &PartialGather, started: Instant, revision: u64, fanned: &Fanned) {
+/// Logs what this VM did for a request of another one; takes its decisions and coverage out.
+fn log_partial(partial: &PartialGather, started: Instant, revision: u64, fanned: &mut Fanned) {
     let took = Timer.now().saturating_duration_since(started);
     let mut trace = Trace {
         id: printable(&partial.attempt),
         route: partial.route.to_string(),
         revision,
         counts: fanned.counts,
-        coverage: fanned.end.coverage.clone(),
-        decisions: fanned.decisions.clone(),
+        coverage: std::mem::take(&mut fanned.end.coverage),
+        decisions: std::mem::take(&mut fanned.decisions),
         ..Trace::new(started)
     };
     let service = |shard: ShardId| {
--- a/crates/server/src/gateway/rests.rs
+++ b/crates/server/src/gateway/rests.rs
@@ -61,10 +61,10 @@
 
 impl OpenSearch {
     /// Goes on until the search ends or nobody waits for it; `ended` is told what came of it.
-    pub(super) async fn run(mut self, rests: &Rests, ended: impl FnOnce(&Fanned)) {
+    pub(super) async fn run(mut self, rests: &Rests, ended: impl FnOnce(&mut Fanned)) {
         let claim_by = Timer.now() + CLAIM_TIME;
         let mut claimable = true;
-        let fanned = loop {
+        let mut fanned = loop {
             tokio::select! {
                 fanned = self.fan.finish() => break fanned,
                 () = Timer.at(claim_by), if claimable => {
@@ -74,7 +74,7 @@
                 () = self.waiter.closed() => break self.fan.give_up(),
             }
         };
-        ended(&fanned);
+        ended(&mut fanned);
         // Nobody receives once the search was answered without the rest.
         drop(self.waiter.send(fanned));
         if claimable {
