gather: the shards of a request are counted in one place

The number of shards, here and at other VMs, was added up in three places. A request that nobody waits for ends by the same step as any other, where its policy was overwritten so that the step would come about; a probe asks whether its server was tried before it takes an extra call out of the budget.

--- a/crates/core/src/policy/gather/finish.rs
+++ b/crates/core/src/policy/gather/finish.rs
@@ -26,6 +26,12 @@
         if !late && (waits || self.stalled) {
             return;
         }
+        self.finish(context, actions);
+    }
+
+    /// Ends the request with what is in.
+    pub(super) fn finish(&mut self, context: &mut Context<'_>, actions: &mut Vec<Action>) {
+        let late = context.now >= self.spec.deadline;
         let reason = if late {
             MissingReason::Deadline
         } else {
@@ -45,12 +51,10 @@
             .shards
             .iter()
             .filter(|s| s.status == ShardStatus::Included);
-        let elsewhere = &self.elsewhere;
-        let included = included.count() + elsewhere.included.len();
-        let total = self.shards.len() + elsewhere.included.len() + elsewhere.open.len();
+        let included = included.count() + self.elsewhere.included.len();
         let progress = Progress {
             included: u32::try_from(included).unwrap_or(u32::MAX),
-            total: u32::try_from(total).unwrap_or(u32::MAX),
+            total: u32::try_from(self.total()).unwrap_or(u32::MAX),
             started: self.spec.started,
             deadline: self.spec.deadline,
             likely: self.likely_time(),
@@ -58,10 +62,15 @@
         answer_time(self.spec.policy.answer, &progress)
     }
 
+    /// Returns how many shards the request asks for, here and elsewhere.
+    pub(super) const fn total(&self) -> usize {
+        self.shards.len() + self.elsewhere.open.len() + self.elsewhere.included.len()
+    }
+
     /// Returns whether some shards of all are enough for an answer.
-    pub(super) fn covers(&self, shards: usize, total: usize) -> bool {
+    pub(super) fn covers(&self, shards: usize) -> bool {
         let count = |shards: usize| f64::from(u32::try_from(shards).unwrap_or(u32::MAX));
-        count(shards) >= count(total) * self.spec.policy.coverage
+        count(shards) >= count(self.total()) * self.spec.policy.coverage
     }
 
     /// Returns when the youngest call of an open shard becomes overdue.
--- a/crates/core/src/policy/gather/machine.rs
+++ b/crates/core/src/policy/gather/machine.rs
@@ -9,9 +9,7 @@
 use crate::{
     ids::{AttemptId, IndexVersion, ShardId},
     policy::{outcome::CallOutcome, retry::RetryReason},
-    presets::AnswerPolicy,
     request::MissingReason,
-    time::Millis,
 };
 
 /// The shards of a search that another VM asks.
@@ -175,12 +173,10 @@
     /// Ends the request at once with what is in.
     pub fn answer_now(&mut self, context: &mut Context<'_>) -> Vec<Action> {
         let mut actions = Vec::new();
-        self.spec.policy.answer = AnswerPolicy::Within {
-            share: 0.0,
-            time: Millis::default(),
-        };
-        self.stalled = false;
-        self.conclude(context, &mut actions);
+        if !self.ended {
+            self.drop_hopeless(context, &mut actions);
+            self.finish(context, &mut actions);
+        }
         actions
     }
 
--- a/crates/core/src/policy/gather/recover.rs
+++ b/crates/core/src/policy/gather/recover.rs
@@ -251,9 +251,7 @@
         let missing = |shard: &&ShardState| matches!(shard.status, ShardStatus::Missing(_));
         let missing = self.shards.iter().filter(missing).count();
         let this = usize::from(self.shards[index].is_open());
-        let elsewhere = self.elsewhere.included.len() + self.elsewhere.open.len();
-        let total = self.shards.len() + elsewhere;
-        !self.covers(total - missing - this, total)
+        !self.covers(self.total() - missing - this)
     }
 
     fn stall(&mut self, context: &mut Context<'_>, actions: &mut Vec<Action>) {
--- a/crates/core/src/policy/gather/send.rs
+++ b/crates/core/src/policy/gather/send.rs
@@ -88,8 +88,9 @@
         let repeats = &mut context.tables.repeats;
         let repeat = self.spec.repeat.as_ref();
         let allowed = !shard.is_full(&self.spec)
+            && !shard.tried.contains(&server)
             && repeat.is_none_or(|policy| repeats.allow_hedge(target, policy));
-        if allowed && !shard.tried.contains(&server) {
+        if allowed {
             shard.tried.push(ServerId::clone(&server));
             self.push_call(index, server, AttemptCause::Probe, context, actions);
         }
