--- /dev/null
+++ b/crates/core/src/policy/tests/budget.rs
@@ -0,0 +1,139 @@
+//! Tests of the budgets of extra calls.
+
+use yare::parameterized;
+
+use crate::policy::{
+    budget::TokenBudget,
+    repeat::{RepeatPolicy, Repeats},
+};
+
+/// Makes the policy of an entry that starts without extra calls.
+const fn policy(ratio: f64, burst: f64) -> RepeatPolicy {
+    RepeatPolicy {
+        ratio,
+        burst,
+        start: 0.0,
+        servers: 2,
+    }
+}
+
+#[test]
+fn test_budget_bounds_extra_calls() {
+    let mut budget = TokenBudget::new(10.0);
+    let mut extra = 0;
+    for _ in 0..10_000 {
+        budget.earn(1, 0.05);
+        while budget.spend() {
+            extra += 1;
+        }
+    }
+    assert!((495..=501).contains(&extra), "{extra}");
+}
+
+#[test]
+fn test_budget_burst_is_bounded() {
+    let mut budget = TokenBudget::new(10.0);
+    budget.earn(100_000, 0.1);
+    let burst = std::iter::from_fn(|| budget.spend().then_some(())).count();
+    assert_eq!(burst, 10);
+}
+
+/// Hedges leave the last part of a budget to calls that failed.
+#[test]
+fn test_repeats_keep_a_reserve_for_failures() {
+    let policy = policy(8.0, 8.0);
+    let service = "s".into();
+    let mut repeats = Repeats::default();
+    assert!(
+        !repeats.allow(&service),
+        "a service without a first attempt"
+    );
+    repeats.on_first(&service, &policy);
+    let hedges = std::iter::from_fn(|| repeats.allow_hedge(&service, &policy).then_some(()));
+    assert_eq!(hedges.count(), 6);
+    let retries = std::iter::from_fn(|| repeats.allow(&service).then_some(()));
+    assert_eq!(retries.count(), 2);
+}
+
+/// Extra calls of a fleet whose VMs start again and again, each alone at first, stay within the
+/// share of first attempts and one burst.
+#[parameterized(
+    steady = { 0, 7 },
+    one_herd = { 1, 7 },
+    herds = { 4, 7 },
+    larger_fleet = { 2, 24 },
+)]
+fn test_repeats_hold_over_restarts(restarts: u32, vms: u32) {
+    let (ratio, burst) = (0.2, 54.0);
+    let policy = |known: u32| policy(ratio, burst / f64::from(known));
+    let service = "s".into();
+    let rounds = 200;
+    let mut extra = 0;
+    let mut entries: Vec<Repeats> = Vec::new();
+    for round in 0..rounds {
+        if round % (rounds / (restarts + 1)) == 0 {
+            entries = (0..vms).map(|_| Repeats::default()).collect();
+            // The first request of each arrives before the others are found.
+            for entry in &mut entries {
+                entry.on_first(&service, &policy(1));
+            }
+        }
+        for entry in &mut entries {
+            entry.on_first(&service, &policy(vms));
+            while entry.allow_hedge(&service, &policy(vms)) || entry.allow(&service) {
+                extra += 1;
+            }
+        }
+    }
+    let first = f64::from(rounds + restarts + 1) * f64::from(vms);
+    let allowed = first.mul_add(ratio, burst);
+    assert!(f64::from(extra) <= allowed, "{extra} of {allowed}");
+    assert!(f64::from(extra) >= first * ratio * 0.9, "{extra}");
+}
+
+/// A fleet that starts for the first time has its burst at once, and only once.
+#[test]
+fn test_repeats_first_start_has_the_burst() {
+    let policy = RepeatPolicy {
+        start: 8.0,
+        ..policy(0.0, 8.0)
+    };
+    let service = "s".into();
+    let mut repeats = Repeats::default();
+    let mut sent = 0;
+    for _ in 0..10 {
+        repeats.on_first(&service, &policy);
+        while repeats.allow(&service) {
+            sent += 1;
+        }
+    }
+    assert_eq!(sent, 8);
+}
+
+/// A budget that was made before the fleet was known is cut to the share of one VM.
+#[test]
+fn test_repeats_budget_follows_the_fleet() {
+    let policy = |burst: f64| policy(1.0, burst);
+    let service = "s".into();
+    let mut repeats = Repeats::default();
+    for _ in 0..40 {
+        repeats.on_first(&service, &policy(54.0));
+    }
+    repeats.on_first(&service, &policy(5.0));
+    let left = std::iter::from_fn(|| repeats.allow(&service).then_some(()));
+    assert_eq!(left.count(), 5);
+}
+
+/// A large fleet, where the burst of one VM is below a call, may still hedge what it has earned.
+#[test]
+fn test_repeats_of_a_large_fleet_earn_hedges() {
+    let policy = policy(0.2, 54.0 / 80.0);
+    let service = "s".into();
+    let mut repeats = Repeats::default();
+    let mut hedges = 0;
+    for _ in 0..1_000 {
+        repeats.on_first(&service, &policy);
+        hedges += u32::from(repeats.allow_hedge(&service, &policy));
+    }
+    assert!((195..=200).contains(&hedges), "{hedges}");
+}
