--- a/crates/server/src/gateway/forward.rs
+++ b/crates/server/src/gateway/forward.rs
@@ -45,36 +45,30 @@
         let served = self.try_serve(request, &mut trace).await;
         let took = Timer.now().saturating_duration_since(trace.started);
         let metrics = &self.node.metrics;
-        match served {
+        let (reason, answer) = match served {
             Ok(answer) => {
-                let status = answer.status();
-                metrics.count(if status.is_success() {
+                metrics.count(if answer.status().is_success() {
                     "gateway.answered"
                 } else {
                     "gateway.passed_failure"
                 });
                 metrics.observe("gateway.answer_ms", took);
-                trace.log(TraceEnd {
-                    event: "end",
-                    status: status.as_u16(),
-                    reason: "answered",
-                    took,
-                });
-                answer
+                ("answered", answer)
             }
             Err(refused) => {
                 let reason = refused.reason.name();
                 metrics.count(&format!("refused.{reason}"));
                 metrics.observe("gateway.refusal_ms", took);
-                trace.log(TraceEnd {
-                    event: "end",
-                    status: refused.status().as_u16(),
-                    reason,
-                    took,
-                });
-                refused.response()
+                (reason, refused.response())
             }
-        }
+        };
+        trace.log(TraceEnd {
+            event: "end",
+            status: answer.status().as_u16(),
+            reason,
+            took,
+        });
+        answer
     }
 
     async fn try_serve(
