--- a/crates/server/src/entry/http/listen.rs
+++ b/crates/server/src/entry/http/listen.rs
@@ -4,13 +4,13 @@
 
 use cassialift_core::request::{Ran, RefusalReason};
 use hyper::{Request, body::Incoming};
-use tokio::net::TcpListener;
 
 use super::{connection::Shared, routes::router};
 use crate::{
     entry::refuse::Refused,
     http::{AcceptSettings, Acceptor},
     process::{Node, ProcessError},
+    sockets,
 };
 
 /// How many headers the library takes; those above the settings get a typed refusal.
@@ -24,9 +24,7 @@
 /// # Errors
 /// Returns why the address could not be listened on.
 pub async fn serve(node: Arc<Node>, stop: impl Future<Output = ()>) -> Result<(), ProcessError> {
-    let address = node.settings.callers;
-    let listening = TcpListener::bind(address).await;
-    let listener = listening.map_err(|cause| ProcessError::Listen(address, cause))?;
+    let listener = sockets::listen(node.settings.callers).await?;
     let limits = &node.settings.limits;
     let settings = AcceptSettings {
         connections: limits.connections,
--- a/crates/server/src/gateway/listen.rs
+++ b/crates/server/src/gateway/listen.rs
@@ -7,12 +7,13 @@
     body::Incoming,
     header::{CONNECTION, HeaderValue},
 };
-use tokio::{net::TcpListener, sync::watch};
+use tokio::sync::watch;
 
 use super::{Gateway, answer::Answer};
 use crate::{
     http::{AcceptSettings, Acceptor},
     process::ProcessError,
+    sockets,
     timer::Timer,
 };
 use cassialift_core::routes::TrafficLimits;
@@ -33,9 +34,9 @@
     stop: impl Future<Output = ()>,
 ) -> Result<(), ProcessError> {
     let settings = &gateway.settings;
-    let requests = listen(settings.requests).await?;
-    let directory = listen(settings.directory).await?;
-    let readiness = listen(settings.readiness).await?;
+    let requests = sockets::listen(settings.requests).await?;
+    let directory = sockets::listen(settings.directory).await?;
+    let readiness = sockets::listen(settings.readiness).await?;
     let accepting = accepting(&gateway);
     let in_step = tokio::spawn(keep_in_step(Arc::clone(&gateway)));
     let (stopping, stopped) = watch::channel(false);
@@ -82,11 +83,6 @@
     drop(stopped.wait_for(|stopped| *stopped).await);
 }
 
-async fn listen(address: SocketAddr) -> Result<TcpListener, ProcessError> {
-    let listening = TcpListener::bind(address).await;
-    listening.map_err(|cause| ProcessError::Listen(address, cause))
-}
-
 /// Returns the bounds on connections.
 ///
 /// Those of the configuration come with the first document, after the listeners; they are the
--- a/crates/server/src/peers/serve.rs
+++ b/crates/server/src/peers/serve.rs
@@ -16,7 +16,6 @@
     server::{BaseChannel, Channel},
     tokio_serde::{self, formats::Bincode},
 };
-use tokio::net::TcpListener;
 
 use crate::{
     entry::jobs::hold,
@@ -103,8 +102,7 @@
 /// Returns why the address could not be listened on.
 pub async fn serve(node: Arc<Node>) -> Result<(), ProcessError> {
     let address = node.settings.listen.unwrap_or(node.settings.peers);
-    let listening = TcpListener::bind(address).await;
-    let listener = listening.map_err(|cause| ProcessError::Listen(address, cause))?;
+    let listener = sockets::listen(address).await?;
     tokio::spawn(async move {
         loop {
             let stream = match sockets::accept(&listener).await {
--- a/crates/server/src/sockets/mod.rs
+++ b/crates/server/src/sockets/mod.rs
@@ -9,6 +9,17 @@
 
 use tokio::net::{TcpListener, TcpStream};
 
+use crate::process::ProcessError;
+
+/// Listens on an address.
+///
+/// # Errors
+/// Returns why the address could not be listened on.
+pub async fn listen(address: SocketAddr) -> Result<TcpListener, ProcessError> {
+    let listening = TcpListener::bind(address).await;
+    listening.map_err(|cause| ProcessError::Listen(address, cause))
+}
+
 /// Accepts the next connection that lasts long enough to be set up.
 ///
 /// # Errors
