--- a/crates/server/src/control/config_read.rs
+++ b/crates/server/src/control/config_read.rs
@@ -59,7 +59,12 @@
         Ok(changes) => Some(changes),
         Err(error) => {
             metrics.count("platform.config_failed");
-            log::debug!("platform: Reading the configuration service failed: {error}.");
+            let took = Timer.now().saturating_duration_since(sent_at);
+            log::warn!(
+                "platform: A read of the changes after {after}, with a wait of {} ms, failed after {} ms: {error}.",
+                wait.as_millis(),
+                took.as_millis()
+            );
             None
         }
     };
