config: a change after a silence of the store is in force in time

Cause: a reader gave a read up only 1.5 s after its wait, so 4.5 s after it was sent (5.5 s on the reported code, with a wait of 4 s). The same change ends the reads of all readers, so all of them wait in the same moment. And the read after a failed one waited as long again, since the task still saw the plan from before the failure. A store that came back right after that second read was sent was not read for 4.5 s.

Ruled out: a change that was read but did not spread (no VM had read it), and a store back from a copy (no such line in the logs).

Now a read waits at most 1.5 s less than the time in which a change is to be in force, which deployments state, and a read after a failed one does not wait. Whenever the store falls silent, a reader has given up and read again within that time, without help of the others.

--- a/crates/core/src/config/readers.rs
+++ b/crates/core/src/config/readers.rs
@@ -33,6 +33,12 @@
 pub const WATCH_PERIOD: Duration = Duration::from_millis(50);
 /// The age of the confirmation above which a process reads the service although it is not elected.
 pub const STALE_AGE: Duration = Duration::from_secs(3);
+/// The time in which a change is to be in force everywhere after the service acknowledged it.
+pub const APPLY_TIME: Duration = Duration::from_secs(3);
+/// The time for which the service may be silent beyond the wait of a read before the read fails.
+pub const ANSWER_TIMEOUT: Duration = Duration::from_secs(1);
+/// The time that is kept for the read after a failed one and for the spread to all processes.
+pub const SPREAD_TIME: Duration = Duration::from_millis(500);
 /// The maximum number of reads per second by all processes together that are not elected.
 pub const FALLBACK_RATE: u32 = 800;
 /// The minimum mean time between two reads by a process that is not elected.
@@ -46,8 +52,10 @@
     pub readers: usize,
     /// The number of elected readers in the whole fleet.
     pub most: usize,
-    /// The time for which a read by an elected reader waits for a change.
+    /// The longest time for which a read by an elected reader waits for a change.
     pub wait: Millis,
+    /// The time in which a change is to be in force everywhere after the service acknowledged it.
+    pub apply: Millis,
     /// The minimum time between two reads by an elected reader.
     pub period: Millis,
     /// The age of the confirmation above which a process reads the service although it is not
@@ -68,6 +76,7 @@
             readers: READERS_PER_CENTRE,
             most: MAX_READERS,
             wait: Millis(WATCH_WAIT),
+            apply: Millis(APPLY_TIME),
             period: Millis(WATCH_PERIOD),
             stale: Millis(STALE_AGE),
             start: Millis(START_WAIT),
@@ -76,6 +85,18 @@
     }
 }
 
+impl ReadSettings {
+    /// Returns the time for which a read by an elected reader waits for a change.
+    ///
+    /// The service may fall silent just after the read was sent and return at once, and a change may
+    /// come then. The read must fail early enough for the next one to bring the change in time.
+    #[must_use]
+    pub fn watch_wait(&self) -> Duration {
+        let longest = self.apply.0.saturating_sub(ANSWER_TIMEOUT + SPREAD_TIME);
+        self.wait.0.min(longest)
+    }
+}
+
 /// Another process, which may be elected as a reader.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct Candidate {
--- a/crates/core/tests/config/readers.rs
+++ b/crates/core/tests/config/readers.rs
@@ -4,9 +4,9 @@
 
 use cassialift_core::{
     config::{
-        Candidate, FALLBACK_RATE, MAX_READERS, READERS_PER_CENTRE, ReadInput, ReadPlan,
-        ReadSettings, STALE_AGE, ServiceReachability, WATCH_PERIOD, WATCH_WAIT, outranks,
-        plan_reads,
+        ANSWER_TIMEOUT, Candidate, FALLBACK_RATE, MAX_READERS, READERS_PER_CENTRE, ReadInput,
+        ReadPlan, ReadSettings, SPREAD_TIME, STALE_AGE, ServiceReachability, WATCH_PERIOD,
+        WATCH_WAIT, outranks, plan_reads,
     },
     ids::{DataCentre, VmId},
     time::Millis,
@@ -264,3 +264,23 @@
     assert_eq!(extra_readers(Some(STALE_AGE * 2)), 40 - READERS_PER_CENTRE);
     assert_eq!(extra_readers(None), 40 - READERS_PER_CENTRE);
 }
+
+/// A read that gets no answer must leave time for the next one.
+#[parameterized(
+    long_wait = { 3_000, 3_000 },
+    long_time_to_apply = { 3_000, 6_000 },
+    short_wait = { 500, 3_000 },
+    shortest_time_to_apply = { 3_000, 1_501 },
+)]
+fn test_readers_give_up_early_enough_to_read_once_more(wait: u64, apply: u64) {
+    let settings = ReadSettings {
+        wait: Millis::new(wait),
+        apply: Millis::new(apply),
+        ..ReadSettings::default()
+    };
+    let watch = settings.watch_wait();
+    assert!(watch + ANSWER_TIMEOUT + SPREAD_TIME <= settings.apply.0);
+    assert!(watch <= settings.wait.0);
+    let can_wait_longer = watch + ANSWER_TIMEOUT + SPREAD_TIME < settings.apply.0;
+    assert!(!can_wait_longer || watch == settings.wait.0);
+}
--- a/crates/server/src/control/config_read.rs
+++ b/crates/server/src/control/config_read.rs
@@ -24,22 +24,24 @@
     control: ControlHandle,
     metrics: Arc<Metrics>,
 ) {
+    let mut is_silent = false;
     loop {
         let started = Timer.now();
-        let period = match control.config().plan() {
+        let plan = control.config().plan();
+        // After a failed read, a read without a wait shows early whether the service answers again.
+        let wait = match plan {
+            ReadPlan::Watch if !is_silent => reads.watch_wait(),
+            ReadPlan::Fallback { period } if !is_silent => period / 2,
+            ReadPlan::Idle | ReadPlan::Watch | ReadPlan::Fallback { .. } => Duration::ZERO,
+        };
+        if plan != ReadPlan::Idle {
+            is_silent = !read(&*source, &control, &metrics, wait).await;
+        }
+        let period = match plan {
             ReadPlan::Idle => IDLE_PERIOD,
-            ReadPlan::Watch => {
-                let answered = read(&*source, &control, &metrics, reads.wait.0).await;
-                if answered {
-                    reads.period.0
-                } else {
-                    jittered(RETRY_PERIOD)
-                }
-            }
-            ReadPlan::Fallback { period } => {
-                read(&*source, &control, &metrics, period / 2).await;
-                jittered(period)
-            }
+            ReadPlan::Watch if is_silent => jittered(RETRY_PERIOD),
+            ReadPlan::Watch => reads.period.0,
+            ReadPlan::Fallback { period } => jittered(period),
         };
         wait_until(started + period).await;
     }
--- a/crates/server/src/control/mod.rs
+++ b/crates/server/src/control/mod.rs
@@ -19,5 +19,7 @@
 pub use handle::ControlHandle;
 pub use thread::{ControlInput, start};
 
+#[cfg(test)]
+mod config_read_tests;
 #[cfg(test)]
 mod config_tests;
--- a/crates/server/src/platform/client.rs
+++ b/crates/server/src/platform/client.rs
@@ -3,6 +3,7 @@
 use std::{net::SocketAddr, time::Duration};
 
 use cassialift_core::{
+    config::ANSWER_TIMEOUT,
     ids::{Position, Revision},
     time::Millis,
 };
@@ -20,9 +21,6 @@
 /// The largest answer that is read, in bytes. It suffices for all documents in one answer, escaped.
 const MAX_BODY: usize = 128 << 20;
 
-/// The time that an answer may take beyond the requested wait.
-const ANSWER_TIMEOUT: Duration = Duration::from_secs(1);
-
 /// A client that reads the configuration service and the VM list.
 #[derive(Clone)]
 pub struct PlatformClient {
--- a/crates/server/src/settings/error.rs
+++ b/crates/server/src/settings/error.rs
@@ -62,6 +62,13 @@
         /// The age from which other VMs read themselves, in milliseconds.
         stale: u64,
     },
+    /// changes cannot be in force within {apply} ms, since the read after a failed one takes up to {least} ms
+    ShortApply {
+        /// The time in which a change is to be in force, in milliseconds.
+        apply: u64,
+        /// The time that a read and the spread of a change take after a failed read, in milliseconds.
+        least: u64,
+    },
     /// must not be zero
     Zero,
     /// {value} is more than {limit}
@@ -91,6 +98,7 @@
             SettingsCause::LateConfirmations { .. } => {
                 Some("make reads.stale longer than two waits and one second")
             }
+            SettingsCause::ShortApply { .. } => Some("make reads.apply longer than that"),
             SettingsCause::Text(_)
             | SettingsCause::BadName
             | SettingsCause::Zero
--- a/crates/server/src/settings/tests.rs
+++ b/crates/server/src/settings/tests.rs
@@ -31,6 +31,7 @@
     bad_address = { "127.0.0.1:9000", "localhost", "line 7, column 27: invalid socket address syntax", None },
     owner_zero = { "\"limits\"", "\"owner\": {\"connect\": 0}, \"limits\"", "line 8, column 13: must not be zero", None },
     jobs_zero = { "\"limits\"", "\"jobs\": {\"records\": 5, \"caller\": 0}, \"limits\"", "line 8, column 26: must not be zero", None },
+    short_apply = { "\"limits\"", "\"reads\": {\"apply\": 1500}, \"limits\"", "line 8, column 13: changes cannot be in force within 1500 ms, since the read after a failed one takes up to 1500 ms", Some("make reads.apply longer than that") },
     late_confirmations = { "\"limits\"", "\"reads\": {\"wait\": 4000, \"stale\": 8000}, \"limits\"", "line 8, column 27: reads that wait 4000 ms leave confirmations older than 8000 ms", Some("make reads.stale longer than two waits and one second") },
     missing = { "\"vm\": \"lagos-1\",", "", "line 1, column 1: missing field `vm`", None },
     syntax = { "\"vm\":", "\"vm\"", "line 3, column 8: syntax: Expected colon after the string or word in object property", None },
--- a/crates/server/src/settings/validate.rs
+++ b/crates/server/src/settings/validate.rs
@@ -2,7 +2,12 @@
 
 use std::net::SocketAddr;
 
-use cassialift_core::{config::ReadSettings, index::MAX_NAME_BYTES, jsonc::Path, time::Millis};
+use cassialift_core::{
+    config::{ANSWER_TIMEOUT, ReadSettings, SPREAD_TIME},
+    index::MAX_NAME_BYTES,
+    jsonc::Path,
+    time::Millis,
+};
 
 use super::{LimitSettings, Settings, SettingsCause};
 use crate::{entry::jobs::JobSettings, owner::OwnerSettings};
@@ -91,11 +96,18 @@
     }
 }
 
-/// Checks that VMs that are not elected do not read while the elected ones wait for changes.
+/// Checks that a change can be in force in time after a failed read, and that VMs that are not
+/// elected do not read while the elected ones wait for changes.
 ///
 /// A read confirms the configuration as of the time it was sent, so just before the next one ends
 /// the newest confirmation is as old as two waits.
 fn validate_reads(reads: &ReadSettings) -> CheckResult {
+    let least = Millis(ANSWER_TIMEOUT + SPREAD_TIME);
+    if reads.apply.0 <= least.0 {
+        let (apply, least) = (reads.apply.into(), least.into());
+        let cause = SettingsCause::ShortApply { apply, least };
+        return fail("reads.apply", cause);
+    }
     let oldest = reads.wait.0 * 2 + CONFIRMATION_SPREAD.0;
     if oldest <= reads.stale.0 {
         return Ok(());
