peers: connections that fell silent are replaced

A connection between two VMs that falls silent without being closed, while new ones work, was kept for good: a heartbeat that timed out left it in the table. All VMs took each other for unreachable again and again, reached over the seeds each 2 s and lost again; changes of the configuration did not spread to a VM that does not read the store.

Calls in flight go on.

--- a/crates/server/src/control/heartbeats.rs
+++ b/crates/server/src/control/heartbeats.rs
@@ -16,6 +16,9 @@
 /// The time limit for a peer's answer to a heartbeat.
 const HEARTBEAT_TIMEOUT: Duration = Duration::from_millis(500);
 
+/// The time limit for the first attempt of a heartbeat, whose connection may have fallen silent.
+const FIRST_ATTEMPT_TIMEOUT: Duration = Duration::from_millis(250);
+
 /// The time limit for an indirect probe: a heartbeat of another peer and the round trip to it.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(700);
 
@@ -41,28 +44,44 @@
     is_answered
 }
 
-/// Sends a heartbeat, and once more on a new connection if the first connection breaks.
+/// Sends a heartbeat, and once more on a new connection if the first connection breaks or stays
+/// silent.
 async fn exchange(
     vm: &VmId,
     ping: &Ping,
     peers: &PeerTable,
     control: &ControlHandle,
 ) -> Result<PingReply, PingFailure> {
-    let mut can_retry = true;
-    loop {
-        let connected = peers.client(&control.snapshot(), vm).await;
-        let client = connected.map_err(|error| failure(&error))?;
-        match client.ping(context::current(), ping.clone()).await {
-            Ok(reply) => return Ok(reply),
-            Err(error) => {
-                peers.discard_broken(vm, &error);
-                if !can_retry || matches!(error, RpcError::DeadlineExceeded | RpcError::Server(_)) {
-                    return Err(PingFailure::Timeout);
-                }
-                can_retry = false;
-            }
+    let first = timeout(
+        FIRST_ATTEMPT_TIMEOUT,
+        attempt(vm, ping.clone(), peers, control),
+    );
+    match first.await {
+        Ok(Ok(reply)) => return Ok(reply),
+        Ok(Err(PeerError::Call(RpcError::DeadlineExceeded | RpcError::Server(_)))) => {
+            return Err(PingFailure::Timeout);
         }
+        Ok(Err(PeerError::Call(_))) => {}
+        Ok(Err(error)) => return Err(failure(&error)),
+        Err(_) => peers.discard(vm),
     }
+    let second = attempt(vm, ping.clone(), peers, control).await;
+    second.map_err(|error| failure(&error))
+}
+
+/// Sends a heartbeat once.
+async fn attempt(
+    vm: &VmId,
+    ping: Ping,
+    peers: &PeerTable,
+    control: &ControlHandle,
+) -> Result<PingReply, PeerError> {
+    let client = peers.client(&control.snapshot(), vm).await?;
+    let result = client.ping(context::current(), ping).await;
+    result.map_err(|error| {
+        peers.discard_broken(vm, &error);
+        PeerError::Call(error)
+    })
 }
 
 fn failure(error: &PeerError) -> PingFailure {
--- a/crates/server/src/peers/mod.rs
+++ b/crates/server/src/peers/mod.rs
@@ -4,6 +4,7 @@
 mod error;
 mod frames;
 mod serve;
+mod silence;
 mod table;
 mod traffic;
 
--- a/crates/server/src/peers/serve.rs
+++ b/crates/server/src/peers/serve.rs
@@ -114,7 +114,7 @@
                     continue;
                 }
             };
-            let frames = node.peers.traffic().framed(stream);
+            let frames = node.peers.traffic().framed(stream, Arc::default());
             let transport = tokio_serde::Framed::new(frames, Bincode::default());
             let server = PeerServer {
                 node: Arc::clone(&node),
--- a/crates/server/src/peers/table.rs
+++ b/crates/server/src/peers/table.rs
@@ -19,7 +19,7 @@
 };
 use tokio::{sync::OnceCell, time::timeout};
 
-use super::{PeerError, PeerTraffic};
+use super::{PeerError, PeerTraffic, silence::Silence};
 use crate::{metrics::Metrics, sockets};
 
 /// The time limit for opening a connection to a peer.
@@ -39,8 +39,15 @@
 struct Entry {
     address: SocketAddr,
     client: OnceCell<PeerClient>,
+    link: Link,
+}
+
+/// What is known about a connection to a peer.
+#[derive(Clone, Debug, Default)]
+struct Link {
     /// Whether the connection was opened and has closed since.
     closed: Arc<AtomicBool>,
+    silence: Arc<Silence>,
 }
 
 impl PeerTable {
@@ -55,7 +62,8 @@
         &self.traffic
     }
 
-    /// Returns a connection to a VM; opens one if there is none or the last one has closed.
+    /// Returns a connection to a VM; opens one if there is none, or the last one has closed or fallen
+    /// silent. Calls in flight on a silent connection go on.
     ///
     /// A call on a closed connection would fail without revealing whether it was sent. A peer's
     /// connections close when its process is replaced.
@@ -69,7 +77,7 @@
         let entry = self.entry(vm, member.peers);
         let client = entry
             .client
-            .get_or_try_init(|| connect(entry.address, &self.traffic, &entry.closed));
+            .get_or_try_init(|| connect(entry.address, &self.traffic, &entry.link));
         client.await.cloned()
     }
 
@@ -82,7 +90,7 @@
         address: SocketAddr,
         ping: Ping,
     ) -> Result<PingReply, PeerError> {
-        let client = connect(address, &self.traffic, &Arc::default()).await?;
+        let client = connect(address, &self.traffic, &Link::default()).await?;
         let result = client.ping(context::current(), ping).await;
         result.map_err(PeerError::Call)
     }
@@ -103,17 +111,23 @@
     /// Panics when another thread panicked while it held the lock on the table.
     pub fn discard_broken(&self, vm: &VmId, error: &RpcError) {
         match error {
-            RpcError::Shutdown | RpcError::Send(_) | RpcError::Channel(_) => {
-                let mut entries = self
-                    .entries
-                    .lock()
-                    .expect("no thread panics holding the lock");
-                entries.remove(vm);
-            }
+            RpcError::Shutdown | RpcError::Send(_) | RpcError::Channel(_) => self.discard(vm),
             RpcError::DeadlineExceeded | RpcError::Server(_) => {}
         }
     }
 
+    /// Discards the connection to a VM; calls in flight on it go on.
+    ///
+    /// # Panics
+    /// Panics when another thread panicked while it held the lock on the table.
+    pub fn discard(&self, vm: &VmId) {
+        let mut entries = self
+            .entries
+            .lock()
+            .expect("no thread panics holding the lock");
+        entries.remove(vm);
+    }
+
     fn entry(&self, vm: &VmId, address: SocketAddr) -> Arc<Entry> {
         let mut entries = self
             .entries
@@ -125,7 +139,7 @@
                 let entry = Arc::new(Entry {
                     address,
                     client: OnceCell::new(),
-                    closed: Arc::default(),
+                    link: Link::default(),
                 });
                 entries.insert(VmId::clone(vm), Arc::clone(&entry));
                 entry
@@ -136,25 +150,29 @@
 
 impl Entry {
     fn is_usable(&self, address: SocketAddr) -> bool {
-        self.address == address && !self.closed.load(Ordering::Acquire)
+        let closed = self.link.closed.load(Ordering::Acquire);
+        self.address == address && !closed && !self.link.silence.is_over_limit()
     }
 }
 
 async fn connect(
     address: SocketAddr,
     traffic: &Arc<PeerTraffic>,
-    closed: &Arc<AtomicBool>,
+    link: &Link,
 ) -> Result<PeerClient, PeerError> {
     let Ok(connected) = timeout(CONNECT_TIMEOUT, sockets::connect(address)).await else {
         return Err(PeerError::ConnectTimeout);
     };
     let stream = connected.map_err(PeerError::Connect)?;
-    let transport = tokio_serde::Framed::new(traffic.framed(stream), Bincode::default());
+    let transport = tokio_serde::Framed::new(
+        traffic.framed(stream, Arc::clone(&link.silence)),
+        Bincode::default(),
+    );
     let mut config = Config::default();
     config.max_in_flight_requests = MAX_IN_FLIGHT;
     config.pending_request_buffer = MAX_IN_FLIGHT;
     let NewClient { client, dispatch } = PeerClient::new(config, transport);
-    let closed = Arc::clone(closed);
+    let closed = Arc::clone(&link.closed);
     tokio::spawn(async move {
         if let Err(error) = dispatch.await {
             log::debug!("peers: A connection failed: {error}.");
--- a/crates/server/src/peers/tests/table.rs
+++ b/crates/server/src/peers/tests/table.rs
@@ -59,3 +59,20 @@
     }
     drop(first);
 }
+
+#[tokio::test(start_paused = true)]
+async fn test_peer_table_replaces_a_connection_that_fell_silent() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let vm = VmId::from("vm-1");
+    let view = view(&vm, listener.local_addr().unwrap());
+    let table = PeerTable::new(Arc::new(PeerTraffic::default()));
+    let client = table.client(&view, &vm).await.unwrap();
+    // The peer accepts the connection and neither answers nor closes it.
+    let _silent = listener.accept().await.unwrap();
+    let mut context = tarpc::context::current();
+    context.deadline = (tokio::time::Instant::now() + Duration::from_secs(1)).into_std();
+    client.probe(context, "vm-2".into()).await.unwrap_err();
+    table.client(&view, &vm).await.unwrap();
+    let accepted = tokio::time::timeout(LIMIT, listener.accept()).await;
+    assert!(accepted.is_ok(), "no new connection");
+}
--- a/crates/server/src/peers/traffic.rs
+++ b/crates/server/src/peers/traffic.rs
@@ -16,7 +16,7 @@
     net::TcpStream,
 };
 
-use super::frames::FrameCodec;
+use super::{frames::FrameCodec, silence::Silence};
 use crate::metrics::Metrics;
 
 /// The counters of bytes between this process and its peers, without the headers of TCP and IP.
@@ -42,10 +42,15 @@
     }
 
     /// Wraps a connection to a peer into a framed stream whose bytes are counted.
-    pub(super) fn framed(self: &Arc<Self>, stream: TcpStream) -> Framed<CountedStream, FrameCodec> {
+    pub(super) fn framed(
+        self: &Arc<Self>,
+        stream: TcpStream,
+        silence: Arc<Silence>,
+    ) -> Framed<CountedStream, FrameCodec> {
         let counted = CountedStream {
             stream,
             traffic: Arc::clone(self),
+            silence,
         };
         Framed::new(counted, FrameCodec::default())
     }
@@ -56,6 +61,7 @@
 pub(super) struct CountedStream {
     stream: TcpStream,
     traffic: Arc<PeerTraffic>,
+    silence: Arc<Silence>,
 }
 
 impl AsyncRead for CountedStream {
@@ -70,6 +76,9 @@
         self.traffic
             .received
             .fetch_add(read as u64, Ordering::Relaxed);
+        if read > 0 {
+            self.silence.record_received();
+        }
         polled
     }
 }
@@ -85,6 +94,7 @@
             self.traffic
                 .sent
                 .fetch_add(*written as u64, Ordering::Relaxed);
+            self.silence.record_sent();
         }
         polled
     }
