gateway: replies without end take a bounded part of the memory

A reply body was read up to 8 MiB, but nothing bounded all of them together.

Replies of more than 64 KiB share 16 MiB; a reply that does not fit is dropped with a log line, its connection is closed, and the call counts as failed. Small replies are never refused for it.

--- a/crates/server/src/gateway/exchange.rs
+++ b/crates/server/src/gateway/exchange.rs
@@ -26,15 +26,13 @@
     connections::{AcquireError, ConnectionRequest},
     inbound::{Inbound, strip_hop_headers},
     notice::read_notice,
+    reply_memory::{ReplyMemory, ReplyShare, ReplyTooLarge},
 };
 use crate::timer::Timer;
 
 /// The header in which a backend server states how long an idle connection stays open.
 const KEEP_ALIVE: &str = "keep-alive";
 
-/// The largest reply body that is read, in bytes.
-const MAX_REPLY: usize = 8 << 20;
-
 /// The largest request body after which a connection is reused, in bytes. A backend server may
 /// reply before it has read a longer one, and the rest would precede the next request.
 const MAX_REUSE_BODY: usize = 4 * 1024;
@@ -62,6 +60,9 @@
     pub(super) body: Bytes,
     /// The backend server's signature; `None` if the reply is unsigned.
     pub(super) signature: Option<HeaderValue>,
+    /// The memory that the body takes.
+    #[expect(dead_code, reason = "it is held until the reply has been used")]
+    share: Arc<ReplyShare>,
 }
 
 /// A request to one backend server and the connection that it needs.
@@ -127,7 +128,7 @@
             .try_send_request(self.request(names, remaining));
         let exchange = async {
             match response.await {
-                Ok(response) => read_reply(response).await,
+                Ok(response) => read_reply(response, &gateway.replies).await,
                 // hyper returns the request only if none of it was written.
                 Err(mut error) => Err(match error.take_message() {
                     Some(_) => ExchangeError::Unsent,
@@ -156,6 +157,11 @@
                 }
                 ExchangeEnd::Unknown(UnknownCause::Broken)
             }
+            Err(ExchangeError::TooLarge(reason)) => {
+                let server = &self.connection.server;
+                log::warn!("gateway: Dropped a reply of {server} before its end: {reason}.");
+                ExchangeEnd::Unknown(UnknownCause::BadReply)
+            }
             Err(ExchangeError::Timeout) => {
                 pools.close_idle_before(&self.connection.server, sent_at);
                 ExchangeEnd::Unknown(UnknownCause::Timeout)
@@ -221,6 +227,7 @@
 enum ExchangeError {
     Unsent,
     Broken,
+    TooLarge(ReplyTooLarge),
     Timeout,
 }
 
@@ -232,6 +239,7 @@
 
 async fn read_reply(
     response: Response<Incoming>,
+    memory: &ReplyMemory,
 ) -> Result<(Reply, ConnectionHints), ExchangeError> {
     let (parts, mut body) = response.into_parts();
     let hints = ConnectionHints {
@@ -239,23 +247,23 @@
         idle: idle_timeout(&parts.headers),
     };
     let mut buffer = BytesMut::new();
+    let mut share = ReplyShare::default();
     while let Some(frame) = body.frame().await {
         let Ok(frame) = frame else {
             return Err(ExchangeError::Broken);
         };
         if let Ok(data) = frame.into_data() {
+            let extended = memory.extend(&mut share, buffer.len() + data.len());
+            extended.map_err(ExchangeError::TooLarge)?;
             buffer.extend_from_slice(&data);
         }
-        if buffer.len() > MAX_REPLY {
-            log::warn!("gateway: A reply of more than {MAX_REPLY} bytes was dropped.");
-            return Err(ExchangeError::Broken);
-        }
     }
     let reply = Reply {
         status: parts.status,
         headers: parts.headers,
         body: buffer.freeze(),
         signature: None,
+        share: Arc::new(share),
     };
     Ok((reply, hints))
 }
--- a/crates/server/src/gateway/mod.rs
+++ b/crates/server/src/gateway/mod.rs
@@ -17,12 +17,15 @@
 mod pages;
 mod partial;
 mod plan;
+mod reply_memory;
 mod server_call;
 mod servers;
 mod settings;
 mod state;
 mod trace;
 
+#[cfg(test)]
+mod reply_memory_tests;
 #[cfg(test)]
 mod tests;
 
--- a/crates/server/src/gateway/state.rs
+++ b/crates/server/src/gateway/state.rs
@@ -15,7 +15,7 @@
 
 use super::{
     GatewaySettings, connections::ConnectionPools, continuations::Continuations,
-    servers::ServerTable,
+    reply_memory::ReplyMemory, servers::ServerTable,
 };
 use crate::{process::Node, timer::Timer};
 
@@ -29,6 +29,7 @@
     pub(super) dialect: Arc<dyn Dialect>,
     pub(super) settings: GatewaySettings,
     pub(super) connections: ConnectionPools,
+    pub(super) replies: ReplyMemory,
     pub(super) servers: ServerTable,
     pub(super) continuations: Continuations,
     /// The time at which requests in flight must end because the process is leaving; `None` before
@@ -50,6 +51,7 @@
             dialect,
             settings,
             connections,
+            replies: ReplyMemory::default(),
             servers: ServerTable::default(),
             continuations: Continuations::default(),
             shutdown_at: watch::Sender::new(None),
