gateway: replies that bring no part of a body are given up early

That the processor time of reading was the cause of the 503 is not shown by a profile. A body that comes slowly without end is still read until the call is overdue or its deadline: it can't be told from a slow reply.

--- a/crates/server/src/gateway/connections.rs
+++ b/crates/server/src/gateway/connections.rs
@@ -15,6 +15,7 @@
 use hyper_util::rt::TokioIo;
 use tokio::{sync::oneshot, task::AbortHandle, time::timeout};
 
+use super::receive_limit::{LimitedStream, Overhead};
 use crate::{sockets, timer::Timer};
 
 /// The time limit for opening a connection: many round trips between data centres. The call then
@@ -55,6 +56,8 @@
     pub(super) last_attempt: Option<Bytes>,
     /// How long the connection may stay idle.
     pub(super) idle_limit: Duration,
+    /// What was received since the last part of a reply.
+    pub(super) overhead: Overhead,
     address: SocketAddr,
     last_used: Instant,
     driver: AbortHandle,
@@ -81,6 +84,8 @@
                 return None;
             }
         };
+        let overhead = Overhead::default();
+        let stream = LimitedStream::new(stream, overhead.clone());
         let handshake = http1::handshake(TokioIo::new(stream)).await;
         let (sender, connection) = handshake.ok()?;
         let driver = tokio::spawn(async move {
@@ -92,6 +97,7 @@
             sender,
             last_attempt: None,
             idle_limit: DEFAULT_IDLE_LIMIT,
+            overhead,
             address,
             last_used: Timer.now(),
             driver: driver.abort_handle(),
--- a/crates/server/src/gateway/exchange.rs
+++ b/crates/server/src/gateway/exchange.rs
@@ -26,6 +26,7 @@
     connections::{AcquireError, ConnectionRequest},
     inbound::{Inbound, strip_hop_headers},
     notice::read_notice,
+    receive_limit::Overhead,
     reply_memory::{ReplyMemory, ReplyShare, ReplyTooLarge},
 };
 use crate::timer::Timer;
@@ -121,6 +122,7 @@
             .last_attempt
             .replace(self.connection.attempt.clone())
             .is_none();
+        connection.overhead.record_progress();
         sent.store(true, Ordering::Relaxed);
         let sent_at = Timer.now();
         let response = connection
@@ -128,7 +130,7 @@
             .try_send_request(self.request(names, remaining));
         let exchange = async {
             match response.await {
-                Ok(response) => read_reply(response, &gateway.replies).await,
+                Ok(response) => read_reply(response, &gateway.replies, &connection.overhead).await,
                 // hyper returns the request only if none of it was written.
                 Err(mut error) => Err(match error.take_message() {
                     Some(_) => ExchangeError::Unsent,
@@ -240,6 +242,7 @@
 async fn read_reply(
     response: Response<Incoming>,
     memory: &ReplyMemory,
+    overhead: &Overhead,
 ) -> Result<(Reply, ConnectionHints), ExchangeError> {
     let (parts, mut body) = response.into_parts();
     let hints = ConnectionHints {
@@ -253,6 +256,7 @@
             return Err(ExchangeError::Broken);
         };
         if let Ok(data) = frame.into_data() {
+            overhead.record_progress();
             let extended = memory.extend(&mut share, buffer.len() + data.len());
             extended.map_err(ExchangeError::TooLarge)?;
             buffer.extend_from_slice(&data);
--- a/crates/server/src/gateway/mod.rs
+++ b/crates/server/src/gateway/mod.rs
@@ -17,6 +17,7 @@
 mod pages;
 mod partial;
 mod plan;
+mod receive_limit;
 mod reply_memory;
 mod server_call;
 mod servers;
