control: the first attempt of a heartbeat may still be answered after the second one began

A slow VM's reply after more than 250 ms on a sound connection was dropped, and its second attempt had only 250 ms left, where it had 500 ms before. Now both attempts go on until one is answered.

--- a/crates/server/src/control/heartbeats.rs
+++ b/crates/server/src/control/heartbeats.rs
@@ -4,6 +4,7 @@
 
 use cassialift_core::{fleet::members::PingFailure, ids::VmId};
 use cassialift_wire::peer::{Ping, PingReply};
+use futures::future;
 use tarpc::{client::RpcError, context};
 use tokio::time::timeout;
 
@@ -16,8 +17,9 @@
 /// The time limit for a peer's answer to a heartbeat.
 const HEARTBEAT_TIMEOUT: Duration = Duration::from_millis(500);
 
-/// The time limit for the first attempt of a heartbeat, whose connection may have fallen silent.
-const FIRST_ATTEMPT_TIMEOUT: Duration = Duration::from_millis(250);
+/// The time after which a heartbeat is sent on a new connection as well, since the first one may have
+/// fallen silent.
+const SECOND_ATTEMPT_DELAY: Duration = Duration::from_millis(250);
 
 /// The time limit for an indirect probe: a heartbeat of another peer and the round trip to it.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(700);
@@ -52,21 +54,25 @@
     peers: &PeerTable,
     control: &ControlHandle,
 ) -> Result<PingReply, PingFailure> {
-    let first = timeout(
-        FIRST_ATTEMPT_TIMEOUT,
-        attempt(vm, ping.clone(), peers, control),
-    );
-    match first.await {
-        Ok(Ok(reply)) => return Ok(reply),
-        Ok(Err(PeerError::Call(RpcError::DeadlineExceeded | RpcError::Server(_)))) => {
-            return Err(PingFailure::Timeout);
+    let mut first = Box::pin(attempt(vm, ping.clone(), peers, control));
+    let ended = tokio::select! {
+        result = &mut first => Some(result),
+        () = Timer.after(SECOND_ATTEMPT_DELAY) => None,
+    };
+    let result = match ended {
+        Some(Err(PeerError::Call(
+            RpcError::Shutdown | RpcError::Send(_) | RpcError::Channel(_),
+        ))) => attempt(vm, ping.clone(), peers, control).await,
+        Some(result) => result,
+        None => {
+            peers.discard(vm);
+            let second = Box::pin(attempt(vm, ping.clone(), peers, control));
+            // The first reply counts; the first attempt may only be slow.
+            let replied = future::select_ok([first, second]).await;
+            replied.map(|(reply, _)| reply)
         }
-        Ok(Err(PeerError::Call(_))) => {}
-        Ok(Err(error)) => return Err(failure(&error)),
-        Err(_) => peers.discard(vm),
-    }
-    let second = attempt(vm, ping.clone(), peers, control).await;
-    second.map_err(|error| failure(&error))
+    };
+    result.map_err(|error| failure(&error))
 }
 
 /// Sends a heartbeat once.
