sockets: one wrapper for connections whose bytes are metered

The limit on bytes of a reply without progress repeated the reading and writing of the wrapper that counts the bytes between VMs. Both are meters of one MeteredStream now. A meter is told only of bytes that came; before, it was also told of none.

--- a/crates/server/src/gateway/connections.rs
+++ b/crates/server/src/gateway/connections.rs
@@ -15,8 +15,11 @@
 use hyper_util::rt::TokioIo;
 use tokio::{sync::oneshot, task::AbortHandle, time::timeout};
 
-use super::receive_limit::{LimitedStream, Overhead};
-use crate::{sockets, timer::Timer};
+use super::receive_limit::Overhead;
+use crate::{
+    sockets::{self, MeteredStream},
+    timer::Timer,
+};
 
 /// The time limit for opening a connection: many round trips between data centres. The call then
 /// goes to another server; the slow one has done no work for it.
@@ -85,7 +88,7 @@
             }
         };
         let overhead = Overhead::default();
-        let stream = LimitedStream::new(stream, overhead.clone());
+        let stream = MeteredStream::new(stream, overhead.clone());
         let handshake = http1::handshake(TokioIo::new(stream)).await;
         let (sender, connection) = handshake.ok()?;
         let driver = tokio::spawn(async move {
--- a/crates/server/src/peers/traffic.rs
+++ b/crates/server/src/peers/traffic.rs
@@ -2,22 +2,20 @@
 
 use std::{
     io,
-    pin::Pin,
     sync::{
         Arc,
         atomic::{AtomicU64, Ordering},
     },
-    task::{Context, Poll},
 };
 
 use tarpc::tokio_util::codec::Framed;
-use tokio::{
-    io::{AsyncRead, AsyncWrite, ReadBuf},
-    net::TcpStream,
-};
+use tokio::net::TcpStream;
 
 use super::{frames::FrameCodec, silence::Silence};
-use crate::metrics::Metrics;
+use crate::{
+    metrics::Metrics,
+    sockets::{Meter, MeteredStream},
+};
 
 /// The counters of bytes between this process and its peers, without the headers of TCP and IP.
 #[derive(Debug, Default)]
@@ -46,64 +44,32 @@
         self: &Arc<Self>,
         stream: TcpStream,
         silence: Arc<Silence>,
-    ) -> Framed<CountedStream, FrameCodec> {
-        let counted = CountedStream {
-            stream,
+    ) -> Framed<MeteredStream<PeerMeter>, FrameCodec> {
+        let meter = PeerMeter {
             traffic: Arc::clone(self),
             silence,
         };
-        Framed::new(counted, FrameCodec::default())
+        Framed::new(MeteredStream::new(stream, meter), FrameCodec::default())
     }
 }
 
-/// A connection whose bytes are counted.
+/// Counts the bytes of a connection to a peer, and watches for its silence.
 #[derive(Debug)]
-pub(super) struct CountedStream {
-    stream: TcpStream,
+pub(super) struct PeerMeter {
     traffic: Arc<PeerTraffic>,
     silence: Arc<Silence>,
 }
 
-impl AsyncRead for CountedStream {
-    fn poll_read(
-        mut self: Pin<&mut Self>,
-        cx: &mut Context<'_>,
-        buf: &mut ReadBuf<'_>,
-    ) -> Poll<io::Result<()>> {
-        let before = buf.filled().len();
-        let polled = Pin::new(&mut self.stream).poll_read(cx, buf);
-        let read = buf.filled().len() - before;
-        self.traffic
-            .received
-            .fetch_add(read as u64, Ordering::Relaxed);
-        if read > 0 {
-            self.silence.record_received();
-        }
-        polled
-    }
-}
-
-impl AsyncWrite for CountedStream {
-    fn poll_write(
-        mut self: Pin<&mut Self>,
-        cx: &mut Context<'_>,
-        buf: &[u8],
-    ) -> Poll<io::Result<usize>> {
-        let polled = Pin::new(&mut self.stream).poll_write(cx, buf);
-        if let Poll::Ready(Ok(written)) = &polled {
-            self.traffic
-                .sent
-                .fetch_add(*written as u64, Ordering::Relaxed);
-            self.silence.record_sent();
-        }
-        polled
-    }
-
-    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_flush(cx)
+impl Meter for PeerMeter {
+    fn record_sent(&self, bytes: usize) {
+        self.traffic.sent.fetch_add(bytes as u64, Ordering::Relaxed);
+        self.silence.record_sent();
     }
 
-    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_shutdown(cx)
+    fn record_received(&self, bytes: usize) -> io::Result<()> {
+        let received = &self.traffic.received;
+        received.fetch_add(bytes as u64, Ordering::Relaxed);
+        self.silence.record_received();
+        Ok(())
     }
 }
--- a/crates/server/src/sockets/mod.rs
+++ b/crates/server/src/sockets/mod.rs
@@ -3,6 +3,8 @@
 //! `TCP_NODELAY` is set on all of them. Without it, a small message would be held back until the
 //! other side's delayed acknowledgement, for 40 ms.
 
+mod metered;
+
 #[cfg(test)]
 mod tests;
 
@@ -10,6 +12,8 @@
 
 use tokio::net::{TcpListener, TcpStream};
 
+pub use metered::{Meter, MeteredStream};
+
 use crate::process::ProcessError;
 
 /// Starts to listen on an address.
