--- a/crates/server/src/control/heartbeats.rs
+++ b/crates/server/src/control/heartbeats.rs
@@ -5,12 +5,12 @@
 use cassialift_core::{fleet::members::PingFailure, ids::VmId};
 use cassialift_wire::peer::{Ping, PingReply};
 use futures::future;
-use tarpc::{client::RpcError, context};
+use tarpc::context;
 use tokio::time::timeout;
 
 use super::{ControlHandle, Event, FleetEvent};
 use crate::{
-    peers::{PeerError, PeerTable},
+    peers::{PeerError, PeerTable, is_broken},
     timer::Timer,
 };
 
@@ -60,9 +60,9 @@
         () = Timer.after(SECOND_ATTEMPT_DELAY) => None,
     };
     let result = match ended {
-        Some(Err(PeerError::Call(
-            RpcError::Shutdown | RpcError::Send(_) | RpcError::Channel(_),
-        ))) => attempt(vm, ping.clone(), peers, control).await,
+        Some(Err(PeerError::Call(error))) if is_broken(&error) => {
+            attempt(vm, ping.clone(), peers, control).await
+        }
         Some(result) => result,
         None => {
             peers.discard(vm);
--- a/crates/server/src/peers/error.rs
+++ b/crates/server/src/peers/error.rs
@@ -1,6 +1,7 @@
 //! The error of calls to peers.
 
 use displaydoc::Display;
+use tarpc::client::RpcError;
 
 /// Why a peer gave no usable answer.
 #[derive(Debug, Display)]
@@ -12,7 +13,7 @@
     /// no connection to the peer could be opened in time
     ConnectTimeout,
     /// the call to the peer failed: {0}
-    Call(tarpc::client::RpcError),
+    Call(RpcError),
     /// the peer's reply belongs to another call
     MismatchedReply,
 }
@@ -29,3 +30,12 @@
         }
     }
 }
+
+/// Returns whether the error of a call shows that its connection broke.
+#[must_use]
+pub const fn is_broken(error: &RpcError) -> bool {
+    match error {
+        RpcError::Shutdown | RpcError::Send(_) | RpcError::Channel(_) => true,
+        RpcError::DeadlineExceeded | RpcError::Server(_) => false,
+    }
+}
--- a/crates/server/src/peers/mod.rs
+++ b/crates/server/src/peers/mod.rs
@@ -12,7 +12,7 @@
 mod tests;
 
 pub use calls::{call_shard, forward_job, gather, rest};
-pub use error::PeerError;
+pub use error::{PeerError, is_broken};
 pub use serve::{PeerServer, serve};
 pub use table::PeerTable;
 pub use traffic::PeerTraffic;
--- a/crates/server/src/peers/table.rs
+++ b/crates/server/src/peers/table.rs
@@ -19,7 +19,7 @@
 };
 use tokio::{sync::OnceCell, time::timeout};
 
-use super::{PeerError, PeerTraffic, silence::Silence};
+use super::{PeerError, PeerTraffic, is_broken, silence::Silence};
 use crate::{metrics::Metrics, sockets};
 
 /// The time limit for opening a connection to a peer.
@@ -110,9 +110,8 @@
     /// # Panics
     /// Panics when another thread panicked while it held the lock on the table.
     pub fn discard_broken(&self, vm: &VmId, error: &RpcError) {
-        match error {
-            RpcError::Shutdown | RpcError::Send(_) | RpcError::Channel(_) => self.discard(vm),
-            RpcError::DeadlineExceeded | RpcError::Server(_) => {}
+        if is_broken(error) {
+            self.discard(vm);
         }
     }
 
