--- a/crates/core/src/config/readers.rs
+++ b/crates/core/src/config/readers.rs
@@ -39,6 +39,8 @@
 pub const ANSWER_TIMEOUT: Duration = Duration::from_secs(1);
 /// The time that is kept for the read after a failed one and for the spread to all processes.
 pub const SPREAD_TIME: Duration = Duration::from_millis(500);
+/// What must be left of [`ReadSettings::apply`] when a read ends its wait without an answer.
+pub const RECOVERY_TIME: Duration = ANSWER_TIMEOUT.saturating_add(SPREAD_TIME);
 /// The maximum number of reads per second by all processes together that are not elected.
 pub const FALLBACK_RATE: u32 = 800;
 /// The minimum mean time between two reads by a process that is not elected.
@@ -92,7 +94,7 @@
     /// come then. The read must fail early enough for the next one to bring the change in time.
     #[must_use]
     pub fn watch_wait(&self) -> Duration {
-        let longest = self.apply.0.saturating_sub(ANSWER_TIMEOUT + SPREAD_TIME);
+        let longest = self.apply.0.saturating_sub(RECOVERY_TIME);
         self.wait.0.min(longest)
     }
 }
--- a/crates/server/src/settings/validate.rs
+++ b/crates/server/src/settings/validate.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 
 use cassialift_core::{
-    config::{ANSWER_TIMEOUT, ReadSettings, SPREAD_TIME},
+    config::{RECOVERY_TIME, ReadSettings},
     index::MAX_NAME_BYTES,
     jsonc::Path,
     time::Millis,
@@ -102,7 +102,7 @@
 /// A read confirms the configuration as of the time it was sent, so just before the next one ends
 /// the newest confirmation is as old as two waits.
 fn validate_reads(reads: &ReadSettings) -> CheckResult {
-    let least = Millis(ANSWER_TIMEOUT + SPREAD_TIME);
+    let least = Millis(RECOVERY_TIME);
     if reads.apply.0 <= least.0 {
         let (apply, least) = (reads.apply.into(), least.into());
         let cause = SettingsCause::ShortApply { apply, least };
