--- a/crates/server/src/control/config_read.rs
+++ b/crates/server/src/control/config_read.rs
@@ -28,21 +28,20 @@
     loop {
         let started = Timer.now();
         let plan = control.config().plan();
-        // After a failed read, a read without a wait shows early whether the service answers again.
-        let wait = match plan {
-            ReadPlan::Watch if !is_silent => reads.watch_wait(),
-            ReadPlan::Fallback { period } if !is_silent => period / 2,
-            ReadPlan::Idle | ReadPlan::Watch | ReadPlan::Fallback { .. } => Duration::ZERO,
+        let (wait, mut period) = match plan {
+            ReadPlan::Idle => {
+                wait_until(started + IDLE_PERIOD).await;
+                continue;
+            }
+            ReadPlan::Watch => (reads.watch_wait(), reads.period.0),
+            ReadPlan::Fallback { period } => (period / 2, jittered(period)),
         };
-        if plan != ReadPlan::Idle {
-            is_silent = !read(&*source, &control, &metrics, wait).await;
+        // After a failed read, a read without a wait shows early whether the service answers again.
+        let wait = if is_silent { Duration::ZERO } else { wait };
+        is_silent = !read(&*source, &control, &metrics, wait).await;
+        if is_silent && plan == ReadPlan::Watch {
+            period = jittered(RETRY_PERIOD);
         }
-        let period = match plan {
-            ReadPlan::Idle => IDLE_PERIOD,
-            ReadPlan::Watch if is_silent => jittered(RETRY_PERIOD),
-            ReadPlan::Watch => reads.period.0,
-            ReadPlan::Fallback { period } => jittered(period),
-        };
         wait_until(started + period).await;
     }
 }
