tests: what the new tests wrote again has one place

The memory of a process was read from /proc in the tests of bytes without end as in three places before; the harness has it now for all four.

--- a/crates/server/src/peers/tests/table.rs
+++ b/crates/server/src/peers/tests/table.rs
@@ -37,11 +37,17 @@
     }
 }
 
-#[tokio::test]
-async fn test_peer_table_replaces_a_connection_that_the_peer_has_ended() {
+/// Returns a peer's listener, its VM and a view of it.
+async fn listening_peer() -> (TcpListener, VmId, FleetView) {
     let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
     let vm = VmId::from("vm-1");
     let view = view(&vm, listener.local_addr().unwrap());
+    (listener, vm, view)
+}
+
+#[tokio::test]
+async fn test_peer_table_replaces_a_connection_that_the_peer_has_ended() {
+    let (listener, vm, view) = listening_peer().await;
     let table = PeerTable::new(Arc::new(PeerTraffic::default()));
     let first = table.client(&view, &vm).await.unwrap();
     drop(listener.accept().await.unwrap());
@@ -62,9 +68,7 @@
 
 #[tokio::test(start_paused = true)]
 async fn test_peer_table_replaces_a_connection_that_fell_silent() {
-    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
-    let vm = VmId::from("vm-1");
-    let view = view(&vm, listener.local_addr().unwrap());
+    let (listener, vm, view) = listening_peer().await;
     let table = PeerTable::new(Arc::new(PeerTraffic::default()));
     let client = table.client(&view, &vm).await.unwrap();
     // The peer accepts the connection and neither answers nor closes it.
--- a/crates/server/tests/processes/hostile.rs
+++ b/crates/server/tests/processes/hostile.rs
@@ -1,13 +1,16 @@
 //! Hostile callers and peers: malformed, oversized, truncated, slow and replayed input.
 
 use std::{
-    fs,
     net::SocketAddr,
     time::{Duration, Instant},
 };
 
 use cassialift_core::request::{ExecutionStatus, RefusalReason};
-use cassialift_testkit::{client::JsonClient, harness::Fleet, history::CallEnd};
+use cassialift_testkit::{
+    client::JsonClient,
+    harness::{Fleet, resident_bytes},
+    history::CallEnd,
+};
 use cassialift_wire::caller::{JOBS_PATH, Refusal, SEARCH_PATH};
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
@@ -292,9 +295,5 @@
 
 /// Returns the resident memory of a VM's process, in KiB.
 fn resident_memory(fleet: &Fleet, vm: usize) -> u64 {
-    let pid = fleet.pid(vm).unwrap();
-    let status = fs::read_to_string(format!("/proc/{pid}/status")).unwrap();
-    let line = status.lines().find_map(|line| line.strip_prefix("VmRSS:"));
-    let size = line.and_then(|line| line.split_whitespace().next());
-    size.unwrap().parse().unwrap()
+    resident_bytes(fleet.pid(vm).unwrap()).unwrap() / 1_024
 }
--- a/crates/testkit/src/cost/process.rs
+++ b/crates/testkit/src/cost/process.rs
@@ -2,6 +2,8 @@
 
 use std::{fs, io, time::Duration};
 
+use crate::harness::resident_bytes;
+
 /// The processor time and the resident memory of a process.
 #[derive(Clone, Copy, Debug, Default)]
 pub(super) struct Usage {
@@ -21,12 +23,9 @@
     // SAFETY: `sysconf` accesses no memory of the caller.
     let ticks_per_second = unsafe { libc::sysconf(libc::_SC_CLK_TCK) };
     let ticks_per_second = u64::try_from(ticks_per_second).map_err(io::Error::other)?;
-    let status = fs::read_to_string(format!("/proc/{pid}/status"))?;
-    let resident = status.lines().find_map(|line| line.strip_prefix("VmRSS:"));
-    let kibibytes = resident.and_then(|text| text.split_whitespace().next());
     Ok(Usage {
         processor_time: Duration::from_millis(ticks * 1_000 / ticks_per_second),
-        memory_bytes: parse_field(kibibytes.as_ref())? * 1_024,
+        memory_bytes: resident_bytes(pid)?,
     })
 }
 
--- a/crates/testkit/src/overhead/memory.rs
+++ b/crates/testkit/src/overhead/memory.rs
@@ -3,10 +3,8 @@
 use cassialift_wire::caller::SEARCH_PATH;
 use futures::{StreamExt, stream::FuturesUnordered};
 
-use super::{
-    setup::{OverheadError, client, fleet, search},
-    usage::resident_bytes,
-};
+use super::setup::{OverheadError, client, fleet, search};
+use crate::harness::resident_bytes;
 
 /// Number of shards of each request in flight.
 const SHARDS: u32 = 1;
--- a/crates/testkit/src/overhead/usage.rs
+++ b/crates/testkit/src/overhead/usage.rs
@@ -1,4 +1,4 @@
-//! Reads the processor time and memory of processes from `/proc`.
+//! Reads the processor time of processes from `/proc`.
 
 use std::{fs, io, time::Duration};
 
@@ -22,14 +22,3 @@
         .sum();
     Ok(Duration::from_millis(ticks * 1_000 / TICKS_PER_SECOND))
 }
-
-/// Returns the resident memory of a process in bytes.
-pub(super) fn resident_bytes(pid: u32) -> io::Result<u64> {
-    let text = fs::read_to_string(format!("/proc/{pid}/status"))?;
-    let line = text.lines().find_map(|line| line.strip_prefix("VmRSS:"));
-    let kibibytes = line.and_then(|line| line.trim().strip_suffix(" kB"));
-    let Some(kibibytes) = kibibytes.and_then(|number| number.trim().parse::<u64>().ok()) else {
-        return Err(io::ErrorKind::InvalidData.into());
-    };
-    Ok(kibibytes * 1_024)
-}
