gateway: a backend server's stated limit is read and logged

No line or counter told that a backend server had stated how many calls a second it takes from all VMs together, so that an exceeded limit could not be traced.

Decisions are as before: the limit is recorded only.

--- a/crates/core/src/policy/mod.rs
+++ b/crates/core/src/policy/mod.rs
@@ -17,6 +17,7 @@
 pub mod queue;
 pub mod replica;
 pub mod retry;
+pub mod server_limit;
 mod tables;
 
 pub use tables::EntryTables;
--- a/crates/core/src/policy/replica/event.rs
+++ b/crates/core/src/policy/replica/event.rs
@@ -8,7 +8,13 @@
     stats::{ReplicaState, ServerNotice},
     table::ReplicaTable,
 };
-use crate::{ids::ServerId, policy::retry::RetryReason};
+use crate::{
+    ids::ServerId,
+    policy::{
+        retry::RetryReason,
+        server_limit::{CallRate, StatedLimit},
+    },
+};
 
 /// The maximum number of events that are kept until they are taken. Further events are dropped.
 const EVENT_LIMIT: usize = 64;
@@ -48,6 +54,18 @@
         /// The length of the pause.
         pause: Duration,
     },
+    /// Server {server} takes {limit} from all VMs together.
+    Limited {
+        /// The backend server.
+        server: ServerId,
+        /// The limit.
+        limit: CallRate,
+    },
+    /// Server {server} states no limit on its calls any more.
+    Unlimited {
+        /// The backend server.
+        server: ServerId,
+    },
     /// Took {server} back after a probe; it gets a growing share of calls.
     Returned {
         /// The backend server.
@@ -63,6 +81,8 @@
             Self::Ejected { .. } => "entry.ejected",
             Self::Leaving { .. } => "entry.server_leaving",
             Self::Paused { .. } => "entry.server_paused",
+            Self::Limited { .. } => "entry.server_limited",
+            Self::Unlimited { .. } => "entry.server_unlimited",
             Self::Returned { .. } => "entry.returned",
         }
     }
@@ -104,6 +124,18 @@
         }
     }
 
+    /// Records the event for a change of a backend server's limit.
+    pub(super) fn record_limit(&mut self, server: &ServerId, stated: StatedLimit) {
+        let server = ServerId::clone(server);
+        match stated {
+            StatedLimit::Unknown => {}
+            StatedLimit::Unlimited => self.push_event(ReplicaEvent::Unlimited { server }),
+            StatedLimit::Limited(limit) => {
+                self.push_event(ReplicaEvent::Limited { server, limit });
+            }
+        }
+    }
+
     fn push_event(&mut self, event: ReplicaEvent) {
         if self.events.len() < EVENT_LIMIT {
             self.events.push(event);
--- a/crates/core/src/policy/replica/notice_tests.rs
+++ b/crates/core/src/policy/replica/notice_tests.rs
@@ -12,6 +12,7 @@
     policy::{
         EntryTables,
         outcome::{CallOutcome, NotRunCause},
+        server_limit::StatedLimit,
     },
 };
 
@@ -22,10 +23,12 @@
 const LEAVING: ServerNotice = ServerNotice {
     leaves_in: Some(LEAVE_TIME),
     pause: None,
+    limit: StatedLimit::Unknown,
 };
 const PAUSED: ServerNotice = ServerNotice {
     leaves_in: None,
     pause: Some(PAUSE),
+    limit: StatedLimit::Unknown,
 };
 
 fn replicas() -> Vec<ServerId> {
--- a/crates/core/src/policy/replica/stats.rs
+++ b/crates/core/src/policy/replica/stats.rs
@@ -2,7 +2,10 @@
 
 use std::time::{Duration, Instant};
 
-use crate::policy::latency::MovingAverage;
+use crate::policy::{
+    latency::MovingAverage,
+    server_limit::{CallRate, StatedLimit},
+};
 
 /// The number of successive faults or overdue calls after which a backend server is ejected.
 const EJECT_FAULTS: u32 = 3;
@@ -65,6 +68,8 @@
     pub leaves_in: Option<Duration>,
     /// The time for which the backend server wants no calls from this process.
     pub pause: Option<Duration>,
+    /// The calls a second that the backend server takes from all VMs together.
+    pub limit: StatedLimit,
 }
 
 /// The state learned about one backend server.
@@ -106,6 +111,10 @@
     paused_until: Option<Instant>,
     /// Whether the backend server has returned rows since the pause.
     resumed: bool,
+    /// The limit that the backend server stated last; `None` if it has none.
+    limit: Option<CallRate>,
+    /// The time of the last reply that stated a limit.
+    limited_at: Option<Instant>,
     health: Option<(ReportedHealth, Instant)>,
 }
 
@@ -136,6 +145,8 @@
             leave_at: None,
             paused_until: None,
             resumed: true,
+            limit: None,
+            limited_at: None,
             health: None,
         }
     }
@@ -236,6 +247,7 @@
         self.leave_at = None;
         self.paused_until = None;
         self.resumed = true;
+        self.limit = None;
     }
 
     /// Records what the backend server stated in its reply to a call that was sent at `sent_at`.
@@ -266,6 +278,34 @@
         is_news
     }
 
+    /// Records what the reply to a call that was sent at `sent_at` states about the limit. Returns
+    /// whether that was not known.
+    pub(crate) fn set_limit(
+        &mut self,
+        stated: StatedLimit,
+        sent_at: Instant,
+        now: Instant,
+    ) -> bool {
+        if self.replaced_at.is_some_and(|at| sent_at < at) {
+            return false;
+        }
+        let limit = match stated {
+            StatedLimit::Unknown => return false,
+            // The reply may have been made before the limit was stated.
+            StatedLimit::Unlimited if self.limited_at.is_some_and(|at| sent_at < at) => {
+                return false;
+            }
+            StatedLimit::Unlimited => None,
+            StatedLimit::Limited(limit) => {
+                self.limited_at = Some(now);
+                Some(limit)
+            }
+        };
+        let is_news = self.limit != limit;
+        self.limit = limit;
+        is_news
+    }
+
     /// Returns whether the backend server has announced that it leaves.
     pub(crate) const fn has_announced_leave(&self) -> bool {
         self.leave_at.is_some()
--- a/crates/core/src/policy/replica/table.rs
+++ b/crates/core/src/policy/replica/table.rs
@@ -15,6 +15,7 @@
     policy::{
         outcome::{CallOutcome, NotRunCause},
         retry::RetryReason,
+        server_limit::StatedLimit,
     },
     request::RequestKind,
 };
@@ -32,6 +33,8 @@
     /// The ejections and returns that have not been taken yet.
     pub(super) events: Vec<ReplicaEvent>,
     listed: HashMap<ServiceId, HashSet<ServerId>>,
+    /// The backend servers that state a limit on their calls.
+    pub(super) limited: HashSet<ServerId>,
 }
 
 /// One backend server of a service, as the platform lists it.
@@ -186,9 +189,23 @@
         let Some(stats) = self.servers.get_mut(server) else {
             return;
         };
+        let is_new_limit = stats.set_limit(notice.limit, sent_at, now);
         if stats.on_notice(notice, sent_at, now) {
             self.record_notice(server, notice);
         }
+        if is_new_limit {
+            match notice.limit {
+                StatedLimit::Limited(_) => self.limited.insert(ServerId::clone(server)),
+                StatedLimit::Unknown | StatedLimit::Unlimited => self.limited.remove(server),
+            };
+            self.record_limit(server, notice.limit);
+        }
+    }
+
+    /// Returns whether any backend server states a limit on its calls.
+    #[must_use]
+    pub fn has_limits(&self) -> bool {
+        !self.limited.is_empty()
     }
 
     /// Returns the time until the first of `replicas` may get calls: zero if one may get them now,
@@ -290,6 +307,7 @@
         for server in previous {
             if !listed.values().any(|servers| servers.contains(&server)) {
                 self.servers.remove(&server);
+                self.limited.remove(&server);
             }
         }
     }
--- a/crates/server/src/gateway/notice.rs
+++ b/crates/server/src/gateway/notice.rs
@@ -2,7 +2,10 @@
 
 use std::time::Duration;
 
-use cassialift_core::policy::replica::ServerNotice;
+use cassialift_core::policy::{
+    replica::ServerNotice,
+    server_limit::{CallRate, StatedLimit},
+};
 use cassialift_wire::platform::HeaderNames;
 use hyper::{
     StatusCode,
@@ -31,6 +34,34 @@
     ServerNotice {
         leaves_in: is_leaving.then(|| settings.leave_time()),
         pause,
+        limit: read_limit(status, headers, names),
+    }
+}
+
+/// Returns the limit that a reply states; unknown if it is unreadable, or if the reply need not be
+/// the called server's own.
+///
+/// Only a signed reply shows that the server states no limit.
+fn read_limit(status: StatusCode, headers: &HeaderMap, names: &HeaderNames) -> StatedLimit {
+    let is_signed = headers.contains_key(&names.signature);
+    let is_own = is_signed || headers.contains_key(&names.not_run);
+    if !is_own || status == StatusCode::MISDIRECTED_REQUEST {
+        return StatedLimit::Unknown;
+    }
+    let Some(value) = headers.get(&names.limit) else {
+        return if is_signed {
+            StatedLimit::Unlimited
+        } else {
+            StatedLimit::Unknown
+        };
+    };
+    let calls = value
+        .to_str()
+        .ok()
+        .and_then(|text| text.trim().parse().ok());
+    match calls.and_then(CallRate::per_second) {
+        Some(rate) => StatedLimit::Limited(rate),
+        None => StatedLimit::Unknown,
     }
 }
 
--- a/crates/server/src/gateway/state.rs
+++ b/crates/server/src/gateway/state.rs
@@ -1,13 +1,16 @@
 //! The state that all requests through the gateway share.
 
 use std::{
-    sync::Arc,
+    sync::{
+        Arc,
+        atomic::{AtomicBool, Ordering},
+    },
     time::{Duration, Instant},
 };
 
 use cassialift_core::{
     ids::ServerId,
-    policy::{EntryTables, outcome::NotRunCause, replica::ServerNotice},
+    policy::{EntryTables, outcome::NotRunCause, replica::ServerNotice, server_limit::StatedLimit},
     view::{ConfigView, FleetView},
 };
 use cassialift_wire::platform::Dialect;
@@ -32,6 +35,8 @@
     pub(super) replies: ReplyMemory,
     pub(super) servers: ServerTable,
     pub(super) continuations: Continuations,
+    /// Whether any backend server states a limit on its calls.
+    has_limits: AtomicBool,
     /// The time at which requests in flight must end because the process is leaving; `None` before
     /// it leaves.
     shutdown_at: watch::Sender<Option<Instant>>,
@@ -54,6 +59,7 @@
             replies: ReplyMemory::default(),
             servers: ServerTable::default(),
             continuations: Continuations::default(),
+            has_limits: AtomicBool::new(false),
             shutdown_at: watch::Sender::new(None),
         }
     }
@@ -96,19 +102,28 @@
 
     /// Records what a backend server stated in its reply to a call that was sent at `sent_at`.
     pub(super) fn on_notice(&self, server: &ServerId, notice: ServerNotice, sent_at: Instant) {
-        // Nearly all replies state nothing, and need no lock.
-        if notice == ServerNotice::default() {
+        // Nearly all replies state nothing new, and need no lock.
+        let is_new_limit = match notice.limit {
+            StatedLimit::Unknown => false,
+            StatedLimit::Unlimited => self.has_limits.load(Ordering::Relaxed),
+            StatedLimit::Limited(_) => true,
+        };
+        if notice.leaves_in.is_none() && notice.pause.is_none() && !is_new_limit {
             return;
         }
         let now = Timer.now();
-        self.with_tables(|tables| tables.replicas.on_notice(server, notice, sent_at, now));
+        let has_limits = self.with_tables(|tables| {
+            tables.replicas.on_notice(server, notice, sent_at, now);
+            tables.replicas.has_limits()
+        });
+        self.has_limits.store(has_limits, Ordering::Relaxed);
     }
 
     /// Records the backend servers that another VM knows to be leaving.
     pub(super) fn on_leaving(&self, servers: &[ServerId]) {
         let notice = ServerNotice {
             leaves_in: Some(self.settings.leave_time()),
-            pause: None,
+            ..ServerNotice::default()
         };
         for server in servers {
             self.on_notice(server, notice, Timer.now());
--- a/crates/server/src/gateway/tests.rs
+++ b/crates/server/src/gateway/tests.rs
@@ -4,7 +4,10 @@
 
 use bytes::Bytes;
 use cassialift_core::{
-    policy::gather::ShardTarget,
+    policy::{
+        gather::ShardTarget,
+        server_limit::{CallRate, StatedLimit},
+    },
     request::{ExecutionStatus, RefusalReason},
 };
 use cassialift_wire::{peer::PartialReply, platform::HeaderNames};
@@ -32,11 +35,20 @@
         signature: name("x-signature"),
         not_run: name("x-refused"),
         leaving: name("x-leaving"),
+        limit: name("x-limit"),
         part_signatures: name("x-parts"),
         missing_count: name("x-missing"),
     }
 }
 
+fn settings() -> GatewaySettings {
+    serde_json::from_str(
+        r#"{"requests": "127.0.0.1:1", "directory": "127.0.0.1:2", "readiness": "127.0.0.1:3",
+            "drain": 5000}"#,
+    )
+    .unwrap()
+}
+
 fn headers(pairs: &[(&'static str, &'static str)]) -> HeaderMap {
     let mut headers = HeaderMap::new();
     for (name, value) in pairs {
@@ -171,14 +183,32 @@
     leaving: bool,
     pause: Option<u64>,
 ) {
-    let settings: GatewaySettings = serde_json::from_str(
-        r#"{"requests": "127.0.0.1:1", "directory": "127.0.0.1:2", "readiness": "127.0.0.1:3",
-            "drain": 5000}"#,
-    )
-    .unwrap();
+    let settings = settings();
     let status = StatusCode::from_u16(status).unwrap();
     let notice = read_notice(status, &headers(pairs), &names(), &settings);
     let leaves_in = leaving.then_some(Duration::from_millis(4_500));
     assert_eq!(notice.leaves_in, leaves_in);
     assert_eq!(notice.pause, pause.map(Duration::from_secs));
 }
+
+#[parameterized(
+    none = { 200, &[("x-signature", "s")], StatedLimit::Unlimited },
+    named = { 200, &[("x-signature", "s"), ("x-limit", "1.5")], limited(1.5) },
+    named_in_failure = { 500, &[("x-signature", "s"), ("x-limit", " 4 ")], limited(4.0) },
+    named_in_refusal = { 503, &[("x-refused", "1"), ("x-limit", "4")], limited(4.0) },
+    refusal_without = { 503, &[("x-refused", "1")], StatedLimit::Unknown },
+    unsigned = { 200, &[("x-limit", "4")], StatedLimit::Unknown },
+    of_another_server = { 421, &[("x-refused", "1"), ("x-limit", "4")], StatedLimit::Unknown },
+    text = { 200, &[("x-signature", "s"), ("x-limit", "few")], StatedLimit::Unknown },
+    negative = { 200, &[("x-signature", "s"), ("x-limit", "-1")], StatedLimit::Unknown },
+)]
+fn test_stated_limit(status: u16, pairs: &[(&'static str, &'static str)], expected: StatedLimit) {
+    let settings = settings();
+    let status = StatusCode::from_u16(status).unwrap();
+    let notice = read_notice(status, &headers(pairs), &names(), &settings);
+    assert_eq!(notice.limit, expected);
+}
+
+fn limited(calls: f64) -> StatedLimit {
+    StatedLimit::Limited(CallRate::per_second(calls).unwrap())
+}
--- a/crates/wire/src/platform/adapter.rs
+++ b/crates/wire/src/platform/adapter.rs
@@ -59,6 +59,9 @@
     pub not_run: HeaderName,
     /// The header by which a backend server states that it is leaving.
     pub leaving: HeaderName,
+    /// The header by which a backend server states how many calls a second it takes from all VMs
+    /// together.
+    pub limit: HeaderName,
     /// The signatures of the shard replies that an answer was merged from.
     pub part_signatures: HeaderName,
     /// The number of shards that an answer lacks.
