policy: all VMs together keep the limit that a backend server states

Callers saw nothing; a backend server in need got as many calls as before it said how many a second it takes.

Cause: nothing read the limit, and nothing could have kept it: each VM decides by what it alone has learned, and a limit over all VMs is no VM's own. An equal part for each VM was ruled out, since two of seven VMs call most servers of a data centre.

A server with a limit now gets calls against permits. One VM, the first by a hash among those near the server, hands them out at the stated rate; the others claim what their requests need. The sum is that of one bucket wherever the requests arrive.

--- a/crates/core/src/policy/gather/machine.rs
+++ b/crates/core/src/policy/gather/machine.rs
@@ -68,7 +68,14 @@
             .on_first_calls(calls, &self.spec.retry);
         for index in 0..self.shards.len() {
             if !self.send(index, AttemptCause::First, context, &mut actions) {
-                self.shards[index].status = ShardStatus::Missing(MissingReason::Unreachable);
+                let replicas = &self.shards[index].target.replicas;
+                let lacks_permits = context.tables.replicas.lacks_permits(replicas, context.now);
+                let reason = if lacks_permits {
+                    MissingReason::Busy
+                } else {
+                    MissingReason::Unreachable
+                };
+                self.shards[index].status = ShardStatus::Missing(reason);
             }
             self.send_probe(index, context, &mut actions);
         }
--- a/crates/core/src/policy/gather/send.rs
+++ b/crates/core/src/policy/gather/send.rs
@@ -24,7 +24,7 @@
 
 impl Gather {
     /// Sends a call to the best untried replica. Returns `false` if there is no such replica, if
-    /// the call is a hedge and the replica is busy or ejected, or if the budget of extra calls is
+    /// the call is a hedge and the replica is busy, ejected or limited, or if the budget of extra calls is
     /// used up.
     pub(super) fn send(
         &mut self,
@@ -43,7 +43,9 @@
         let Some(pick) = pick else {
             return false;
         };
-        let is_unsuitable = pick.last_resort || tables.replicas.is_busy(&pick.server, now);
+        let is_unsuitable = pick.last_resort
+            || tables.replicas.is_busy(&pick.server, now)
+            || tables.replicas.has_limit(&pick.server);
         if cause == AttemptCause::Hedge && is_unsuitable {
             return false;
         }
@@ -113,6 +115,7 @@
         actions: &mut Vec<Action>,
     ) {
         context.tables.replicas.on_send(&server);
+        context.tables.replicas.use_permit(&server, context.now);
         let queue_wait = context.tables.replicas.queue_wait(&server, context.now);
         let overdue_after = self.usual_timeout(context) + queue_wait;
         let overdue_at = context.now + overdue_after;
--- a/crates/core/src/policy/replica/choose.rs
+++ b/crates/core/src/policy/replica/choose.rs
@@ -39,7 +39,8 @@
     /// An ejected replica is chosen only if there is no other one. Among several ejected replicas
     /// the one with the fewest faults is chosen, and among equals the fastest. A replica that has
     /// announced that it leaves is chosen only if there is no healthy other one. A replica that is
-    /// leaving or that asked for a pause is never chosen.
+    /// leaving or that asked for a pause is never chosen, nor is one whose limit allows no call now;
+    /// permits are then claimed for it.
     pub fn choose(
         &mut self,
         replicas: &[ServerId],
@@ -60,10 +61,9 @@
             .collect();
         let healthy = self.without_announced(healthy);
         if healthy.is_empty() {
-            let server = available
-                .into_iter()
-                .min_by_key(|server| self.failure_rank(server))?;
-            let server = ServerId::clone(server);
+            let mut ranked = available;
+            ranked.sort_by_cached_key(|server| self.failure_rank(server));
+            let server = self.first_permitted(&ranked, now)?;
             return Some(Pick {
                 server,
                 last_resort: true,
@@ -91,8 +91,10 @@
             let jitter = 1.0 + JITTER * rng.random::<f64>();
             (server, self.score(server, baseline, now).mul_f64(jitter))
         });
-        let (server, _) = scored.min_by_key(|(_, score)| *score)?;
-        let server = ServerId::clone(server);
+        let mut scored: Vec<_> = scored.collect();
+        scored.sort_by_key(|(_, score)| *score);
+        let ranked: Vec<_> = scored.into_iter().map(|(server, _)| server).collect();
+        let server = self.first_permitted(&ranked, now)?;
         Some(Pick {
             server,
             last_resort: false,
@@ -106,7 +108,7 @@
                 continue;
             };
             let may_call = stats.accepts_calls(now) && !stats.has_announced_leave();
-            if stats.is_probe_due(now) && may_call {
+            if stats.is_probe_due(now) && may_call && stats.has_permit(now) {
                 stats.postpone_probe(now);
                 return Some(ServerId::clone(server));
             }
@@ -184,7 +186,7 @@
         }
     }
 
-    /// Returns whether a backend server may get a call now.
+    /// Returns whether a backend server may get a call now, if its limit allows one.
     #[must_use]
     pub fn accepts_calls(&self, server: &ServerId, now: Instant) -> bool {
         self.servers
--- a/crates/core/src/policy/replica/event.rs
+++ b/crates/core/src/policy/replica/event.rs
@@ -136,7 +136,7 @@
         }
     }
 
-    fn push_event(&mut self, event: ReplicaEvent) {
+    pub(super) fn push_event(&mut self, event: ReplicaEvent) {
         if self.events.len() < EVENT_LIMIT {
             self.events.push(event);
         }
--- a/crates/core/src/policy/replica/mod.rs
+++ b/crates/core/src/policy/replica/mod.rs
@@ -2,6 +2,7 @@
 
 mod choose;
 mod event;
+mod permits;
 mod stats;
 mod table;
 
--- a/crates/core/src/policy/replica/stats.rs
+++ b/crates/core/src/policy/replica/stats.rs
@@ -4,7 +4,7 @@
 
 use crate::policy::{
     latency::MovingAverage,
-    server_limit::{CallRate, StatedLimit},
+    server_limit::{Permits, StatedLimit},
 };
 
 /// The number of successive faults or overdue calls after which a backend server is ejected.
@@ -111,10 +111,8 @@
     paused_until: Option<Instant>,
     /// Whether the backend server has returned rows since the pause.
     resumed: bool,
-    /// The limit that the backend server stated last; `None` if it has none.
-    limit: Option<CallRate>,
-    /// The time of the last reply that stated a limit.
-    limited_at: Option<Instant>,
+    /// The permits for calls to the backend server; `None` if it states no limit.
+    permits: Option<Permits>,
     health: Option<(ReportedHealth, Instant)>,
 }
 
@@ -145,8 +143,7 @@
             leave_at: None,
             paused_until: None,
             resumed: true,
-            limit: None,
-            limited_at: None,
+            permits: None,
             health: None,
         }
     }
@@ -247,7 +244,7 @@
         self.leave_at = None;
         self.paused_until = None;
         self.resumed = true;
-        self.limit = None;
+        self.permits = None;
     }
 
     /// Records what the backend server stated in its reply to a call that was sent at `sent_at`.
@@ -289,21 +286,51 @@
         if self.replaced_at.is_some_and(|at| sent_at < at) {
             return false;
         }
-        let limit = match stated {
-            StatedLimit::Unknown => return false,
-            // The reply may have been made before the limit was stated.
-            StatedLimit::Unlimited if self.limited_at.is_some_and(|at| sent_at < at) => {
-                return false;
+        match (stated, &mut self.permits) {
+            (StatedLimit::Unknown, _) | (StatedLimit::Unlimited, None) => false,
+            (StatedLimit::Unlimited, Some(permits)) => {
+                // The reply may have been made before the limit was stated.
+                let is_newer = sent_at >= permits.stated_at();
+                if is_newer {
+                    self.permits = None;
+                }
+                is_newer
             }
-            StatedLimit::Unlimited => None,
-            StatedLimit::Limited(limit) => {
-                self.limited_at = Some(now);
-                Some(limit)
+            (StatedLimit::Limited(limit), Some(permits)) => permits.state(limit, now),
+            (StatedLimit::Limited(limit), permits @ None) => {
+                *permits = Some(Permits::new(limit, now));
+                true
             }
-        };
-        let is_news = self.limit != limit;
-        self.limit = limit;
-        is_news
+        }
+    }
+
+    /// Returns the permits for calls; `None` if the backend server states no limit.
+    pub(crate) const fn permits(&mut self) -> Option<&mut Permits> {
+        self.permits.as_mut()
+    }
+
+    /// Returns whether the permits for calls to the backend server have just run out.
+    pub(crate) fn is_short(&self, now: Instant) -> bool {
+        let permits = self.permits.as_ref();
+        permits.is_some_and(|permits| permits.is_short(now))
+    }
+
+    /// Returns the rank of the backend server among those that lack permits: the lowest is the one
+    /// for which a claim is most likely to bring one.
+    pub(crate) fn claim_rank(&self, now: Instant) -> (bool, u32) {
+        let permits = self.permits.as_ref();
+        permits.map_or((false, 0), |permits| permits.claim_rank(now))
+    }
+
+    /// Ends the limit of the backend server.
+    pub(crate) fn end_limit(&mut self) {
+        self.permits = None;
+    }
+
+    /// Returns whether the limit of the backend server, if there is one, allows a call now.
+    pub(crate) fn has_permit(&self, now: Instant) -> bool {
+        let permits = self.permits.as_ref();
+        permits.is_none_or(|permits| permits.has_one(now))
     }
 
     /// Returns whether the backend server has announced that it leaves.
@@ -316,8 +343,16 @@
         self.paused_until.is_some_and(|until| now < until)
     }
 
-    /// Returns the time until the backend server may get calls: zero if it may get them now, `None`
-    /// if it must not get any more.
+    /// Returns the time until the backend server may get a call and its limit allows one: zero if both
+    /// hold now, `None` if it must not get any more.
+    pub(crate) fn permitted_in(&self, now: Instant) -> Option<Duration> {
+        let pause = self.ready_in(now)?;
+        let permit = self.permits.as_ref().map(|permits| permits.ready_in(now));
+        Some(pause.max(permit.unwrap_or_default()))
+    }
+
+    /// Returns the time until the backend server may get calls, apart from its limit: zero if it may
+    /// get them now, `None` if it must not get any more.
     pub(crate) fn ready_in(&self, now: Instant) -> Option<Duration> {
         if self.is_leaving(now) {
             return None;
@@ -330,7 +365,7 @@
         (!self.leave_at.is_some_and(is_gone)).then_some(pause)
     }
 
-    /// Returns whether the backend server may get a call now.
+    /// Returns whether the backend server may get a call now, if its limit allows one.
     ///
     /// After a pause it gets no more calls at once than it has slots, until one has returned rows.
     pub(crate) fn accepts_calls(&self, now: Instant) -> bool {
--- a/crates/core/src/policy/replica/table.rs
+++ b/crates/core/src/policy/replica/table.rs
@@ -35,6 +35,9 @@
     listed: HashMap<ServiceId, HashSet<ServerId>>,
     /// The backend servers that state a limit on their calls.
     pub(super) limited: HashSet<ServerId>,
+    /// The backend servers that stated the end of their limit, each with the time of the reply, until
+    /// a claim tells it.
+    pub(super) unlimited: Vec<(ServerId, Instant)>,
 }
 
 /// One backend server of a service, as the platform lists it.
@@ -118,6 +121,9 @@
             stats.slots = listing.slots.max(1);
             stats.listed_leaving = listing.leaving;
             stats.set_run(listing.born, now);
+            if stats.permits().is_none() {
+                self.limited.remove(&listing.server);
+            }
             stats.penalty = listing.penalty;
             stats.may_pause = listing.may_pause;
             listed.insert(listing.server);
@@ -195,21 +201,21 @@
         }
         if is_new_limit {
             match notice.limit {
-                StatedLimit::Limited(_) => self.limited.insert(ServerId::clone(server)),
-                StatedLimit::Unknown | StatedLimit::Unlimited => self.limited.remove(server),
-            };
+                StatedLimit::Unknown => {}
+                StatedLimit::Limited(_) => {
+                    self.limited.insert(ServerId::clone(server));
+                }
+                StatedLimit::Unlimited => {
+                    self.limited.remove(server);
+                    self.unlimited.push((ServerId::clone(server), now));
+                }
+            }
             self.record_limit(server, notice.limit);
         }
     }
 
-    /// Returns whether any backend server states a limit on its calls.
-    #[must_use]
-    pub fn has_limits(&self) -> bool {
-        !self.limited.is_empty()
-    }
-
-    /// Returns the time until the first of `replicas` may get calls: zero if one may get them now,
-    /// `None` if none may get any more.
+    /// Returns the time until the first of `replicas` may get calls, apart from their limits: zero if
+    /// one may get them now, `None` if none may get any more.
     #[must_use]
     pub fn ready_in(&self, replicas: &[ServerId], now: Instant) -> Option<Duration> {
         let ready_in = |server| match self.servers.get(server) {
--- a/crates/core/src/policy/server_limit/rate.rs
+++ b/crates/core/src/policy/server_limit/rate.rs
@@ -48,6 +48,12 @@
         Duration::from_secs_f64(1.0 / self.as_f64())
     }
 
+    /// Returns a share of the rate.
+    #[must_use]
+    pub fn share(self, share: f64) -> Self {
+        Self::per_second(self.as_f64() * share).unwrap_or(self)
+    }
+
     /// Returns the rate as a number of calls a second.
     #[expect(clippy::cast_precision_loss, reason = "far below 2^52")]
     const fn as_f64(self) -> f64 {
--- a/crates/server/src/gateway/decision.rs
+++ b/crates/server/src/gateway/decision.rs
@@ -24,6 +24,8 @@
     Unavailable {
         /// The time until enough of them do, in milliseconds; `None` if they never will.
         ready_ms: Option<u64>,
+        /// Whether other requests have used up the limits that the servers state.
+        used_up: bool,
     },
     /// Shards were delegated to another VM.
     #[serde(rename = "asked")]
--- a/crates/server/src/gateway/forward.rs
+++ b/crates/server/src/gateway/forward.rs
@@ -1,10 +1,14 @@
 //! Forwards one request of a caller, from its head to its answer.
 
-use std::{sync::Arc, time::Duration};
+use std::{
+    sync::Arc,
+    time::{Duration, Instant},
+};
 
 use cassialift_core::{
     ids::{CallerId, ServerId, ShardId},
     policy::{
+        EntryTables,
         admission::AdmissionRequest,
         gather::{GatherOutcome, ShardTarget},
     },
@@ -91,8 +95,9 @@
         let targets = self
             .servers
             .targets(&route.name, &route.target, trace.started_at);
-        let (_admitted, ready_in) = self.admit(&config, &inbound, &targets, trace)?;
-        await_servers(ready_in, &inbound, trace).await?;
+        let (_admitted, readiness) = self.admit(&config, &inbound, &targets, trace)?;
+        self.await_servers(readiness, &inbound, &targets, trace)
+            .await?;
         let inbound = Arc::new(inbound);
         let plan = self.plan(view, config, &inbound, targets);
         let mut result = tokio::select! {
@@ -126,11 +131,10 @@
         };
         let now = Timer.now();
         let targets = self.servers.targets(&route.name, &route.target, now);
-        let ready_in = self.with_tables(|tables| {
-            tables.ready_in(replica_sets(&targets), coverage(&route.target), now)
-        });
+        let readiness =
+            self.with_tables(|tables| Readiness::new(tables, &route.target, &targets, now));
         Refusal {
-            retry: Some(retry.max(ready_in.unwrap_or_default())),
+            retry: Some(retry.max(readiness.wait().unwrap_or_default())),
             ..refusal
         }
     }
@@ -181,20 +185,20 @@
         Ok((config, inbound))
     }
 
-    /// Admits a request, or refuses it at once if it cannot be answered in time; returns the time
-    /// until enough of its backend servers take calls, too, `None` if they never will.
+    /// Admits a request, or refuses it at once if it cannot be answered in time; returns whether enough
+    /// of its backend servers take calls, too.
     fn admit(
         self: &Arc<Self>,
         config: &ConfigView,
         inbound: &Inbound,
         targets: &[ShardTarget],
         trace: &mut Trace,
-    ) -> Result<(AdmittedRequest, Option<Duration>), Refusal> {
+    ) -> Result<(AdmittedRequest, Readiness), Refusal> {
         let now = Timer.now();
         let preset = &config.policy;
         let kind = inbound.route.kind;
         let share = coverage(&inbound.route.target);
-        let (estimate, ready_in, admitted) = self.with_tables(|tables| {
+        let (estimate, readiness, admitted) = self.with_tables(|tables| {
             let request = AdmissionRequest {
                 caller: CallerId::from(SHARED_CALLER),
                 kind,
@@ -204,8 +208,8 @@
             let policy = preset.kind(kind);
             let admission = &mut tables.admission;
             let admitted = admission.admit(&request, &policy, &preset.queue, now);
-            let ready_in = tables.ready_in(replica_sets(targets), share, now);
-            (AdmissionEstimate::new(&request), ready_in, admitted)
+            let readiness = Readiness::new(tables, &inbound.route.target, targets, now);
+            (AdmissionEstimate::new(&request), readiness, admitted)
         });
         let decision = match &admitted {
             Ok(()) => Decision::Admitted(estimate),
@@ -213,7 +217,44 @@
         };
         trace.decisions.record(inbound.age(), decision);
         admitted.map_err(|refusal| Refusal::not_run(refusal.reason, refusal.retry_after))?;
-        Ok((AdmittedRequest(Arc::clone(self)), ready_in))
+        Ok((AdmittedRequest(Arc::clone(self)), readiness))
+    }
+    /// Waits until enough backend servers of a request take calls, or refuses the request at once if
+    /// they are not expected to within [`MAX_SERVER_WAIT`].
+    async fn await_servers(
+        &self,
+        mut readiness: Readiness,
+        inbound: &Inbound,
+        targets: &[ShardTarget],
+        trace: &mut Trace,
+    ) -> Result<(), Refusal> {
+        if readiness == Readiness::Now {
+            return Ok(());
+        }
+        trace.decisions.record(inbound.age(), readiness.decision());
+        self.with_tables(|tables| {
+            for replicas in replica_sets(targets) {
+                tables.replicas.want_permits(replicas, Timer.now());
+            }
+        });
+        let longest = inbound.route.objective.0.mul_f64(MAX_SERVER_WAIT);
+        if let Readiness::After(wait) = readiness
+            && inbound.age() + wait <= longest
+        {
+            Timer.after(wait).await;
+            readiness = self.with_tables(|tables| {
+                Readiness::new(tables, &inbound.route.target, targets, Timer.now())
+            });
+            if readiness == Readiness::Now {
+                return Ok(());
+            }
+            // Other requests were served first, and would be again.
+            trace.decisions.record(inbound.age(), readiness.decision());
+        }
+        Err(match readiness.wait() {
+            Some(wait) => Refusal::not_run(RefusalReason::Overloaded, Some(wait)),
+            None => Refusal::not_run(RefusalReason::Unreachable, Some(RETRY_UNREACHABLE)),
+        })
     }
 }
 
@@ -230,31 +271,63 @@
     }
 }
 
-/// Waits until enough backend servers of a request take calls, or refuses the request at once
-/// if they do not within [`MAX_SERVER_WAIT`]. `ready_in` is the time until
-/// they do; `None` if they never will.
-async fn await_servers(
-    ready_in: Option<Duration>,
-    inbound: &Inbound,
-    trace: &mut Trace,
-) -> Result<(), Refusal> {
-    if ready_in == Some(Duration::ZERO) {
-        return Ok(());
+/// Whether enough backend servers of a request take calls.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Readiness {
+    Now,
+    /// They are expected to after this time.
+    After(Duration),
+    /// Their limits are used up by other requests; a request may come back after this time.
+    UsedUp(Duration),
+    Never,
+}
+
+impl Readiness {
+    /// The limits of a search's servers don't count: other VMs may hold permits for them.
+    fn new(
+        tables: &EntryTables,
+        target: &RouteTarget,
+        targets: &[ShardTarget],
+        now: Instant,
+    ) -> Self {
+        let ready_in = match (target, targets) {
+            (RouteTarget::Shards(set), _) => {
+                tables.ready_in(replica_sets(targets), set.coverage, now)
+            }
+            (RouteTarget::Service(_) | RouteTarget::Split(_), [target, ..]) => {
+                let replicas = &target.replicas;
+                let wait = tables.replicas.permitted_in(replicas, now);
+                if let Some(wait) = wait
+                    && tables.replicas.is_short(replicas, now)
+                {
+                    return Self::UsedUp(wait);
+                }
+                wait
+            }
+            (RouteTarget::Service(_) | RouteTarget::Split(_), []) => None,
+        };
+        match ready_in {
+            Some(Duration::ZERO) => Self::Now,
+            Some(wait) => Self::After(wait),
+            None => Self::Never,
+        }
     }
-    let unavailable = Decision::Unavailable {
-        ready_ms: ready_in.map(decision::millis),
-    };
-    trace.decisions.record(inbound.age(), unavailable);
-    let Some(wait) = ready_in else {
-        let retry = Some(RETRY_UNREACHABLE);
-        return Err(Refusal::not_run(RefusalReason::Unreachable, retry));
-    };
-    let longest = inbound.route.objective.0.mul_f64(MAX_SERVER_WAIT);
-    if inbound.age() + wait > longest {
-        return Err(Refusal::not_run(RefusalReason::Overloaded, Some(wait)));
+
+    fn decision(self) -> Decision {
+        Decision::Unavailable {
+            ready_ms: self.wait().map(decision::millis),
+            used_up: matches!(self, Self::UsedUp(_)),
+        }
+    }
+
+    /// Returns the time after which a request may come back; `None` if that is of no use.
+    const fn wait(self) -> Option<Duration> {
+        match self {
+            Self::Now => Some(Duration::ZERO),
+            Self::After(wait) | Self::UsedUp(wait) => Some(wait),
+            Self::Never => None,
+        }
     }
-    Timer.after(wait).await;
-    Ok(())
 }
 
 /// Builds the answer from the results of the backend servers.
--- a/crates/server/src/gateway/listen.rs
+++ b/crates/server/src/gateway/listen.rs
@@ -39,6 +39,7 @@
     let readiness = sockets::listen(settings.readiness).await?;
     let accept_settings = accept_settings(&gateway);
     let syncing = tokio::spawn(sync_periodically(Arc::clone(&gateway)));
+    let claiming = tokio::spawn(Arc::clone(&gateway).claim_periodically());
     let (stopping, stopped) = watch::channel(false);
     for listener in [directory, readiness] {
         let pages = Arc::clone(&gateway);
@@ -62,6 +63,7 @@
         .await;
     stopping.send_replace(true);
     syncing.abort();
+    claiming.abort();
     Ok(())
 }
 
--- a/crates/server/src/gateway/mod.rs
+++ b/crates/server/src/gateway/mod.rs
@@ -16,6 +16,7 @@
 mod notice;
 mod pages;
 mod partial;
+mod permits;
 mod plan;
 mod receive_limit;
 mod reply_memory;
--- a/crates/server/src/gateway/partial.rs
+++ b/crates/server/src/gateway/partial.rs
@@ -173,7 +173,7 @@
 }
 
 impl Gateway {
-    fn on_call_failed(&self, vm: &VmId, error: &PeerError) {
+    pub(super) fn on_call_failed(&self, vm: &VmId, error: &PeerError) {
         self.node
             .peers
             .on_call_failed(vm, error, &self.node.metrics);
--- /dev/null
+++ b/crates/server/src/gateway/permits.rs
@@ -0,0 +1,172 @@
+//! Claims and grants of permits for calls to backend servers that state a limit.
+
+use std::{
+    collections::BTreeMap,
+    sync::{Arc, Mutex, PoisonError},
+    time::{Duration, Instant},
+};
+
+use cassialift_core::{
+    ids::VmId,
+    policy::server_limit::{PermitAllocator, PermitClaim, PermitGrant, choose_allocator},
+    view::{FleetView, Reachability},
+};
+use tarpc::{client::RpcError, context};
+use tokio::time::timeout;
+
+use super::Gateway;
+use crate::{
+    peers::{self, PeerError},
+    timer::Timer,
+};
+
+/// The time between two rounds of claims, which one more request may wait for.
+const CLAIM_PERIOD: Duration = Duration::from_millis(20);
+/// The time limit for the answer to claims.
+const ANSWER_TIMEOUT: Duration = Duration::from_millis(250);
+/// The share of a limit that all VMs together use while the VM that hands out its permits does not
+/// answer.
+const UNANSWERED_SHARE: f64 = 0.5;
+
+/// The permits that this VM hands out.
+#[derive(Debug, Default)]
+pub(super) struct PermitPools {
+    /// The permits for all VMs.
+    shared: Mutex<PermitAllocator>,
+    /// The permits that this VM gives itself while another VM does not answer.
+    fallback: Mutex<PermitAllocator>,
+}
+
+impl PermitPools {
+    fn grant(&self, claims: &[PermitClaim], now: Instant) -> Vec<PermitGrant> {
+        grant(&self.shared, claims, now)
+    }
+
+    /// Grants this VM its part of a share of the limits.
+    fn grant_fallback(&self, claims: &[PermitClaim], vms: u32, now: Instant) -> Vec<PermitGrant> {
+        let share = UNANSWERED_SHARE / f64::from(vms.max(1));
+        let claims: Vec<_> = claims
+            .iter()
+            .map(|claim| PermitClaim {
+                limit: claim.limit.map(|limit| limit.share(share)),
+                ..claim.clone()
+            })
+            .collect();
+        grant(&self.fallback, &claims, now)
+    }
+}
+
+fn grant(
+    allocator: &Mutex<PermitAllocator>,
+    claims: &[PermitClaim],
+    now: Instant,
+) -> Vec<PermitGrant> {
+    // Each step leaves the allocator consistent, so a poisoned lock is safe to use.
+    let mut allocator = allocator.lock().unwrap_or_else(PoisonError::into_inner);
+    allocator.drop_idle(now);
+    claims
+        .iter()
+        .map(|claim| allocator.grant(claim, now))
+        .collect()
+}
+
+impl Gateway {
+    /// Claims the permits that requests need, while backend servers state limits.
+    pub(super) async fn claim_periodically(self: Arc<Self>) {
+        loop {
+            self.wait_for_limits().await;
+            self.claim_permits();
+            Timer.after(CLAIM_PERIOD).await;
+        }
+    }
+
+    /// Hands out permits to another VM.
+    pub(crate) fn grant_permits(&self, claims: &[PermitClaim]) -> Vec<PermitGrant> {
+        self.node.metrics.count("gateway.permit_claims");
+        self.permits.grant(claims, Timer.now())
+    }
+
+    /// Sends the claims that are due, each to the VM that hands out the permits of its server.
+    fn claim_permits(self: &Arc<Self>) {
+        let now = Timer.now();
+        let claims = self.with_tables(|tables| tables.replicas.take_claims(now));
+        self.update_limits();
+        if claims.is_empty() {
+            return;
+        }
+        let view = self.node.control.snapshot();
+        let mut by_vm: BTreeMap<VmId, Vec<PermitClaim>> = BTreeMap::new();
+        for claim in claims {
+            let vm = self.allocator(&view, &claim);
+            by_vm.entry(vm).or_default().push(claim);
+        }
+        for (vm, claims) in by_vm {
+            if vm == view.own.vm {
+                let grants = self.permits.grant(&claims, now);
+                self.on_grants(&claims, grants, now);
+            } else {
+                let gateway = Arc::clone(self);
+                let view = Arc::clone(&view);
+                tokio::spawn(async move { gateway.claim_from(&view, &vm, claims).await });
+            }
+        }
+    }
+
+    /// Returns the VM that hands out the permits of a claim's server: one of the server's data centre
+    /// if any answers, since most calls to the server come from there.
+    fn allocator(&self, view: &FleetView, claim: &PermitClaim) -> VmId {
+        let answers = |vm: &VmId| {
+            let member = view.members.get(vm);
+            let is_own = *vm == view.own.vm;
+            is_own && !view.own.leaving
+                || !is_own && member.is_some_and(|m| m.reachability == Reachability::Alive)
+        };
+        let centre = self.servers.centre(&claim.server);
+        let is_near = |vm: &&VmId| {
+            let member = view.members.get(*vm);
+            member.is_some_and(|member| Some(&member.centre) == centre.as_ref())
+        };
+        let answering: Vec<&VmId> = view.members.keys().filter(|vm| answers(vm)).collect();
+        let near = answering.iter().copied().filter(is_near);
+        let vm = choose_allocator(&claim.server, near)
+            .or_else(|| choose_allocator(&claim.server, answering.iter().copied()));
+        VmId::clone(vm.unwrap_or(&view.own.vm))
+    }
+
+    /// Claims permits from another VM; takes a part of the limits without it if it does not answer.
+    async fn claim_from(&self, view: &FleetView, vm: &VmId, claims: Vec<PermitClaim>) {
+        let sent_at = Timer.now();
+        let request = async {
+            let client = self.node.peers.client(view, vm).await?;
+            let mut context = context::current();
+            context.deadline = sent_at + ANSWER_TIMEOUT;
+            peers::claim_permits(&client, context, claims.clone()).await
+        };
+        let result = timeout(ANSWER_TIMEOUT, request)
+            .await
+            .unwrap_or(Err(PeerError::Call(RpcError::DeadlineExceeded)));
+        let error = match result {
+            Ok(grants) => return self.on_grants(&claims, grants, sent_at),
+            Err(error) => error,
+        };
+        self.on_call_failed(vm, &error);
+        self.node.metrics.count("gateway.permits_unanswered");
+        log::warn!(
+            "gateway: VM {vm} did not grant permits for the calls to {} backend servers: {error}. A \
+             part of their limits is used.",
+            claims.len()
+        );
+        let vms = self.servers.peak_vms();
+        let grants = self.permits.grant_fallback(&claims, vms, Timer.now());
+        self.on_grants(&claims, grants, sent_at);
+    }
+
+    fn on_grants(&self, claims: &[PermitClaim], grants: Vec<PermitGrant>, sent_at: Instant) {
+        let now = Timer.now();
+        self.with_tables(|tables| {
+            for (claim, grant) in claims.iter().zip(grants) {
+                tables.replicas.on_grant(claim, grant, sent_at, now);
+            }
+        });
+    }
+}
--- a/crates/server/src/gateway/servers.rs
+++ b/crates/server/src/gateway/servers.rs
@@ -291,6 +291,13 @@
         })
     }
 
+    /// Returns the data centre of a backend server; `None` when the server is gone.
+    pub(super) fn centre(&self, server: &str) -> Option<DataCentre> {
+        let inner = self.lock();
+        let document = inner.registry.get(server)?;
+        Some(DataCentre::clone(&document.centre))
+    }
+
     /// Returns whether the table contains a backend server.
     pub(super) fn contains(&self, server: &str) -> bool {
         self.lock().registry.get(server).is_some()
--- a/crates/server/src/gateway/state.rs
+++ b/crates/server/src/gateway/state.rs
@@ -1,10 +1,7 @@
 //! The state that all requests through the gateway share.
 
 use std::{
-    sync::{
-        Arc,
-        atomic::{AtomicBool, Ordering},
-    },
+    sync::Arc,
     time::{Duration, Instant},
 };
 
@@ -18,7 +15,7 @@
 
 use super::{
     GatewaySettings, connections::ConnectionPools, continuations::Continuations,
-    reply_memory::ReplyMemory, servers::ServerTable,
+    permits::PermitPools, reply_memory::ReplyMemory, servers::ServerTable,
 };
 use crate::{process::Node, timer::Timer};
 
@@ -35,8 +32,9 @@
     pub(super) replies: ReplyMemory,
     pub(super) servers: ServerTable,
     pub(super) continuations: Continuations,
+    pub(super) permits: PermitPools,
     /// Whether any backend server states a limit on its calls.
-    has_limits: AtomicBool,
+    has_limits: watch::Sender<bool>,
     /// The time at which requests in flight must end because the process is leaving; `None` before
     /// it leaves.
     shutdown_at: watch::Sender<Option<Instant>>,
@@ -59,7 +57,8 @@
             replies: ReplyMemory::default(),
             servers: ServerTable::default(),
             continuations: Continuations::default(),
-            has_limits: AtomicBool::new(false),
+            permits: PermitPools::default(),
+            has_limits: watch::Sender::new(false),
             shutdown_at: watch::Sender::new(None),
         }
     }
@@ -105,18 +104,32 @@
         // Nearly all replies state nothing new, and need no lock.
         let is_new_limit = match notice.limit {
             StatedLimit::Unknown => false,
-            StatedLimit::Unlimited => self.has_limits.load(Ordering::Relaxed),
+            StatedLimit::Unlimited => *self.has_limits.borrow(),
             StatedLimit::Limited(_) => true,
         };
         if notice.leaves_in.is_none() && notice.pause.is_none() && !is_new_limit {
             return;
         }
         let now = Timer.now();
-        let has_limits = self.with_tables(|tables| {
-            tables.replicas.on_notice(server, notice, sent_at, now);
-            tables.replicas.has_limits()
+        self.with_tables(|tables| tables.replicas.on_notice(server, notice, sent_at, now));
+        self.update_limits();
+    }
+
+    /// Updates whether any backend server states a limit on its calls.
+    pub(super) fn update_limits(&self) {
+        let has_limits = self.with_tables(|tables| tables.replicas.has_limits());
+        self.has_limits.send_if_modified(|known| {
+            let is_new = *known != has_limits;
+            *known = has_limits;
+            is_new
         });
-        self.has_limits.store(has_limits, Ordering::Relaxed);
+    }
+
+    /// Waits until a backend server states a limit on its calls.
+    pub(super) async fn wait_for_limits(&self) {
+        let mut has_limits = self.has_limits.subscribe();
+        // The sender is part of the gateway, so it is not dropped meanwhile.
+        drop(has_limits.wait_for(|known| *known).await);
     }
 
     /// Records the backend servers that another VM knows to be leaving.
--- a/crates/server/src/peers/calls.rs
+++ b/crates/server/src/peers/calls.rs
@@ -2,7 +2,10 @@
 
 use std::sync::Arc;
 
-use cassialift_core::ids::Incarnation;
+use cassialift_core::{
+    ids::Incarnation,
+    policy::server_limit::{PermitClaim, PermitGrant},
+};
 use cassialift_wire::peer::{
     JobForward, JobReply, PartialGather, PartialReply, PeerClient, RestRequest, ShardCall,
     ShardReply,
@@ -77,6 +80,25 @@
     check_attempt(result.map_err(PeerError::Call)?, &request.attempt)
 }
 
+/// Claims permits from a peer; returns one grant for each claim.
+///
+/// # Errors
+/// Returns an error when the call fails or the reply does not match the claims.
+pub async fn claim_permits(
+    client: &PeerClient,
+    context: Context,
+    claims: Vec<PermitClaim>,
+) -> Result<Vec<PermitGrant>, PeerError> {
+    let count = claims.len();
+    let result = client.claim_permits(context, claims).await;
+    let grants = result.map_err(PeerError::Call)?;
+    if grants.len() == count {
+        Ok(grants)
+    } else {
+        Err(PeerError::MismatchedReply)
+    }
+}
+
 fn check_attempt(reply: PartialReply, attempt: &[u8]) -> Result<PartialReply, PeerError> {
     if reply.attempt == attempt {
         Ok(reply)
--- a/crates/server/src/peers/serve.rs
+++ b/crates/server/src/peers/serve.rs
@@ -4,6 +4,7 @@
 
 use cassialift_core::{
     ids::{Incarnation, VmId},
+    policy::server_limit::{PermitClaim, PermitGrant},
     request::{ExecutionStatus, RefusalReason},
 };
 use cassialift_wire::peer::{
@@ -95,6 +96,13 @@
     async fn pull_config(self, _: Context, pull: ConfigPull) -> ConfigPullReply {
         self.node.control.pull(pull).await
     }
+
+    async fn claim_permits(self, _: Context, claims: Vec<PermitClaim>) -> Vec<PermitGrant> {
+        match self.node.gateway() {
+            Some(gateway) => gateway.grant_permits(&claims),
+            None => Vec::new(),
+        }
+    }
 }
 
 /// Accepts connections from peers until the process ends.
--- a/crates/server/src/peers/tests/replies.rs
+++ b/crates/server/src/peers/tests/replies.rs
@@ -4,6 +4,7 @@
 
 use cassialift_core::{
     ids::{Incarnation, RequestKey, VmId},
+    policy::server_limit::{CallRate, PermitClaim, PermitGrant},
     request::{RequestKind, Urgency},
     time::Millis,
 };
@@ -24,7 +25,9 @@
 };
 use yare::parameterized;
 
-use super::super::{PeerError, PeerTable, PeerTraffic, call_shard, forward_job, gather, rest};
+use super::super::{
+    PeerError, PeerTable, PeerTraffic, call_shard, claim_permits, forward_job, gather, rest,
+};
 use crate::metrics::Metrics;
 
 /// A change to a correct reply.
@@ -90,6 +93,10 @@
     async fn pull_config(self, _: Context, _: ConfigPull) -> ConfigPullReply {
         std::future::pending().await
     }
+
+    async fn claim_permits(self, _: Context, _: Vec<PermitClaim>) -> Vec<PermitGrant> {
+        vec![PermitGrant::Calls(1); self.id.len()]
+    }
 }
 
 fn connect(peer: MismatchedPeer) -> PeerClient {
@@ -199,3 +206,22 @@
     let counters = metrics.snapshot();
     counters.get("peers.foreign_reply").copied().unwrap_or(0)
 }
+
+#[parameterized(
+    one_each = { "12", true },
+    too_few = { "1", false },
+    too_many = { "123", false },
+)]
+#[test_macro(tokio::test)]
+async fn test_permit_reply(id: &'static str, accepted: bool) {
+    let client = connect(MismatchedPeer { change: |_| {}, id });
+    let claim = PermitClaim {
+        server: "ledger-0".into(),
+        limit: CallRate::per_second(3.0),
+        age: Millis::default(),
+        calls: 1,
+    };
+    let reply = claim_permits(&client, context::current(), vec![claim; 2]).await;
+    assert_eq!(reply.is_ok(), accepted, "{reply:?}");
+    assert_eq!(mismatch_count(reply.err()), u64::from(!accepted));
+}
--- a/crates/wire/src/peer/service.rs
+++ b/crates/wire/src/peer/service.rs
@@ -1,6 +1,9 @@
 //! The tarpc service that every process provides to its peers.
 
-use cassialift_core::ids::{Incarnation, VmId};
+use cassialift_core::{
+    ids::{Incarnation, VmId},
+    policy::server_limit::{PermitClaim, PermitGrant},
+};
 
 use super::{
     ConfigPull, ConfigPullReply, JobForward, JobReply, PartialGather, PartialReply, Ping,
@@ -25,4 +28,6 @@
     async fn probe(target: VmId) -> ProbeReply;
     /// Returns the configuration documents changed after a position.
     async fn pull_config(pull: ConfigPull) -> ConfigPullReply;
+    /// Hands out permits for calls to backend servers that state a limit, one grant for each claim.
+    async fn claim_permits(claims: Vec<PermitClaim>) -> Vec<PermitGrant>;
 }
