gateway: searches that limits leave without an answer end before their calls

The search counts the shards that lack permits before its first call, and is refused with 503 and the time that the permits take if the rest can't make an answer.

--- a/crates/core/src/policy/gather/finish.rs
+++ b/crates/core/src/policy/gather/finish.rs
@@ -69,8 +69,7 @@
 
     /// Returns whether this number of shards is enough for an answer.
     pub(super) fn covers(&self, shards: usize) -> bool {
-        let count = |shards: usize| f64::from(u32::try_from(shards).unwrap_or(u32::MAX));
-        count(shards) >= count(self.total()) * self.spec.policy.coverage
+        self.spec.policy.is_covered(shards, self.total())
     }
 
     /// Returns the time at which the last pending call of the open shards becomes overdue; `None`
--- a/crates/core/src/policy/gather/machine.rs
+++ b/crates/core/src/policy/gather/machine.rs
@@ -54,6 +54,35 @@
         }
     }
 
+    /// Ends the search, to be called before [`Self::start`], if so many shards lack permits for their
+    /// calls that there can be no answer. Calls to the other shards would be wasted.
+    ///
+    /// `delegated` is the number of shards that other VMs are to search.
+    pub fn refuse_without_permits(
+        &mut self,
+        delegated: usize,
+        context: &mut Context<'_>,
+    ) -> Vec<Action> {
+        let replicas = &mut context.tables.replicas;
+        if !replicas.has_limits() {
+            return Vec::new();
+        }
+        let lacks_permits =
+            |shard: &&mut ShardState| replicas.lacks_permits(&shard.target.replicas, context.now);
+        let lacking: Vec<_> = self.shards.iter_mut().filter(lacks_permits).collect();
+        let total = self.spec.shards.len() + delegated;
+        if self.spec.policy.is_covered(total - lacking.len(), total) {
+            return Vec::new();
+        }
+        for shard in lacking {
+            replicas.want_permits(&shard.target.replicas, context.now);
+            shard.status = ShardStatus::Missing(MissingReason::Busy);
+        }
+        let mut actions = Vec::new();
+        self.finish(context, &mut actions);
+        actions
+    }
+
     /// Sends the first call of each shard.
     pub fn start(&mut self, context: &mut Context<'_>) -> Vec<Action> {
         let mut actions = Vec::new();
--- a/crates/core/src/policy/tables.rs
+++ b/crates/core/src/policy/tables.rs
@@ -77,12 +77,28 @@
         now: Instant,
     ) -> Option<Duration> {
         let ready_in = shards.map(|replicas| self.replicas.ready_in(replicas, now));
-        let all: Vec<_> = ready_in.collect();
-        let needed = needed_shards(all.len(), share);
-        let mut ready: Vec<_> = all.into_iter().flatten().collect();
-        ready.sort();
-        ready.get(needed - 1).copied()
+        time_of_share(ready_in.collect(), share)
     }
+
+    /// Returns the same with regard to the limits that the servers state.
+    #[must_use]
+    pub fn permitted_in<'a>(
+        &self,
+        shards: impl Iterator<Item = &'a [ServerId]>,
+        share: f64,
+        now: Instant,
+    ) -> Option<Duration> {
+        let permitted_in = shards.map(|replicas| self.replicas.permitted_in(replicas, now));
+        time_of_share(permitted_in.collect(), share)
+    }
+}
+
+/// Returns the time by which `share` of the shards, 0 to 1, are ready; `None` if too many never are.
+fn time_of_share(shards: Vec<Option<Duration>>, share: f64) -> Option<Duration> {
+    let needed = needed_shards(shards.len(), share);
+    let mut ready: Vec<_> = shards.into_iter().flatten().collect();
+    ready.sort();
+    ready.get(needed - 1).copied()
 }
 
 /// Returns how many of `shards` shards make up `share` of them, 0 to 1; at least one.
--- a/crates/core/src/presets/document.rs
+++ b/crates/core/src/presets/document.rs
@@ -49,6 +49,15 @@
     pub answer: AnswerPolicy,
 }
 
+impl KindPolicy {
+    /// Returns whether `included` of `total` shards are enough for an answer.
+    #[must_use]
+    pub fn is_covered(&self, included: usize, total: usize) -> bool {
+        let count = |shards: usize| f64::from(u32::try_from(shards).unwrap_or(u32::MAX));
+        count(included) >= count(total) * self.coverage
+    }
+}
+
 /// The policy on whether an answer waits for the slowest shards.
 #[derive(Clone, Copy, Debug, Default, Deserialize, PartialEq, Serialize)]
 #[serde(rename_all = "snake_case", deny_unknown_fields)]
--- a/crates/server/src/gateway/forward.rs
+++ b/crates/server/src/gateway/forward.rs
@@ -131,10 +131,11 @@
         };
         let now = Timer.now();
         let targets = self.servers.targets(&route.name, &route.target, now);
-        let readiness =
-            self.with_tables(|tables| Readiness::new(tables, &route.target, &targets, now));
+        let share = coverage(&route.target);
+        let ready_in =
+            self.with_tables(|tables| tables.permitted_in(replica_sets(&targets), share, now));
         Refusal {
-            retry: Some(retry.max(readiness.wait().unwrap_or_default())),
+            retry: Some(retry.max(ready_in.unwrap_or_default())),
             ..refusal
         }
     }
