gateway: servers that end while they run a request are logged

A broken connection was all that the logs told, and nothing by which the repeats of a request could be recognised. After a break the server's address is tried once; if it refuses, a line names the server, the request and the fingerprint of what it asks for.

Decisions are as before.

--- a/crates/core/src/policy/mod.rs
+++ b/crates/core/src/policy/mod.rs
@@ -14,6 +14,7 @@
 pub mod latency;
 pub mod limit;
 pub mod outcome;
+pub mod poison;
 pub mod queue;
 pub mod replica;
 pub mod retry;
--- a/crates/server/src/gateway/forward.rs
+++ b/crates/server/src/gateway/forward.rs
@@ -159,8 +159,8 @@
         let routes = config.routes.clone().ok_or_else(no_config)?;
         trace.version = routes.version;
         trace.revision = config.position.revision;
-        let host = inbound::host(&request).unwrap_or_default();
-        let Some(route) = routes.find(host, request.uri().path()) else {
+        let host = inbound::host(&request).unwrap_or_default().to_owned();
+        let Some(route) = routes.find(&host, request.uri().path()) else {
             return Err(Refusal::not_run(RefusalReason::UnknownService, None));
         };
         let route = Arc::clone(route);
@@ -173,10 +173,12 @@
             .map_err(|reason| Refusal::not_run(reason, None))?;
         strip_hop_headers(&mut parts.headers);
         let timeout = head.timeout.unwrap_or(route.timeout.0).min(route.timeout.0);
+        let target = origin_form(&parts.uri);
         let inbound = Inbound {
             route,
+            fingerprint: inbound::fingerprint(&parts.method, &host, &target, &body),
             method: parts.method,
-            target: origin_form(&parts.uri),
+            target,
             headers: parts.headers,
             body,
             attempt: head.attempt,
--- a/crates/server/src/gateway/inbound.rs
+++ b/crates/server/src/gateway/inbound.rs
@@ -4,6 +4,7 @@
 
 use bytes::Bytes;
 use cassialift_core::{
+    policy::poison::Fingerprint,
     request::RefusalReason,
     routes::{Route, TrafficLimits},
 };
@@ -45,6 +46,8 @@
     /// The headers to forward.
     pub(super) headers: HeaderMap,
     pub(super) body: Bytes,
+    /// What the request asks for, the same for all its attempts.
+    pub(super) fingerprint: Fingerprint,
     /// The caller's id of this attempt.
     pub(super) attempt: Bytes,
     pub(super) started_at: Instant,
@@ -53,6 +56,11 @@
 }
 
 impl Inbound {
+    /// Returns the caller's id of this attempt for a log line.
+    pub(super) fn id(&self) -> String {
+        printable(&self.attempt)
+    }
+
     /// Returns the time since the request arrived.
     pub(super) fn age(&self) -> Duration {
         Timer.now().saturating_duration_since(self.started_at)
@@ -97,6 +105,17 @@
     }
 }
 
+/// Returns the fingerprint of a request to a host.
+pub(super) fn fingerprint(method: &Method, host: &str, target: &Uri, body: &[u8]) -> Fingerprint {
+    let target = target.path_and_query().map_or("", |target| target.as_str());
+    Fingerprint::new(&[
+        method.as_str().as_bytes(),
+        host.as_bytes(),
+        target.as_bytes(),
+        body,
+    ])
+}
+
 /// Returns the host that a request names in its target, or else in its `Host` header.
 pub(super) fn host<T>(request: &Request<T>) -> Option<&str> {
     let named = request.uri().authority().map(http::uri::Authority::as_str);
--- a/crates/server/src/gateway/mod.rs
+++ b/crates/server/src/gateway/mod.rs
@@ -7,6 +7,7 @@
 mod answer;
 mod connections;
 mod continuations;
+mod crashes;
 mod decision;
 mod exchange;
 mod fan_out;
--- a/crates/server/src/gateway/partial.rs
+++ b/crates/server/src/gateway/partial.rs
@@ -18,14 +18,14 @@
 };
 use cassialift_wire::peer::{PartialGather, PartialReply, RestRequest};
 use displaydoc::Display;
-use hyper::header::{HeaderMap, HeaderName, HeaderValue};
+use hyper::header::{HOST, HeaderMap, HeaderName, HeaderValue};
 use tarpc::context;
 
 use super::{
     Gateway,
     continuations::{ContinuedSearch, SearchId},
     fan_out::{FanOut, FanOutResult},
-    inbound::{Inbound, printable},
+    inbound::{Inbound, fingerprint, printable},
     plan::{Part, Plan, delegation_time, initial_hedge},
     servers::{Delegation, Spread},
     trace::{Trace, TraceEnd},
@@ -363,10 +363,15 @@
         servers: partial.max_servers,
         priority: 0,
     };
+    let method = partial.method.parse().ok()?;
+    let target = partial.target.parse().ok()?;
+    let host = headers.get(HOST).and_then(|host| host.to_str().ok());
+    let fingerprint = fingerprint(&method, host.unwrap_or_default(), &target, &[]);
     Some(Inbound {
         route: Arc::new(route),
-        method: partial.method.parse().ok()?,
-        target: partial.target.parse().ok()?,
+        method,
+        target,
+        fingerprint,
         headers,
         body: Bytes::new(),
         attempt: Bytes::from(partial.attempt.clone()),
--- a/crates/server/src/gateway/server_call.rs
+++ b/crates/server/src/gateway/server_call.rs
@@ -75,6 +75,12 @@
         let (end, notice) = ended?;
         let (outcome, reply) = self.classify(end);
         self.report(outcome, started);
+        if outcome == CallOutcome::Unknown(UnknownCause::Broken)
+            && let Some(address) = self.gateway.servers.address(&self.server, &self.config)
+        {
+            self.gateway
+                .check_crash(&self.server, address.address, &self.inbound);
+        }
         self.gateway.on_notice(&self.server, notice, started);
         Some(CallEnd {
             outcome,
