gateway: a request that ended three backend servers is refused by all VMs

Cause: nothing recognised a repeat. An attempt is known by its id, and what one VM learned of a request ended with the attempt. Ruled out: retries within an attempt (20 breaks in 20 attempts).

With three the request is refused at once. A search with one is tried on one shard first.

--- a/crates/core/src/request/refusal.rs
+++ b/crates/core/src/request/refusal.rs
@@ -57,6 +57,8 @@
     NoReply,
     /// An internal error; the log contains the cause.
     Internal,
+    /// Backend servers end when they run the request.
+    Poison,
 }
 
 impl RefusalReason {
@@ -84,6 +86,7 @@
             Self::Unreachable => "unreachable",
             Self::NoReply => "no_reply",
             Self::Internal => "internal",
+            Self::Poison => "poison",
         }
     }
 }
--- a/crates/server/src/entry/refuse.rs
+++ b/crates/server/src/entry/refuse.rs
@@ -68,7 +68,8 @@
             | RefusalReason::NoConfig
             | RefusalReason::Leaving
             | RefusalReason::Coverage
-            | RefusalReason::Unreachable => StatusCode::SERVICE_UNAVAILABLE,
+            | RefusalReason::Unreachable
+            | RefusalReason::Poison => StatusCode::SERVICE_UNAVAILABLE,
         }
     }
 }
--- a/crates/server/src/gateway/crashes.rs
+++ b/crates/server/src/gateway/crashes.rs
@@ -2,7 +2,7 @@
 
 use std::{io, net::SocketAddr, sync::Arc, time::Duration};
 
-use cassialift_core::ids::ServerId;
+use cassialift_core::{ids::ServerId, policy::poison::Strike, routes::RouteTarget};
 use tokio::time::timeout;
 
 use super::{Gateway, inbound::Inbound};
@@ -37,13 +37,18 @@
         });
     }
 
-    fn on_crash(&self, server: &ServerId, inbound: &Inbound) {
+    fn on_crash(self: &Arc<Self>, server: &ServerId, inbound: &Inbound) {
         self.node.metrics.count("gateway.crashes");
         log::info!(
             "gateway: Server {server} ended while it ran request {}, fingerprint {}.",
             inbound.id(),
             inbound.fingerprint
         );
+        let strike = match &inbound.route.target {
+            RouteTarget::Shards(_) => Strike::of_search(&inbound.attempt),
+            RouteTarget::Service(_) | RouteTarget::Split(_) => Strike::of_server(server),
+        };
+        self.strike(inbound.fingerprint, strike);
     }
 }
 
--- a/crates/server/src/gateway/decision.rs
+++ b/crates/server/src/gateway/decision.rs
@@ -4,7 +4,10 @@
 
 use cassialift_core::{
     ids::{ServerId, ServiceId, ShardId, VmId},
-    policy::{admission::AdmissionRequest, gather::AttemptCause, outcome::CallOutcome},
+    policy::{
+        admission::AdmissionRequest, gather::AttemptCause, outcome::CallOutcome,
+        poison::Fingerprint,
+    },
     request::{MissingReason, MissingShard},
 };
 use serde::{Serialize, Serializer};
@@ -27,6 +30,17 @@
         /// Whether other requests have used up the limits that the servers state.
         used_up: bool,
     },
+    /// Backend servers ended under the request before, so that it is refused.
+    Poison {
+        fingerprint: Fingerprint,
+        /// How long such requests are still refused, in milliseconds.
+        ends_ms: u64,
+    },
+    /// Backend servers ended under the search before, so that one shard is called first.
+    Trial {
+        fingerprint: Fingerprint,
+        shard: ShardId,
+    },
     /// Shards were delegated to another VM.
     #[serde(rename = "asked")]
     Delegated {
@@ -141,6 +155,8 @@
             Decision::Continued { .. }
             | Decision::Rejected(_)
             | Decision::Unavailable { .. }
+            | Decision::Poison { .. }
+            | Decision::Trial { .. }
             | Decision::DelegationFailed { .. }
             | Decision::LateReply { .. }
             | Decision::Failed { .. }
--- a/crates/server/src/gateway/fan_out.rs
+++ b/crates/server/src/gateway/fan_out.rs
@@ -60,6 +60,15 @@
     pub(super) probes: u32,
 }
 
+impl SendCounts {
+    pub(super) const fn add(&mut self, other: Self) {
+        self.sent += other.sent;
+        self.hedges += other.hedges;
+        self.retries += other.retries;
+        self.probes += other.probes;
+    }
+}
+
 /// A call that has no reply yet.
 struct PendingCall {
     server: ServerId,
--- a/crates/server/src/gateway/forward.rs
+++ b/crates/server/src/gateway/forward.rs
@@ -11,6 +11,7 @@
         EntryTables,
         admission::AdmissionRequest,
         gather::{GatherOutcome, ShardTarget},
+        poison::Verdict,
     },
     request::{MissingReason, RefusalReason},
     routes::RouteTarget,
@@ -91,6 +92,7 @@
         trace.id = printable(&head.attempt);
         let view = self.node.control.snapshot();
         let (config, inbound) = self.read_request(&view, request, head, trace).await?;
+        let verdict = self.check_poison(&inbound, trace)?;
         let route = &inbound.route;
         let targets = self
             .servers
@@ -99,16 +101,19 @@
         self.await_servers(readiness, &inbound, &targets, trace)
             .await?;
         let inbound = Arc::new(inbound);
+        if verdict == Verdict::Suspect && matches!(inbound.route.target, RouteTarget::Shards(_)) {
+            self.try_one_shard(&view, &config, &inbound, &targets, trace)
+                .await?;
+        }
         let plan = self.plan(view, config, &inbound, targets);
         let mut result = tokio::select! {
             result = FanOut::new(Arc::clone(self), plan).run() => result,
             () = self.wait_for_shutdown() => return Err(Refusal::unknown(RefusalReason::Leaving)),
         };
-        trace.counts = result.counts;
-        trace
-            .decisions
-            .append(std::mem::take(&mut result.decisions));
-        trace.coverage = result.end.coverage.clone();
+        trace.add(&mut result);
+        if result.reply.is_some() || result.end.outcome == GatherOutcome::Answer {
+            self.absolve(inbound.fingerprint);
+        }
         let service = |shard: ShardId| match &inbound.route.target {
             RouteTarget::Shards(set) => set.services.get(shard as usize).cloned(),
             RouteTarget::Service(_) | RouteTarget::Split(_) => None,
@@ -120,6 +125,58 @@
         answer(&inbound, result, names).map_err(|refusal| self.name_retry(refusal, &inbound))
     }
 
+    /// Refuses a request under which several backend servers have ended.
+    fn check_poison(&self, inbound: &Inbound, trace: &mut Trace) -> Result<Verdict, Refusal> {
+        let fingerprint = inbound.fingerprint;
+        let verdict = self.poison.verdict(fingerprint);
+        if let Verdict::Poison(time) = verdict {
+            let ends_ms = decision::millis(time);
+            let poison = Decision::Poison {
+                fingerprint,
+                ends_ms,
+            };
+            trace.decisions.record(inbound.age(), poison);
+            return Err(Refusal::not_run(RefusalReason::Poison, Some(time)));
+        }
+        Ok(verdict)
+    }
+
+    /// Calls one shard of a search under which backend servers have ended, and refuses the search unless
+    /// the shard replies. The whole search could end a server of each shard.
+    async fn try_one_shard(
+        self: &Arc<Self>,
+        view: &Arc<FleetView>,
+        config: &Arc<ConfigView>,
+        inbound: &Arc<Inbound>,
+        targets: &[ShardTarget],
+        trace: &mut Trace,
+    ) -> Result<(), Refusal> {
+        let Some(target) = targets.iter().find(|target| !target.replicas.is_empty()) else {
+            return Ok(());
+        };
+        let trial = Decision::Trial {
+            fingerprint: inbound.fingerprint,
+            shard: target.shard,
+        };
+        trace.decisions.record(inbound.age(), trial);
+        let targets = vec![target.clone()];
+        let mut plan = self.plan(Arc::clone(view), Arc::clone(config), inbound, targets);
+        plan.spec.retry.attempts = 1;
+        if let Some(policy) = &mut plan.spec.extra_calls {
+            policy.max_servers = 1;
+        }
+        let mut result = tokio::select! {
+            result = FanOut::new(Arc::clone(self), plan).run() => result,
+            () = self.wait_for_shutdown() => return Err(Refusal::unknown(RefusalReason::Leaving)),
+        };
+        trace.add(&mut result);
+        if result.end.outcome != GatherOutcome::Answer {
+            return Err(refusal(inbound, &result));
+        }
+        self.absolve(inbound.fingerprint);
+        Ok(())
+    }
+
     /// Raises the time after which to retry a refused request to the end of the pauses that its
     /// backend servers asked for.
     fn name_retry(&self, refusal: Refusal, inbound: &Inbound) -> Refusal {
--- a/crates/server/src/gateway/listen.rs
+++ b/crates/server/src/gateway/listen.rs
@@ -40,6 +40,7 @@
     let accept_settings = accept_settings(&gateway);
     let syncing = tokio::spawn(sync_periodically(Arc::clone(&gateway)));
     let claiming = tokio::spawn(Arc::clone(&gateway).claim_periodically());
+    let exchanging = tokio::spawn(Arc::clone(&gateway).exchange_periodically());
     let (stopping, stopped) = watch::channel(false);
     for listener in [directory, readiness] {
         let pages = Arc::clone(&gateway);
@@ -64,6 +65,7 @@
     stopping.send_replace(true);
     syncing.abort();
     claiming.abort();
+    exchanging.abort();
     Ok(())
 }
 
--- a/crates/server/src/gateway/mod.rs
+++ b/crates/server/src/gateway/mod.rs
@@ -19,6 +19,7 @@
 mod partial;
 mod permits;
 mod plan;
+mod poison;
 mod receive_limit;
 mod reply_memory;
 mod server_call;
--- a/crates/server/src/gateway/state.rs
+++ b/crates/server/src/gateway/state.rs
@@ -15,7 +15,7 @@
 
 use super::{
     GatewaySettings, connections::ConnectionPools, continuations::Continuations,
-    permits::PermitPools, reply_memory::ReplyMemory, servers::ServerTable,
+    permits::PermitPools, poison::PoisonMemory, reply_memory::ReplyMemory, servers::ServerTable,
 };
 use crate::{process::Node, timer::Timer};
 
@@ -33,6 +33,7 @@
     pub(super) servers: ServerTable,
     pub(super) continuations: Continuations,
     pub(super) permits: PermitPools,
+    pub(super) poison: PoisonMemory,
     /// Whether any backend server states a limit on its calls.
     has_limits: watch::Sender<bool>,
     /// The time at which requests in flight must end because the process is leaving; `None` before
@@ -58,6 +59,7 @@
             servers: ServerTable::default(),
             continuations: Continuations::default(),
             permits: PermitPools::default(),
+            poison: PoisonMemory::default(),
             has_limits: watch::Sender::new(false),
             shutdown_at: watch::Sender::new(None),
         }
--- a/crates/server/src/gateway/trace.rs
+++ b/crates/server/src/gateway/trace.rs
@@ -11,7 +11,7 @@
 
 use super::{
     decision::{Decisions, RecordedDecision, millis},
-    fan_out::SendCounts,
+    fan_out::{FanOutResult, SendCounts},
 };
 use crate::logging::log_request;
 
@@ -90,6 +90,13 @@
         }
     }
 
+    /// Adds the calls and decisions of a result, and takes over its coverage.
+    pub(super) fn add(&mut self, result: &mut FanOutResult) {
+        self.counts.add(result.counts);
+        self.decisions.append(std::mem::take(&mut result.decisions));
+        self.coverage = result.end.coverage.clone();
+    }
+
     /// Logs the end of the request, and its decisions if it failed, was late, lacks shards or is
     /// sampled.
     pub(super) fn log(&self, end: TraceEnd<'_>) {
--- a/crates/server/src/peers/calls.rs
+++ b/crates/server/src/peers/calls.rs
@@ -4,7 +4,10 @@
 
 use cassialift_core::{
     ids::Incarnation,
-    policy::server_limit::{PermitClaim, PermitGrant},
+    policy::{
+        poison::PoisonReport,
+        server_limit::{PermitClaim, PermitGrant},
+    },
 };
 use cassialift_wire::peer::{
     JobForward, JobReply, PartialGather, PartialReply, PeerClient, RestRequest, ShardCall,
@@ -99,6 +102,19 @@
     }
 }
 
+/// Exchanges with a peer what is known about requests under which backend servers ended.
+///
+/// # Errors
+/// Returns an error when the call fails.
+pub async fn exchange_poison(
+    client: &PeerClient,
+    context: Context,
+    reports: Vec<PoisonReport>,
+) -> Result<Vec<PoisonReport>, PeerError> {
+    let result = client.exchange_poison(context, reports).await;
+    result.map_err(PeerError::Call)
+}
+
 fn check_attempt(reply: PartialReply, attempt: &[u8]) -> Result<PartialReply, PeerError> {
     if reply.attempt == attempt {
         Ok(reply)
--- a/crates/server/src/peers/mod.rs
+++ b/crates/server/src/peers/mod.rs
@@ -11,7 +11,7 @@
 #[cfg(test)]
 mod tests;
 
-pub use calls::{call_shard, claim_permits, forward_job, gather, rest};
+pub use calls::{call_shard, claim_permits, exchange_poison, forward_job, gather, rest};
 pub use error::{PeerError, is_broken};
 pub use serve::{PeerServer, serve};
 pub use table::PeerTable;
--- a/crates/server/src/peers/serve.rs
+++ b/crates/server/src/peers/serve.rs
@@ -4,7 +4,10 @@
 
 use cassialift_core::{
     ids::{Incarnation, VmId},
-    policy::server_limit::{PermitClaim, PermitGrant},
+    policy::{
+        poison::PoisonReport,
+        server_limit::{PermitClaim, PermitGrant},
+    },
     request::{ExecutionStatus, RefusalReason},
 };
 use cassialift_wire::peer::{
@@ -97,6 +100,13 @@
         self.node.control.pull(pull).await
     }
 
+    async fn exchange_poison(self, _: Context, reports: Vec<PoisonReport>) -> Vec<PoisonReport> {
+        match self.node.gateway() {
+            Some(gateway) => gateway.exchange_poison(&reports),
+            None => Vec::new(),
+        }
+    }
+
     async fn claim_permits(self, _: Context, claims: Vec<PermitClaim>) -> Vec<PermitGrant> {
         match self.node.gateway() {
             Some(gateway) => gateway.grant_permits(&claims),
--- a/crates/server/src/peers/tests/replies.rs
+++ b/crates/server/src/peers/tests/replies.rs
@@ -4,7 +4,10 @@
 
 use cassialift_core::{
     ids::{Incarnation, RequestKey, VmId},
-    policy::server_limit::{CallRate, PermitClaim, PermitGrant},
+    policy::{
+        poison::PoisonReport,
+        server_limit::{CallRate, PermitClaim, PermitGrant},
+    },
     request::{RequestKind, Urgency},
     time::Millis,
 };
@@ -94,6 +97,10 @@
         std::future::pending().await
     }
 
+    async fn exchange_poison(self, _: Context, _: Vec<PoisonReport>) -> Vec<PoisonReport> {
+        std::future::pending().await
+    }
+
     async fn claim_permits(self, _: Context, _: Vec<PermitClaim>) -> Vec<PermitGrant> {
         vec![PermitGrant::Calls(1); self.id.len()]
     }
--- a/crates/wire/src/peer/service.rs
+++ b/crates/wire/src/peer/service.rs
@@ -2,7 +2,10 @@
 
 use cassialift_core::{
     ids::{Incarnation, VmId},
-    policy::server_limit::{PermitClaim, PermitGrant},
+    policy::{
+        poison::PoisonReport,
+        server_limit::{PermitClaim, PermitGrant},
+    },
 };
 
 use super::{
@@ -30,4 +33,6 @@
     async fn pull_config(pull: ConfigPull) -> ConfigPullReply;
     /// Hands out permits for calls to backend servers that state a limit, one grant for each claim.
     async fn claim_permits(claims: Vec<PermitClaim>) -> Vec<PermitGrant>;
+    /// Exchanges what is known about requests under which backend servers ended.
+    async fn exchange_poison(reports: Vec<PoisonReport>) -> Vec<PoisonReport>;
 }
