gateway: a search that ran on trial is not said not to have run

Found while the diff was read: a search under which a server had ended is tried on one shard; when all servers refused it after that, its caller got 503, which promises that it has not run, though the shard that was tried had run it. The test failed before (503) and passes now (502).

--- a/crates/server/src/gateway/forward.rs
+++ b/crates/server/src/gateway/forward.rs
@@ -101,7 +101,9 @@
         self.await_servers(readiness, &inbound, &targets, trace)
             .await?;
         let inbound = Arc::new(inbound);
-        if verdict == Verdict::Suspect && matches!(inbound.route.target, RouteTarget::Shards(_)) {
+        let is_search = matches!(inbound.route.target, RouteTarget::Shards(_));
+        let is_tried = is_search && verdict == Verdict::Suspect;
+        if is_tried {
             self.try_one_shard(&view, &config, &inbound, &targets, trace)
                 .await?;
         }
@@ -122,7 +124,13 @@
         trace
             .decisions
             .record_left_out(inbound.age(), missing, service);
-        answer(&inbound, result, names).map_err(|refusal| self.name_retry(refusal, &inbound))
+        answer(&inbound, result, names).map_err(|refusal| {
+            if is_tried {
+                // The shard that was tried has run the search.
+                return Refusal::unknown(refusal.reason);
+            }
+            self.name_retry(refusal, &inbound)
+        })
     }
 
     /// Refuses a request under which several backend servers have ended.
