--- a/crates/server/src/gateway/forward.rs
+++ b/crates/server/src/gateway/forward.rs
@@ -1,14 +1,10 @@
 //! Forwards one request of a caller, from its head to its answer.
 
-use std::{
-    sync::Arc,
-    time::{Duration, Instant},
-};
+use std::{sync::Arc, time::Duration};
 
 use cassialift_core::{
     ids::{CallerId, ServerId, ShardId},
     policy::{
-        EntryTables,
         admission::AdmissionRequest,
         gather::{GatherOutcome, ShardTarget},
         poison::Verdict,
@@ -23,9 +19,10 @@
 use super::{
     Gateway,
     answer::{self, Answer, Refusal},
-    decision::{self, AdmissionEstimate, Decision},
+    decision::{AdmissionEstimate, Decision},
     fan_out::{FanOut, FanOutResult},
     inbound::{self, Head, Inbound, origin_form, printable, read_body, strip_hop_headers},
+    readiness::Readiness,
     trace::{Trace, TraceEnd},
 };
 use crate::timer::Timer;
@@ -37,11 +34,7 @@
 const RETRY_NO_CONFIG: Duration = Duration::from_millis(250);
 
 /// The delay after which to retry a request that no backend server could take.
-const RETRY_UNREACHABLE: Duration = Duration::from_millis(150);
-
-/// The part of the latency objective for which a request may wait until backend servers that asked
-/// for a pause take calls again. The rest is for the calls.
-const MAX_SERVER_WAIT: f64 = 0.5;
+pub(super) const RETRY_UNREACHABLE: Duration = Duration::from_millis(150);
 
 /// The caller that all requests are counted under, since platforms of this kind do not name their
 /// callers.
@@ -133,58 +126,6 @@
         })
     }
 
-    /// Refuses a request under which several backend servers have ended.
-    fn check_poison(&self, inbound: &Inbound, trace: &mut Trace) -> Result<Verdict, Refusal> {
-        let fingerprint = inbound.fingerprint;
-        let verdict = self.poison.verdict(fingerprint);
-        if let Verdict::Poison(time) = verdict {
-            let ends_ms = decision::millis(time);
-            let poison = Decision::Poison {
-                fingerprint,
-                ends_ms,
-            };
-            trace.decisions.record(inbound.age(), poison);
-            return Err(Refusal::not_run(RefusalReason::Poison, Some(time)));
-        }
-        Ok(verdict)
-    }
-
-    /// Calls one shard of a search under which backend servers have ended, and refuses the search unless
-    /// the shard replies. The whole search could end a server of each shard.
-    async fn try_one_shard(
-        self: &Arc<Self>,
-        view: &Arc<FleetView>,
-        config: &Arc<ConfigView>,
-        inbound: &Arc<Inbound>,
-        targets: &[ShardTarget],
-        trace: &mut Trace,
-    ) -> Result<(), Refusal> {
-        let Some(target) = targets.iter().find(|target| !target.replicas.is_empty()) else {
-            return Ok(());
-        };
-        let trial = Decision::Trial {
-            fingerprint: inbound.fingerprint,
-            shard: target.shard,
-        };
-        trace.decisions.record(inbound.age(), trial);
-        let targets = vec![target.clone()];
-        let mut plan = self.plan(Arc::clone(view), Arc::clone(config), inbound, targets);
-        plan.spec.retry.attempts = 1;
-        if let Some(policy) = &mut plan.spec.extra_calls {
-            policy.max_servers = 1;
-        }
-        let mut result = tokio::select! {
-            result = FanOut::new(Arc::clone(self), plan).run() => result,
-            () = self.wait_for_shutdown() => return Err(Refusal::unknown(RefusalReason::Leaving)),
-        };
-        trace.add(&mut result);
-        if result.end.outcome != GatherOutcome::Answer {
-            return Err(refusal(inbound, &result));
-        }
-        self.absolve(inbound.fingerprint);
-        Ok(())
-    }
-
     /// Raises the time after which to retry a refused request to the end of the pauses that its
     /// backend servers asked for.
     fn name_retry(&self, refusal: Refusal, inbound: &Inbound) -> Refusal {
@@ -287,117 +228,21 @@
         admitted.map_err(|refusal| Refusal::not_run(refusal.reason, refusal.retry_after))?;
         Ok((AdmittedRequest(Arc::clone(self)), readiness))
     }
-    /// Waits until enough backend servers of a request take calls, or refuses the request at once if
-    /// they are not expected to within [`MAX_SERVER_WAIT`].
-    async fn await_servers(
-        &self,
-        mut readiness: Readiness,
-        inbound: &Inbound,
-        targets: &[ShardTarget],
-        trace: &mut Trace,
-    ) -> Result<(), Refusal> {
-        if readiness == Readiness::Now {
-            return Ok(());
-        }
-        trace.decisions.record(inbound.age(), readiness.decision());
-        self.with_tables(|tables| {
-            for replicas in replica_sets(targets) {
-                tables.replicas.want_permits(replicas, Timer.now());
-            }
-        });
-        let longest = inbound.route.objective.0.mul_f64(MAX_SERVER_WAIT);
-        if let Readiness::After(wait) = readiness
-            && inbound.age() + wait <= longest
-        {
-            Timer.after(wait).await;
-            readiness = self.with_tables(|tables| {
-                Readiness::new(tables, &inbound.route.target, targets, Timer.now())
-            });
-            if readiness == Readiness::Now {
-                return Ok(());
-            }
-            // Other requests were served first, and would be again.
-            trace.decisions.record(inbound.age(), readiness.decision());
-        }
-        Err(match readiness.wait() {
-            Some(wait) => Refusal::not_run(RefusalReason::Overloaded, Some(wait)),
-            None => Refusal::not_run(RefusalReason::Unreachable, Some(RETRY_UNREACHABLE)),
-        })
-    }
 }
 
 /// Returns the replicas of each shard.
-fn replica_sets(targets: &[ShardTarget]) -> impl Iterator<Item = &[ServerId]> {
+pub(super) fn replica_sets(targets: &[ShardTarget]) -> impl Iterator<Item = &[ServerId]> {
     targets.iter().map(|target| target.replicas.as_slice())
 }
 
 /// Returns the share of a request's shards that its answer needs.
-const fn coverage(target: &RouteTarget) -> f64 {
+pub(super) const fn coverage(target: &RouteTarget) -> f64 {
     match target {
         RouteTarget::Shards(set) => set.coverage,
         RouteTarget::Service(_) | RouteTarget::Split(_) => 1.0,
     }
 }
 
-/// Whether enough backend servers of a request take calls.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-enum Readiness {
-    Now,
-    /// They are expected to after this time.
-    After(Duration),
-    /// Their limits are used up by other requests; a request may come back after this time.
-    UsedUp(Duration),
-    Never,
-}
-
-impl Readiness {
-    /// The limits of a search's servers don't count: other VMs may hold permits for them.
-    fn new(
-        tables: &EntryTables,
-        target: &RouteTarget,
-        targets: &[ShardTarget],
-        now: Instant,
-    ) -> Self {
-        let ready_in = match (target, targets) {
-            (RouteTarget::Shards(set), _) => {
-                tables.ready_in(replica_sets(targets), set.coverage, now)
-            }
-            (RouteTarget::Service(_) | RouteTarget::Split(_), [target, ..]) => {
-                let replicas = &target.replicas;
-                let wait = tables.replicas.permitted_in(replicas, now);
-                if let Some(wait) = wait
-                    && tables.replicas.is_short(replicas, now)
-                {
-                    return Self::UsedUp(wait);
-                }
-                wait
-            }
-            (RouteTarget::Service(_) | RouteTarget::Split(_), []) => None,
-        };
-        match ready_in {
-            Some(Duration::ZERO) => Self::Now,
-            Some(wait) => Self::After(wait),
-            None => Self::Never,
-        }
-    }
-
-    fn decision(self) -> Decision {
-        Decision::Unavailable {
-            ready_ms: self.wait().map(decision::millis),
-            used_up: matches!(self, Self::UsedUp(_)),
-        }
-    }
-
-    /// Returns the time after which a request may come back; `None` if that is of no use.
-    const fn wait(self) -> Option<Duration> {
-        match self {
-            Self::Now => Some(Duration::ZERO),
-            Self::After(wait) | Self::UsedUp(wait) => Some(wait),
-            Self::Never => None,
-        }
-    }
-}
-
 /// Builds the answer from the results of the backend servers.
 fn answer(
     inbound: &Inbound,
@@ -430,7 +275,7 @@
 }
 
 /// Returns the refusal of a request without an answer: its reason, and whether it may have run.
-fn refusal(inbound: &Inbound, result: &FanOutResult) -> Refusal {
+pub(super) fn refusal(inbound: &Inbound, result: &FanOutResult) -> Refusal {
     if result.end.outcome == GatherOutcome::NotRun {
         let missing = &result.end.coverage.missing;
         let is_busy = missing
--- a/crates/server/src/gateway/mod.rs
+++ b/crates/server/src/gateway/mod.rs
@@ -20,6 +20,7 @@
 mod permits;
 mod plan;
 mod poison;
+mod readiness;
 mod receive_limit;
 mod reply_memory;
 mod server_call;
@@ -27,6 +28,7 @@
 mod settings;
 mod state;
 mod trace;
+mod trial;
 
 #[cfg(test)]
 mod reply_memory_tests;
