gateway: requests without limits need no further lock

Read in the diff: each request took the lock on the learned tables once more, only to find that no server states a limit, and each reply took it twice while one does. Whether there are limits is now updated under the lock under which it is read, so that an older state can't replace a newer one either. Two doc comments name limits beside pauses. Decisions are as before.

--- a/crates/server/src/gateway/fan_out.rs
+++ b/crates/server/src/gateway/fan_out.rs
@@ -144,10 +144,13 @@
 
     /// Runs the request to its end; dropping the future cancels its calls.
     pub(super) async fn run(mut self) -> FanOutResult {
-        let delegated = self.delegations.iter().map(|to| to.targets.len()).sum();
-        let refused =
-            self.step(|gather, context| gather.refuse_without_permits(delegated, context));
-        self.perform(refused);
+        // Most requests meet no limit and need no further lock.
+        if self.gateway.has_limits() {
+            let delegated = self.delegations.iter().map(|to| to.targets.len()).sum();
+            let refused =
+                self.step(|gather, context| gather.refuse_without_permits(delegated, context));
+            self.perform(refused);
+        }
         if self.end.is_none() {
             self.start();
         }
--- a/crates/server/src/gateway/forward.rs
+++ b/crates/server/src/gateway/forward.rs
@@ -127,7 +127,7 @@
     }
 
     /// Raises the time after which to retry a refused request to the end of the pauses that its
-    /// backend servers asked for.
+    /// backend servers asked for, and to when their limits allow a call.
     fn name_retry(&self, refusal: Refusal, inbound: &Inbound) -> Refusal {
         let route = &inbound.route;
         let (Some(retry), RouteTarget::Service(_) | RouteTarget::Shards(_)) =
--- a/crates/server/src/gateway/permits.rs
+++ b/crates/server/src/gateway/permits.rs
@@ -89,8 +89,11 @@
     /// Sends the claims that are due, each to the VM that hands out the permits of its server.
     fn claim_permits(self: &Arc<Self>) {
         let now = Timer.now();
-        let claims = self.with_tables(|tables| tables.replicas.take_claims(now));
-        self.update_limits();
+        let claims = self.with_tables(|tables| {
+            let claims = tables.replicas.take_claims(now);
+            self.update_limits(tables);
+            claims
+        });
         if claims.is_empty() {
             return;
         }
--- a/crates/server/src/gateway/readiness.rs
+++ b/crates/server/src/gateway/readiness.rs
@@ -19,7 +19,7 @@
 use crate::timer::Timer;
 
 /// The part of the latency objective for which a request may wait until backend servers that asked
-/// for a pause take calls again. The rest is for the calls.
+/// for a pause, or whose limits are used up, take calls again. The rest is for the calls.
 const MAX_SERVER_WAIT: f64 = 0.5;
 
 /// Whether enough backend servers of a request take calls.
--- a/crates/server/src/gateway/state.rs
+++ b/crates/server/src/gateway/state.rs
@@ -106,20 +106,29 @@
         // Nearly all replies state nothing new, and need no lock.
         let is_new_limit = match notice.limit {
             StatedLimit::Unknown => false,
-            StatedLimit::Unlimited => *self.has_limits.borrow(),
+            StatedLimit::Unlimited => self.has_limits(),
             StatedLimit::Limited(_) => true,
         };
         if notice.leaves_in.is_none() && notice.pause.is_none() && !is_new_limit {
             return;
         }
         let now = Timer.now();
-        self.with_tables(|tables| tables.replicas.on_notice(server, notice, sent_at, now));
-        self.update_limits();
+        self.with_tables(|tables| {
+            tables.replicas.on_notice(server, notice, sent_at, now);
+            self.update_limits(tables);
+        });
+    }
+
+    /// Returns whether any backend server states a limit on its calls, without a lock on the learned
+    /// tables.
+    pub(super) fn has_limits(&self) -> bool {
+        *self.has_limits.borrow()
     }
 
-    /// Updates whether any backend server states a limit on its calls.
-    pub(super) fn update_limits(&self) {
-        let has_limits = self.with_tables(|tables| tables.replicas.has_limits());
+    /// Updates whether any backend server states a limit on its calls. The tables stay locked meanwhile,
+    /// so that an older state can't replace a newer one.
+    pub(super) fn update_limits(&self, tables: &EntryTables) {
+        let has_limits = tables.replicas.has_limits();
         self.has_limits.send_if_modified(|known| {
             let is_new = *known != has_limits;
             *known = has_limits;
