--- a/crates/core/src/view/fleet.rs
+++ b/crates/core/src/view/fleet.rs
@@ -20,6 +20,16 @@
     pub owners: OwnersView,
 }
 
+impl FleetView {
+    /// Returns the other VMs that answer.
+    pub fn answering_peers(&self) -> impl Iterator<Item = (&VmId, &MemberView)> {
+        let members = self.members.iter().map(|(vm, member)| (vm, &**member));
+        members.filter(|(vm, member)| {
+            **vm != self.own.vm && member.reachability == Reachability::Alive
+        })
+    }
+}
+
 /// The state of the process that publishes the view.
 #[derive(Clone, Debug)]
 pub struct OwnView {
--- a/crates/server/src/gateway/permits.rs
+++ b/crates/server/src/gateway/permits.rs
@@ -9,7 +9,7 @@
 use cassialift_core::{
     ids::VmId,
     policy::server_limit::{PermitAllocator, PermitClaim, PermitGrant, choose_allocator},
-    view::{FleetView, Reachability},
+    view::FleetView,
 };
 use tarpc::{client::RpcError, context};
 use tokio::time::timeout;
@@ -118,21 +118,16 @@
     /// Returns the VM that hands out the permits of a claim's server: one of the server's data centre
     /// if any answers, since most calls to the server come from there.
     fn allocator(&self, view: &FleetView, claim: &PermitClaim) -> VmId {
-        let answers = |vm: &VmId| {
-            let member = view.members.get(vm);
-            let is_own = *vm == view.own.vm;
-            is_own && !view.own.leaving
-                || !is_own && member.is_some_and(|m| m.reachability == Reachability::Alive)
-        };
+        let own = &view.own;
+        let peers = view.answering_peers().map(|(vm, peer)| (vm, &peer.centre));
+        let itself = (!own.leaving).then_some((&own.vm, &own.centre));
+        let answering: Vec<_> = peers.chain(itself).collect();
         let centre = self.servers.centre(&claim.server);
-        let is_near = |vm: &&VmId| {
-            let member = view.members.get(*vm);
-            member.is_some_and(|member| Some(&member.centre) == centre.as_ref())
-        };
-        let answering: Vec<&VmId> = view.members.keys().filter(|vm| answers(vm)).collect();
-        let near = answering.iter().copied().filter(is_near);
-        let vm = choose_allocator(&claim.server, near)
-            .or_else(|| choose_allocator(&claim.server, answering.iter().copied()));
+        let near = answering
+            .iter()
+            .filter(|(_, other)| Some(*other) == centre.as_ref());
+        let vm = choose_allocator(&claim.server, near.map(|(vm, _)| *vm))
+            .or_else(|| choose_allocator(&claim.server, answering.iter().map(|(vm, _)| *vm)));
         VmId::clone(vm.unwrap_or(&view.own.vm))
     }
 
--- a/crates/server/src/gateway/poison.rs
+++ b/crates/server/src/gateway/poison.rs
@@ -11,7 +11,6 @@
 use cassialift_core::{
     ids::VmId,
     policy::poison::{Fingerprint, PoisonReport, PoisonTable, Strike, Verdict},
-    view::Reachability,
 };
 use rand::seq::IteratorRandom;
 use tarpc::context;
@@ -136,10 +135,9 @@
     /// Exchanges what is known with some other VMs, chosen at random.
     fn exchange_with(self: &Arc<Self>, count: usize) {
         let view = self.node.control.snapshot();
-        let others = view.members.iter().filter(|(vm, member)| {
-            **vm != view.own.vm && member.reachability == Reachability::Alive
-        });
-        let chosen = others.choose_multiple(&mut rand::rng(), count);
+        let chosen = view
+            .answering_peers()
+            .choose_multiple(&mut rand::rng(), count);
         for (vm, _) in chosen {
             let (gateway, view) = (Arc::clone(self), Arc::clone(&view));
             let vm = VmId::clone(vm);
