--- a/crates/core/src/policy/replica/stats.rs
+++ b/crates/core/src/policy/replica/stats.rs
@@ -247,6 +247,11 @@
         self.permits = None;
     }
 
+    /// Returns whether the reply to a call that was sent at `sent_at` may come from a former run.
+    fn may_be_of_former_run(&self, sent_at: Instant) -> bool {
+        self.replaced_at.is_some_and(|at| sent_at < at)
+    }
+
     /// Records what the backend server stated in its reply to a call that was sent at `sent_at`.
     /// Returns whether it states anything that was not known.
     pub(crate) fn on_notice(
@@ -255,8 +260,7 @@
         sent_at: Instant,
         now: Instant,
     ) -> bool {
-        // The reply may come from a former run.
-        if self.replaced_at.is_some_and(|at| sent_at < at) {
+        if self.may_be_of_former_run(sent_at) {
             return false;
         }
         let mut is_news = false;
@@ -283,7 +287,7 @@
         sent_at: Instant,
         now: Instant,
     ) -> bool {
-        if self.replaced_at.is_some_and(|at| sent_at < at) {
+        if self.may_be_of_former_run(sent_at) {
             return false;
         }
         match (stated, &mut self.permits) {
