gateway: a VM knows and logs whether it reaches any backend server

A VM that lost its links to all servers logged the failure of each call and the ejection of each server, and nothing that told this from servers that had ended. A failed connection, or an overdue reply while no server replies, now starts a check of up to five servers; if no connection opens, the VM is detached until one does. Two log lines and five counters; nothing else depends on it yet.

--- a/crates/core/src/policy/mod.rs
+++ b/crates/core/src/policy/mod.rs
@@ -16,6 +16,7 @@
 pub mod outcome;
 pub mod poison;
 pub mod queue;
+pub mod reach;
 pub mod replica;
 pub mod retry;
 pub mod server_limit;
--- a/crates/server/src/gateway/connections.rs
+++ b/crates/server/src/gateway/connections.rs
@@ -15,7 +15,7 @@
 use hyper_util::rt::TokioIo;
 use tokio::{sync::oneshot, task::AbortHandle, time::timeout};
 
-use super::receive_limit::Overhead;
+use super::{reach::ReachMonitor, receive_limit::Overhead};
 use crate::{
     sockets::{self, MeteredStream},
     timer::Timer,
@@ -74,16 +74,21 @@
 }
 
 impl PooledConnection {
-    async fn open(address: SocketAddr) -> Option<Self> {
+    async fn open(address: SocketAddr, reach: &ReachMonitor) -> Option<Self> {
         let connected = timeout(CONNECT_TIMEOUT, sockets::connect(address)).await;
         let stream = match connected {
-            Ok(Ok(stream)) => stream,
+            Ok(Ok(stream)) => {
+                reach.on_opened();
+                stream
+            }
             Ok(Err(error)) => {
                 log::debug!("gateway: Connecting to {address} failed: {error}.");
+                reach.on_open_failed(Some(&error));
                 return None;
             }
             Err(_) => {
                 log::debug!("gateway: Connecting to {address} timed out.");
+                reach.on_open_failed(None);
                 return None;
             }
         };
@@ -116,9 +121,10 @@
 }
 
 /// The connection pools of all backend servers.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub(super) struct ConnectionPools {
     pools: Mutex<HashMap<ServerId, Arc<ServerPool>>>,
+    reach: Arc<ReachMonitor>,
     /// Until when any backend server may reset new connections; `None` if no resets are expected.
     resets_until: Option<Instant>,
 }
@@ -182,11 +188,19 @@
 }
 
 impl ConnectionPools {
+    pub(super) fn new(reach: Arc<ReachMonitor>) -> Self {
+        Self {
+            pools: Mutex::default(),
+            reach,
+            resets_until: None,
+        }
+    }
+
     /// Returns the pools of a process that may have replaced a killed one.
-    pub(super) fn after_restart(now: Instant) -> Self {
+    pub(super) fn after_restart(reach: Arc<ReachMonitor>, now: Instant) -> Self {
         Self {
             resets_until: Some(now + RESET_WINDOW),
-            ..Self::default()
+            ..Self::new(reach)
         }
     }
 
@@ -224,7 +238,7 @@
             return Ok((connection, permit));
         }
         pool.make_room(request.limit);
-        let Some(connection) = PooledConnection::open(request.address).await else {
+        let Some(connection) = PooledConnection::open(request.address, &self.reach).await else {
             return Err(AcquireError::Connect);
         };
         let resets_until = self.resets_until.max(pool.lock().resets_until);
--- a/crates/server/src/gateway/fan_out.rs
+++ b/crates/server/src/gateway/fan_out.rs
@@ -12,6 +12,7 @@
     policy::{
         gather::{Action, AttemptCause, Context, Gather, GatherEnd, ShardTarget},
         outcome::CallOutcome,
+        retry::RetryReason,
     },
     routes::RouteTarget,
     view::{ConfigView, FleetView},
@@ -451,6 +452,9 @@
                     expected,
                 } => {
                     self.count_send(cause);
+                    if let AttemptCause::Hedge | AttemptCause::Retry(RetryReason::Timeout) = cause {
+                        self.gateway.reach.on_overdue();
+                    }
                     let sent = Decision::Sent {
                         shard,
                         server: ServerId::clone(&server),
--- a/crates/server/src/gateway/listen.rs
+++ b/crates/server/src/gateway/listen.rs
@@ -41,6 +41,7 @@
     let syncing = tokio::spawn(sync_periodically(Arc::clone(&gateway)));
     let claiming = tokio::spawn(Arc::clone(&gateway).claim_periodically());
     let exchanging = tokio::spawn(Arc::clone(&gateway).exchange_periodically());
+    let watching = tokio::spawn(Arc::clone(&gateway).watch_reach());
     let (stopping, stopped) = watch::channel(false);
     for listener in [directory, readiness] {
         let pages = Arc::clone(&gateway);
@@ -66,6 +67,7 @@
     syncing.abort();
     claiming.abort();
     exchanging.abort();
+    watching.abort();
     Ok(())
 }
 
--- a/crates/server/src/gateway/mod.rs
+++ b/crates/server/src/gateway/mod.rs
@@ -20,6 +20,7 @@
 mod permits;
 mod plan;
 mod poison;
+mod reach;
 mod readiness;
 mod receive_limit;
 mod reply_memory;
--- /dev/null
+++ b/crates/server/src/gateway/reach.rs
@@ -0,0 +1,146 @@
+//! Checks of whether this VM reaches the backend servers.
+
+use std::{
+    io,
+    net::SocketAddr,
+    sync::{Arc, Mutex, MutexGuard, PoisonError},
+    time::Duration,
+};
+
+use cassialift_core::policy::reach::{Reach, ReachTable};
+use futures::{StreamExt, stream::FuturesUnordered};
+use tokio::{sync::Notify, time::timeout};
+
+use super::Gateway;
+use crate::{metrics::Metrics, sockets, timer::Timer};
+
+/// The number of backend servers that a check tries at most.
+const CHECK_SERVERS: usize = 5;
+/// The time limit for the connection that a check opens first.
+const FIRST_TIMEOUT: Duration = Duration::from_millis(100);
+/// The time limit for the others: more than a busy link or processor delays them.
+const CHECK_TIMEOUT: Duration = Duration::from_millis(500);
+/// The pause between two checks.
+const CHECK_PAUSE: Duration = Duration::from_millis(250);
+
+/// What this process knows about whether it reaches the backend servers.
+#[derive(Debug)]
+pub(super) struct ReachMonitor {
+    table: Mutex<ReachTable>,
+    metrics: Arc<Metrics>,
+    /// Wakes the task that checks.
+    suspicion: Notify,
+}
+
+impl ReachMonitor {
+    pub(super) fn new(metrics: Arc<Metrics>) -> Self {
+        Self {
+            table: Mutex::default(),
+            metrics,
+            suspicion: Notify::new(),
+        }
+    }
+
+    /// Returns whether this VM reaches no backend server.
+    pub(super) fn is_detached(&self) -> bool {
+        self.lock().reach() == Reach::Detached
+    }
+
+    /// Records that a connection to a backend server was opened.
+    pub(super) fn on_opened(&self) {
+        if self.lock().on_opened(Timer.now()) {
+            self.metrics.count("gateway.attached");
+            log::info!("gateway: Backend servers can be reached again.");
+        }
+    }
+
+    /// Records that no connection to a backend server could be opened; `None` for no reply in time.
+    pub(super) fn on_open_failed(&self, error: Option<&io::Error>) {
+        self.metrics.count(match error.map(io::Error::kind) {
+            None => "gateway.open_timeout",
+            Some(io::ErrorKind::ConnectionRefused) => "gateway.open_refused",
+            Some(_) => "gateway.open_failed",
+        });
+        if self.lock().is_suspect(Timer.now()) {
+            self.suspicion.notify_one();
+        }
+    }
+
+    /// Records that the reply to a call is overdue.
+    pub(super) fn on_overdue(&self) {
+        if self.lock().is_silent(Timer.now()) {
+            self.suspicion.notify_one();
+        }
+    }
+
+    /// Records a reply of a backend server.
+    pub(super) fn on_reply(&self) {
+        self.lock().on_reply(Timer.now());
+    }
+
+    fn lock(&self) -> MutexGuard<'_, ReachTable> {
+        // Each step under the lock leaves the table consistent, so a poisoned lock is safe to use.
+        self.table.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+impl Gateway {
+    /// Checks whether this VM reaches the backend servers: on a suspicion, and periodically while it
+    /// does not.
+    pub(super) async fn watch_reach(self: Arc<Self>) {
+        loop {
+            if !self.reach.is_detached() {
+                self.reach.suspicion.notified().await;
+            }
+            self.check_reach().await;
+            Timer.after(CHECK_PAUSE).await;
+        }
+    }
+
+    /// Opens connections to some backend servers until one opens.
+    async fn check_reach(&self) {
+        let began = Timer.now();
+        let servers = self.servers.sample(CHECK_SERVERS);
+        let Some((first, others)) = servers.split_first() else {
+            return;
+        };
+        if self.opens(*first, FIRST_TIMEOUT).await {
+            return;
+        }
+        let mut opening: FuturesUnordered<_> = others
+            .iter()
+            .map(|address| self.opens(*address, CHECK_TIMEOUT))
+            .collect();
+        while let Some(opened) = opening.next().await {
+            if opened {
+                return;
+            }
+        }
+        if self.reach.lock().on_check_failed(began) {
+            self.node.metrics.count("gateway.detached");
+            log::warn!(
+                "gateway: No backend server can be reached: no connection to any of {} opened within {} ms.",
+                servers.len(),
+                Timer.now().saturating_duration_since(began).as_millis()
+            );
+        }
+    }
+
+    /// Returns whether a connection to an address opens in time.
+    async fn opens(&self, address: SocketAddr, limit: Duration) -> bool {
+        match timeout(limit, sockets::connect(address)).await {
+            Ok(Ok(_)) => {
+                self.reach.on_opened();
+                true
+            }
+            Ok(Err(error)) => {
+                log::debug!("gateway: A check of {address} failed: {error}.");
+                false
+            }
+            Err(_) => {
+                log::debug!("gateway: A check of {address} timed out.");
+                false
+            }
+        }
+    }
+}
--- a/crates/server/src/gateway/server_call.rs
+++ b/crates/server/src/gateway/server_call.rs
@@ -73,6 +73,9 @@
             }
         };
         let (end, notice) = ended?;
+        if matches!(end, ExchangeEnd::Reply(_)) {
+            self.gateway.reach.on_reply();
+        }
         let (outcome, reply) = self.classify(end);
         self.report(outcome, started);
         if outcome == CallOutcome::Unknown(UnknownCause::Broken)
--- a/crates/server/src/gateway/servers.rs
+++ b/crates/server/src/gateway/servers.rs
@@ -23,7 +23,7 @@
     routes::{RouteTarget, Splitter},
     view::{ConfigView, FleetView, MemberView, Reachability},
 };
-use rand::seq::IndexedRandom;
+use rand::seq::{IndexedRandom, IteratorRandom};
 
 use super::inbound::Inbound;
 use crate::timer::Timer;
@@ -298,6 +298,17 @@
         Some(DataCentre::clone(&document.centre))
     }
 
+    /// Returns the addresses of some backend servers, chosen at random.
+    pub(super) fn sample(&self, count: usize) -> Vec<SocketAddr> {
+        let inner = self.lock();
+        let servers = inner.registry.services().flat_map(|(_, servers)| servers);
+        let chosen = servers.choose_multiple(&mut rand::rng(), count);
+        let documents = chosen
+            .into_iter()
+            .filter_map(|server| inner.registry.get(server));
+        documents.map(|document| document.address).collect()
+    }
+
     /// Returns whether the table contains a backend server.
     pub(super) fn contains(&self, server: &str) -> bool {
         self.lock().registry.get(server).is_some()
--- a/crates/server/src/gateway/state.rs
+++ b/crates/server/src/gateway/state.rs
@@ -15,7 +15,8 @@
 
 use super::{
     GatewaySettings, connections::ConnectionPools, continuations::Continuations,
-    permits::PermitPools, poison::PoisonMemory, reply_memory::ReplyMemory, servers::ServerTable,
+    permits::PermitPools, poison::PoisonMemory, reach::ReachMonitor, reply_memory::ReplyMemory,
+    servers::ServerTable,
 };
 use crate::{process::Node, timer::Timer};
 
@@ -34,6 +35,7 @@
     pub(super) continuations: Continuations,
     pub(super) permits: PermitPools,
     pub(super) poison: PoisonMemory,
+    pub(super) reach: Arc<ReachMonitor>,
     /// Whether any backend server states a limit on its calls.
     has_limits: watch::Sender<bool>,
     /// The time at which requests in flight must end because the process is leaving; `None` before
@@ -45,10 +47,11 @@
     /// Returns the gateway of a process.
     #[must_use]
     pub fn new(node: Arc<Node>, dialect: Arc<dyn Dialect>, settings: GatewaySettings) -> Self {
+        let reach = Arc::new(ReachMonitor::new(Arc::clone(&node.metrics)));
         let connections = if settings.first_start {
-            ConnectionPools::default()
+            ConnectionPools::new(Arc::clone(&reach))
         } else {
-            ConnectionPools::after_restart(Timer.now())
+            ConnectionPools::after_restart(Arc::clone(&reach), Timer.now())
         };
         Self {
             node,
@@ -60,6 +63,7 @@
             continuations: Continuations::default(),
             permits: PermitPools::default(),
             poison: PoisonMemory::default(),
+            reach,
             has_limits: watch::Sender::new(false),
             shutdown_at: watch::Sender::new(None),
         }
