members: a VM tells the others whether it reaches the backend servers

Heartbeats and membership updates carry a numbered statement of each VM about its links; the newest number wins, a new run starts anew, and each change is logged and passed on. Nothing depends on it yet. The number is the statement's own, so that suspicion and refutation stay as they are. Messages between VMs change: VMs of two versions don't understand each other's heartbeats.

--- a/crates/core/src/fleet/members/member.rs
+++ b/crates/core/src/fleet/members/member.rs
@@ -2,7 +2,7 @@
 
 use std::{net::SocketAddr, time::Instant};
 
-use super::{Contact, MemberState};
+use super::{Attachment, Contact, MemberState};
 use crate::{
     ids::{DataCentre, Incarnation, VmId},
     view::Reachability,
@@ -59,6 +59,8 @@
     pub reached_indirectly: bool,
     /// The version of the state, which the process itself raises.
     pub version: u64,
+    /// Whether the process reaches the backend servers, as far as is known.
+    pub attachment: Attachment,
     /// The number of requests in flight that the process last reported.
     pub load: u32,
     /// The time of the last ping or reply that came directly from the process.
@@ -93,6 +95,7 @@
             connection_refused: false,
             reached_indirectly: false,
             version: 0,
+            attachment: Attachment::default(),
             load: 0,
             last_heard: None,
             alive_since: None,
@@ -170,6 +173,7 @@
         self.callers = contact.callers;
         self.capacity = contact.capacity;
         self.version = 0;
+        self.attachment = Attachment::default();
         self.leaving = false;
     }
 
--- a/crates/core/src/fleet/members/mod.rs
+++ b/crates/core/src/fleet/members/mod.rs
@@ -21,4 +21,4 @@
 pub use member::{ListedVm, Member};
 pub use settings::MemberSettings;
 pub use table::{MemberEvent, Members, PingFailure, Probe, TickActions};
-pub use update::{Contact, MemberState, MemberStatus, MemberUpdate};
+pub use update::{Attachment, Contact, MemberState, MemberStatus, MemberUpdate};
--- a/crates/core/src/fleet/members/table.rs
+++ b/crates/core/src/fleet/members/table.rs
@@ -5,7 +5,10 @@
 use rand::{Rng, SeedableRng, seq::SliceRandom};
 use rand_chacha::ChaCha8Rng;
 
-use super::{Contact, ListedVm, Member, MemberSettings, MemberState, MemberUpdate, gossip::Gossip};
+use super::{
+    Attachment, Contact, ListedVm, Member, MemberSettings, MemberState, MemberUpdate,
+    gossip::Gossip,
+};
 use crate::{
     ids::{Incarnation, VmId},
     view::Reachability,
@@ -48,6 +51,13 @@
         /// The new reachability.
         reachability: Reachability,
     },
+    /// The member lost its links to all backend servers, or has them back.
+    AttachmentChanged {
+        /// The member.
+        vm: VmId,
+        /// Whether the member reaches no backend server.
+        detached: bool,
+    },
     /// A new run of the member's process has replaced the known one.
     Restarted {
         /// The member.
@@ -80,6 +90,7 @@
     pub(super) own: Contact,
     pub(super) leaving: bool,
     pub(super) version: u64,
+    pub(super) attachment: Attachment,
     pub(super) settings: MemberSettings,
     pub(super) rows: BTreeMap<VmId, Member>,
     pub(super) gossip: Gossip,
@@ -103,6 +114,7 @@
             own,
             leaving: false,
             version: 1,
+            attachment: Attachment::default(),
             settings,
             rows: BTreeMap::new(),
             gossip,
@@ -150,6 +162,40 @@
         self.gossip.push(&vm);
     }
 
+    /// Returns whether this process reaches the backend servers.
+    #[must_use]
+    pub fn attachment(&self) -> Attachment {
+        self.attachment
+    }
+
+    /// Sets whether this process reaches no backend server.
+    pub fn set_detached(&mut self, detached: bool) {
+        if self.attachment.detached == detached {
+            return;
+        }
+        let version = self.attachment.version + 1;
+        self.attachment = Attachment { version, detached };
+        let vm = VmId::clone(&self.own.vm);
+        self.gossip.push(&vm);
+    }
+
+    /// Applies what a process says of its links to the backend servers. A change emits an event, and
+    /// an update to pass on.
+    pub(super) fn adopt_attachment(&mut self, vm: &VmId, attachment: Attachment) {
+        let Some(member) = self.rows.get_mut(vm) else {
+            return;
+        };
+        if !member.attachment.adopt(attachment) {
+            return;
+        }
+        let vm = VmId::clone(vm);
+        self.gossip.push(&vm);
+        self.events.push(MemberEvent::AttachmentChanged {
+            vm,
+            detached: attachment.detached,
+        });
+    }
+
     /// Applies a new copy of the platform's VM list.
     pub fn set_vm_list(&mut self, list: &[ListedVm], now: Instant) {
         for member in self.rows.values_mut() {
@@ -184,10 +230,12 @@
         if *vm == self.own.vm {
             let contact = self.own.clone();
             let (state, version) = (self.own_state(), self.version);
+            let attachment = self.attachment;
             return Some(MemberUpdate {
                 contact,
                 state,
                 version,
+                attachment,
             });
         }
         let member = self.rows.get(vm)?;
@@ -195,6 +243,7 @@
             contact: member.contact(vm)?,
             state: member.state()?,
             version: member.version,
+            attachment: member.attachment,
         })
     }
 
--- a/crates/core/src/fleet/members/tests.rs
+++ b/crates/core/src/fleet/members/tests.rs
@@ -6,8 +6,8 @@
 };
 
 use super::{
-    Contact, ListedVm, MemberEvent, MemberSettings, MemberState, MemberStatus, MemberUpdate,
-    Members, PingFailure,
+    Attachment, Contact, ListedVm, MemberEvent, MemberSettings, MemberState, MemberStatus,
+    MemberUpdate, Members, PingFailure,
 };
 use crate::{ids::VmId, view::Reachability};
 
@@ -16,6 +16,10 @@
     leaving: false,
     serving: true,
     load: 0,
+    attachment: Attachment {
+        version: 0,
+        detached: false,
+    },
 };
 
 fn contact(index: u16, incarnation: u64) -> Contact {
@@ -57,6 +61,7 @@
         contact,
         state,
         version,
+        attachment: Attachment::default(),
     }
 }
 
@@ -363,3 +368,76 @@
     members.record_heartbeat(&failed, SERVING, now);
     assert_eq!(drain_updates(&mut members), [failed.vm]);
 }
+
+fn attachment(version: u64, detached: bool) -> Attachment {
+    Attachment { version, detached }
+}
+
+/// Returns what a table has heard about the links of a member to the backend servers.
+fn is_detached(members: &Members, index: u16) -> bool {
+    let member = members.get(&contact(index, 0).vm).unwrap();
+    member.attachment.detached
+}
+
+#[test]
+fn test_detached_members_are_passed_on() {
+    let now = Instant::now();
+    let mut first = reachable_members(2, now);
+    let status = MemberStatus {
+        attachment: attachment(1, true),
+        ..SERVING
+    };
+    first.record_heartbeat(&contact(1, 1), status, now);
+    assert!(is_detached(&first, 1));
+    let detached = MemberEvent::AttachmentChanged {
+        vm: contact(1, 1).vm,
+        detached: true,
+    };
+    assert_eq!(first.take_events(), [detached]);
+    let mut second = reachable_members(2, now);
+    second.apply_updates(&first.next_updates(), now);
+    assert!(is_detached(&second, 1));
+    assert!(!is_detached(&second, 2));
+}
+
+#[test]
+fn test_detached_members_are_not_restored_by_older_updates() {
+    let now = Instant::now();
+    let mut members = reachable_members(1, now);
+    for (version, expected) in [(3, true), (2, true), (3, true), (4, false), (3, false)] {
+        let update = MemberUpdate {
+            attachment: attachment(version, version == 3),
+            ..update(contact(1, 1), MemberState::Alive, 1)
+        };
+        members.apply_updates(&[update], now);
+        assert_eq!(is_detached(&members, 1), expected, "version {version}");
+    }
+}
+
+#[test]
+fn test_detached_member_is_forgotten_with_its_run() {
+    let now = Instant::now();
+    let mut members = reachable_members(1, now);
+    let status = MemberStatus {
+        attachment: attachment(5, true),
+        ..SERVING
+    };
+    members.record_heartbeat(&contact(1, 1), status, now);
+    members.record_heartbeat(&contact(1, 2), SERVING, now);
+    assert!(!is_detached(&members, 1));
+}
+
+#[test]
+fn test_own_links_are_announced_with_each_change() {
+    let mut members = reachable_members(1, Instant::now());
+    members.set_detached(false);
+    assert_eq!(members.attachment(), attachment(0, false));
+    members.set_detached(true);
+    members.set_detached(true);
+    assert_eq!(members.attachment(), attachment(1, true));
+    let updates = members.next_updates();
+    let own = updates
+        .iter()
+        .find(|update| update.contact.vm == contact(0, 0).vm);
+    assert_eq!(own.unwrap().attachment, attachment(1, true));
+}
--- a/crates/core/src/fleet/members/transitions.rs
+++ b/crates/core/src/fleet/members/transitions.rs
@@ -67,6 +67,7 @@
             Reachability::Alive
         };
         self.set_reachability(&from.vm, reachability, now);
+        self.adopt_attachment(&from.vm, status.attachment);
     }
 
     /// Applies the failure of a ping to `vm`.
@@ -160,11 +161,13 @@
             {
                 member.replace_run(contact);
                 member.version = update.version;
+                member.attachment = update.attachment;
                 self.gossip.push(&contact.vm);
                 self.set_reachability(&contact.vm, Reachability::Unknown, now);
             }
             return;
         }
+        self.adopt_attachment(&contact.vm, update.attachment);
         self.apply_known_run(update, now);
     }
 
@@ -174,6 +177,7 @@
         }
         let mut member = Member::from_contact(&update.contact, now);
         member.version = update.version;
+        member.attachment = update.attachment;
         member.leaving = update.state == MemberState::Leaving;
         self.rows.insert(VmId::clone(&update.contact.vm), member);
         self.gossip.push(&update.contact.vm);
--- a/crates/core/src/fleet/members/update.rs
+++ b/crates/core/src/fleet/members/update.rs
@@ -23,6 +23,27 @@
     pub capacity: u32,
 }
 
+/// Whether a process reaches the backend servers, as it says itself.
+#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Attachment {
+    /// The number of changes in this run of the process; the greatest is the newest.
+    pub version: u64,
+    /// Whether the process reaches no backend server.
+    pub detached: bool,
+}
+
+impl Attachment {
+    /// Adopts a newer statement; returns whether it says something else.
+    pub(super) fn adopt(&mut self, other: Self) -> bool {
+        if other.version <= self.version {
+            return false;
+        }
+        let is_change = self.detached != other.detached;
+        *self = other;
+        is_change
+    }
+}
+
 /// The status that a process reports of itself in each heartbeat.
 #[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
 pub struct MemberStatus {
@@ -33,6 +54,8 @@
     pub serving: bool,
     /// The number of requests in flight on the process.
     pub load: u32,
+    /// Whether the process reaches the backend servers.
+    pub attachment: Attachment,
 }
 
 /// The state of a process in an update. Of two states with the same version, the greater one wins.
@@ -58,4 +81,6 @@
     /// The version of the state, which orders the states of one run and is raised by the process
     /// itself only.
     pub version: u64,
+    /// Whether the process reaches the backend servers.
+    pub attachment: Attachment,
 }
--- a/crates/core/src/fleet/node.rs
+++ b/crates/core/src/fleet/node.rs
@@ -129,6 +129,11 @@
         self.load = load;
     }
 
+    /// Sets whether this process reaches no backend server.
+    pub fn set_detached(&mut self, detached: bool) {
+        self.members.set_detached(detached);
+    }
+
     /// Applies a new copy of the platform's VM list.
     pub fn set_vm_list(&mut self, list: &[ListedVm], now: Instant) {
         self.members.set_vm_list(list, now);
@@ -150,6 +155,7 @@
             leaving: self.members.is_leaving(),
             serving: self.configured && self.members_known,
             load: self.load,
+            attachment: self.members.attachment(),
         }
     }
 
--- a/crates/core/src/fleet/views.rs
+++ b/crates/core/src/fleet/views.rs
@@ -114,6 +114,7 @@
         callers: member.callers,
         capacity: member.capacity,
         reachability,
+        detached: member.attachment.detached,
         load: member.load,
         alive_since: member.alive_since,
     }
@@ -133,6 +134,7 @@
             MemberStatus { serving: false, .. } => Reachability::Unknown,
             MemberStatus { .. } => Reachability::Alive,
         },
+        detached: status.attachment.detached,
         load: status.load,
         alive_since: node.ready_since(),
     }
--- a/crates/core/src/view/fleet.rs
+++ b/crates/core/src/view/fleet.rs
@@ -58,6 +58,8 @@
     pub capacity: u32,
     /// Whether the process can be used.
     pub reachability: Reachability,
+    /// Whether the process reaches no backend server.
+    pub detached: bool,
     /// The number of requests in flight that the process last reported.
     pub load: u32,
     /// The time since which the process has answered without interruption; `None` while it does not
--- a/crates/server/src/control/config_read_tests.rs
+++ b/crates/server/src/control/config_read_tests.rs
@@ -76,6 +76,7 @@
         })),
         config: Arc::new(ArcSwap::from_pointee(ConfigState::new(&node, Timer.now()))),
         events,
+        detached: Arc::default(),
     };
     tokio::spawn(async move { while received.recv().await.is_some() {} });
     let waits: Arc<Mutex<Vec<Duration>>> = Arc::default();
--- a/crates/server/src/control/fleet.rs
+++ b/crates/server/src/control/fleet.rs
@@ -103,6 +103,11 @@
         self.node.set_load(load);
     }
 
+    /// Sets whether this process reaches no backend server.
+    pub(super) fn set_detached(&mut self, detached: bool) {
+        self.node.set_detached(detached);
+    }
+
     /// Advances all timers and returns the heartbeats and probes to send.
     pub(super) fn tick(&mut self, now: Instant) -> TickActions {
         let actions = self.node.tick(now);
@@ -210,6 +215,17 @@
                 let is_warning = matches!(reachability, Reachability::Suspect | Reachability::Dead);
                 (counter, is_warning, format!("{vm} {text}."))
             }
+            MemberEvent::AttachmentChanged { vm, detached: true } => {
+                let text = format!("{vm} reaches no backend server.");
+                ("fleet.member_detached", true, text)
+            }
+            MemberEvent::AttachmentChanged {
+                vm,
+                detached: false,
+            } => {
+                let text = format!("{vm} reaches backend servers again.");
+                ("fleet.member_attached", false, text)
+            }
             MemberEvent::Restarted { vm, .. } => {
                 let text = format!("The process on {vm} was replaced by another run.");
                 ("fleet.member_restarted", false, text)
--- a/crates/server/src/control/handle.rs
+++ b/crates/server/src/control/handle.rs
@@ -1,6 +1,9 @@
 //! Access to the control thread from traffic threads.
 
-use std::sync::Arc;
+use std::sync::{
+    Arc,
+    atomic::{AtomicBool, Ordering},
+};
 
 use arc_swap::{ArcSwap, Guard};
 use cassialift_core::{ids::VmId, view::FleetView};
@@ -15,6 +18,7 @@
     pub(super) view: Arc<ArcSwap<FleetView>>,
     pub(super) config: Arc<ArcSwap<ConfigState>>,
     pub(super) events: mpsc::Sender<Event>,
+    pub(super) detached: Arc<AtomicBool>,
 }
 
 impl ControlHandle {
@@ -37,6 +41,11 @@
         self.config.load_full()
     }
 
+    /// Sets whether this process reaches no backend server; other VMs learn it with the next tick.
+    pub fn set_detached(&self, detached: bool) {
+        self.detached.store(detached, Ordering::Relaxed);
+    }
+
     /// Sends an event to the control thread.
     ///
     /// An event is lost only when the control thread has ended, and the process with it.
--- a/crates/server/src/control/thread.rs
+++ b/crates/server/src/control/thread.rs
@@ -2,7 +2,7 @@
 
 use std::{
     net::SocketAddr,
-    sync::Arc,
+    sync::{Arc, atomic::Ordering},
     thread,
     time::{Duration, Instant},
 };
@@ -101,6 +101,7 @@
         view,
         config: Arc::default(),
         events: sender,
+        detached: Arc::default(),
     };
     let control = handle.clone();
     let control_loop = ControlLoop {
@@ -172,6 +173,8 @@
 impl ControlLoop {
     fn tick(&mut self, now: Instant) {
         self.fleet.set_load(self.drain.running());
+        self.fleet
+            .set_detached(self.handle.detached.load(Ordering::Relaxed));
         self.traffic.report(&self.metrics);
         let actions = self.fleet.tick(now);
         self.config.tick(now);
--- a/crates/server/src/gateway/connections.rs
+++ b/crates/server/src/gateway/connections.rs
@@ -2,6 +2,7 @@
 
 use std::{
     collections::{HashMap, VecDeque},
+    io::ErrorKind,
     net::SocketAddr,
     sync::{Arc, Mutex, MutexGuard, PoisonError},
     time::{Duration, Instant},
@@ -77,18 +78,15 @@
     async fn open(address: SocketAddr, reach: &ReachMonitor) -> Option<Self> {
         let connected = timeout(CONNECT_TIMEOUT, sockets::connect(address)).await;
         let stream = match connected {
-            Ok(Ok(stream)) => {
-                reach.on_opened();
-                stream
-            }
+            Ok(Ok(stream)) => stream,
             Ok(Err(error)) => {
                 log::debug!("gateway: Connecting to {address} failed: {error}.");
-                reach.on_open_failed(Some(&error));
+                reach.on_open_failed(error.kind());
                 return None;
             }
             Err(_) => {
                 log::debug!("gateway: Connecting to {address} timed out.");
-                reach.on_open_failed(None);
+                reach.on_open_failed(ErrorKind::TimedOut);
                 return None;
             }
         };
@@ -206,6 +204,7 @@
 
     /// Records that a new connection to a backend server broke during its first request.
     pub(super) fn on_new_broken(&self, server: &ServerId) {
+        self.reach.on_open_failed(ErrorKind::ConnectionReset);
         self.pool(server).lock().resets_until = Some(Timer.now() + RESET_WINDOW);
     }
 
@@ -246,6 +245,7 @@
             // A reset that arrives after the request was sent leaves open whether the request ran.
             Timer.after(RESET_WAIT).await;
             if connection.sender.is_closed() {
+                self.reach.on_open_failed(ErrorKind::ConnectionReset);
                 return Err(AcquireError::Connect);
             }
         }
--- a/crates/server/src/gateway/exchange.rs
+++ b/crates/server/src/gateway/exchange.rs
@@ -1,6 +1,7 @@
 //! One HTTP exchange with a backend server, and the classification of its outcome.
 
 use std::{
+    io::ErrorKind,
     sync::{
         Arc,
         atomic::{AtomicBool, Ordering},
@@ -116,6 +117,9 @@
             return ExchangeEnd::NotRun(cause);
         }
         if connection.sender.ready().await.is_err() {
+            if connection.last_attempt.is_none() {
+                gateway.reach.on_open_failed(ErrorKind::ConnectionReset);
+            }
             return ExchangeEnd::NotRun(NotRunCause::Connect);
         }
         let is_new = connection
@@ -144,6 +148,9 @@
         };
         match outcome {
             Ok((reply, hints)) => {
+                if is_new {
+                    gateway.reach.on_opened();
+                }
                 *notice = read_notice(reply.status, &reply.headers, names, &gateway.settings);
                 let end = self.classify(reply, *notice, names);
                 if hints.reusable && self.is_reusable(&end) {
@@ -152,7 +159,12 @@
                 }
                 end
             }
-            Err(ExchangeError::Unsent) => ExchangeEnd::NotRun(NotRunCause::Connect),
+            Err(ExchangeError::Unsent) => {
+                if is_new {
+                    gateway.reach.on_open_failed(ErrorKind::ConnectionReset);
+                }
+                ExchangeEnd::NotRun(NotRunCause::Connect)
+            }
             Err(ExchangeError::Broken) => {
                 if is_new {
                     pools.on_new_broken(&self.connection.server);
--- a/crates/server/src/gateway/reach.rs
+++ b/crates/server/src/gateway/reach.rs
@@ -12,7 +12,7 @@
 use tokio::{sync::Notify, time::timeout};
 
 use super::Gateway;
-use crate::{metrics::Metrics, sockets, timer::Timer};
+use crate::{control::ControlHandle, metrics::Metrics, sockets, timer::Timer};
 
 /// The number of backend servers that a check tries at most.
 const CHECK_SERVERS: usize = 5;
@@ -20,6 +20,9 @@
 const FIRST_TIMEOUT: Duration = Duration::from_millis(100);
 /// The time limit for the others: more than a busy link or processor delays them.
 const CHECK_TIMEOUT: Duration = Duration::from_millis(500);
+/// How long the connection of a check must stay open. What stands between this VM and a server, such as
+/// a proxy, may accept connections and then reset them.
+const OPEN_TIME: Duration = Duration::from_millis(50);
 /// The pause between two checks.
 const CHECK_PAUSE: Duration = Duration::from_millis(250);
 
@@ -27,15 +30,17 @@
 #[derive(Debug)]
 pub(super) struct ReachMonitor {
     table: Mutex<ReachTable>,
+    control: ControlHandle,
     metrics: Arc<Metrics>,
     /// Wakes the task that checks.
     suspicion: Notify,
 }
 
 impl ReachMonitor {
-    pub(super) fn new(metrics: Arc<Metrics>) -> Self {
+    pub(super) fn new(control: ControlHandle, metrics: Arc<Metrics>) -> Self {
         Self {
             table: Mutex::default(),
+            control,
             metrics,
             suspicion: Notify::new(),
         }
@@ -46,20 +51,21 @@
         self.lock().reach() == Reach::Detached
     }
 
-    /// Records that a connection to a backend server was opened.
+    /// Records that a connection to a backend server was opened and works.
     pub(super) fn on_opened(&self) {
         if self.lock().on_opened(Timer.now()) {
+            self.control.set_detached(false);
             self.metrics.count("gateway.attached");
             log::info!("gateway: Backend servers can be reached again.");
         }
     }
 
-    /// Records that no connection to a backend server could be opened; `None` for no reply in time.
-    pub(super) fn on_open_failed(&self, error: Option<&io::Error>) {
-        self.metrics.count(match error.map(io::Error::kind) {
-            None => "gateway.open_timeout",
-            Some(io::ErrorKind::ConnectionRefused) => "gateway.open_refused",
-            Some(_) => "gateway.open_failed",
+    /// Records that no connection to a backend server could be opened, or that a new one broke.
+    pub(super) fn on_open_failed(&self, error: io::ErrorKind) {
+        self.metrics.count(match error {
+            io::ErrorKind::TimedOut => "gateway.open_timeout",
+            io::ErrorKind::ConnectionRefused => "gateway.open_refused",
+            _ => "gateway.open_failed",
         });
         if self.lock().is_suspect(Timer.now()) {
             self.suspicion.notify_one();
@@ -117,6 +123,7 @@
             }
         }
         if self.reach.lock().on_check_failed(began) {
+            self.node.control.set_detached(true);
             self.node.metrics.count("gateway.detached");
             log::warn!(
                 "gateway: No backend server can be reached: no connection to any of {} opened within {} ms.",
@@ -126,12 +133,16 @@
         }
     }
 
-    /// Returns whether a connection to an address opens in time.
+    /// Returns whether a connection to an address opens in time and stays open.
     async fn opens(&self, address: SocketAddr, limit: Duration) -> bool {
         match timeout(limit, sockets::connect(address)).await {
-            Ok(Ok(_)) => {
-                self.reach.on_opened();
-                true
+            Ok(Ok(stream)) => {
+                // An idle connection has nothing to read until it breaks.
+                let is_open = timeout(OPEN_TIME, stream.readable()).await.is_err();
+                if is_open {
+                    self.reach.on_opened();
+                }
+                is_open
             }
             Ok(Err(error)) => {
                 log::debug!("gateway: A check of {address} failed: {error}.");
--- a/crates/server/src/gateway/state.rs
+++ b/crates/server/src/gateway/state.rs
@@ -47,7 +47,10 @@
     /// Returns the gateway of a process.
     #[must_use]
     pub fn new(node: Arc<Node>, dialect: Arc<dyn Dialect>, settings: GatewaySettings) -> Self {
-        let reach = Arc::new(ReachMonitor::new(Arc::clone(&node.metrics)));
+        let reach = Arc::new(ReachMonitor::new(
+            node.control.clone(),
+            Arc::clone(&node.metrics),
+        ));
         let connections = if settings.first_start {
             ConnectionPools::new(Arc::clone(&reach))
         } else {
--- a/crates/server/src/peers/tests/table.rs
+++ b/crates/server/src/peers/tests/table.rs
@@ -21,6 +21,7 @@
         callers: peers,
         capacity: 0,
         reachability: Reachability::Alive,
+        detached: false,
         load: 0,
         alive_since: None,
     };
--- a/crates/testkit/src/capacity/fleet.rs
+++ b/crates/testkit/src/capacity/fleet.rs
@@ -10,7 +10,7 @@
 use cassialift_core::{
     fleet::{
         Heartbeat, HeartbeatReply, Node, NodeSettings, ViewBuilder,
-        members::{Contact, ListedVm, MemberSettings, MemberStatus},
+        members::{Attachment, Contact, ListedVm, MemberSettings, MemberStatus},
         ownership::{OwnershipReply, OwnershipRequest, OwnershipSettings, Role, ServerKey},
     },
     ids::{DataCentre, VmId},
@@ -312,6 +312,10 @@
         leaving: false,
         serving: true,
         load: 10,
+        attachment: Attachment {
+            version: 0,
+            detached: false,
+        },
     }
 }
 
