gateway: a VM that reaches no backend server passes requests on whole

Callers of VMs cut off from all servers got 502 and 503, while other VMs could have served them: a VM kept each request that reached it and tried the servers itself. Such a VM now offers the request, with the route of its own configuration, to up to three VMs that reach servers, in proportion to their processor time. A VM that is detached or leaving declines and has done nothing; after any other failure the request may have run and is not offered again, so that it runs once at most. A VM that can't pass it on either opens no connections in vain: it uses those that live on, and else refuses at once.

Ruled out: handing over shards one group at a time, as for far shards. It needs a second way for requests to one server, and the admission and poison checks of the VM that serves would be missed.

--- a/crates/server/src/gateway/connections.rs
+++ b/crates/server/src/gateway/connections.rs
@@ -236,6 +236,10 @@
         {
             return Ok((connection, permit));
         }
+        if self.reach.is_detached() {
+            // It would not open, and the check tells when others do.
+            return Err(AcquireError::Connect);
+        }
         pool.make_room(request.limit);
         let Some(connection) = PooledConnection::open(request.address, &self.reach).await else {
             return Err(AcquireError::Connect);
--- a/crates/server/src/gateway/decision.rs
+++ b/crates/server/src/gateway/decision.rs
@@ -62,6 +62,14 @@
     /// The VM of a delegation replied although its first reply had been overdue.
     #[serde(rename = "late_reply")]
     LateReply { vm: VmId, shards: usize },
+    /// The request was passed on to another VM, since this one reaches no backend server.
+    Relayed {
+        vm: VmId,
+        /// The time in which the VM is to answer, in milliseconds.
+        within_ms: u64,
+    },
+    /// The VM that the request was passed on to gave no answer.
+    RelayFailed { vm: VmId, cause: String },
     /// A call was sent to a backend server.
     Sent {
         shard: ShardId,
@@ -159,6 +167,8 @@
             | Decision::Trial { .. }
             | Decision::DelegationFailed { .. }
             | Decision::LateReply { .. }
+            | Decision::Relayed { .. }
+            | Decision::RelayFailed { .. }
             | Decision::Failed { .. }
             | Decision::LeftOut { .. } => true,
         }
--- a/crates/server/src/gateway/forward.rs
+++ b/crates/server/src/gateway/forward.rs
@@ -9,7 +9,7 @@
         gather::{GatherOutcome, ShardTarget},
         poison::Verdict,
     },
-    request::{MissingReason, RefusalReason},
+    request::{ExecutionStatus, MissingReason, RefusalReason},
     routes::RouteTarget,
     view::{ConfigView, FleetView},
 };
@@ -85,22 +85,45 @@
         trace.id = printable(&head.attempt);
         let view = self.node.control.snapshot();
         let (config, inbound) = self.read_request(&view, request, head, trace).await?;
-        let verdict = self.check_poison(&inbound, trace)?;
+        let inbound = Arc::new(inbound);
+        if let Some(result) = self.relay(&view, &inbound, trace).await {
+            return result;
+        }
+        let here = self.serve_here(Arc::clone(&view), config, &inbound, trace);
+        match here.await {
+            // The links may have been lost meanwhile.
+            Err(refusal) if refusal.ran == ExecutionStatus::NotRun => {
+                let relayed = self.relay(&view, &inbound, trace).await;
+                relayed.unwrap_or(Err(refusal))
+            }
+            result => result,
+        }
+    }
+
+    /// Serves a request with calls of this VM, and of those that it delegates shards to.
+    pub(super) async fn serve_here(
+        self: &Arc<Self>,
+        view: Arc<FleetView>,
+        config: Arc<ConfigView>,
+        inbound: &Arc<Inbound>,
+        trace: &mut Trace,
+    ) -> Result<Answer, Refusal> {
+        let names = self.dialect.headers();
+        let verdict = self.check_poison(inbound, trace)?;
         let route = &inbound.route;
         let targets = self
             .servers
             .targets(&route.name, &route.target, trace.started_at);
-        let (_admitted, readiness) = self.admit(&config, &inbound, &targets, trace)?;
-        self.await_servers(readiness, &inbound, &targets, trace)
+        let (_admitted, readiness) = self.admit(&config, inbound, &targets, trace)?;
+        self.await_servers(readiness, inbound, &targets, trace)
             .await?;
-        let inbound = Arc::new(inbound);
         let is_search = matches!(inbound.route.target, RouteTarget::Shards(_));
         let is_tried = is_search && verdict == Verdict::Suspect;
         if is_tried {
-            self.try_one_shard(&view, &config, &inbound, &targets, trace)
+            self.try_one_shard(&view, &config, inbound, &targets, trace)
                 .await?;
         }
-        let plan = self.plan(view, config, &inbound, targets);
+        let plan = self.plan(view, config, inbound, targets);
         let mut result = tokio::select! {
             result = FanOut::new(Arc::clone(self), plan).run() => result,
             () = self.wait_for_shutdown() => return Err(Refusal::unknown(RefusalReason::Leaving)),
@@ -117,12 +140,12 @@
         trace
             .decisions
             .record_left_out(inbound.age(), missing, service);
-        answer(&inbound, result, names).map_err(|refusal| {
+        answer(inbound, result, names).map_err(|refusal| {
             if is_tried {
                 // The shard that was tried has run the search.
                 return Refusal::unknown(refusal.reason);
             }
-            self.name_retry(refusal, &inbound)
+            self.name_retry(refusal, inbound)
         })
     }
 
--- a/crates/server/src/gateway/inbound.rs
+++ b/crates/server/src/gateway/inbound.rs
@@ -56,6 +56,31 @@
 }
 
 impl Inbound {
+    /// Builds a request from a VM's message; `None` if the message is not a valid HTTP request.
+    pub(super) fn from_peer(
+        request: PeerRequest<'_>,
+        route: Route,
+        started_at: Instant,
+        remaining: Duration,
+    ) -> Option<Self> {
+        let headers = header_map(request.headers)?;
+        let method = request.method.parse().ok()?;
+        let target = request.target.parse().ok()?;
+        let host = headers.get(HOST).and_then(|host| host.to_str().ok());
+        let host = host.unwrap_or_default();
+        Some(Self {
+            route: Arc::new(route),
+            fingerprint: fingerprint(&method, host, &target, &request.body),
+            method,
+            target,
+            headers,
+            body: request.body,
+            attempt: Bytes::copy_from_slice(request.attempt),
+            started_at,
+            deadline: started_at + remaining,
+        })
+    }
+
     /// Returns the caller's id of this attempt for a log line.
     pub(super) fn id(&self) -> String {
         printable(&self.attempt)
@@ -67,6 +92,35 @@
     }
 }
 
+/// A caller's request as VMs exchange it.
+#[derive(Clone, Debug)]
+pub(super) struct PeerRequest<'a> {
+    pub(super) method: &'a str,
+    /// The path and the query.
+    pub(super) target: &'a str,
+    pub(super) headers: &'a [(String, Vec<u8>)],
+    pub(super) body: Bytes,
+    /// The caller's id of the attempt.
+    pub(super) attempt: &'a [u8],
+}
+
+/// Returns headers in the form in which VMs exchange them.
+pub(super) fn header_pairs(headers: &HeaderMap) -> Vec<(String, Vec<u8>)> {
+    let pairs = headers.iter();
+    let pairs = pairs.map(|(name, value)| (name.to_string(), value.as_bytes().to_vec()));
+    pairs.collect()
+}
+
+/// Returns headers that VMs exchanged; `None` if one is not valid.
+pub(super) fn header_map(pairs: &[(String, Vec<u8>)]) -> Option<HeaderMap> {
+    let mut headers = HeaderMap::new();
+    for (name, value) in pairs {
+        let name: HeaderName = name.parse().ok()?;
+        headers.append(name, HeaderValue::from_bytes(value).ok()?);
+    }
+    Some(headers)
+}
+
 /// Returns a caller's bytes as one word for a log line, with `?` for each unprintable byte.
 pub(super) fn printable(bytes: &[u8]) -> String {
     let word = |byte: &u8| match byte {
--- a/crates/server/src/gateway/mod.rs
+++ b/crates/server/src/gateway/mod.rs
@@ -23,6 +23,7 @@
 mod reach;
 mod readiness;
 mod receive_limit;
+mod relay;
 mod reply_memory;
 mod server_call;
 mod servers;
--- a/crates/server/src/gateway/partial.rs
+++ b/crates/server/src/gateway/partial.rs
@@ -18,14 +18,13 @@
 };
 use cassialift_wire::peer::{PartialGather, PartialReply, RestRequest};
 use displaydoc::Display;
-use hyper::header::{HOST, HeaderMap, HeaderName, HeaderValue};
-use tarpc::context;
+use hyper::header::HeaderValue;
 
 use super::{
     Gateway,
     continuations::{ContinuedSearch, SearchId},
     fan_out::{FanOut, FanOutResult},
-    inbound::{Inbound, fingerprint, printable},
+    inbound::{Inbound, PeerRequest, header_pairs, printable},
     plan::{Part, Plan, delegation_time, initial_hedge},
     servers::{Delegation, Spread},
     trace::{Trace, TraceEnd},
@@ -75,7 +74,7 @@
 ) -> Result<PartialReply, DelegateError> {
     let request = async {
         let client = gateway.node.peers.client(&view, &vm).await?;
-        peers::gather(&client, context_until(inbound.deadline), partial).await
+        peers::gather(&client, peers::context_until(inbound.deadline), partial).await
     };
     request.await.map_err(|error| {
         gateway.on_call_failed(&vm, &error);
@@ -97,7 +96,7 @@
     };
     let request = async {
         let client = gateway.node.peers.client(&view, &vm).await?;
-        peers::rest(&client, context_until(inbound.deadline), &rest).await
+        peers::rest(&client, peers::context_until(inbound.deadline), &rest).await
     };
     // Every error is a `DelegateError::Rest`, since the VM sent calls before its interim reply.
     request.await.map_err(|error| {
@@ -118,12 +117,6 @@
     partial.reply_after.0.mul_f64(FIRST_REPLY_SHARE)
 }
 
-fn context_until(deadline: Instant) -> context::Context {
-    let mut context = context::current();
-    context.deadline = deadline;
-    context
-}
-
 /// Returns the request to the VM of a delegation.
 pub(super) fn partial_request(inbound: &Inbound, delegation: &Delegation) -> PartialGather {
     let route = &inbound.route;
@@ -131,15 +124,13 @@
         RouteTarget::Shards(set) => (set.top, set.coverage),
         RouteTarget::Service(_) | RouteTarget::Split(_) => (0, 0.0),
     };
-    let headers = inbound.headers.iter();
-    let headers = headers.map(|(name, value)| (name.to_string(), value.as_bytes().to_vec()));
     let shards = delegation.targets.iter();
     let remaining = inbound.deadline.saturating_duration_since(Timer.now());
     PartialGather {
         attempt: inbound.attempt.to_vec(),
         method: inbound.method.to_string(),
         target: inbound.target.to_string(),
-        headers: headers.collect(),
+        headers: header_pairs(&inbound.headers),
         route: Arc::clone(&route.name),
         shards: shards
             .filter_map(|target| Some((target.shard, target.service.clone()?)))
@@ -342,11 +333,6 @@
 
 /// Builds a request from a VM's message; `None` if the message is not a valid HTTP request.
 fn inbound(partial: &PartialGather, started_at: Instant) -> Option<Inbound> {
-    let mut headers = HeaderMap::new();
-    for (name, value) in &partial.headers {
-        let name: HeaderName = name.parse().ok()?;
-        headers.append(name, HeaderValue::from_bytes(value).ok()?);
-    }
     let services = partial.shards.iter().map(|(_, service)| service);
     let route = Route {
         name: Arc::clone(&partial.route),
@@ -363,19 +349,12 @@
         servers: partial.max_servers,
         priority: 0,
     };
-    let method = partial.method.parse().ok()?;
-    let target = partial.target.parse().ok()?;
-    let host = headers.get(HOST).and_then(|host| host.to_str().ok());
-    let fingerprint = fingerprint(&method, host.unwrap_or_default(), &target, &[]);
-    Some(Inbound {
-        route: Arc::new(route),
-        method,
-        target,
-        fingerprint,
-        headers,
+    let request = PeerRequest {
+        method: &partial.method,
+        target: &partial.target,
+        headers: &partial.headers,
         body: Bytes::new(),
-        attempt: Bytes::from(partial.attempt.clone()),
-        started_at,
-        deadline: started_at + partial.remaining.0,
-    })
+        attempt: &partial.attempt,
+    };
+    Inbound::from_peer(request, route, started_at, partial.remaining.0)
 }
--- /dev/null
+++ b/crates/server/src/gateway/relay.rs
@@ -0,0 +1,240 @@
+//! Requests that pass through two VMs: a VM that reaches no backend server passes them on whole.
+
+use std::{sync::Arc, time::Duration};
+
+use bytes::Bytes;
+use cassialift_core::{
+    ids::VmId,
+    request::{ExecutionStatus, RefusalReason},
+    routes::{Route, RouteTarget},
+    view::FleetView,
+};
+use cassialift_wire::peer::{RelayOutcome, RelayReply, RelayRequest};
+use http_body_util::{BodyExt, Full};
+use hyper::{Response, StatusCode};
+
+use super::{
+    Gateway,
+    answer::{Answer, Refusal},
+    decision::{Decision, millis},
+    inbound::{Inbound, PeerRequest, header_map, header_pairs},
+    trace::{Trace, TraceEnd},
+};
+use crate::{
+    peers::{self, PeerError},
+    timer::Timer,
+};
+
+/// The number of VMs that a request is offered to at most.
+const MAX_OFFERS: usize = 3;
+/// The part of a request's time that is reserved for the way back from the VM that serves it.
+const RETURN_MARGIN: Duration = Duration::from_millis(8);
+/// The latency objective of a request that is already late; none would let the VM take all the time
+/// until the deadline.
+const LATE_OBJECTIVE: Duration = Duration::from_millis(1);
+
+impl Gateway {
+    /// Has another VM serve a request while this one reaches no backend server; `None` if it does
+    /// reach them, or if no other VM took the request.
+    ///
+    /// A request that may have been sent to a VM is not offered to another.
+    pub(super) async fn relay(
+        self: &Arc<Self>,
+        view: &FleetView,
+        inbound: &Inbound,
+        trace: &mut Trace,
+    ) -> Option<Result<Answer, Refusal>> {
+        if !self.reach.is_detached() {
+            return None;
+        }
+        let route = self.relayed_route(&inbound.route)?;
+        let mut offered = Vec::new();
+        while offered.len() < MAX_OFFERS && Timer.now() < inbound.deadline {
+            let vm = self.servers.pick_relay(view, &offered, Timer.now())?;
+            offered.push(VmId::clone(&vm));
+            let request = relay_request(inbound, &route);
+            let relayed = Decision::Relayed {
+                vm: VmId::clone(&vm),
+                within_ms: millis(request.remaining.0),
+            };
+            trace.decisions.record(inbound.age(), relayed);
+            self.node.metrics.count("gateway.relayed");
+            let cause = match self.offer(view, inbound, &vm, request).await {
+                Ok(RelayOutcome::Unavailable) => "the VM does not take it".to_owned(),
+                Ok(outcome) => return Some(caller_answer(outcome)),
+                Err(error) if !error.is_unsent() => {
+                    record_failure(trace, inbound, &vm, error.to_string());
+                    return Some(Err(Refusal::unknown(if Timer.now() < inbound.deadline {
+                        RefusalReason::NoReply
+                    } else {
+                        RefusalReason::DeadlinePast
+                    })));
+                }
+                Err(error) => error.to_string(),
+            };
+            self.servers.exclude_vm(&vm, Timer.now());
+            record_failure(trace, inbound, &vm, cause);
+        }
+        None
+    }
+
+    async fn offer(
+        &self,
+        view: &FleetView,
+        inbound: &Inbound,
+        vm: &VmId,
+        request: RelayRequest,
+    ) -> Result<RelayOutcome, PeerError> {
+        let call = async {
+            let client = self.node.peers.client(view, vm).await?;
+            peers::relay(&client, peers::context_until(inbound.deadline), request).await
+        };
+        call.await
+            .inspect_err(|error| self.on_call_failed(vm, error))
+    }
+
+    /// Returns a route with the service that a split chooses.
+    fn relayed_route(&self, route: &Arc<Route>) -> Option<Arc<Route>> {
+        let RouteTarget::Split(shares) = &route.target else {
+            return Some(Arc::clone(route));
+        };
+        let service = self.servers.pick_service(&route.name, shares)?;
+        Some(Arc::new(Route {
+            target: RouteTarget::Service(service),
+            ..Route::clone(route)
+        }))
+    }
+
+    /// Serves a request that another VM passed on.
+    pub(crate) async fn serve_relayed(self: Arc<Self>, request: RelayRequest) -> RelayReply {
+        let attempt = request.attempt.clone();
+        let outcome = self.try_serve_relayed(request).await;
+        RelayReply { attempt, outcome }
+    }
+
+    async fn try_serve_relayed(self: &Arc<Self>, request: RelayRequest) -> RelayOutcome {
+        let view = self.node.control.snapshot();
+        let (Some(config), false) = (view.config.clone(), self.node.drain.is_closed()) else {
+            return RelayOutcome::Unavailable;
+        };
+        if self.reach.is_detached() {
+            return RelayOutcome::Unavailable;
+        }
+        let mut trace = Trace::new(Timer.now());
+        let message = PeerRequest {
+            method: &request.method,
+            target: &request.target,
+            headers: &request.headers,
+            body: Bytes::from(request.body),
+            attempt: &request.attempt,
+        };
+        let remaining = request.remaining.0;
+        let inbound = Inbound::from_peer(message, request.route, trace.started_at, remaining);
+        let Some(inbound) = inbound else {
+            return refused(Refusal::not_run(RefusalReason::Malformed, None));
+        };
+        let route = &inbound.route;
+        trace.id = inbound.id();
+        route.name.as_ref().clone_into(&mut trace.route);
+        trace.revision = config.position.revision;
+        trace.objective = route.objective.0;
+        self.sync(&view, &config);
+        let result = self
+            .serve_here(view, config, &Arc::new(inbound), &mut trace)
+            .await;
+        let (status, reason) = match &result {
+            Ok(answer) => (answer.status(), "answered"),
+            Err(refusal) => (refusal.status(), refusal.reason.name()),
+        };
+        trace.log(TraceEnd {
+            event: "relayed",
+            status: status.as_u16(),
+            reason,
+            took: Timer.now().saturating_duration_since(trace.started_at),
+        });
+        match result {
+            Ok(answer) => answered(answer).await,
+            Err(refusal) => refused(refusal),
+        }
+    }
+}
+
+fn record_failure(trace: &mut Trace, inbound: &Inbound, vm: &VmId, cause: String) {
+    let vm = VmId::clone(vm);
+    let failed = Decision::RelayFailed { vm, cause };
+    trace.decisions.record(inbound.age(), failed);
+}
+
+/// Returns the message that passes a request on.
+fn relay_request(inbound: &Inbound, route: &Route) -> RelayRequest {
+    let objective = match route.objective.0 {
+        Duration::ZERO => Duration::ZERO,
+        time => time
+            .saturating_sub(inbound.age() + RETURN_MARGIN)
+            .max(LATE_OBJECTIVE),
+    };
+    let remaining = inbound.deadline.saturating_duration_since(Timer.now());
+    RelayRequest {
+        attempt: inbound.attempt.to_vec(),
+        method: inbound.method.to_string(),
+        target: inbound.target.to_string(),
+        headers: header_pairs(&inbound.headers),
+        body: inbound.body.to_vec(),
+        route: Route {
+            objective: objective.into(),
+            ..route.clone()
+        },
+        remaining: remaining.saturating_sub(RETURN_MARGIN).into(),
+    }
+}
+
+/// Returns the outcome of a request with an answer.
+async fn answered(answer: Answer) -> RelayOutcome {
+    let (parts, body) = answer.into_parts();
+    let body = match body.collect().await {
+        Ok(body) => body.to_bytes(),
+        Err(never) => match never {},
+    };
+    RelayOutcome::Answered {
+        status: parts.status.as_u16(),
+        headers: header_pairs(&parts.headers),
+        body: body.to_vec(),
+    }
+}
+
+fn refused(refusal: Refusal) -> RelayOutcome {
+    RelayOutcome::Refused {
+        reason: refusal.reason,
+        ran: refusal.ran,
+        retry: refusal.retry.map(Into::into),
+    }
+}
+
+/// Returns what the caller gets for the outcome at another VM. An answer that is not valid HTTP is no
+/// answer, and the request may have run.
+fn caller_answer(outcome: RelayOutcome) -> Result<Answer, Refusal> {
+    match outcome {
+        RelayOutcome::Answered {
+            status,
+            headers,
+            body,
+        } => response(status, &headers, body).ok_or(Refusal::unknown(RefusalReason::NoReply)),
+        RelayOutcome::Refused { reason, ran, retry } => Err(Refusal {
+            reason,
+            ran,
+            retry: retry.map(|retry| retry.0),
+        }),
+        RelayOutcome::Unavailable => Err(Refusal {
+            reason: RefusalReason::Unreachable,
+            ran: ExecutionStatus::NotRun,
+            retry: None,
+        }),
+    }
+}
+
+fn response(status: u16, headers: &[(String, Vec<u8>)], body: Vec<u8>) -> Option<Answer> {
+    let mut response = Response::new(Full::new(Bytes::from(body)));
+    *response.status_mut() = StatusCode::from_u16(status).ok()?;
+    *response.headers_mut() = header_map(headers)?;
+    Some(response)
+}
--- a/crates/server/src/gateway/servers.rs
+++ b/crates/server/src/gateway/servers.rs
@@ -20,7 +20,7 @@
         replica::Listing,
     },
     pool::{ServerDocument, ServerRegistry, VmCounts, connection_share},
-    routes::{RouteTarget, Splitter},
+    routes::{RouteTarget, SplitShare, Splitter},
     view::{ConfigView, FleetView, MemberView, Reachability},
 };
 use rand::seq::{IndexedRandom, IteratorRandom};
@@ -248,6 +248,32 @@
         delegations
     }
 
+    /// Chooses a service of a split route.
+    pub(super) fn pick_service(&self, route: &RouteId, shares: &[SplitShare]) -> Option<ServiceId> {
+        self.lock().splitter.pick(route, shares)
+    }
+
+    /// Chooses a VM to pass a request on to, more often one with more processor time; `None` if no VM
+    /// apart from those in `offered` can take it.
+    pub(super) fn pick_relay(
+        &self,
+        view: &FleetView,
+        offered: &[VmId],
+        now: Instant,
+    ) -> Option<VmId> {
+        let mut inner = self.lock();
+        inner.end_exclusions(now);
+        let usable: Vec<_> = view
+            .answering_peers()
+            .filter(|(vm, member)| {
+                !member.detached && inner.is_usable(vm, member) && !offered.contains(vm)
+            })
+            .collect();
+        let weight = |(_, member): &(&VmId, &MemberView)| member.capacity.max(1);
+        let (vm, _) = usable.choose_weighted(&mut rand::rng(), weight).ok()?;
+        Some(VmId::clone(vm))
+    }
+
     /// Reduces the replicas of shards to those that the delegating VM chooses among, too; uses others
     /// for a shard of which `accepts` returns false for all of these.
     pub(super) fn limit_replicas(
--- a/crates/server/src/peers/calls.rs
+++ b/crates/server/src/peers/calls.rs
@@ -1,6 +1,6 @@
 //! Calls to peers, with checks that each reply matches its request.
 
-use std::sync::Arc;
+use std::{sync::Arc, time::Instant};
 
 use cassialift_core::{
     ids::Incarnation,
@@ -10,10 +10,10 @@
     },
 };
 use cassialift_wire::peer::{
-    JobForward, JobReply, PartialGather, PartialReply, PeerClient, RestRequest, ShardCall,
-    ShardReply,
+    JobForward, JobReply, PartialGather, PartialReply, PeerClient, RelayOutcome, RelayRequest,
+    RestRequest, ShardCall, ShardReply,
 };
-use tarpc::context::Context;
+use tarpc::context::{self, Context};
 
 use super::PeerError;
 
@@ -115,6 +115,33 @@
     result.map_err(PeerError::Call)
 }
 
+/// Has a peer serve a caller's request.
+///
+/// # Errors
+/// Returns an error when the call fails or the reply belongs to another call.
+pub async fn relay(
+    client: &PeerClient,
+    context: Context,
+    request: RelayRequest,
+) -> Result<RelayOutcome, PeerError> {
+    let attempt = request.attempt.clone();
+    let result = client.relay(context, request).await;
+    let reply = result.map_err(PeerError::Call)?;
+    if reply.attempt == attempt {
+        Ok(reply.outcome)
+    } else {
+        Err(PeerError::MismatchedReply)
+    }
+}
+
+/// Returns the context of a call that ends at a deadline.
+#[must_use]
+pub fn context_until(deadline: Instant) -> Context {
+    let mut context = context::current();
+    context.deadline = deadline;
+    context
+}
+
 fn check_attempt(reply: PartialReply, attempt: &[u8]) -> Result<PartialReply, PeerError> {
     if reply.attempt == attempt {
         Ok(reply)
--- a/crates/server/src/peers/mod.rs
+++ b/crates/server/src/peers/mod.rs
@@ -11,7 +11,9 @@
 #[cfg(test)]
 mod tests;
 
-pub use calls::{call_shard, claim_permits, exchange_poison, forward_job, gather, rest};
+pub use calls::{
+    call_shard, claim_permits, context_until, exchange_poison, forward_job, gather, relay, rest,
+};
 pub use error::{PeerError, is_broken};
 pub use serve::{PeerServer, serve};
 pub use table::PeerTable;
--- a/crates/server/src/peers/serve.rs
+++ b/crates/server/src/peers/serve.rs
@@ -12,7 +12,8 @@
 };
 use cassialift_wire::peer::{
     CallRefusal, CallResult, ConfigPull, ConfigPullReply, JobForward, JobReply, PartialGather,
-    PartialReply, Peer, Ping, PingReply, ProbeReply, RestRequest, ShardCall, ShardReply,
+    PartialReply, Peer, Ping, PingReply, ProbeReply, RelayOutcome, RelayReply, RelayRequest,
+    RestRequest, ShardCall, ShardReply,
 };
 use futures::StreamExt;
 use tarpc::{
@@ -107,6 +108,17 @@
         }
     }
 
+    async fn relay(self, _: Context, request: RelayRequest) -> RelayReply {
+        let _running = self.node.drain.enter();
+        match self.node.gateway() {
+            Some(gateway) => gateway.serve_relayed(request).await,
+            None => RelayReply {
+                attempt: request.attempt,
+                outcome: RelayOutcome::Unavailable,
+            },
+        }
+    }
+
     async fn claim_permits(self, _: Context, claims: Vec<PermitClaim>) -> Vec<PermitGrant> {
         match self.node.gateway() {
             Some(gateway) => gateway.grant_permits(&claims),
--- a/crates/server/src/peers/tests/replies.rs
+++ b/crates/server/src/peers/tests/replies.rs
@@ -9,6 +9,7 @@
         server_limit::{CallRate, PermitClaim, PermitGrant},
     },
     request::{RequestKind, Urgency},
+    routes::{Route, RouteTarget},
     time::Millis,
 };
 use cassialift_wire::{
@@ -16,7 +17,8 @@
     caller::{JobAnswer, JobState},
     peer::{
         CallResult, ConfigPull, ConfigPullReply, JobForward, JobReply, PartialGather, PartialReply,
-        Peer, PeerClient, Ping, PingReply, ProbeReply, RestRequest, ShardCall, ShardReply,
+        Peer, PeerClient, Ping, PingReply, ProbeReply, RelayOutcome, RelayReply, RelayRequest,
+        RestRequest, ShardCall, ShardReply,
     },
 };
 use futures::StreamExt;
@@ -29,7 +31,7 @@
 use yare::parameterized;
 
 use super::super::{
-    PeerError, PeerTable, PeerTraffic, call_shard, claim_permits, forward_job, gather, rest,
+    PeerError, PeerTable, PeerTraffic, call_shard, claim_permits, forward_job, gather, relay, rest,
 };
 use crate::metrics::Metrics;
 
@@ -101,6 +103,13 @@
         std::future::pending().await
     }
 
+    async fn relay(self, _: Context, _: RelayRequest) -> RelayReply {
+        RelayReply {
+            attempt: self.id.as_bytes().to_vec(),
+            outcome: RelayOutcome::Unavailable,
+        }
+    }
+
     async fn claim_permits(self, _: Context, _: Vec<PermitClaim>) -> Vec<PermitGrant> {
         vec![PermitGrant::Calls(1); self.id.len()]
     }
@@ -202,6 +211,37 @@
     }
 }
 
+#[parameterized(
+    own = { "1", true },
+    of_another_attempt = { "2", false },
+)]
+#[test_macro(tokio::test)]
+async fn test_relay_reply(id: &'static str, accepted: bool) {
+    let client = connect(MismatchedPeer { change: |_| {}, id });
+    let request = RelayRequest {
+        attempt: b"1".to_vec(),
+        method: "GET".to_owned(),
+        target: "/".to_owned(),
+        headers: Vec::new(),
+        body: Vec::new(),
+        route: Route {
+            name: "fetch".into(),
+            host: "shop.example".to_owned(),
+            prefix: "/".to_owned(),
+            kind: RequestKind::Fetch,
+            target: RouteTarget::Service("ledger".into()),
+            timeout: Millis::new(1_000),
+            objective: Millis::new(100),
+            servers: 1,
+            priority: 0,
+        },
+        remaining: Millis::new(1_000),
+    };
+    let reply = relay(&client, context::current(), request).await;
+    assert_eq!(reply.is_ok(), accepted, "{reply:?}");
+    assert_eq!(mismatch_count(reply.err()), u64::from(!accepted));
+}
+
 /// Returns the counter of mismatched replies after a call ended with this error, or without one.
 fn mismatch_count(error: Option<PeerError>) -> u64 {
     let metrics = Metrics::new(None).unwrap();
--- a/crates/wire/src/peer/mod.rs
+++ b/crates/wire/src/peer/mod.rs
@@ -6,6 +6,7 @@
 mod outcome;
 mod packed;
 mod partial;
+mod relay;
 mod service;
 
 pub use cassialift_core::config::ConfigSummary;
@@ -15,4 +16,5 @@
 pub use control::{ConfigPull, ConfigPullReply, Ping, PingReply, ProbeReply};
 pub use job::{JobForward, JobReply};
 pub use partial::{PartialGather, PartialReply, RestRequest};
+pub use relay::{RelayOutcome, RelayReply, RelayRequest};
 pub use service::{Peer, PeerClient, PeerRequest, PeerResponse, ServePeer};
--- a/crates/wire/src/peer/service.rs
+++ b/crates/wire/src/peer/service.rs
@@ -10,7 +10,7 @@
 
 use super::{
     ConfigPull, ConfigPullReply, JobForward, JobReply, PartialGather, PartialReply, Ping,
-    PingReply, ProbeReply, RestRequest, ShardCall, ShardReply,
+    PingReply, ProbeReply, RelayReply, RelayRequest, RestRequest, ShardCall, ShardReply,
 };
 
 /// The calls that a process accepts from its peers.
@@ -35,4 +35,6 @@
     async fn claim_permits(claims: Vec<PermitClaim>) -> Vec<PermitGrant>;
     /// Exchanges what is known about requests under which backend servers ended.
     async fn exchange_poison(reports: Vec<PoisonReport>) -> Vec<PoisonReport>;
+    /// Serves a caller's request for a VM that reaches no backend server.
+    async fn relay(request: RelayRequest) -> RelayReply;
 }
