gateway: shards are not delegated to VMs that reach no backend server

VMs in touch delegated far shards to VMs that answered heartbeats but reached no server: each such search waited for a reply without shards, then had to pay with extra calls, or failed with 502. A VM that said that it is detached gets none, and one that has just noticed says so in its reply at once, so that its shards are called as first calls.

--- a/crates/server/src/gateway/partial.rs
+++ b/crates/server/src/gateway/partial.rs
@@ -52,6 +52,8 @@
     Rest(PeerError),
     /// no reply in time
     Timeout,
+    /// the VM reaches no backend server
+    Detached,
 }
 
 impl DelegateError {
@@ -59,6 +61,7 @@
     pub(super) const fn is_unsent(&self) -> bool {
         match self {
             Self::Peer(error) => error.is_unsent(),
+            Self::Detached => true,
             Self::Rest(_) | Self::Timeout => false,
         }
     }
@@ -173,6 +176,12 @@
     /// Searches shards for another VM and merges their parts.
     pub(crate) async fn gather_partial(self: Arc<Self>, partial: PartialGather) -> PartialReply {
         let started_at = Timer.now();
+        if self.reach.is_detached() {
+            return PartialReply {
+                detached: true,
+                ..PartialReply::empty(partial.attempt)
+            };
+        }
         let view = self.node.control.snapshot();
         let (Some(config), Some(inbound)) = (view.config.clone(), inbound(&partial, started_at))
         else {
--- a/crates/server/src/gateway/servers.rs
+++ b/crates/server/src/gateway/servers.rs
@@ -265,9 +265,7 @@
         inner.end_exclusions(now);
         let usable: Vec<_> = view
             .answering_peers()
-            .filter(|(vm, member)| {
-                !member.detached && inner.is_usable(vm, member) && !offered.contains(vm)
-            })
+            .filter(|(vm, member)| inner.is_usable(vm, member) && !offered.contains(vm))
             .collect();
         let weight = |(_, member): &(&VmId, &MemberView)| member.capacity.max(1);
         let (vm, _) = usable.choose_weighted(&mut rand::rng(), weight).ok()?;
@@ -448,9 +446,11 @@
         self.excluded.retain(|_, until| *until > now);
     }
 
-    /// Returns whether shards may be delegated to a VM.
+    /// Returns whether a VM may be asked for shards or passed requests.
     fn is_usable(&self, vm: &VmId, member: &MemberView) -> bool {
-        member.reachability == Reachability::Alive && !self.excluded.contains_key(vm)
+        member.reachability == Reachability::Alive
+            && !member.detached
+            && !self.excluded.contains_key(vm)
     }
 
     /// Returns the processor time of the usable VMs of each data centre, in thousandths of a core.
--- a/crates/wire/src/peer/partial.rs
+++ b/crates/wire/src/peer/partial.rs
@@ -59,6 +59,8 @@
     pub pending: bool,
     /// The number of the search that continues, unique in the run of the VM; zero if none does.
     pub search: u64,
+    /// Whether the VM has called no backend server, since it reaches none.
+    pub detached: bool,
 }
 
 /// Asks for the shards of a search that its interim replies did not include.
@@ -82,6 +84,7 @@
             leaving: Vec::new(),
             pending: false,
             search: 0,
+            detached: false,
         }
     }
 }
