gateway: callers are not sent to VMs that reach no backend server

Address answers named each VM that answered heartbeats, also those cut off from all servers, so that their share of the callers kept coming to them and paid for a second hop at best. Answers leave them out, unless no VM that answers reaches servers; a VM is named again with its first connection to a server, and callers return as their answers expire.

Test: all four addresses were given out before, passes; after a cut of all VMs all are named and serve again.

--- a/crates/server/src/gateway/pages.rs
+++ b/crates/server/src/gateway/pages.rs
@@ -6,6 +6,7 @@
 use cassialift_core::{
     fleet::addresses::{AddressEntry, place_callers},
     time::Millis,
+    view::Reachability,
 };
 use cassialift_wire::caller::AddressAnswer;
 use http_body_util::Full;
@@ -63,7 +64,11 @@
         let config = view.config.as_ref()?;
         config.routes.as_ref()?;
         self.sync(&view, config);
-        let entries: Vec<AddressEntry> = address_entries(&view, |_, _| true);
+        let mut entries = address_entries(&view, |_, member| !member.detached);
+        let can_serve = |entry: &AddressEntry| entry.reachability == Reachability::Alive;
+        if !entries.iter().any(can_serve) {
+            entries = address_entries(&view, |_, _| true);
+        }
         let server_counts = self.servers.server_counts(config);
         let addresses: Vec<SocketAddr> = place_callers(&entries, &server_counts, near);
         let ttl: Millis = config.policy.address_ttl;
