gateway: servers lost all at once are not taken for crashes under a request

A server that breaks a connection and then refuses others counts as ended by the request that it ran; while the links of a VM to all servers are reset, that holds for each request in flight. Three such strikes have a harmless request refused by all VMs for ten minutes. Now a strike needs a connection to another server, opened since.

Requests that do crash servers are found as before (tests of crashes).

--- a/crates/core/src/policy/reach/table.rs
+++ b/crates/core/src/policy/reach/table.rs
@@ -25,6 +25,8 @@
 pub struct ReachTable {
     reach: Reach,
     opened_at: Option<Instant>,
+    /// The beginning of the last check that failed.
+    failed_at: Option<Instant>,
     replied_at: Option<Instant>,
 }
 
@@ -64,9 +66,20 @@
         if self.opened_at.is_some_and(|at| at >= began) {
             return false;
         }
+        self.failed_at = Some(began);
         self.set(Reach::Detached)
     }
 
+    /// Returns whether this VM has reached backend servers since a time; `None` if that was not tried.
+    #[must_use]
+    pub fn reached_since(&self, time: Instant) -> Option<bool> {
+        let is_since = |at: Option<Instant>| at.is_some_and(|at| at >= time);
+        if is_since(self.opened_at) {
+            return Some(true);
+        }
+        is_since(self.failed_at).then_some(false)
+    }
+
     fn set(&mut self, reach: Reach) -> bool {
         let is_new = self.reach != reach;
         self.reach = reach;
--- a/crates/core/src/policy/reach/tests.rs
+++ b/crates/core/src/policy/reach/tests.rs
@@ -69,3 +69,24 @@
     assert_eq!(table.is_suspect(now), is_suspect);
     assert_eq!(table.is_silent(now), is_silent);
 }
+
+#[parameterized(
+    nothing = { None, None, None },
+    opened = { Some(700), None, Some(true) },
+    opened_before = { Some(400), None, None },
+    failed = { Some(400), Some(700), Some(false) },
+    failed_before = { None, Some(400), None },
+    returned = { Some(900), Some(700), Some(true) },
+)]
+fn test_reach_since(opened: Option<u64>, failed: Option<u64>, expected: Option<bool>) {
+    let start = Instant::now();
+    let at = |millis: u64| start + Duration::from_millis(millis);
+    let mut table = ReachTable::default();
+    if let Some(millis) = failed {
+        table.on_check_failed(at(millis));
+    }
+    if let Some(millis) = opened {
+        table.on_opened(at(millis));
+    }
+    assert_eq!(table.reached_since(at(500)), expected);
+}
--- a/crates/server/src/gateway/crashes.rs
+++ b/crates/server/src/gateway/crashes.rs
@@ -17,7 +17,8 @@
 impl Gateway {
     /// Checks whether the backend server whose connection broke while it ran a request has ended.
     ///
-    /// A connection that only broke shows nothing: networks and servers close connections too.
+    /// A connection that only broke shows nothing: networks and servers close connections too. Nor does
+    /// a server that refuses others while no server can be reached: this VM may have lost its links.
     pub(super) fn check_crash(
         self: &Arc<Self>,
         server: &ServerId,
@@ -31,8 +32,18 @@
         );
         tokio::spawn(async move {
             Timer.after(CHECK_DELAY).await;
-            if has_ended(address).await {
+            let checked_at = Timer.now();
+            if !has_ended(address).await {
+                return;
+            }
+            if gateway.has_reached_since(checked_at).await {
                 gateway.on_crash(&server, &inbound);
+            } else {
+                gateway.node.metrics.count("gateway.crashes_doubted");
+                log::info!(
+                    "gateway: Server {server} refuses connections after it ran request {}, and so do others.",
+                    inbound.id()
+                );
             }
         });
     }
--- a/crates/server/src/gateway/reach.rs
+++ b/crates/server/src/gateway/reach.rs
@@ -4,12 +4,15 @@
     io,
     net::SocketAddr,
     sync::{Arc, Mutex, MutexGuard, PoisonError},
-    time::Duration,
+    time::{Duration, Instant},
 };
 
 use cassialift_core::policy::reach::{Reach, ReachTable};
 use futures::{StreamExt, stream::FuturesUnordered};
-use tokio::{sync::Notify, time::timeout};
+use tokio::{
+    sync::{Mutex as AsyncMutex, Notify},
+    time::timeout,
+};
 
 use super::Gateway;
 use crate::{control::ControlHandle, metrics::Metrics, sockets, timer::Timer};
@@ -34,6 +37,8 @@
     metrics: Arc<Metrics>,
     /// Wakes the task that checks.
     suspicion: Notify,
+    /// Held during a check, so that there is one at a time.
+    checking: AsyncMutex<()>,
 }
 
 impl ReachMonitor {
@@ -43,6 +48,7 @@
             control,
             metrics,
             suspicion: Notify::new(),
+            checking: AsyncMutex::default(),
         }
     }
 
@@ -103,8 +109,29 @@
         }
     }
 
-    /// Opens connections to some backend servers until one opens.
+    /// Returns whether this VM has reached any backend server since a time, after a check if need be.
+    pub(super) async fn has_reached_since(&self, time: Instant) -> bool {
+        let known = self.reach.lock().reached_since(time);
+        if let Some(reached) = known {
+            return reached;
+        }
+        let checking = self.reach.checking.lock().await;
+        let known = self.reach.lock().reached_since(time);
+        if let Some(reached) = known {
+            return reached;
+        }
+        self.open_any().await;
+        drop(checking);
+        self.reach.lock().reached_since(time).unwrap_or_default()
+    }
+
     async fn check_reach(&self) {
+        let _checking = self.reach.checking.lock().await;
+        self.open_any().await;
+    }
+
+    /// Opens connections to some backend servers until one opens.
+    async fn open_any(&self) {
         let began = Timer.now();
         let servers = self.servers.sample(CHECK_SERVERS);
         let Some((first, others)) = servers.split_first() else {
