gateway: requests under way when a VM loses its links are served by another

A request to one server that hung when the links were lost kept its caller until its deadline: the VM noticed the loss in under a second, and only requests that came later were passed on. Now a repeatable request to one server is relayed beside its own calls, for as many servers as have not got it yet; the first answer wins. Each send to a server counts, so that the most servers for one attempt hold across both VMs. Requests that may run once stay where they are, and so do searches, whose shards other VMs may be running. A relay goes by the newest view: that of the request's start can be older than the fleet.

--- a/crates/server/src/gateway/exchange.rs
+++ b/crates/server/src/gateway/exchange.rs
@@ -128,6 +128,7 @@
             .is_none();
         connection.overhead.record_progress();
         sent.store(true, Ordering::Relaxed);
+        self.inbound.sends.fetch_add(1, Ordering::Relaxed);
         let sent_at = Timer.now();
         let response = connection
             .sender
--- a/crates/server/src/gateway/forward.rs
+++ b/crates/server/src/gateway/forward.rs
@@ -1,6 +1,9 @@
 //! Forwards one request of a caller, from its head to its answer.
 
-use std::{sync::Arc, time::Duration};
+use std::{
+    sync::{Arc, atomic::AtomicU32},
+    time::Duration,
+};
 
 use cassialift_core::{
     ids::{CallerId, ServerId, ShardId},
@@ -14,6 +17,7 @@
     view::{ConfigView, FleetView},
 };
 use cassialift_wire::platform::HeaderNames;
+use futures::future::{self, Either};
 use hyper::{Request, body::Incoming};
 
 use super::{
@@ -86,14 +90,36 @@
         let view = self.node.control.snapshot();
         let (config, inbound) = self.read_request(&view, request, head, trace).await?;
         let inbound = Arc::new(inbound);
-        if let Some(result) = self.relay(&view, &inbound, trace).await {
+        if self.reach.is_detached()
+            && let Some(result) = Box::pin(self.relay(&inbound, trace)).await
+        {
             return result;
         }
-        let here = self.serve_here(Arc::clone(&view), config, &inbound, trace);
-        match here.await {
+        // The relay runs beside the request's own calls, which may still run.
+        let may_run_beside = inbound.route.kind.is_idempotent()
+            && !matches!(inbound.route.target, RouteTarget::Shards(_));
+        let mut relay_trace = Trace::new(trace.started_at);
+        let mut here = Box::pin(self.serve_here(view, config, &inbound, trace));
+        let result = tokio::select! {
+            result = &mut here => result,
+            () = self.reach.wait_for_loss(), if may_run_beside => {
+                let relay = Box::pin(self.relay(&inbound, &mut relay_trace));
+                match future::select(&mut here, relay).await {
+                    // Replies may still arrive on connections that live on.
+                    Either::Left((Err(refusal), relay)) => relay.await.unwrap_or(Err(refusal)),
+                    Either::Right((Some(Ok(answer)), _)) | Either::Left((Ok(answer), _)) => {
+                        Ok(answer)
+                    }
+                    Either::Right((_, here)) => here.await,
+                }
+            }
+        };
+        drop(here);
+        trace.decisions.append(relay_trace.decisions);
+        match result {
             // The links may have been lost meanwhile.
             Err(refusal) if refusal.ran == ExecutionStatus::NotRun => {
-                let relayed = self.relay(&view, &inbound, trace).await;
+                let relayed = Box::pin(self.relay(&inbound, trace)).await;
                 relayed.unwrap_or(Err(refusal))
             }
             result => result,
@@ -213,6 +239,7 @@
             attempt: head.attempt,
             started_at: trace.started_at,
             deadline: trace.started_at + timeout.saturating_sub(RETURN_MARGIN),
+            sends: AtomicU32::new(0),
         };
         Ok((config, inbound))
     }
--- a/crates/server/src/gateway/inbound.rs
+++ b/crates/server/src/gateway/inbound.rs
@@ -1,6 +1,9 @@
 //! Reading of callers' requests.
 
-use std::{sync::Arc, time::Duration, time::Instant};
+use std::{
+    sync::{Arc, atomic::AtomicU32},
+    time::{Duration, Instant},
+};
 
 use bytes::Bytes;
 use cassialift_core::{
@@ -53,6 +56,8 @@
     pub(super) started_at: Instant,
     /// The time by which the request must be answered.
     pub(super) deadline: Instant,
+    /// The number of backend servers that this VM has sent the request to.
+    pub(super) sends: AtomicU32,
 }
 
 impl Inbound {
@@ -78,6 +83,7 @@
             attempt: Bytes::copy_from_slice(request.attempt),
             started_at,
             deadline: started_at + remaining,
+            sends: AtomicU32::new(0),
         })
     }
 
--- a/crates/server/src/gateway/reach.rs
+++ b/crates/server/src/gateway/reach.rs
@@ -10,7 +10,7 @@
 use cassialift_core::policy::reach::{Reach, ReachTable};
 use futures::{StreamExt, stream::FuturesUnordered};
 use tokio::{
-    sync::{Mutex as AsyncMutex, Notify},
+    sync::{Mutex as AsyncMutex, Notify, watch},
     time::timeout,
 };
 
@@ -33,6 +33,8 @@
 #[derive(Debug)]
 pub(super) struct ReachMonitor {
     table: Mutex<ReachTable>,
+    /// Whether this VM reaches no backend server.
+    detached: watch::Sender<bool>,
     control: ControlHandle,
     metrics: Arc<Metrics>,
     /// Wakes the task that checks.
@@ -45,6 +47,7 @@
     pub(super) fn new(control: ControlHandle, metrics: Arc<Metrics>) -> Self {
         Self {
             table: Mutex::default(),
+            detached: watch::Sender::new(false),
             control,
             metrics,
             suspicion: Notify::new(),
@@ -54,13 +57,29 @@
 
     /// Returns whether this VM reaches no backend server.
     pub(super) fn is_detached(&self) -> bool {
-        self.lock().reach() == Reach::Detached
+        *self.detached.borrow()
+    }
+
+    /// Waits until this VM reaches no backend server.
+    pub(super) async fn wait_for_loss(&self) {
+        let mut detached = self.detached.subscribe();
+        // The sender is part of the monitor, so it is not dropped meanwhile.
+        drop(detached.wait_for(|detached| *detached).await);
+    }
+
+    /// Tells the requests and the other VMs whether this VM reaches the backend servers. The table stays
+    /// locked meanwhile, so that an older state can't replace a newer one.
+    fn announce(&self, table: &ReachTable) {
+        let is_detached = table.reach() == Reach::Detached;
+        self.detached.send_replace(is_detached);
+        self.control.set_detached(is_detached);
     }
 
     /// Records that a connection to a backend server was opened and works.
     pub(super) fn on_opened(&self) {
-        if self.lock().on_opened(Timer.now()) {
-            self.control.set_detached(false);
+        let mut table = self.lock();
+        if table.on_opened(Timer.now()) {
+            self.announce(&table);
             self.metrics.count("gateway.attached");
             log::info!("gateway: Backend servers can be reached again.");
         }
@@ -149,8 +168,9 @@
                 return;
             }
         }
-        if self.reach.lock().on_check_failed(began) {
-            self.node.control.set_detached(true);
+        let mut table = self.reach.lock();
+        if table.on_check_failed(began) {
+            self.reach.announce(&table);
             self.node.metrics.count("gateway.detached");
             log::warn!(
                 "gateway: No backend server can be reached: no connection to any of {} opened within {} ms.",
--- a/crates/server/src/gateway/relay.rs
+++ b/crates/server/src/gateway/relay.rs
@@ -1,6 +1,9 @@
 //! Requests that pass through two VMs: a VM that reaches no backend server passes them on whole.
 
-use std::{sync::Arc, time::Duration};
+use std::{
+    sync::{Arc, atomic::Ordering},
+    time::Duration,
+};
 
 use bytes::Bytes;
 use cassialift_core::{
@@ -40,17 +43,17 @@
     /// A request that may have been sent to a VM is not offered to another.
     pub(super) async fn relay(
         self: &Arc<Self>,
-        view: &FleetView,
         inbound: &Inbound,
         trace: &mut Trace,
     ) -> Option<Result<Answer, Refusal>> {
         if !self.reach.is_detached() {
             return None;
         }
-        let route = self.relayed_route(&inbound.route)?;
+        let route = self.relayed_route(inbound)?;
+        let view = self.node.control.snapshot();
         let mut offered = Vec::new();
         while offered.len() < MAX_OFFERS && Timer.now() < inbound.deadline {
-            let vm = self.servers.pick_relay(view, &offered, Timer.now())?;
+            let vm = self.servers.pick_relay(&view, &offered, Timer.now())?;
             offered.push(VmId::clone(&vm));
             let request = relay_request(inbound, &route);
             let relayed = Decision::Relayed {
@@ -59,7 +62,7 @@
             };
             trace.decisions.record(inbound.age(), relayed);
             self.node.metrics.count("gateway.relayed");
-            let cause = match self.offer(view, inbound, &vm, request).await {
+            let cause = match self.offer(&view, inbound, &vm, request).await {
                 Ok(RelayOutcome::Unavailable) => "the VM does not take it".to_owned(),
                 Ok(outcome) => return Some(caller_answer(outcome)),
                 Err(error) if !error.is_unsent() => {
@@ -93,16 +96,32 @@
             .inspect_err(|error| self.on_call_failed(vm, error))
     }
 
-    /// Returns a route with the service that a split chooses.
-    fn relayed_route(&self, route: &Arc<Route>) -> Option<Arc<Route>> {
-        let RouteTarget::Split(shares) = &route.target else {
-            return Some(Arc::clone(route));
-        };
-        let service = self.servers.pick_service(&route.name, shares)?;
-        Some(Arc::new(Route {
-            target: RouteTarget::Service(service),
-            ..Route::clone(route)
-        }))
+    /// Returns the route for another VM, with the service that a split chooses and the number of servers
+    /// that may still get the request; `None` if there are none.
+    fn relayed_route(&self, inbound: &Inbound) -> Option<Route> {
+        let route = &*inbound.route;
+        let sends = inbound.sends.load(Ordering::Relaxed);
+        if sends == 0 {
+            return self.unsent_route(route);
+        }
+        // What this VM sent may still run.
+        let is_single = !matches!(route.target, RouteTarget::Shards(_));
+        let servers = route.servers.saturating_sub(sends);
+        if servers == 0 || !is_single || !route.kind.is_idempotent() {
+            return None;
+        }
+        Some(Route {
+            servers,
+            ..self.unsent_route(route)?
+        })
+    }
+
+    fn unsent_route(&self, route: &Route) -> Option<Route> {
+        let mut route = route.clone();
+        if let RouteTarget::Split(shares) = &route.target {
+            route.target = RouteTarget::Service(self.servers.pick_service(&route.name, shares)?);
+        }
+        Some(route)
     }
 
     /// Serves a request that another VM passed on.
