gateway: a relayed request is answered before its VM is killed

A VM that had passed a request on waited for the other VM's answer beyond its own grace when it was stopped, so that the kill cut the caller off. It now ends like the VM's own requests, 400 ms before the kill, with 502: it may have run.

--- a/crates/server/src/gateway/relay.rs
+++ b/crates/server/src/gateway/relay.rs
@@ -62,7 +62,13 @@
             };
             trace.decisions.record(inbound.age(), relayed);
             self.node.metrics.count("gateway.relayed");
-            let cause = match self.offer(&view, inbound, &vm, request).await {
+            let outcome = tokio::select! {
+                outcome = self.offer(&view, inbound, &vm, request) => outcome,
+                () = self.wait_for_shutdown() => {
+                    return Some(Err(Refusal::unknown(RefusalReason::Leaving)));
+                }
+            };
+            let cause = match outcome {
                 Ok(RelayOutcome::Unavailable) => "the VM does not take it".to_owned(),
                 Ok(outcome) => return Some(caller_answer(outcome)),
                 Err(error) if !error.is_unsent() => {
