--- a/crates/core/src/policy/reach/table.rs
+++ b/crates/core/src/policy/reach/table.rs
@@ -4,8 +4,8 @@
 
 /// How long an opened connection shows that backend servers can be reached.
 const OPENED_AGE: Duration = Duration::from_millis(500);
-/// The time without any reply after which an overdue call raises a suspicion: longer than the servers
-/// that a VM calls are all silent by themselves.
+/// The time without any reply after which an overdue one calls for a check: longer than the pause of a
+/// healthy server.
 const SILENCE_TIME: Duration = Duration::from_millis(150);
 
 /// Whether this VM reaches the backend servers.
--- a/crates/server/src/gateway/connections.rs
+++ b/crates/server/src/gateway/connections.rs
@@ -237,7 +237,7 @@
             return Ok((connection, permit));
         }
         if self.reach.is_detached() {
-            // It would not open, and the check tells when others do.
+            // A new connection would fail; a periodic check finds out when they open again.
             return Err(AcquireError::Connect);
         }
         pool.make_room(request.limit);
--- a/crates/server/src/gateway/forward.rs
+++ b/crates/server/src/gateway/forward.rs
@@ -95,14 +95,14 @@
         {
             return result;
         }
-        // The relay runs beside the request's own calls, which may still run.
-        let may_run_beside = inbound.route.kind.is_idempotent()
+        // Its own calls may still run while another VM serves the request.
+        let may_run_twice = inbound.route.kind.is_idempotent()
             && !matches!(inbound.route.target, RouteTarget::Shards(_));
         let mut relay_trace = Trace::new(trace.started_at);
         let mut here = Box::pin(self.serve_here(view, config, &inbound, trace));
         let result = tokio::select! {
             result = &mut here => result,
-            () = self.reach.wait_for_loss(), if may_run_beside => {
+            () = self.reach.wait_for_loss(), if may_run_twice => {
                 let relay = Box::pin(self.relay(&inbound, &mut relay_trace));
                 match future::select(&mut here, relay).await {
                     // Replies may still arrive on connections that live on.
--- a/crates/server/src/gateway/inbound.rs
+++ b/crates/server/src/gateway/inbound.rs
@@ -56,7 +56,7 @@
     pub(super) started_at: Instant,
     /// The time by which the request must be answered.
     pub(super) deadline: Instant,
-    /// The number of backend servers that this VM has sent the request to.
+    /// How often this VM has sent the request to a backend server.
     pub(super) sends: AtomicU32,
 }
 
--- a/crates/server/src/gateway/relay.rs
+++ b/crates/server/src/gateway/relay.rs
@@ -1,4 +1,5 @@
-//! Requests that pass through two VMs: a VM that reaches no backend server passes them on whole.
+//! Relays whole requests to other VMs while this VM reaches no backend server, and serves those of
+//! other VMs.
 
 use std::{
     sync::{Arc, atomic::Ordering},
