gateway: a relay beside a request's own calls keeps the bound on servers and tells the truth

Found by reading. While another VM served a repeatable request whose links had gone, the VM's own retry could still go to a server on a connection that lived on, one more than the route allows; and when the other VM did not know whether the request ran, but its own calls had not, the caller was told that it had not run. A relay now stops further sends of the VM, and the more careful of both refusals wins. No test shows either: the harness can't time a refusal against a relay's loss. The tests of relays, once-only requests and bounds pass.

--- a/crates/server/src/gateway/exchange.rs
+++ b/crates/server/src/gateway/exchange.rs
@@ -127,8 +127,13 @@
             .replace(self.connection.attempt.clone())
             .is_none();
         connection.overhead.record_progress();
+        // Counted before the check, so that a relay that begins meanwhile counts this call or stops it.
+        self.inbound.sends.fetch_add(1, Ordering::SeqCst);
+        if self.inbound.relayed.load(Ordering::SeqCst) {
+            self.inbound.sends.fetch_sub(1, Ordering::SeqCst);
+            return ExchangeEnd::NotRun(NotRunCause::Cancelled);
+        }
         sent.store(true, Ordering::Relaxed);
-        self.inbound.sends.fetch_add(1, Ordering::Relaxed);
         let sent_at = Timer.now();
         let response = connection
             .sender
--- a/crates/server/src/gateway/forward.rs
+++ b/crates/server/src/gateway/forward.rs
@@ -1,7 +1,10 @@
 //! Forwards one request of a caller, from its head to its answer.
 
 use std::{
-    sync::{Arc, atomic::AtomicU32},
+    sync::{
+        Arc,
+        atomic::{AtomicBool, AtomicU32},
+    },
     time::Duration,
 };
 
@@ -12,7 +15,7 @@
         gather::{GatherOutcome, ShardTarget},
         poison::Verdict,
     },
-    request::{ExecutionStatus, MissingReason, RefusalReason},
+    request::{ExecutionStatus::NotRun, MissingReason, RefusalReason},
     routes::RouteTarget,
     view::{ConfigView, FleetView},
 };
@@ -110,7 +113,11 @@
                     Either::Right((Some(Ok(answer)), _)) | Either::Left((Ok(answer), _)) => {
                         Ok(answer)
                     }
-                    Either::Right((_, here)) => here.await,
+                    Either::Right((relayed, here)) => match (relayed, here.await) {
+                        // The other VM may have run what this one has not.
+                        (Some(Err(relayed)), Err(refusal)) if refusal.ran == NotRun => Err(relayed),
+                        (_, result) => result,
+                    },
                 }
             }
         };
@@ -118,7 +125,7 @@
         trace.decisions.append(relay_trace.decisions);
         match result {
             // The links may have been lost meanwhile.
-            Err(refusal) if refusal.ran == ExecutionStatus::NotRun => {
+            Err(refusal) if refusal.ran == NotRun => {
                 let relayed = Box::pin(self.relay(&inbound, trace)).await;
                 relayed.unwrap_or(Err(refusal))
             }
@@ -240,6 +247,7 @@
             started_at: trace.started_at,
             deadline: trace.started_at + timeout.saturating_sub(RETURN_MARGIN),
             sends: AtomicU32::new(0),
+            relayed: AtomicBool::new(false),
         };
         Ok((config, inbound))
     }
--- a/crates/server/src/gateway/inbound.rs
+++ b/crates/server/src/gateway/inbound.rs
@@ -1,7 +1,10 @@
 //! Reading of callers' requests.
 
 use std::{
-    sync::{Arc, atomic::AtomicU32},
+    sync::{
+        Arc,
+        atomic::{AtomicBool, AtomicU32},
+    },
     time::{Duration, Instant},
 };
 
@@ -58,6 +61,8 @@
     pub(super) deadline: Instant,
     /// How often this VM has sent the request to a backend server.
     pub(super) sends: AtomicU32,
+    /// Whether another VM may send the request, so that this one sends it to no more servers.
+    pub(super) relayed: AtomicBool,
 }
 
 impl Inbound {
@@ -84,6 +89,7 @@
             started_at,
             deadline: started_at + remaining,
             sends: AtomicU32::new(0),
+            relayed: AtomicBool::new(false),
         })
     }
 
--- a/crates/server/src/gateway/relay.rs
+++ b/crates/server/src/gateway/relay.rs
@@ -50,6 +50,20 @@
         if !self.reach.is_detached() {
             return None;
         }
+        inbound.relayed.store(true, Ordering::SeqCst);
+        let result = self.offer_to_others(inbound, trace).await;
+        if result.is_none() {
+            inbound.relayed.store(false, Ordering::SeqCst);
+        }
+        result
+    }
+
+    /// Offers a request to other VMs, one after the other; `None` if none took it.
+    async fn offer_to_others(
+        self: &Arc<Self>,
+        inbound: &Inbound,
+        trace: &mut Trace,
+    ) -> Option<Result<Answer, Refusal>> {
         let route = self.relayed_route(inbound)?;
         let view = self.node.control.snapshot();
         let mut offered = Vec::new();
@@ -107,7 +121,7 @@
     /// that may still get the request; `None` if there are none.
     fn relayed_route(&self, inbound: &Inbound) -> Option<Route> {
         let route = &*inbound.route;
-        let sends = inbound.sends.load(Ordering::Relaxed);
+        let sends = inbound.sends.load(Ordering::SeqCst);
         if sends == 0 {
             return self.unsent_route(route);
         }
