--- a/crates/server/src/control/config_pull.rs
+++ b/crates/server/src/control/config_pull.rs
@@ -4,10 +4,12 @@
 
 use cassialift_core::ids::{Position, VmId};
 use cassialift_wire::peer::{ConfigPull, ConfigPullReply};
-use tarpc::context;
 
 use super::{ConfigEvent, ControlHandle, Event};
-use crate::{peers::PeerTable, timer::Timer};
+use crate::{
+    peers::{PeerTable, context_until},
+    timer::Timer,
+};
 
 /// The time limit for a peer's reply with one page.
 const ANSWER_TIMEOUT: Duration = Duration::from_secs(1);
@@ -30,8 +32,7 @@
     let mut whole: Option<ConfigPullReply> = None;
     loop {
         let skip = whole.as_ref().map_or(0, |whole| whole.documents.len());
-        let mut context = context::current();
-        context.deadline = Timer.now() + ANSWER_TIMEOUT;
+        let context = context_until(Timer.now() + ANSWER_TIMEOUT);
         let result = client
             .pull_config(context, ConfigPull { after, skip })
             .await;
--- a/crates/server/src/entry/jobs/forward.rs
+++ b/crates/server/src/entry/jobs/forward.rs
@@ -14,7 +14,6 @@
     caller::{JobAnswer, JobRequest, OutcomeRequest},
     peer::{JobForward, JobReply},
 };
-use tarpc::context;
 
 use super::handle_as_holder;
 use crate::{
@@ -118,8 +117,7 @@
             );
         }
     };
-    let mut context = context::current();
-    context.deadline = deadline(node, &forward) + REPLY_MARGIN;
+    let context = peers::context_until(deadline(node, &forward) + REPLY_MARGIN);
     let call = peers::forward_job(&client, context, ticket.incarnation, forward);
     match call.await {
         Ok(reply) => reply,
--- a/crates/server/src/gateway/permits.rs
+++ b/crates/server/src/gateway/permits.rs
@@ -11,7 +11,7 @@
     policy::server_limit::{PermitAllocator, PermitClaim, PermitGrant, choose_allocator},
     view::FleetView,
 };
-use tarpc::{client::RpcError, context};
+use tarpc::client::RpcError;
 use tokio::time::timeout;
 
 use super::Gateway;
@@ -136,8 +136,7 @@
         let sent_at = Timer.now();
         let request = async {
             let client = self.node.peers.client(view, vm).await?;
-            let mut context = context::current();
-            context.deadline = sent_at + ANSWER_TIMEOUT;
+            let context = peers::context_until(sent_at + ANSWER_TIMEOUT);
             peers::claim_permits(&client, context, claims.clone()).await
         };
         let result = timeout(ANSWER_TIMEOUT, request)
--- a/crates/server/src/gateway/poison.rs
+++ b/crates/server/src/gateway/poison.rs
@@ -13,7 +13,6 @@
     policy::poison::{Fingerprint, PoisonReport, PoisonTable, Strike, Verdict},
 };
 use rand::seq::IteratorRandom;
-use tarpc::context;
 
 use super::Gateway;
 use crate::{peers, timer::Timer};
@@ -144,8 +143,7 @@
             tokio::spawn(async move {
                 let request = async {
                     let client = gateway.node.peers.client(&view, &vm).await?;
-                    let mut context = context::current();
-                    context.deadline = Timer.now() + EXCHANGE_TIMEOUT;
+                    let context = peers::context_until(Timer.now() + EXCHANGE_TIMEOUT);
                     peers::exchange_poison(&client, context, gateway.poison.reports()).await
                 };
                 match request.await {
--- a/crates/server/src/process/node.rs
+++ b/crates/server/src/process/node.rs
@@ -13,7 +13,6 @@
     view::FleetView,
 };
 use cassialift_wire::peer::{CallRefusal, CallResult, ShardCall, ShardReply};
-use tarpc::context;
 
 use super::Drain;
 use crate::{
@@ -178,8 +177,7 @@
         }
         let connected = self.peers.client(view, vm).await;
         let client = connected.map_err(CallError::Peer)?;
-        let mut context = context::current();
-        context.deadline = Timer.now() + call.remaining.0;
+        let context = peers::context_until(Timer.now() + call.remaining.0);
         let result = peers::call_shard(&client, context, call).await;
         result.map_err(|error| {
             self.peers.on_call_failed(vm, &error, &self.metrics);
