gateway: declined delegations and relays end like all others that fail

Found while the change was read again. A VM that declines shards is an error of the request to it, so that the fan-out needs no cases of its own; the offer of a relay had a branch for a declined request that nothing reached; and whether the deadline or the reply was missed was decided in two places. What callers, VMs and logs see stays.

--- a/crates/server/src/gateway/fan_out.rs
+++ b/crates/server/src/gateway/fan_out.rs
@@ -271,10 +271,9 @@
     /// Handles the end of a request to the VM of a delegation.
     fn on_delegated(&mut self, index: usize, reply: Result<PartialReply, DelegateError>) {
         match reply {
-            Ok(reply) if !reply.detached => self.on_partial_reply(index, reply),
+            Ok(reply) => self.on_partial_reply(index, reply),
             // The delegation has failed before, when the first reply was overdue.
-            Ok(_) | Err(_) if self.overdue.contains(&index) => {}
-            Ok(_) => self.fail_delegation(index, &DelegateError::Detached),
+            Err(_) if self.overdue.contains(&index) => {}
             Err(error) => self.fail_delegation(index, &error),
         }
     }
--- a/crates/server/src/gateway/forward.rs
+++ b/crates/server/src/gateway/forward.rs
@@ -346,12 +346,18 @@
         };
         return Refusal::not_run(reason, Some(RETRY_UNREACHABLE));
     }
-    let reason = if Timer.now() >= inbound.deadline {
-        RefusalReason::DeadlinePast
-    } else if matches!(inbound.route.target, RouteTarget::Shards(_)) {
+    let reason = if matches!(inbound.route.target, RouteTarget::Shards(_)) {
         RefusalReason::Coverage
     } else {
         RefusalReason::NoReply
     };
+    unanswered(inbound, reason)
+}
+
+/// Returns the refusal of a request that may have run, for `reason` unless its deadline has passed.
+pub(super) fn unanswered(inbound: &Inbound, reason: RefusalReason) -> Refusal {
+    if Timer.now() >= inbound.deadline {
+        return Refusal::unknown(RefusalReason::DeadlinePast);
+    }
     Refusal::unknown(reason)
 }
--- a/crates/server/src/gateway/partial.rs
+++ b/crates/server/src/gateway/partial.rs
@@ -79,10 +79,14 @@
         let client = gateway.node.peers.client(&view, &vm).await?;
         peers::gather(&client, peers::context_until(inbound.deadline), partial).await
     };
-    request.await.map_err(|error| {
+    let reply = request.await.map_err(|error| {
         gateway.on_call_failed(&vm, &error);
         DelegateError::Peer(error)
-    })
+    })?;
+    if reply.detached {
+        return Err(DelegateError::Detached);
+    }
+    Ok(reply)
 }
 
 /// Requests the rest of a search from a VM after its interim reply.
--- a/crates/server/src/gateway/relay.rs
+++ b/crates/server/src/gateway/relay.rs
@@ -9,7 +9,7 @@
 use bytes::Bytes;
 use cassialift_core::{
     ids::VmId,
-    request::{ExecutionStatus, RefusalReason},
+    request::RefusalReason,
     routes::{Route, RouteTarget},
     view::FleetView,
 };
@@ -21,6 +21,7 @@
     Gateway,
     answer::{Answer, Refusal},
     decision::{Decision, millis},
+    forward::unanswered,
     inbound::{Inbound, PeerRequest, header_map, header_pairs},
     trace::{Trace, TraceEnd},
 };
@@ -84,15 +85,13 @@
                 }
             };
             let cause = match outcome {
-                Ok(RelayOutcome::Unavailable) => "the VM does not take it".to_owned(),
-                Ok(outcome) => return Some(caller_answer(outcome)),
+                Ok(outcome) => match caller_answer(outcome) {
+                    Some(answer) => return Some(answer),
+                    None => "the VM does not take it".to_owned(),
+                },
                 Err(error) if !error.is_unsent() => {
                     record_failure(trace, inbound, &vm, error.to_string());
-                    return Some(Err(Refusal::unknown(if Timer.now() < inbound.deadline {
-                        RefusalReason::NoReply
-                    } else {
-                        RefusalReason::DeadlinePast
-                    })));
+                    return Some(Err(unanswered(inbound, RefusalReason::NoReply)));
                 }
                 Err(error) => error.to_string(),
             };
@@ -250,25 +249,24 @@
     }
 }
 
-/// Returns what the caller gets for the outcome at another VM. An answer that is not valid HTTP is no
-/// answer, and the request may have run.
-fn caller_answer(outcome: RelayOutcome) -> Result<Answer, Refusal> {
+/// Returns what the caller gets for the outcome at another VM; `None` if the VM did nothing. An answer
+/// that is not valid HTTP is no answer, and the request may have run.
+fn caller_answer(outcome: RelayOutcome) -> Option<Result<Answer, Refusal>> {
     match outcome {
         RelayOutcome::Answered {
             status,
             headers,
             body,
-        } => response(status, &headers, body).ok_or(Refusal::unknown(RefusalReason::NoReply)),
-        RelayOutcome::Refused { reason, ran, retry } => Err(Refusal {
+        } => {
+            let answer = response(status, &headers, body);
+            Some(answer.ok_or(Refusal::unknown(RefusalReason::NoReply)))
+        }
+        RelayOutcome::Refused { reason, ran, retry } => Some(Err(Refusal {
             reason,
             ran,
             retry: retry.map(|retry| retry.0),
-        }),
-        RelayOutcome::Unavailable => Err(Refusal {
-            reason: RefusalReason::Unreachable,
-            ran: ExecutionStatus::NotRun,
-            retry: None,
-        }),
+        })),
+        RelayOutcome::Unavailable => None,
     }
 }
 
