gateway: a call that a relay stops gives its connection back

Found while the change was read again: the other exits between a connection's acquisition and its use give it back, this one closed it, while the VM can open no others.

--- a/crates/server/src/gateway/exchange.rs
+++ b/crates/server/src/gateway/exchange.rs
@@ -122,17 +122,18 @@
             }
             return ExchangeEnd::NotRun(NotRunCause::Connect);
         }
-        let is_new = connection
-            .last_attempt
-            .replace(self.connection.attempt.clone())
-            .is_none();
-        connection.overhead.record_progress();
         // Counted before the check, so that a relay that begins meanwhile counts this call or stops it.
         self.inbound.sends.fetch_add(1, Ordering::SeqCst);
         if self.inbound.relayed.load(Ordering::SeqCst) {
             self.inbound.sends.fetch_sub(1, Ordering::SeqCst);
+            permit.put_back(connection);
             return ExchangeEnd::NotRun(NotRunCause::Cancelled);
         }
+        let is_new = connection
+            .last_attempt
+            .replace(self.connection.attempt.clone())
+            .is_none();
+        connection.overhead.record_progress();
         sent.store(true, Ordering::Relaxed);
         let sent_at = Timer.now();
         let response = connection
