review: a key with a space keeps processes from listing the store (case 3)

Script with four processes. Another writer puts 60 entries whose keys hold a space; the page of the store ends within them. Then all processes are killed and started again.

Seen: all requests are served before the kill, none from 12 s after the restart on.

--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -3,8 +3,10 @@
 //! Usage: `standin CASE RECORD`, in the root of the repository.
 
 mod fleet;
+mod foreign_entry;
 mod http;
 mod leaf;
+mod odd_keys;
 mod releases;
 mod search_body;
 mod stale_list;
@@ -45,8 +47,10 @@
         "without the disruption"
     });
     let result = match case.as_str() {
+        "odd-keys" => odd_keys::run(&folder, &record, is_troubled),
         "releases" => releases::run(&folder, &record, is_troubled),
         "search-body" => search_body::run(&folder, &record, is_troubled),
+        "foreign-entry" => foreign_entry::run(&folder, &record, is_troubled),
         "stale-list" => stale_list::run(&folder, &record, is_troubled),
         _ => Ok(Verdict::CouldNotRun("no such case")),
     };
--- a/review/standin/store.rs
+++ b/review/standin/store.rs
@@ -96,7 +96,8 @@
     fn range(&self, target: &str) -> String {
         let (state, _) = &*self.state;
         let state = state.lock().unwrap();
-        let after = query(target, "after").unwrap_or("");
+        let after = decode(query(target, "after").unwrap_or(""));
+        let after = after.as_str();
         let may_be_stale = query(target, "StaleOk") == Some("1") && !after.is_empty();
         let age = if may_be_stale {
             self.reads.lag
@@ -200,6 +201,22 @@
     text
 }
 
+/// Decodes the escapes of a query's value.
+fn decode(text: &str) -> String {
+    let mut bytes = Vec::new();
+    let mut rest = text.as_bytes();
+    while let [first, tail @ ..] = rest {
+        let escaped = tail.get(..2).and_then(|hex| str::from_utf8(hex).ok());
+        let escaped = escaped.and_then(|hex| u8::from_str_radix(hex, 16).ok());
+        (rest, _) = match (first, escaped) {
+            (b'%', Some(byte)) => (&tail[2..], bytes.push(byte)),
+            (b'+', _) => (tail, bytes.push(b' ')),
+            _ => (tail, bytes.push(*first)),
+        };
+    }
+    String::from_utf8_lossy(&bytes).into_owned()
+}
+
 /// Returns whether an address answers the readiness question with 200.
 pub fn is_ready(address: SocketAddr) -> bool {
     let request = b"GET /ready HTTP/1.1\r\nHost: ready\r\n\r\n";
