--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -9,6 +9,7 @@
 mod odd_keys;
 mod releases;
 mod search_body;
+mod stale_config;
 mod stale_list;
 mod store;
 
@@ -51,6 +52,7 @@
         "releases" => releases::run(&folder, &record, is_troubled),
         "search-body" => search_body::run(&folder, &record, is_troubled),
         "foreign-entry" => foreign_entry::run(&folder, &record, is_troubled),
+        "stale-config" => stale_config::run(&folder, &record, is_troubled),
         "stale-list" => stale_list::run(&folder, &record, is_troubled),
         _ => Ok(Verdict::CouldNotRun("no such case")),
     };
