gateway: the log states the size of a request's body on each VM that works for it

Searches whose shards are searched by another VM reach backend servers without their body and are answered 200. The lines of an id said which VM called which server, but nothing of what they sent, so that three explanations looked alike: a body that is not read, one that is not passed to the other VM, and one that is lost on the connection to the backend server.

No decision changes.

--- a/crates/server/src/gateway/decision.rs
+++ b/crates/server/src/gateway/decision.rs
@@ -46,6 +46,8 @@
     Delegated {
         vm: VmId,
         shards: usize,
+        /// The size of the body that the VM was sent for them, in bytes.
+        body_bytes: usize,
         /// The time after the request's start by which the VM is to reply, in milliseconds.
         within_ms: u64,
     },
--- a/crates/server/src/gateway/fan_out.rs
+++ b/crates/server/src/gateway/fan_out.rs
@@ -250,6 +250,7 @@
             let decision = Decision::Delegated {
                 vm: VmId::clone(&delegation.vm),
                 shards: delegation.targets.len(),
+                body_bytes: 0,
                 within_ms: millis(delegation.reply_after),
             };
             let shards = delegation.targets.iter().map(|target| target.shard);
--- a/crates/server/src/gateway/forward.rs
+++ b/crates/server/src/gateway/forward.rs
@@ -233,6 +233,7 @@
         let body = read_body(body, &routes.limits)
             .await
             .map_err(|reason| Refusal::not_run(reason, None))?;
+        trace.body_bytes = body.len();
         strip_hop_headers(&mut parts.headers);
         let timeout = head.timeout.unwrap_or(route.timeout.0).min(route.timeout.0);
         let target = origin_form(&parts.uri);
--- a/crates/server/src/gateway/relay.rs
+++ b/crates/server/src/gateway/relay.rs
@@ -177,6 +177,7 @@
         route.name.as_ref().clone_into(&mut trace.route);
         trace.revision = config.position.revision;
         trace.objective = route.objective.0;
+        trace.body_bytes = inbound.body.len();
         self.sync(&view, &config);
         let result = self
             .serve_here(view, config, &Arc::new(inbound), &mut trace)
--- a/crates/server/src/gateway/trace.rs
+++ b/crates/server/src/gateway/trace.rs
@@ -31,6 +31,8 @@
     pub(super) version: u64,
     /// The platform's revision of that configuration.
     pub(super) revision: u64,
+    /// The size of the request's body as this VM has it, in bytes.
+    pub(super) body_bytes: usize,
     pub(super) counts: SendCounts,
     pub(super) coverage: Coverage,
     pub(super) decisions: Decisions,
@@ -61,6 +63,7 @@
     objective_ms: u64,
     config: u64,
     revision: u64,
+    body_bytes: usize,
     shards_in: usize,
     missing: &'a [MissingShard],
     #[serde(flatten)]
@@ -84,6 +87,7 @@
             objective: Duration::ZERO,
             version: 0,
             revision: 0,
+            body_bytes: 0,
             counts: SendCounts::default(),
             coverage: Coverage::default(),
             decisions: Decisions::default(),
@@ -122,6 +126,7 @@
             objective_ms: millis(self.objective),
             config: self.version,
             revision: self.revision,
+            body_bytes: self.body_bytes,
             shards_in: self.coverage.included.len(),
             missing,
             counts: self.counts,
