gateway: searches keep their body on every VM that works for them

Cause: PartialGather, the message of a delegation, has no body, and the VM that reads it builds a request with an empty one. The same for shards shared out within a data centre, for the rest after an interim reply, and for searches that a detached VM relays to a VM that delegates.

Change: a new call, gather_with_body. VMs that can't read bodies get neither shards nor relays of such searches. A VM of this build declines delegations of version 1 that may lack a body, so that the VM of version 1 calls the servers itself. The fingerprint of such a search now is the same on all VMs.

Ruled out: a field in PartialGather (bincode: no former VM could read a delegation); direct calls for all searches with a body (a small VM would send 180 bodies itself, across data centres).

--- a/crates/server/src/control/heartbeats.rs
+++ b/crates/server/src/control/heartbeats.rs
@@ -99,7 +99,8 @@
         | PeerError::ConnectTimeout
         | PeerError::Unknown
         | PeerError::Call(_)
-        | PeerError::MismatchedReply => PingFailure::Timeout,
+        | PeerError::MismatchedReply
+        | PeerError::Outdated(_) => PingFailure::Timeout,
     }
 }
 
--- a/crates/server/src/gateway/fan_out.rs
+++ b/crates/server/src/gateway/fan_out.rs
@@ -250,7 +250,7 @@
             let decision = Decision::Delegated {
                 vm: VmId::clone(&delegation.vm),
                 shards: delegation.targets.len(),
-                body_bytes: 0,
+                body_bytes: self.inbound.body.len(),
                 within_ms: millis(delegation.reply_after),
             };
             let shards = delegation.targets.iter().map(|target| target.shard);
@@ -285,13 +285,15 @@
         self.fail_delegation(index, &DelegateError::Timeout);
     }
 
-    /// Excludes the VM of a delegation from further ones and calls backend servers directly for its
-    /// shards.
+    /// Excludes the VM of a delegation from further ones, unless it only can't read this one, and calls
+    /// backend servers directly for its shards.
     fn fail_delegation(&mut self, index: usize, error: &DelegateError) {
         let vm = VmId::clone(&self.delegations[index].vm);
         let targets = self.delegations[index].targets.clone();
         self.gateway.node.metrics.count("gateway.delegation_failed");
-        self.gateway.servers.exclude_vm(&vm, Timer.now());
+        if !error.is_outdated() {
+            self.gateway.servers.exclude_vm(&vm, Timer.now());
+        }
         self.record(Decision::DelegationFailed {
             vm,
             shards: targets.len(),
--- a/crates/server/src/gateway/inbound.rs
+++ b/crates/server/src/gateway/inbound.rs
@@ -12,9 +12,12 @@
 use cassialift_core::{
     policy::poison::Fingerprint,
     request::RefusalReason,
-    routes::{Route, TrafficLimits},
+    routes::{Route, RouteTarget, TrafficLimits},
+};
+use cassialift_wire::{
+    peer::version::{self, MessageVersion},
+    platform::HeaderNames,
 };
-use cassialift_wire::platform::HeaderNames;
 use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::{
     Method, Request, Uri,
@@ -30,6 +33,9 @@
 /// The most characters of a caller's id in a log line.
 const MAX_PRINTABLE: usize = 64;
 
+/// The start of the names of headers that describe a body.
+const CONTENT_PREFIX: &str = "content-";
+
 /// The headers that apply to one connection only, besides those that `Connection` names.
 const HOP_HEADERS: [HeaderName; 9] = [
     header::CONNECTION,
@@ -98,6 +104,27 @@
         printable(&self.attempt)
     }
 
+    /// Returns whether the request has a body, or is of a kind that often has one.
+    pub(super) fn suggests_body(&self) -> bool {
+        let has_content_header = || {
+            let mut names = self.headers.keys();
+            names.any(|name| name.as_str().starts_with(CONTENT_PREFIX))
+        };
+        !self.body.is_empty() || !self.method.is_safe() || has_content_header()
+    }
+
+    /// Returns the version of the messages that a VM must read to work for the request.
+    ///
+    /// VMs of earlier versions leave the bodies of searches out.
+    pub(super) fn message_version(&self) -> MessageVersion {
+        match self.route.target {
+            RouteTarget::Shards(_) if self.suggests_body() => version::WITH_BODIES,
+            RouteTarget::Shards(_) | RouteTarget::Service(_) | RouteTarget::Split(_) => {
+                version::WITHOUT_GREETING
+            }
+        }
+    }
+
     /// Returns the time since the request arrived.
     pub(super) fn age(&self) -> Duration {
         Timer.now().saturating_duration_since(self.started_at)
--- a/crates/server/src/gateway/partial.rs
+++ b/crates/server/src/gateway/partial.rs
@@ -16,7 +16,7 @@
     time::Millis,
     view::FleetView,
 };
-use cassialift_wire::peer::{PartialGather, PartialReply, RestRequest};
+use cassialift_wire::peer::{GatherWithBody, PartialGather, PartialReply, RestRequest, version};
 use displaydoc::Display;
 use hyper::header::HeaderValue;
 
@@ -52,8 +52,8 @@
     Rest(PeerError),
     /// no reply in time
     Timeout,
-    /// the VM reaches no backend server
-    Detached,
+    /// the VM calls no backend server for the search
+    Declined,
 }
 
 impl DelegateError {
@@ -61,10 +61,15 @@
     pub(super) const fn is_unsent(&self) -> bool {
         match self {
             Self::Peer(error) => error.is_unsent(),
-            Self::Detached => true,
+            Self::Declined => true,
             Self::Rest(_) | Self::Timeout => false,
         }
     }
+
+    /// Returns whether the VM is of too early a version for the search.
+    pub(super) const fn is_outdated(&self) -> bool {
+        matches!(self, Self::Peer(PeerError::Outdated(_)))
+    }
 }
 
 /// Requests the shards of a delegation from a VM.
@@ -76,15 +81,25 @@
     partial: PartialGather,
 ) -> Result<PartialReply, DelegateError> {
     let request = async {
-        let client = gateway.node.peers.client(&view, &vm).await?;
-        peers::gather(&client, peers::context_until(inbound.deadline), partial).await
+        let version = inbound.message_version();
+        let client = gateway.node.peers.client_reading(version, &view, &vm);
+        let client = client.await?;
+        let context = peers::context_until(inbound.deadline);
+        if version < version::WITH_BODIES {
+            return peers::gather(&client, context, partial).await;
+        }
+        let search = GatherWithBody {
+            gather: partial,
+            body: inbound.body.clone(),
+        };
+        peers::gather_with_body(&client, context, search).await
     };
     let reply = request.await.map_err(|error| {
         gateway.on_call_failed(&vm, &error);
         DelegateError::Peer(error)
     })?;
     if reply.detached {
-        return Err(DelegateError::Detached);
+        return Err(DelegateError::Declined);
     }
     Ok(reply)
 }
@@ -171,26 +186,40 @@
 }
 
 impl Gateway {
+    /// Returns the VMs that are known to read too early a version of the messages to work for a request.
+    pub(super) fn outdated_vms(&self, inbound: &Inbound) -> HashSet<VmId> {
+        self.node.peers.outdated(inbound.message_version())
+    }
+
     pub(super) fn on_call_failed(&self, vm: &VmId, error: &PeerError) {
         self.node
             .peers
             .on_call_failed(vm, error, &self.node.metrics);
     }
 
-    /// Searches shards for another VM and merges their parts.
-    pub(crate) async fn gather_partial(self: Arc<Self>, partial: PartialGather) -> PartialReply {
+    /// Searches shards for another VM and merges their parts; `body` is `None` if the VM's message has no
+    /// room for one.
+    pub(crate) async fn gather_partial(
+        self: Arc<Self>,
+        partial: PartialGather,
+        body: Option<Bytes>,
+    ) -> PartialReply {
         let started_at = Timer.now();
         if self.reach.is_detached() {
-            return PartialReply {
-                detached: true,
-                ..PartialReply::empty(partial.attempt)
-            };
+            return declined(partial.attempt);
         }
         let view = self.node.control.snapshot();
-        let (Some(config), Some(inbound)) = (view.config.clone(), inbound(&partial, started_at))
-        else {
+        let may_lack_body = body.is_none();
+        let inbound = inbound(&partial, body.unwrap_or_default(), started_at);
+        let (Some(config), Some(inbound)) = (view.config.clone(), inbound) else {
             return PartialReply::empty(partial.attempt);
         };
+        if may_lack_body && inbound.suggests_body() {
+            // VMs of versions that know no bodies send such searches without theirs.
+            self.node.metrics.count("gateway.partial_declined");
+            log_declined(&partial, started_at);
+            return declined(partial.attempt);
+        }
         self.sync(&view, &config);
         self.node.metrics.count("gateway.partial");
         let route = &inbound.route;
@@ -214,9 +243,11 @@
         };
         let mut delegations = Vec::new();
         if partial.spread {
+            let outdated = self.outdated_vms(&inbound);
             let request = Spread {
                 view: &view,
                 inbound: &inbound,
+                outdated: &outdated,
                 capacity: self.settings.capacity(),
                 reply_after: delegation_time(&policy, &inbound),
             };
@@ -235,7 +266,11 @@
             retry: preset.retry,
             extra_calls: Some(self.delegate_extra_calls(partial.max_servers)),
         };
-        let revision = config.position.revision;
+        let run = PartialRun {
+            started_at,
+            revision: config.position.revision,
+            body_bytes: inbound.body.len(),
+        };
         let plan = Plan {
             view,
             config,
@@ -249,9 +284,9 @@
             .run_until(started_at + first_reply_after(&partial))
             .await
         else {
-            return self.reply_interim(fan_out, partial, started_at, revision);
+            return self.reply_interim(fan_out, partial, run);
         };
-        log_partial(&partial, started_at, revision, &mut result);
+        log_partial(&partial, run, &mut result);
         let parts = std::mem::take(&mut result.parts);
         PartialReply {
             leaving: result.leaving,
@@ -264,8 +299,7 @@
         self: Arc<Self>,
         mut fan_out: FanOut,
         partial: PartialGather,
-        started_at: Instant,
-        revision: u64,
+        run: PartialRun,
     ) -> PartialReply {
         self.node.metrics.count("gateway.partial_open");
         let parts = fan_out.take_parts();
@@ -279,8 +313,7 @@
             ..merged_reply(partial.attempt.clone(), &parts, partial.top)
         };
         tokio::spawn(async move {
-            let on_end =
-                |result: &mut FanOutResult| log_partial(&partial, started_at, revision, result);
+            let on_end = |result: &mut FanOutResult| log_partial(&partial, run, result);
             search.run(&self.continuations, on_end).await;
         });
         reply
@@ -312,22 +345,51 @@
     }
 }
 
-/// Logs the work for another VM's request; moves the decisions and the coverage out of `result`.
-fn log_partial(
-    partial: &PartialGather,
+/// What the log says about the work for another VM's request, apart from its result.
+#[derive(Clone, Copy, Debug)]
+struct PartialRun {
     started_at: Instant,
     revision: u64,
-    result: &mut FanOutResult,
-) {
-    let took = Timer.now().saturating_duration_since(started_at);
-    let mut trace = Trace {
+    body_bytes: usize,
+}
+
+/// Returns the reply to a search for which no backend server is called.
+fn declined(attempt: Vec<u8>) -> PartialReply {
+    PartialReply {
+        detached: true,
+        ..PartialReply::empty(attempt)
+    }
+}
+
+/// Returns the trace of work for another VM's request.
+fn partial_trace(partial: &PartialGather, started_at: Instant) -> Trace {
+    Trace {
         id: printable(&partial.attempt),
         route: partial.route.to_string(),
-        revision,
+        ..Trace::new(started_at)
+    }
+}
+
+/// Logs that a search is declined, since its body may have been left out.
+fn log_declined(partial: &PartialGather, started_at: Instant) {
+    partial_trace(partial, started_at).log(TraceEnd {
+        event: "partial",
+        status: 0,
+        reason: "body_unknown",
+        took: Timer.now().saturating_duration_since(started_at),
+    });
+}
+
+/// Logs the work for another VM's request; moves the decisions and the coverage out of `result`.
+fn log_partial(partial: &PartialGather, run: PartialRun, result: &mut FanOutResult) {
+    let took = Timer.now().saturating_duration_since(run.started_at);
+    let mut trace = Trace {
+        revision: run.revision,
+        body_bytes: run.body_bytes,
         counts: result.counts,
         coverage: std::mem::take(&mut result.end.coverage),
         decisions: std::mem::take(&mut result.decisions),
-        ..Trace::new(started_at)
+        ..partial_trace(partial, run.started_at)
     };
     let service = |shard: ShardId| {
         let mut shards = partial.shards.iter();
@@ -345,7 +407,7 @@
 }
 
 /// Builds a request from a VM's message; `None` if the message is not a valid HTTP request.
-fn inbound(partial: &PartialGather, started_at: Instant) -> Option<Inbound> {
+fn inbound(partial: &PartialGather, body: Bytes, started_at: Instant) -> Option<Inbound> {
     let services = partial.shards.iter().map(|(_, service)| service);
     let route = Route {
         name: Arc::clone(&partial.route),
@@ -366,7 +428,7 @@
         method: &partial.method,
         target: &partial.target,
         headers: &partial.headers,
-        body: Bytes::new(),
+        body,
         attempt: &partial.attempt,
     };
     Inbound::from_peer(request, route, started_at, partial.remaining.0)
--- a/crates/server/src/gateway/plan.rs
+++ b/crates/server/src/gateway/plan.rs
@@ -71,9 +71,11 @@
         let mut delegations = Vec::new();
         if matches!(route.target, RouteTarget::Shards(_)) {
             let reply_after = delegation_time(&policy, inbound);
+            let outdated = self.outdated_vms(inbound);
             let request = Spread {
                 view: &view,
                 inbound,
+                outdated: &outdated,
                 capacity: self.settings.capacity(),
                 reply_after,
             };
--- a/crates/server/src/gateway/relay.rs
+++ b/crates/server/src/gateway/relay.rs
@@ -69,7 +69,9 @@
         let view = self.node.control.snapshot();
         let mut offered = Vec::new();
         while offered.len() < MAX_OFFERS && Timer.now() < inbound.deadline {
-            let vm = self.servers.pick_relay(&view, &offered, Timer.now())?;
+            let outdated = self.outdated_vms(inbound);
+            let is_candidate = |vm: &VmId| !offered.contains(vm) && !outdated.contains(vm);
+            let vm = self.servers.pick_relay(&view, is_candidate, Timer.now())?;
             offered.push(VmId::clone(&vm));
             let request = relay_request(inbound, &route);
             let relayed = Decision::Relayed {
@@ -93,6 +95,10 @@
                     record_failure(trace, inbound, &vm, error.to_string());
                     return Some(Err(unanswered(inbound, RefusalReason::NoReply)));
                 }
+                Err(error @ PeerError::Outdated(_)) => {
+                    record_failure(trace, inbound, &vm, error.to_string());
+                    continue;
+                }
                 Err(error) => error.to_string(),
             };
             self.servers.exclude_vm(&vm, Timer.now());
@@ -109,7 +115,8 @@
         request: RelayRequest,
     ) -> Result<RelayOutcome, PeerError> {
         let call = async {
-            let client = self.node.peers.client(view, vm).await?;
+            let version = inbound.message_version();
+            let client = self.node.peers.client_reading(version, view, vm).await?;
             peers::relay(&client, peers::context_until(inbound.deadline), request).await
         };
         call.await
--- a/crates/server/src/gateway/servers.rs
+++ b/crates/server/src/gateway/servers.rs
@@ -1,7 +1,7 @@
 //! The backend servers that requests may go to, synced with the configuration.
 
 use std::{
-    collections::{BTreeMap, HashMap},
+    collections::{BTreeMap, HashMap, HashSet},
     net::SocketAddr,
     sync::{Arc, Mutex, MutexGuard, PoisonError},
     time::{Duration, Instant},
@@ -67,6 +67,8 @@
 pub(super) struct Spread<'a> {
     pub(super) view: &'a FleetView,
     pub(super) inbound: &'a Inbound,
+    /// The VMs that can't read the search.
+    pub(super) outdated: &'a HashSet<VmId>,
     /// The processor time of this VM, in thousandths of a core; zero if unknown.
     pub(super) capacity: u32,
     /// The time after the request's start by which the other VMs reply, if need be without all
@@ -174,11 +176,11 @@
             .iter()
             .map(|target| inner.centres(&target.replicas))
             .collect();
-        let delegates = inner.delegates(view);
+        let delegates = inner.delegates(request);
         let has_delegate = |centre: &DataCentre| delegates.contains_key(centre);
         let mut limits = BTreeMap::new();
         if targets.len() > direct_limit(request.capacity, request.reply_after) {
-            let capacities = inner.capacities(view, request.capacity);
+            let capacities = inner.capacities(request);
             limits = centre_limits(targets.len(), &capacities, request.reply_after);
         }
         let limit = |centre: &DataCentre| limits.get(centre).copied().unwrap_or(usize::MAX);
@@ -220,7 +222,7 @@
         }
         let mut inner = self.lock();
         inner.end_exclusions(inbound.started_at);
-        let delegates = inner.near_delegates(view);
+        let delegates = inner.near_delegates(request);
         let parts = share_out(
             targets.len(),
             request.capacity,
@@ -253,19 +255,19 @@
         self.lock().splitter.pick(route, shares)
     }
 
-    /// Chooses a VM to pass a request on to, more often one with more processor time; `None` if no VM
-    /// apart from those in `offered` can take it.
+    /// Chooses a VM to pass a request on to, more often one with more processor time; `None` if no VM for
+    /// which `is_candidate` returns true can take it.
     pub(super) fn pick_relay(
         &self,
         view: &FleetView,
-        offered: &[VmId],
+        is_candidate: impl Fn(&VmId) -> bool,
         now: Instant,
     ) -> Option<VmId> {
         let mut inner = self.lock();
         inner.end_exclusions(now);
         let usable: Vec<_> = view
             .answering_peers()
-            .filter(|(vm, member)| inner.is_usable(vm, member) && !offered.contains(vm))
+            .filter(|(vm, member)| inner.is_usable(vm, member) && is_candidate(vm))
             .collect();
         let weight = |(_, member): &(&VmId, &MemberView)| member.capacity.max(1);
         let (vm, _) = usable.choose_weighted(&mut rand::rng(), weight).ok()?;
@@ -453,11 +455,17 @@
             && !self.excluded.contains_key(vm)
     }
 
+    /// Returns whether a VM may be asked for shards of a search.
+    fn is_delegate(&self, request: &Spread<'_>, vm: &VmId, member: &MemberView) -> bool {
+        self.is_usable(vm, member) && !request.outdated.contains(vm)
+    }
+
     /// Returns the processor time of the usable VMs of each data centre, in thousandths of a core.
-    fn capacities(&self, view: &FleetView, own: u32) -> BTreeMap<DataCentre, u32> {
-        let mut capacities = BTreeMap::from([(DataCentre::clone(&view.own.centre), own)]);
-        for (vm, member) in view.members.iter() {
-            if *vm != view.own.vm && self.is_usable(vm, member) {
+    fn capacities(&self, request: &Spread<'_>) -> BTreeMap<DataCentre, u32> {
+        let own = &request.view.own;
+        let mut capacities = BTreeMap::from([(DataCentre::clone(&own.centre), request.capacity)]);
+        for (vm, member) in request.view.members.iter() {
+            if *vm != own.vm && self.is_delegate(request, vm, member) {
                 let sum = capacities
                     .entry(DataCentre::clone(&member.centre))
                     .or_default();
@@ -468,9 +476,10 @@
     }
 
     /// Returns the other VMs of this data centre that shards may be delegated to, sorted by name.
-    fn near_delegates(&self, view: &FleetView) -> Vec<Delegate> {
-        let others = view.members.iter().filter(|(vm, member)| {
-            **vm != view.own.vm && member.centre == view.own.centre && self.is_usable(vm, member)
+    fn near_delegates(&self, request: &Spread<'_>) -> Vec<Delegate> {
+        let own = &request.view.own;
+        let others = request.view.members.iter().filter(|(vm, member)| {
+            **vm != own.vm && member.centre == own.centre && self.is_delegate(request, vm, member)
         });
         let mut delegates: Vec<Delegate> = others
             .map(|(vm, member)| Delegate {
@@ -484,12 +493,11 @@
 
     /// Returns the VMs of each data centre that shards may be delegated to: those with the most
     /// capacity among the VMs that answer and are not excluded.
-    fn delegates<'a>(&self, view: &'a FleetView) -> BTreeMap<DataCentre, Vec<&'a VmId>> {
+    fn delegates<'a>(&self, request: &Spread<'a>) -> BTreeMap<DataCentre, Vec<&'a VmId>> {
         let mut largest: BTreeMap<&DataCentre, u32> = BTreeMap::new();
         let members = || {
-            view.members
-                .iter()
-                .filter(|(vm, member)| self.is_usable(vm, member))
+            let members = request.view.members.iter();
+            members.filter(|(vm, member)| self.is_delegate(request, vm, member))
         };
         for (_, member) in members() {
             let largest = largest.entry(&member.centre).or_default();
--- a/crates/server/src/gateway/tests.rs
+++ b/crates/server/src/gateway/tests.rs
@@ -94,7 +94,8 @@
     unknown_vm = { DelegateError::Peer(PeerError::Unknown), true },
     mismatched = { DelegateError::Peer(PeerError::MismatchedReply), false },
     no_reply = { DelegateError::Timeout, false },
-    detached = { DelegateError::Detached, true },
+    declined = { DelegateError::Declined, true },
+    outdated = { DelegateError::Peer(PeerError::Outdated(1)), true },
     no_rest = { DelegateError::Rest(PeerError::Unknown), false },
 )]
 fn test_delegation_unsent(error: DelegateError, unsent: bool) {
--- a/crates/server/src/peers/calls.rs
+++ b/crates/server/src/peers/calls.rs
@@ -10,8 +10,8 @@
     },
 };
 use cassialift_wire::peer::{
-    JobForward, JobReply, PartialGather, PartialReply, PeerClient, RelayOutcome, RelayRequest,
-    RestRequest, ShardCall, ShardReply,
+    GatherWithBody, JobForward, JobReply, PartialGather, PartialReply, PeerClient, RelayOutcome,
+    RelayRequest, RestRequest, ShardCall, ShardReply,
 };
 use tarpc::context::{self, Context};
 
@@ -56,7 +56,7 @@
     }
 }
 
-/// Requests some shards of a search from a peer.
+/// Requests some shards of a search without a body from a peer.
 ///
 /// # Errors
 /// Returns an error when the call fails or the reply belongs to another call.
@@ -70,6 +70,21 @@
     check_attempt(result.map_err(PeerError::Call)?, &attempt)
 }
 
+/// Requests some shards of a search that may have a body from a peer, which must read messages of version
+/// [`WITH_BODIES`](cassialift_wire::peer::version::WITH_BODIES).
+///
+/// # Errors
+/// Returns an error when the call fails or the reply belongs to another call.
+pub async fn gather_with_body(
+    client: &PeerClient,
+    context: Context,
+    search: GatherWithBody,
+) -> Result<PartialReply, PeerError> {
+    let attempt = search.gather.attempt.clone();
+    let result = client.gather_with_body(context, search).await;
+    check_attempt(result.map_err(PeerError::Call)?, &attempt)
+}
+
 /// Requests the rest of a search from a peer after its interim reply to an attempt.
 ///
 /// # Errors
--- a/crates/server/src/peers/error.rs
+++ b/crates/server/src/peers/error.rs
@@ -1,5 +1,6 @@
 //! The error of calls to peers.
 
+use cassialift_wire::peer::version::MessageVersion;
 use displaydoc::Display;
 use tarpc::client::RpcError;
 
@@ -16,6 +17,8 @@
     Call(RpcError),
     /// the peer's reply belongs to another call
     MismatchedReply,
+    /// the peer reads messages up to version {0} only
+    Outdated(MessageVersion),
 }
 
 impl std::error::Error for PeerError {}
@@ -25,7 +28,7 @@
     #[must_use]
     pub const fn is_unsent(&self) -> bool {
         match self {
-            Self::Unknown | Self::Connect(_) | Self::ConnectTimeout => true,
+            Self::Unknown | Self::Connect(_) | Self::ConnectTimeout | Self::Outdated(_) => true,
             Self::Call(_) | Self::MismatchedReply => false,
         }
     }
--- a/crates/server/src/peers/mod.rs
+++ b/crates/server/src/peers/mod.rs
@@ -12,7 +12,8 @@
 mod tests;
 
 pub use calls::{
-    call_shard, claim_permits, context_until, exchange_poison, forward_job, gather, relay, rest,
+    call_shard, claim_permits, context_until, exchange_poison, forward_job, gather,
+    gather_with_body, relay, rest,
 };
 pub use error::{PeerError, is_broken};
 pub use serve::{PeerServer, serve};
--- a/crates/server/src/peers/serve.rs
+++ b/crates/server/src/peers/serve.rs
@@ -11,9 +11,9 @@
     request::{ExecutionStatus, RefusalReason},
 };
 use cassialift_wire::peer::{
-    CallRefusal, CallResult, ConfigPull, ConfigPullReply, JobForward, JobReply, PartialGather,
-    PartialReply, Peer, Ping, PingReply, ProbeReply, RelayOutcome, RelayReply, RelayRequest,
-    RestRequest, ShardCall, ShardReply,
+    CallRefusal, CallResult, ConfigPull, ConfigPullReply, GatherWithBody, Greeting, JobForward,
+    JobReply, PartialGather, PartialReply, Peer, Ping, PingReply, ProbeReply, RelayOutcome,
+    RelayReply, RelayRequest, RestRequest, ShardCall, ShardReply,
 };
 use futures::StreamExt;
 use tarpc::{
@@ -71,11 +71,20 @@
     async fn gather(self, _: Context, partial: PartialGather) -> PartialReply {
         let _running = self.node.drain.enter();
         match self.node.gateway() {
-            Some(gateway) => gateway.gather_partial(partial).await,
+            Some(gateway) => gateway.gather_partial(partial, None).await,
             None => PartialReply::empty(partial.attempt),
         }
     }
 
+    async fn gather_with_body(self, _: Context, search: GatherWithBody) -> PartialReply {
+        let _running = self.node.drain.enter();
+        let GatherWithBody { gather, body } = search;
+        match self.node.gateway() {
+            Some(gateway) => gateway.gather_partial(gather, Some(body)).await,
+            None => PartialReply::empty(gather.attempt),
+        }
+    }
+
     async fn rest(self, _: Context, request: RestRequest) -> PartialReply {
         let _running = self.node.drain.enter();
         match self.node.gateway() {
@@ -119,6 +128,10 @@
         }
     }
 
+    async fn greet(self, _: Context, _: Greeting) -> Greeting {
+        Greeting::default()
+    }
+
     async fn claim_permits(self, _: Context, claims: Vec<PermitClaim>) -> Vec<PermitGrant> {
         match self.node.gateway() {
             Some(gateway) => gateway.grant_permits(&claims),
--- a/crates/server/src/peers/tests/mod.rs
+++ b/crates/server/src/peers/tests/mod.rs
@@ -3,3 +3,4 @@
 mod frames;
 mod replies;
 mod table;
+mod versions;
--- a/crates/server/src/peers/tests/replies.rs
+++ b/crates/server/src/peers/tests/replies.rs
@@ -2,6 +2,7 @@
 
 use std::sync::Arc;
 
+use bytes::Bytes;
 use cassialift_core::{
     ids::{Incarnation, RequestKey, VmId},
     policy::{
@@ -16,9 +17,9 @@
     backend::ServerLoad,
     caller::{JobAnswer, JobState},
     peer::{
-        CallResult, ConfigPull, ConfigPullReply, JobForward, JobReply, PartialGather, PartialReply,
-        Peer, PeerClient, Ping, PingReply, ProbeReply, RelayOutcome, RelayReply, RelayRequest,
-        RestRequest, ShardCall, ShardReply,
+        CallResult, ConfigPull, ConfigPullReply, GatherWithBody, Greeting, JobForward, JobReply,
+        PartialGather, PartialReply, Peer, PeerClient, Ping, PingReply, ProbeReply, RelayOutcome,
+        RelayReply, RelayRequest, RestRequest, ShardCall, ShardReply,
     },
 };
 use futures::StreamExt;
@@ -31,7 +32,8 @@
 use yare::parameterized;
 
 use super::super::{
-    PeerError, PeerTable, PeerTraffic, call_shard, claim_permits, forward_job, gather, relay, rest,
+    PeerError, PeerTable, PeerTraffic, call_shard, claim_permits, forward_job, gather,
+    gather_with_body, relay, rest,
 };
 use crate::metrics::Metrics;
 
@@ -40,12 +42,17 @@
 
 /// A peer whose replies do not match the requests.
 #[derive(Clone)]
-struct MismatchedPeer {
+pub(super) struct MismatchedPeer {
     change: Change,
     id: &'static str,
 }
 
 impl MismatchedPeer {
+    /// Returns a peer that replies to shard calls correctly and to all others with this id.
+    pub(super) const fn new(id: &'static str) -> Self {
+        Self { change: |_| {}, id }
+    }
+
     fn partial(&self) -> PartialReply {
         PartialReply::empty(self.id.as_bytes().to_vec())
     }
@@ -87,6 +94,14 @@
         self.partial()
     }
 
+    async fn gather_with_body(self, _: Context, _: GatherWithBody) -> PartialReply {
+        self.partial()
+    }
+
+    async fn greet(self, _: Context, _: Greeting) -> Greeting {
+        Greeting::default()
+    }
+
     async fn ping(self, _: Context, _: Ping) -> PingReply {
         std::future::pending().await
     }
@@ -163,7 +178,7 @@
 )]
 #[test_macro(tokio::test)]
 async fn test_job_reply(id: &'static str, accepted: bool) {
-    let client = connect(MismatchedPeer { change: |_| {}, id });
+    let client = connect(MismatchedPeer::new(id));
     let job = JobForward {
         id: "1".to_owned(),
         caller: "press".into(),
@@ -182,7 +197,7 @@
 )]
 #[test_macro(tokio::test)]
 async fn test_partial_reply(id: &'static str, accepted: bool) {
-    let client = connect(MismatchedPeer { change: |_| {}, id });
+    let client = connect(MismatchedPeer::new(id));
     let partial = PartialGather {
         attempt: b"1".to_vec(),
         method: "GET".to_owned(),
@@ -201,8 +216,13 @@
         attempt: b"1".to_vec(),
         search: 1,
     };
+    let search = GatherWithBody {
+        gather: partial.clone(),
+        body: Bytes::from_static(b"q"),
+    };
     let replies = [
         gather(&client, context::current(), partial).await,
+        gather_with_body(&client, context::current(), search).await,
         rest(&client, context::current(), &rest_request).await,
     ];
     for reply in replies {
@@ -217,7 +237,7 @@
 )]
 #[test_macro(tokio::test)]
 async fn test_relay_reply(id: &'static str, accepted: bool) {
-    let client = connect(MismatchedPeer { change: |_| {}, id });
+    let client = connect(MismatchedPeer::new(id));
     let request = RelayRequest {
         attempt: b"1".to_vec(),
         method: "GET".to_owned(),
@@ -261,7 +281,7 @@
 )]
 #[test_macro(tokio::test)]
 async fn test_permit_reply(id: &'static str, accepted: bool) {
-    let client = connect(MismatchedPeer { change: |_| {}, id });
+    let client = connect(MismatchedPeer::new(id));
     let claim = PermitClaim {
         server: "ledger-0".into(),
         limit: CallRate::per_second(3.0),
--- a/crates/server/src/peers/tests/table.rs
+++ b/crates/server/src/peers/tests/table.rs
@@ -11,9 +11,9 @@
 use super::super::{PeerTable, PeerTraffic};
 
 /// The time limit of a test on a busy machine.
-const LIMIT: Duration = Duration::from_secs(30);
+pub(super) const LIMIT: Duration = Duration::from_secs(30);
 
-fn view(vm: &VmId, peers: SocketAddr) -> FleetView {
+pub(super) fn view(vm: &VmId, peers: SocketAddr) -> FleetView {
     let member = MemberView {
         incarnation: None,
         centre: "dc-0".into(),
--- a/crates/wire/src/peer/partial.rs
+++ b/crates/wire/src/peer/partial.rs
@@ -1,12 +1,13 @@
 //! Part of a search that one VM delegates to another.
 
+use bytes::Bytes;
 use cassialift_core::{
     ids::{RouteId, ServerId, ServiceId, ShardId},
     time::Millis,
 };
 use serde::{Deserialize, Serialize};
 
-/// Asks a VM to query some shards of a search and to merge their records.
+/// Asks a VM to query some shards of a search without a body, and to merge their records.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 #[serde(deny_unknown_fields)]
 pub struct PartialGather {
@@ -40,7 +41,17 @@
     pub min_coverage: f64,
 }
 
-/// The reply to a [`PartialGather`].
+/// Asks a VM to query some shards of a search that may have a body, and to merge their records.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct GatherWithBody {
+    /// The search, apart from its body.
+    pub gather: PartialGather,
+    /// The body of the caller's request.
+    pub body: Bytes,
+}
+
+/// The reply to a [`PartialGather`] or a [`GatherWithBody`].
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 #[serde(deny_unknown_fields)]
 pub struct PartialReply {
@@ -59,7 +70,7 @@
     pub pending: bool,
     /// The number of the search that continues, unique in the run of the VM; zero if none does.
     pub search: u64,
-    /// Whether the VM has called no backend server, since it reaches none.
+    /// Whether the VM has called no backend server, since it reaches none or may lack the search's body.
     pub detached: bool,
 }
 
