--- a/crates/core/src/jsonc/tests.rs
+++ b/crates/core/src/jsonc/tests.rs
@@ -62,3 +62,15 @@
     let text = "{\n\"a\": {\"b\": 1},\n\"c\": [1, \"é\"] }";
     assert_eq!(locate(text, &path), Position { line, column });
 }
+
+/// A text that is nested too deeply must be an error: the stack of the parser is finite, and its end is
+/// that of the process.
+#[parameterized(
+    arrays = { "[" },
+    objects = { r#"{"a":"# },
+    mixed = { r#"{"a":["# },
+)]
+fn test_jsonc_deep_nesting_is_an_error(open: &str) {
+    let text = open.repeat(1_000_000 / open.len());
+    parse::<serde_json::Value>(&text).unwrap_err();
+}
