gateway: a leaving VM refuses requests that it would cut off

Cause: requests are taken until 0.7 of the grace period, whatever they take; admission compares the learned latency with the request's deadline, not with the end of the process.

Change: from the signal on, a request that is expected to end after the process is refused at once, 503, Retry-After 0, and its caller goes to another VM. Judged by the slowest replica, twice that for a job, as its caller can't repeat it. Own module, core::policy::shutdown, with a test of its own; the load that it answers is that of a rolling restart under slow servers.

Ruled out: taking requests for a shorter time (quick ones are served now until 0.7 of the grace period); refusing each job whose deadline is later than the end (a job of 90 ms has a deadline of 4 s).

--- a/crates/core/src/policy/mod.rs
+++ b/crates/core/src/policy/mod.rs
@@ -20,6 +20,7 @@
 pub mod replica;
 pub mod retry;
 pub mod server_limit;
+pub mod shutdown;
 mod tables;
 
 pub use tables::EntryTables;
--- a/crates/core/src/policy/replica/table.rs
+++ b/crates/core/src/policy/replica/table.rs
@@ -85,6 +85,14 @@
     pub queue_len: f64,
 }
 
+impl WaitEstimate {
+    /// Returns the whole time until the call is done.
+    #[must_use]
+    pub fn total(&self) -> Duration {
+        self.queue_wait.saturating_add(self.service)
+    }
+}
+
 impl ReplicaTable {
     /// Replaces the backend servers of a service by those of an index document, and drops those
     /// that the document no longer lists.
@@ -283,14 +291,27 @@
     /// Returns the estimated time of a call to the best of `replicas`.
     #[must_use]
     pub fn estimate(&self, replicas: &[ServerId], now: Instant) -> WaitEstimate {
+        let estimates = self.estimates(replicas, now);
+        let fastest = estimates.min_by_key(WaitEstimate::total);
+        fastest.unwrap_or_default()
+    }
+
+    /// Returns the same for the slowest of the replicas.
+    #[must_use]
+    pub fn slowest_estimate(&self, replicas: &[ServerId], now: Instant) -> WaitEstimate {
+        let estimates = self.estimates(replicas, now);
+        let slowest = estimates.max_by_key(WaitEstimate::total);
+        slowest.unwrap_or_default()
+    }
+
+    /// Returns the estimate of each replica that gets calls.
+    fn estimates(&self, replicas: &[ServerId], now: Instant) -> impl Iterator<Item = WaitEstimate> {
         replicas
             .iter()
             .filter_map(|server| self.servers.get(server))
             .filter(|stats| !matches!(stats.state, ReplicaState::Ejected(_)))
-            .filter(|stats| stats.accepts_calls(now))
-            .map(|stats| estimate_server(stats, now))
-            .min_by(|a, b| (a.queue_wait + a.service).cmp(&(b.queue_wait + b.service)))
-            .unwrap_or_default()
+            .filter(move |stats| stats.accepts_calls(now))
+            .map(move |stats| estimate_server(stats, now))
     }
 
     /// Returns the median latency of all backend servers that have a sample and are not ejected.
--- a/crates/core/src/policy/tests/mod.rs
+++ b/crates/core/src/policy/tests/mod.rs
@@ -23,6 +23,7 @@
     outcome::{CallOutcome, NotRunCause, UnknownCause},
     replica::{CallReport, Listing, WaitEstimate},
     retry::RetryReason,
+    shutdown::ends_in_time,
 };
 use crate::{
     ids::{DataCentre, ServerId, VmId},
@@ -32,6 +33,32 @@
 
 const SHED: CallOutcome = CallOutcome::NotRun(NotRunCause::Busy);
 
+/// Times are in milliseconds: the expected wait and service, and the time until the process ends.
+#[parameterized(
+    fetch = { RequestKind::Fetch, 100, 900, 1_000, true },
+    late_fetch = { RequestKind::Fetch, 100, 901, 1_000, false },
+    search = { RequestKind::WideSearch, 0, 1_001, 1_000, false },
+    job = { RequestKind::Job, 100, 400, 1_000, true },
+    late_job = { RequestKind::Job, 100, 401, 1_000, false },
+    unknown_latency = { RequestKind::Job, 0, 0, 0, true },
+    endless_wait = { RequestKind::Job, u64::MAX, 1, 1_000, false },
+)]
+fn test_request_ends_before_its_process(
+    kind: RequestKind,
+    wait: u64,
+    service: u64,
+    remaining: u64,
+    expected: bool,
+) {
+    let estimate = WaitEstimate {
+        queue_wait: Duration::from_millis(wait),
+        service: Duration::from_millis(service),
+        queue_len: 0.0,
+    };
+    let ends = ends_in_time(kind, estimate, Duration::from_millis(remaining));
+    assert_eq!(ends, expected);
+}
+
 #[test]
 fn test_retry_counters_differ() {
     let names: HashSet<_> = RetryReason::ALL.map(RetryReason::counter).into();
--- a/crates/server/src/gateway/decision.rs
+++ b/crates/server/src/gateway/decision.rs
@@ -5,8 +5,7 @@
 use cassialift_core::{
     ids::{ServerId, ServiceId, ShardId, VmId},
     policy::{
-        admission::AdmissionRequest, gather::AttemptCause, outcome::CallOutcome,
-        poison::Fingerprint,
+        gather::AttemptCause, outcome::CallOutcome, poison::Fingerprint, replica::WaitEstimate,
     },
     request::{MissingReason, MissingShard},
 };
@@ -23,6 +22,8 @@
     Admitted(AdmissionEstimate),
     /// The request was rejected because of the load.
     Rejected(AdmissionEstimate),
+    /// The process ends before the request is expected to.
+    Leaving(AdmissionEstimate),
     /// Too few backend servers take calls.
     Unavailable {
         /// The time until enough of them do, in milliseconds; `None` if they never will.
@@ -111,16 +112,16 @@
     wait_ms: u64,
     /// The expected service time of backend servers, in milliseconds.
     service_ms: u64,
-    /// The time left until the deadline, in milliseconds.
+    /// The time left until the deadline, or until the process ends, in milliseconds.
     left_ms: u64,
 }
 
 impl AdmissionEstimate {
-    pub(super) fn new(request: &AdmissionRequest) -> Self {
+    pub(super) fn new(estimate: WaitEstimate, left: Duration) -> Self {
         Self {
-            wait_ms: millis(request.estimate.queue_wait),
-            service_ms: millis(request.estimate.service),
-            left_ms: millis(request.remaining),
+            wait_ms: millis(estimate.queue_wait),
+            service_ms: millis(estimate.service),
+            left_ms: millis(left),
         }
     }
 }
@@ -164,6 +165,7 @@
             Decision::Admitted(_) | Decision::Delegated { .. } => !missing.is_empty(),
             Decision::Continued { .. }
             | Decision::Rejected(_)
+            | Decision::Leaving(_)
             | Decision::Unavailable { .. }
             | Decision::Poison { .. }
             | Decision::Trial { .. }
--- a/crates/server/src/gateway/forward.rs
+++ b/crates/server/src/gateway/forward.rs
@@ -14,6 +14,8 @@
         admission::AdmissionRequest,
         gather::{GatherOutcome, ShardTarget},
         poison::Verdict,
+        replica::WaitEstimate,
+        shutdown::ends_in_time,
     },
     request::{ExecutionStatus::NotRun, MissingReason, RefusalReason},
     routes::RouteTarget,
@@ -253,6 +255,35 @@
         Ok((config, inbound))
     }
 
+    /// Refuses a request that would be cut off because the process is leaving.
+    fn check_shutdown(
+        &self,
+        inbound: &Inbound,
+        targets: &[ShardTarget],
+        trace: &mut Trace,
+    ) -> Result<(), Refusal> {
+        let now = Timer.now();
+        let Some(remaining) = self.shutdown_in(now) else {
+            return Ok(());
+        };
+        let route = &inbound.route;
+        let estimate = self.with_tables(|tables| match (&route.target, targets) {
+            (RouteTarget::Shards(set), _) => {
+                tables.estimate(replica_sets(targets), set.coverage, now)
+            }
+            // The request may go to any of the replicas.
+            (_, [target, ..]) => tables.replicas.slowest_estimate(&target.replicas, now),
+            (_, []) => WaitEstimate::default(),
+        });
+        if ends_in_time(route.kind, estimate, remaining) {
+            return Ok(());
+        }
+        let leaving = Decision::Leaving(AdmissionEstimate::new(estimate, remaining));
+        trace.decisions.record(inbound.age(), leaving);
+        let retry = Some(Duration::ZERO);
+        Err(Refusal::not_run(RefusalReason::Leaving, retry))
+    }
+
     /// Admits a request, or refuses it at once if it cannot be answered in time; returns whether enough
     /// of its backend servers take calls, too.
     fn admit(
@@ -266,6 +297,7 @@
         let preset = &config.policy;
         let kind = inbound.route.kind;
         let share = coverage(&inbound.route.target);
+        self.check_shutdown(inbound, targets, trace)?;
         let (estimate, readiness, admitted) = self.with_tables(|tables| {
             let request = AdmissionRequest {
                 caller: CallerId::from(SHARED_CALLER),
@@ -277,7 +309,8 @@
             let admission = &mut tables.admission;
             let admitted = admission.admit(&request, &policy, &preset.queue, now);
             let readiness = Readiness::new(tables, &inbound.route.target, targets, now);
-            (AdmissionEstimate::new(&request), readiness, admitted)
+            let estimate = AdmissionEstimate::new(request.estimate, request.remaining);
+            (estimate, readiness, admitted)
         });
         let decision = match &admitted {
             Ok(()) => Decision::Admitted(estimate),
--- a/crates/server/src/gateway/state.rs
+++ b/crates/server/src/gateway/state.rs
@@ -167,6 +167,13 @@
         self.shutdown_at.send_replace(Some(Timer.now() + remaining));
     }
 
+    /// Returns the time until requests in flight must end because the process is leaving; `None` if it is
+    /// not.
+    pub(super) fn shutdown_in(&self, now: Instant) -> Option<Duration> {
+        let shutdown_at = *self.shutdown_at.borrow();
+        shutdown_at.map(|at| at.saturating_duration_since(now))
+    }
+
     /// Waits until requests in flight must end because the process is leaving.
     pub(super) async fn wait_for_shutdown(&self) {
         let mut shutdown_at = self.shutdown_at.subscribe();
