gateway: no message to another VM is larger than a frame

What callers saw: with a relayed answer of 5 MiB, the jobs that were relayed between the same two VMs at that time were answered 502, although they ran; a search with a body of 5 MiB failed each of its delegations before it was called directly, out of the budget of extra calls.

Cause: a frame has at most 4 MiB, and nothing kept larger messages from being sent. The encoder's error ends the connection with all its calls.

Change: requests whose body or records no frame holds are neither delegated nor relayed; such a relayed answer is a 502 for its own request only, with a log line.

--- a/crates/server/src/gateway/inbound.rs
+++ b/crates/server/src/gateway/inbound.rs
@@ -11,6 +11,7 @@
 use bytes::Bytes;
 use cassialift_core::{
     policy::poison::Fingerprint,
+    records::RECORD_BYTES,
     request::RefusalReason,
     routes::{Route, RouteTarget, TrafficLimits},
 };
@@ -25,7 +26,7 @@
     header::{self, CONTENT_LENGTH, HOST, HeaderMap, HeaderName, HeaderValue},
 };
 
-use crate::timer::Timer;
+use crate::{peers::MAX_CONTENT, timer::Timer};
 
 /// The time limit for receiving a whole body.
 const BODY_TIMEOUT: Duration = Duration::from_secs(10);
@@ -113,6 +114,17 @@
         !self.body.is_empty() || !self.method.is_safe() || has_content_header()
     }
 
+    /// Returns whether another VM can be sent the request, and the records of its answer can be sent back.
+    ///
+    /// A larger message would end the connection, and with it the calls of other requests.
+    pub(super) fn fits_message(&self) -> bool {
+        let records = match &self.route.target {
+            RouteTarget::Shards(set) => set.top.saturating_mul(RECORD_BYTES),
+            RouteTarget::Service(_) | RouteTarget::Split(_) => 0,
+        };
+        self.body.len() <= MAX_CONTENT && records <= MAX_CONTENT
+    }
+
     /// Returns the version of the messages that a VM must read to work for the request.
     ///
     /// VMs of earlier versions leave the bodies of searches out.
--- a/crates/server/src/gateway/partial.rs
+++ b/crates/server/src/gateway/partial.rs
@@ -242,7 +242,7 @@
             ..KindPolicy::default()
         };
         let mut delegations = Vec::new();
-        if partial.spread {
+        if partial.spread && inbound.fits_message() {
             let outdated = self.outdated_vms(&inbound);
             let request = Spread {
                 view: &view,
--- a/crates/server/src/gateway/plan.rs
+++ b/crates/server/src/gateway/plan.rs
@@ -69,7 +69,7 @@
         let outside = self.settings.outside.0;
         let policy = request_policy(route, preset.kind(route.kind), outside);
         let mut delegations = Vec::new();
-        if matches!(route.target, RouteTarget::Shards(_)) {
+        if matches!(route.target, RouteTarget::Shards(_)) && inbound.fits_message() {
             let reply_after = delegation_time(&policy, inbound);
             let outdated = self.outdated_vms(inbound);
             let request = Spread {
--- a/crates/server/src/gateway/relay.rs
+++ b/crates/server/src/gateway/relay.rs
@@ -40,7 +40,7 @@
 
 impl Gateway {
     /// Has another VM serve a request while this one reaches no backend server; `None` if it does
-    /// reach them, or if no other VM took the request.
+    /// reach them, if no other VM took the request, or if no message holds it.
     ///
     /// A request that may have been sent to a VM is not offered to another.
     pub(super) async fn relay(
@@ -48,7 +48,7 @@
         inbound: &Inbound,
         trace: &mut Trace,
     ) -> Option<Result<Answer, Refusal>> {
-        if !self.reach.is_detached() {
+        if !self.reach.is_detached() || !inbound.fits_message() {
             return None;
         }
         inbound.relayed.store(true, Ordering::SeqCst);
@@ -242,6 +242,13 @@
         Ok(body) => body.to_bytes(),
         Err(never) => match never {},
     };
+    if body.len() > peers::MAX_CONTENT {
+        let bytes = body.len();
+        log::warn!(
+            "gateway: Dropped an answer of {bytes} bytes, which no message to another VM holds."
+        );
+        return refused(Refusal::unknown(RefusalReason::NoReply));
+    }
     RelayOutcome::Answered {
         status: parts.status.as_u16(),
         headers: header_pairs(&parts.headers),
--- a/crates/server/src/peers/frames.rs
+++ b/crates/server/src/peers/frames.rs
@@ -8,6 +8,10 @@
 /// The largest frame, in bytes; a configuration document and its envelope fit into it.
 const MAX_FRAME: usize = 4 * 1024 * 1024;
 
+/// The most bytes that the body of a request or an answer may have in a message; the rest of a frame is for
+/// its head and for the shards of a search.
+pub const MAX_CONTENT: usize = MAX_FRAME - 512 * 1024;
+
 /// The size of a frame's length field, in bytes.
 const LENGTH_BYTES: usize = 4;
 
--- a/crates/server/src/peers/mod.rs
+++ b/crates/server/src/peers/mod.rs
@@ -16,6 +16,7 @@
     gather_with_body, relay, rest,
 };
 pub use error::{PeerError, is_broken};
+pub use frames::MAX_CONTENT;
 pub use serve::{PeerServer, serve};
 pub use table::PeerTable;
 pub use traffic::PeerTraffic;
