gateway: a detached VM waits longer for the reset of a connection that opened

What callers saw: while a VM is cut off from all servers by a proxy that accepts connections and resets them later than 50 ms, it takes itself for attached again and again, serves requests itself and answers 502, in place of passing them on.

Cause: a check counts a connection as open that lasts 50 ms, whatever the VM believed before.

Change: while the VM is detached a connection must last 300 ms. Other VMs serve its requests meanwhile, so that the end of a cut is noticed 0.25 s later at little cost. The check of an attached VM, on which the count of crashes waits, is as it was.

--- a/crates/server/src/gateway/reach.rs
+++ b/crates/server/src/gateway/reach.rs
@@ -26,6 +26,9 @@
 /// How long the connection of a check must stay open. What stands between this VM and a server, such as
 /// a proxy, may accept connections and then reset them.
 const OPEN_TIME: Duration = Duration::from_millis(50);
+/// The same while this VM reaches no backend server: requests are served by other VMs meanwhile, so that a
+/// late reset costs more than a late end of the cut.
+const OPEN_TIME_DETACHED: Duration = Duration::from_millis(300);
 /// The pause between two checks.
 const CHECK_PAUSE: Duration = Duration::from_millis(250);
 
@@ -184,8 +187,13 @@
     async fn opens(&self, address: SocketAddr, limit: Duration) -> bool {
         match timeout(limit, sockets::connect(address)).await {
             Ok(Ok(stream)) => {
+                let open_time = if self.reach.is_detached() {
+                    OPEN_TIME_DETACHED
+                } else {
+                    OPEN_TIME
+                };
                 // An idle connection has nothing to read until it breaks.
-                let is_open = timeout(OPEN_TIME, stream.readable()).await.is_err();
+                let is_open = timeout(open_time, stream.readable()).await.is_err();
                 if is_open {
                     self.reach.on_opened();
                 }
