gateway: a VM that continues a search is asked for the rest from another region in time

What callers saw: searches of slow far shards failed with 502. A VM gives an interim reply and goes on with the other shards, and gave them up 60 ms later, if it was not asked for the rest by then. Over a link of 35 ms each way it always was asked too late; the first VM then called all shards again, out of the budget of extra calls, until that was used up (search 16 of 20).

In its logs all eight searches of the third wave end on the second VM at 249 to 250 ms, 60 ms after the interim reply, with all shards missing as `early`, and the first VM's next lines are of its own overdue calls. The bytes between the two were late, as they would be between regions.

Change: the rest may be asked for until 250 ms after the interim reply. A search that nobody waits for goes on for so long at most; one whose caller leaves while the rest is asked for ends within 10 ms, as before.

--- a/crates/server/src/gateway/continuations.rs
+++ b/crates/server/src/gateway/continuations.rs
@@ -19,9 +19,9 @@
 };
 use crate::timer::Timer;
 
-/// How long a VM may take to request the rest of a search: several round trips. A VM that has not
-/// done so by then has answered its caller or is gone.
-const CLAIM_TIMEOUT: Duration = Duration::from_millis(60);
+/// How long a VM may take to request the rest of a search: a round trip between regions, and the delays of
+/// a loaded VM. A VM that has not done so by then has answered its caller or is gone.
+const CLAIM_TIMEOUT: Duration = Duration::from_millis(250);
 
 /// The minimum time between two interim replies.
 const INTERIM_PERIOD: Duration = Duration::from_millis(10);
