peers: a greeting without a reply leaves nothing sent

A search or relay that waits for a greeting counted its failure as a call that may have run, and so used the budget of extra calls, or answered 502 for a relayed search, although nothing had been sent. Found in reading the change; the new test test_versions_silent_process_gets_no_call failed before.

--- a/crates/server/src/peers/table.rs
+++ b/crates/server/src/peers/table.rs
@@ -222,7 +222,8 @@
 
 /// Greets a peer and returns the version of the messages that it reads.
 ///
-/// A process that knows no greeting ends the connection, so the greeting is sent on one of its own.
+/// A process that knows no greeting ends the connection, so the greeting is sent on one of its own. If that
+/// connection breaks for another reason, the peer gets no newer calls on its present connection.
 async fn greet(
     vm: &VmId,
     address: SocketAddr,
@@ -234,7 +235,10 @@
     let version = match client.greet(context, Greeting::default()).await {
         Ok(greeting) => greeting.version,
         Err(error) if is_broken(&error) => version::WITHOUT_GREETING,
-        Err(error) => return Err(PeerError::Call(error)),
+        Err(error) => {
+            log::debug!("peers: {vm} did not reply to a greeting: {error}.");
+            return Err(PeerError::ConnectTimeout);
+        }
     };
     log::info!("peers: {vm} reads messages up to version {version}.");
     Ok(version)
--- a/crates/server/src/peers/tests/versions.rs
+++ b/crates/server/src/peers/tests/versions.rs
@@ -145,6 +145,21 @@
     assert!(probe.await.unwrap().unwrap().answered);
 }
 
+/// A process that does not reply to a greeting was sent nothing else.
+#[tokio::test(start_paused = true)]
+async fn test_versions_silent_process_gets_no_call() {
+    let listener = listen(([127, 0, 0, 1], 0).into()).await;
+    let vm = VmId::from("vm-1");
+    let view = view(&vm, listener.local_addr().unwrap());
+    let table = PeerTable::new(Arc::new(PeerTraffic::default()));
+    let error = table
+        .client_reading(WITH_BODIES, &view, &vm)
+        .await
+        .unwrap_err();
+    assert!(error.is_unsent(), "{error}");
+    assert!(table.outdated(WITH_BODIES).is_empty());
+}
+
 /// The known version must not outlive the process.
 #[tokio::test]
 async fn test_versions_process_is_replaced_by_a_newer_one() {
