config: a log line for each peer that loses or regains the service

The logs of the incident could not tell who knew that the elected readers were turned away, why nobody else read, nor that reads brought a full answer each: a VM logged only its own reads. Now a VM logs when a peer's heartbeat says that it can or cannot read the service, by which plan it begins to read at which age of the confirmation, and the number of changes that came with a revision. No change of logic.

--- a/crates/core/src/config/event.rs
+++ b/crates/core/src/config/event.rs
@@ -4,16 +4,18 @@
 
 use displaydoc::Display;
 
-use super::{BatchError, RejectedDocument, Source};
+use super::{BatchError, ReadPlan, RejectedDocument, Source};
 use crate::ids::{Position, PresetId, Revision, VmId};
 
 /// An event of the configuration. The comment of each variant is the text of its log line.
 #[derive(Clone, Debug, Display, PartialEq)]
 pub enum ConfigEvent {
-    /// Revision {revision} is held, learned from {source}.
+    /// Revision {revision} is held, {changes} changes learned from {source}.
     Advanced {
         /// The new revision.
         revision: Revision,
+        /// The number of documents in the batch.
+        changes: usize,
         /// The sender of the revision.
         source: Source,
     },
@@ -82,8 +84,23 @@
     ServiceUnreachable,
     /// The service can be read from here.
     ServiceReached,
-    /// This VM reads the service.
-    ReadingBegan,
+    /// {vm} cannot read the service.
+    PeerServiceLost {
+        /// The VM of the peer.
+        vm: VmId,
+    },
+    /// {vm} can read the service.
+    PeerServiceReached {
+        /// The VM of the peer.
+        vm: VmId,
+    },
+    /// This VM reads the service, {plan}; the age of the last confirmation is {age:?}.
+    ReadingBegan {
+        /// The plan of its reads.
+        plan: ReadPlan,
+        /// The age of the newest confirmation; `None` if there is none.
+        age: Option<Duration>,
+    },
     /// This VM no longer reads the service.
     ReadingEnded,
     /// No confirmation of the configuration for {0:?}; the last accepted one stays in force.
@@ -112,7 +129,9 @@
             Self::StaleAnswer { .. } => "config.stale_answer",
             Self::ServiceUnreachable => "config.service_lost",
             Self::ServiceReached => "config.service_reached",
-            Self::ReadingBegan => "config.reading_began",
+            Self::PeerServiceLost { .. } => "config.peer_service_lost",
+            Self::PeerServiceReached { .. } => "config.peer_service_reached",
+            Self::ReadingBegan { .. } => "config.reading_began",
             Self::ReadingEnded => "config.reading_ended",
             Self::ConfirmationOverdue(_) => "config.aged",
             Self::Confirmed(_) => "config.confirmed",
@@ -138,7 +157,9 @@
             | Self::Released { .. }
             | Self::InForce { .. }
             | Self::ServiceReached
-            | Self::ReadingBegan
+            | Self::PeerServiceLost { .. }
+            | Self::PeerServiceReached { .. }
+            | Self::ReadingBegan { .. }
             | Self::ReadingEnded
             | Self::Confirmed(_)
             | Self::Started(_) => false,
--- a/crates/core/src/config/node.rs
+++ b/crates/core/src/config/node.rs
@@ -180,7 +180,7 @@
         if sent_at.is_some() {
             self.last_exchange = now;
         }
-        self.reachability.insert(VmId::clone(vm), summary.service);
+        self.record_reachability(vm, summary.service);
         let mut is_near = false;
         if let Some(peer) = self.peers.iter_mut().find(|peer| peer.vm == *vm) {
             peer.service = summary.service;
@@ -209,6 +209,22 @@
         }
     }
 
+    /// Records whether a peer can read the service, and reports a change.
+    fn record_reachability(&mut self, vm: &VmId, service: ServiceReachability) {
+        let before = self.reachability.insert(VmId::clone(vm), service);
+        let vm = VmId::clone(vm);
+        match (before.unwrap_or_default(), service) {
+            (ServiceReachability::Unreachable, ServiceReachability::Unreachable) => {}
+            (_, ServiceReachability::Unreachable) => {
+                self.events.push(ConfigEvent::PeerServiceLost { vm });
+            }
+            (ServiceReachability::Unreachable, ServiceReachability::Reached) => {
+                self.events.push(ConfigEvent::PeerServiceReached { vm });
+            }
+            _ => {}
+        }
+    }
+
     /// Returns whether a peer's position is too many epochs ahead to be believed. A process that has
     /// no documents yet believes any.
     fn is_implausible(&self, position: Position) -> bool {
@@ -338,6 +354,7 @@
 
     /// Applies a batch; returns `false` if the batch was refused.
     fn apply(&mut self, batch: Batch, source: &Source, now: Instant) -> bool {
+        let changes = batch.documents.len();
         let result = self.store.apply(batch, source, now);
         let source = source.clone();
         let change = match result {
@@ -377,7 +394,11 @@
             });
         }
         if change.advanced {
-            let event = ConfigEvent::Advanced { revision, source };
+            let event = ConfigEvent::Advanced {
+                revision,
+                changes,
+                source,
+            };
             self.events.push(event);
             self.announce();
         }
@@ -505,7 +526,10 @@
         });
         match (previous, self.plan) {
             (ReadPlan::Idle, ReadPlan::Idle) => {}
-            (ReadPlan::Idle, _) => self.events.push(ConfigEvent::ReadingBegan),
+            (ReadPlan::Idle, plan) => {
+                let age = self.freshness.age(now);
+                self.events.push(ConfigEvent::ReadingBegan { plan, age });
+            }
             (_, ReadPlan::Idle) => self.events.push(ConfigEvent::ReadingEnded),
             _ => {}
         }
--- a/crates/core/src/config/readers.rs
+++ b/crates/core/src/config/readers.rs
@@ -8,6 +8,7 @@
 
 use std::{collections::HashMap, time::Duration};
 
+use displaydoc::Display;
 use serde::{Deserialize, Serialize};
 use xxhash_rust::xxh3::Xxh3;
 
@@ -113,14 +114,14 @@
 }
 
 /// The way in which a process currently reads the configuration service.
-#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+#[derive(Clone, Copy, Debug, Default, Display, Eq, PartialEq)]
 pub enum ReadPlan {
-    /// The process does not read.
+    /// not at all
     #[default]
     Idle,
-    /// The process watches: each read waits for a change, and the next one follows.
+    /// since it is elected
     Watch,
-    /// The process reads although it is not elected, once per period on average.
+    /// although it is not elected, every {period:?}
     Fallback {
         /// The mean time from one read to the next.
         period: Duration,
