--- a/crates/core/tests/config/main.rs
+++ b/crates/core/tests/config/main.rs
@@ -8,3 +8,4 @@
 mod readers;
 mod store;
 mod store_random;
+mod takeover;
--- a/crates/core/tests/config/node.rs
+++ b/crates/core/tests/config/node.rs
@@ -20,12 +20,12 @@
 
 use crate::history::{Edit, Platform};
 
-const TICK: Duration = Duration::from_millis(50);
+pub(crate) const TICK: Duration = Duration::from_millis(50);
 
 /// A simulated fleet whose messages are delivered by hand.
-struct Simulation {
-    now: Instant,
-    nodes: Vec<ConfigNode>,
+pub(crate) struct Simulation {
+    pub(crate) now: Instant,
+    pub(crate) nodes: Vec<ConfigNode>,
     peers: Vec<ConfigPeer>,
     /// The numbers of pulls that brought documents within a data centre, and between two.
     near_pulls: usize,
@@ -41,7 +41,7 @@
         Self::with_reads(peers, ReadSettings::default())
     }
 
-    fn with_reads(peers: Vec<ConfigPeer>, reads: ReadSettings) -> Self {
+    pub(crate) fn with_reads(peers: Vec<ConfigPeer>, reads: ReadSettings) -> Self {
         let now = Instant::now() + Duration::from_hours(1);
         let node = |seed: usize| {
             let peer = &peers[seed];
@@ -60,7 +60,7 @@
     }
 
     /// Advances the time by one tick and executes all actions; pulls from `silent` get no reply.
-    fn step(&mut self, silent: &[usize]) {
+    pub(crate) fn step(&mut self, silent: &[usize]) {
         self.now += TICK;
         for i in 0..self.nodes.len() {
             self.nodes[i].tick(self.now);
@@ -70,7 +70,7 @@
         }
     }
 
-    fn execute(&mut self, from: usize, action: ConfigAction, silent: &[usize]) {
+    pub(crate) fn execute(&mut self, from: usize, action: ConfigAction, silent: &[usize]) {
         let now = self.now;
         match action {
             ConfigAction::Pull { vm, after } => {
@@ -109,7 +109,7 @@
     }
 }
 
-fn peer(i: usize) -> ConfigPeer {
+pub(crate) fn peer(i: usize) -> ConfigPeer {
     ConfigPeer {
         vm: VmId::from(format!("vm-{i}")),
         centre: "lagos".into(),
@@ -121,7 +121,7 @@
     vm.trim_start_matches("vm-").parse().unwrap()
 }
 
-fn platform(edits: u32) -> Platform {
+pub(crate) fn platform(edits: u32) -> Platform {
     let edits: Vec<Edit> = (1..=edits).map(|i| Edit::Presets(i + 1)).collect();
     Platform::new(&edits)
 }
--- /dev/null
+++ b/crates/core/tests/config/takeover.rs
@@ -0,0 +1,188 @@
+//! Tests of `ConfigNode` in a fleet whose elected readers lose the configuration service.
+
+use std::time::{Duration, Instant};
+
+use cassialift_core::{
+    config::{ANSWER_TIMEOUT, ConfigAction, ConfigPeer, ReadPlan, ReadSettings},
+    fleet::members::MemberSettings,
+    ids::{DataCentre, Position, Revision},
+    time::Millis,
+};
+use yare::parameterized;
+
+use crate::{
+    history::Platform,
+    node::{Simulation, TICK, peer, platform},
+};
+
+/// The mean time between two reads of a reader whose last read failed.
+const RETRY_PERIOD: Duration = Duration::from_millis(200);
+/// The time in which the fleet elects its readers and all processes hear of a confirmation.
+const SETTLE_TIME: Duration = Duration::from_secs(20);
+
+/// How the service treats the reads of a process.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+enum Service {
+    #[default]
+    Answers,
+    /// Reads fail at once.
+    Refuses,
+    /// Reads get no answer.
+    Silent,
+}
+
+/// The reads of one process.
+#[derive(Clone, Copy, Debug, Default)]
+struct Reader {
+    service: Service,
+    /// The read in flight: when it was sent, the time until which it waits for a change, and the
+    /// revision after which it asks for changes.
+    read: Option<(Instant, Instant, Revision)>,
+    has_failed: bool,
+    next_at: Option<Instant>,
+}
+
+/// A fleet whose processes read a service by their plans, and exchange heartbeats in turn.
+struct Fleet {
+    simulation: Simulation,
+    readers: Vec<Reader>,
+    reads: ReadSettings,
+    platform: Platform,
+    /// The newest revision of the service.
+    revision: Revision,
+    ticks: usize,
+}
+
+impl Fleet {
+    fn new(processes: usize, centres: usize) -> Self {
+        let reads = ReadSettings {
+            wait: Millis::new(3_000),
+            period: Millis::new(400),
+            stale: Millis::new(12_000),
+            start: Millis::new(300),
+            delay: Millis::new(300),
+            ..ReadSettings::default()
+        };
+        let peers = (0..processes).map(|i| ConfigPeer {
+            centre: DataCentre::from(format!("dc-{}", i % centres)),
+            ..peer(i)
+        });
+        let mut fleet = Self {
+            simulation: Simulation::with_reads(peers.collect(), reads),
+            readers: vec![Reader::default(); processes],
+            reads,
+            platform: platform(9),
+            revision: 2,
+            ticks: 0,
+        };
+        fleet.run(SETTLE_TIME);
+        let reading = fleet.simulation.nodes.iter();
+        let reading = reading.filter(|node| node.plan() != ReadPlan::Idle);
+        assert_eq!(reading.count(), fleet.elected().len());
+        fleet
+    }
+
+    fn run(&mut self, time: Duration) {
+        let end = self.simulation.now + time;
+        while self.simulation.now < end {
+            self.simulation.step(&[]);
+            for i in 0..self.readers.len() {
+                self.read(i);
+            }
+            self.exchange_heartbeats();
+        }
+    }
+
+    /// Sends one heartbeat of each process, to the next one in turn, per ping period.
+    fn exchange_heartbeats(&mut self) {
+        let period = MemberSettings::default().ping_period;
+        let ticks = usize::try_from(period.as_millis() / TICK.as_millis()).unwrap();
+        let processes = self.readers.len();
+        let round = self.ticks / ticks;
+        for i in (0..processes).filter(|i| (self.ticks + i).is_multiple_of(ticks)) {
+            let to = (i + 1 + round % (processes - 1)) % processes;
+            let action = ConfigAction::Announce(peer(to).vm);
+            self.simulation.execute(i, action, &[]);
+        }
+        self.ticks += 1;
+    }
+
+    /// Ends the read of a process that has ended, and sends the next one when it is due.
+    fn read(&mut self, i: usize) {
+        let now = self.simulation.now;
+        let node = &mut self.simulation.nodes[i];
+        let reader = &mut self.readers[i];
+        if let Some((sent_at, wait_end, after)) = reader.read {
+            let (ended, answered) = match reader.service {
+                Service::Answers => (now >= wait_end || self.revision > after, true),
+                Service::Refuses => (true, false),
+                Service::Silent => (now >= wait_end + ANSWER_TIMEOUT, false),
+            };
+            if !ended {
+                return;
+            }
+            let batch = answered.then(|| self.platform.changes(after, self.revision));
+            node.handle_read_reply(batch, sent_at, now);
+            reader.read = None;
+            reader.has_failed = !answered;
+            let period = match node.plan() {
+                ReadPlan::Fallback { period } => period,
+                ReadPlan::Watch | ReadPlan::Idle if answered => self.reads.period.0,
+                ReadPlan::Watch | ReadPlan::Idle => RETRY_PERIOD,
+            };
+            reader.next_at = Some(sent_at + period);
+        }
+        if reader.next_at.is_some_and(|at| now < at) {
+            return;
+        }
+        let wait = match node.plan() {
+            ReadPlan::Idle => return,
+            _ if reader.has_failed => Duration::ZERO,
+            ReadPlan::Watch => self.reads.watch_wait(),
+            ReadPlan::Fallback { period } => period / 2,
+        };
+        let Position { revision, .. } = node.store().position();
+        reader.read = Some((now, now + wait, revision));
+    }
+
+    /// Returns the processes that watch the service.
+    fn elected(&self) -> Vec<usize> {
+        let is_elected = |i: &usize| self.simulation.nodes[*i].plan() == ReadPlan::Watch;
+        (0..self.readers.len()).filter(is_elected).collect()
+    }
+
+    /// Treats the reads of the elected processes in another way.
+    fn set_service_of_elected(&mut self, service: Service) {
+        for i in self.elected() {
+            self.readers[i].service = service;
+        }
+    }
+
+    /// Publishes a revision, and checks that all processes have it in time.
+    fn check_change_is_in_time(&mut self) {
+        self.revision += 1;
+        self.run(self.reads.apply.0);
+        let nodes = &self.simulation.nodes;
+        let late = nodes
+            .iter()
+            .filter(|node| node.store().revision() < self.revision);
+        assert_eq!(late.count(), 0, "of {} processes are late", nodes.len());
+    }
+}
+
+/// In a large fleet, two given processes seldom exchange heartbeats.
+#[parameterized(
+    small_refused = { 20, 2, Service::Refuses },
+    small_silent = { 20, 2, Service::Silent },
+    large_refused = { 295, 6, Service::Refuses },
+    large_silent = { 295, 6, Service::Silent },
+)]
+fn test_node_takes_over_in_time_from_all_elected_readers(
+    processes: usize,
+    centres: usize,
+    service: Service,
+) {
+    let mut fleet = Fleet::new(processes, centres);
+    fleet.set_service_of_elected(service);
+    fleet.check_change_is_in_time();
+}
