config: an answer that leaves changes out is followed by the next at once

The store ends an answer to a watch at 500 changes. Each was taken for all there is: it confirmed the configuration as current, so that other VMs did not read, and the next read waited for its period of 400 ms, or 500 ms of a VM that is not elected.

Class: a page taken for the whole.

No message between VMs changes.

--- a/crates/core/src/config/batch.rs
+++ b/crates/core/src/config/batch.rs
@@ -25,6 +25,8 @@
     /// Whether the batch lists all documents that exist at `revision`, so that all others are
     /// deleted.
     pub complete: bool,
+    /// Whether the sender may have further changes, up to a later revision.
+    pub more: bool,
     /// The documents, in any order.
     pub documents: Vec<Document>,
     /// Documents of earlier epochs that the sender still uses; empty in batches of the platform.
--- a/crates/core/src/config/node.rs
+++ b/crates/core/src/config/node.rs
@@ -318,12 +318,15 @@
             self.on_read_failed(now);
             return;
         }
+        let more = batch.more;
         if !self.apply(batch, &Source::Platform, now) {
             self.on_read_failed(now);
             return;
         }
         self.on_read_succeeded(now);
-        self.freshness.confirm(sent_at, VmId::clone(&self.own_vm));
+        if !more {
+            self.freshness.confirm(sent_at, VmId::clone(&self.own_vm));
+        }
     }
 
     fn on_read_succeeded(&mut self, now: Instant) {
--- a/crates/core/src/config/store.rs
+++ b/crates/core/src/config/store.rs
@@ -134,6 +134,7 @@
             after,
             revision: self.position.revision,
             complete: after == 0,
+            more: false,
             documents: self
                 .entries
                 .iter()
--- a/crates/core/tests/config/node.rs
+++ b/crates/core/tests/config/node.rs
@@ -318,6 +318,22 @@
     );
 }
 
+/// An answer that leaves changes out says nothing about them.
+#[test]
+fn test_node_takes_no_confirmation_from_an_answer_that_leaves_changes_out() {
+    let platform = platform(3);
+    let mut simulation = Simulation::new(1);
+    let cut = Batch {
+        more: true,
+        ..platform.changes(0, 2)
+    };
+    simulation.nodes[0].handle_read_reply(Some(cut), simulation.now, simulation.now);
+    assert_eq!(simulation.nodes[0].store().revision(), 2);
+    assert_eq!(simulation.nodes[0].confirmation(), None);
+    simulation.read(0, &platform, 3);
+    assert!(simulation.nodes[0].confirmation().is_some());
+}
+
 #[test]
 fn test_node_reports_stale_and_unreachable_service() {
     let platform = platform(3);
--- a/crates/server/src/control/config.rs
+++ b/crates/server/src/control/config.rs
@@ -133,6 +133,7 @@
                     after: if changes.complete { 0 } else { after.revision },
                     revision: changes.revision,
                     complete: changes.complete,
+                    more: changes.more,
                     documents: changes.documents,
                     ..Batch::default()
                 });
@@ -153,6 +154,7 @@
                         after: reply.after,
                         revision: position.revision,
                         complete: reply.after == 0,
+                        more: false,
                         documents: reply.documents,
                         retained: reply.retained,
                     };
--- a/crates/server/src/control/config_read.rs
+++ b/crates/server/src/control/config_read.rs
@@ -5,7 +5,10 @@
     time::{Duration, Instant},
 };
 
-use cassialift_core::config::{ReadPlan, ReadSettings};
+use cassialift_core::{
+    config::{ReadPlan, ReadSettings},
+    ids::Position,
+};
 use cassialift_wire::platform::ConfigSource;
 use rand::Rng;
 
@@ -24,39 +27,63 @@
     control: ControlHandle,
     metrics: Arc<Metrics>,
 ) {
-    let mut is_silent = false;
+    let mut may_wait = true;
+    // The position of the last answer, if it left out further changes.
+    let mut read_up_to = Position::default();
     loop {
         let started = Timer.now();
         let plan = control.config().plan();
-        let (wait, mut period) = match plan {
+        let (wait, period) = match plan {
             ReadPlan::Idle => {
                 // The process begins to read because others cannot, and may not reach the service
                 // either.
-                is_silent = true;
+                may_wait = false;
+                read_up_to = Position::default();
                 wait_until(started + IDLE_PERIOD).await;
                 continue;
             }
             ReadPlan::Watch => (reads.watch_wait(), reads.period.0),
             ReadPlan::Fallback { period } => (period / 2, jittered(period)),
         };
+        let wait = if may_wait { wait } else { Duration::ZERO };
+        let after = control.config().position().max(read_up_to);
+        let answered = read(&*source, &control, &metrics, after, wait).await;
+        read_up_to = Position::default();
         // After a failed read, a read without a wait shows early whether the service answers again.
-        let wait = if is_silent { Duration::ZERO } else { wait };
-        is_silent = !read(&*source, &control, &metrics, wait).await;
-        if is_silent && plan == ReadPlan::Watch {
-            period = jittered(RETRY_PERIOD);
-        }
+        may_wait = answered.is_some();
+        let period = match answered {
+            Some(Answered {
+                position,
+                more: true,
+            }) if position > after => {
+                may_wait = false;
+                read_up_to = position;
+                continue;
+            }
+            None if plan == ReadPlan::Watch => jittered(RETRY_PERIOD),
+            Some(_) | None => period,
+        };
         wait_until(started + period).await;
     }
 }
 
-/// Reads once, passes the result to the control thread and returns whether the service answered.
+/// The end of a read that the service answered.
+#[derive(Clone, Copy, Debug)]
+struct Answered {
+    position: Position,
+    /// Whether there may be further changes after the position.
+    more: bool,
+}
+
+/// Reads once, passes the result to the control thread and returns what the answer was; `None` if there
+/// was none.
 async fn read(
     source: &dyn ConfigSource,
     control: &ControlHandle,
     metrics: &Metrics,
+    after: Position,
     wait: Duration,
-) -> bool {
-    let after = control.config().position();
+) -> Option<Answered> {
     let sent_at = Timer.now();
     metrics.count("platform.config_reads");
     let answer = match source.changes(after, wait).await {
@@ -72,14 +99,20 @@
             None
         }
     };
-    let is_answered = answer.is_some();
+    let answered = answer.as_ref().map(|changes| Answered {
+        position: Position {
+            epoch: changes.epoch,
+            revision: changes.revision,
+        },
+        more: changes.more,
+    });
     let event = ConfigEvent::ReadEnded {
         answer,
         after,
         sent_at,
     };
     control.send(Event::Config(event)).await;
-    is_answered
+    answered
 }
 
 /// Returns a random duration between 0.8 and 1.2 times `mean`.
--- a/crates/server/src/control/config_read_tests.rs
+++ b/crates/server/src/control/config_read_tests.rs
@@ -8,7 +8,7 @@
 use arc_swap::ArcSwap;
 use cassialift_core::{
     config::{ANSWER_TIMEOUT, ConfigNode, ReadPlan, ReadSettings},
-    ids::{DataCentre, Position, VmId},
+    ids::{DataCentre, Position, Revision, VmId},
     time::Millis,
     view::{FleetView, OwnView, OwnersView},
 };
@@ -18,40 +18,51 @@
 use super::{ConfigState, ControlHandle, config_read};
 use crate::{metrics::Metrics, timer::Timer};
 
-/// A service that gives no answer for the first reads.
-#[derive(Debug)]
-struct SilentSource {
+/// The longest wait of an elected reader's read.
+const WATCH: Duration = Duration::from_millis(1_500);
+/// The number of changes in an answer that leaves out further ones.
+const CUT_ANSWER_CHANGES: u64 = 500;
+
+/// A service that treats the first reads in another way.
+#[derive(Clone, Debug, Default)]
+struct Source {
     /// The number of reads that get no answer.
     silent_reads: usize,
-    /// The wait that each read so far requested.
-    waits: Arc<Mutex<Vec<Duration>>>,
+    /// The number of reads whose answers leave out further changes.
+    cut_reads: usize,
+    /// The revision and the wait that each read so far requested.
+    reads: Arc<Mutex<Vec<(Revision, Duration)>>>,
 }
 
-impl ConfigSource for SilentSource {
+impl ConfigSource for Source {
     fn changes(&self, after: Position, wait: Duration) -> ChangesFuture<'_> {
         Box::pin(async move {
             let reads = {
-                let mut waits = self.waits.lock().unwrap();
-                waits.push(wait);
-                waits.len()
+                let mut reads = self.reads.lock().unwrap();
+                reads.push((after.revision, wait));
+                reads.len()
             };
             if reads <= self.silent_reads {
                 Timer.after(wait + ANSWER_TIMEOUT).await;
                 return Err(ConfigSourceError("no answer".into()));
             }
-            Timer.after(wait).await;
+            let more = reads <= self.cut_reads;
+            if !more {
+                Timer.after(wait).await;
+            }
             Ok(Changes {
                 epoch: after.epoch,
-                revision: after.revision,
+                revision: after.revision + if more { CUT_ANSWER_CHANGES } else { 0 },
                 complete: false,
+                more,
                 documents: Vec::new(),
             })
         })
     }
 }
 
-/// Returns the waits of the reads of an elected reader within a time.
-async fn waits_of_reads(silent_reads: usize, time: Duration) -> Vec<Duration> {
+/// Returns the revisions and the waits of the reads of an elected reader within a time.
+async fn reads_of(source: Source, time: Duration) -> Vec<(Revision, Duration)> {
     let reads = ReadSettings {
         wait: Millis::new(3_000),
         ..ReadSettings::default()
@@ -79,21 +90,41 @@
         detached: Arc::default(),
     };
     tokio::spawn(async move { while received.recv().await.is_some() {} });
-    let waits: Arc<Mutex<Vec<Duration>>> = Arc::default();
-    let source = SilentSource {
-        silent_reads,
-        waits: Arc::clone(&waits),
-    };
+    let done = Arc::clone(&source.reads);
     let metrics = Arc::new(Metrics::new(None).unwrap());
     let task = config_read::run(Arc::new(source), reads, control, metrics);
     drop(tokio::time::timeout(time, task).await);
-    let waits = waits.lock().unwrap();
-    waits.clone()
+    let done = done.lock().unwrap();
+    done.clone()
 }
 
 #[tokio::test(start_paused = true)]
 async fn test_read_after_one_without_an_answer_does_not_wait() {
-    let waits = waits_of_reads(2, Duration::from_secs(6)).await;
-    let watch = Duration::from_millis(1_500);
-    assert_eq!(waits[..4], [watch, Duration::ZERO, Duration::ZERO, watch]);
+    let source = Source {
+        silent_reads: 2,
+        ..Source::default()
+    };
+    let reads = reads_of(source, Duration::from_secs(6)).await;
+    let waits: Vec<Duration> = reads.iter().map(|(_, wait)| *wait).collect();
+    assert_eq!(waits[..4], [WATCH, Duration::ZERO, Duration::ZERO, WATCH]);
+}
+
+/// The control thread may not have applied the changes of an answer yet when the next read is sent.
+#[tokio::test(start_paused = true)]
+async fn test_read_after_a_cut_answer_follows_at_once_from_its_revision() {
+    let source = Source {
+        cut_reads: 3,
+        ..Source::default()
+    };
+    let reads = reads_of(source, Duration::from_millis(1)).await;
+    let at_once = Duration::ZERO;
+    assert_eq!(
+        reads,
+        [
+            (0, WATCH),
+            (500, at_once),
+            (1_000, at_once),
+            (1_500, at_once)
+        ]
+    );
 }
--- a/crates/testkit/src/standin/config.rs
+++ b/crates/testkit/src/standin/config.rs
@@ -227,6 +227,7 @@
             epoch: 0,
             revision,
             complete: false,
+            more: false,
             documents: changed.cloned().collect(),
         })
     }
--- a/crates/wire/src/platform/mod.rs
+++ b/crates/wire/src/platform/mod.rs
@@ -2,6 +2,7 @@
 //!
 //! - `GET /v1/changes?after=REVISION&wait=MILLIS` gives [`Changes`]: every document changed after
 //!   the revision. If there is no change yet, the service waits up to `wait` milliseconds for one.
+//!   An answer may end at an earlier revision than the service's, and then says that there are more.
 //! - `GET /v1/vms` gives a [`VmList`].
 
 mod adapter;
@@ -26,11 +27,14 @@
     /// The epoch of all revisions; zero where the service is never restored from a backup.
     #[serde(default)]
     pub epoch: Epoch,
-    /// The service's revision, which is at least the revision of each document below.
+    /// The revision up to which the answer has all changes, at least that of each document below.
     pub revision: Revision,
     /// Whether `documents` contains every existing document, so that all others are deleted.
     #[serde(default)]
     pub complete: bool,
+    /// Whether there may be further changes, up to a later revision, that this answer leaves out.
+    #[serde(default)]
+    pub more: bool,
     /// The changed documents, each in its newest state.
     pub documents: Vec<Document>,
 }
