tests: two VMs of one search choose among the servers that each knows

The comment of limit_replicas names its limit: the choice is the same on VMs that know the same replicas. A test shows that a search may then run on three servers of a shard, where its route allows two.

--- a/crates/core/src/policy/tests/mod.rs
+++ b/crates/core/src/policy/tests/mod.rs
@@ -495,6 +495,22 @@
     }
 }
 
+/// Both VMs may call the replicas of a shard: the one that delegates it, once the other is overdue.
+#[test]
+fn test_delegate_limits_replicas_of_vms_that_know_different_ones() {
+    let servers = |names: [&str; 3]| names.map(ServerId::from).to_vec();
+    for attempt in 0_u8..50 {
+        // "a" has ended and "d" has taken its place; one VM has not learned of it yet.
+        let mut behind = servers(["a", "b", "c"]);
+        let mut current = servers(["b", "c", "d"]);
+        limit_replicas(&mut behind, |_| true, &[attempt], 2);
+        limit_replicas(&mut current, |_| true, &[attempt], 2);
+        let called: HashSet<ServerId> = behind.into_iter().chain(current).collect();
+        let live = called.iter().filter(|server| &***server != "a").count();
+        assert!(live <= 2, "{called:?}");
+    }
+}
+
 #[parameterized(
     all = { 1.0, 40 },
     nine_tenths_of_four_is_all = { 0.9, 40 },
