config: one check of a missed reader, and one of a process that may read

plan_reads repeated the condition of is_missed, and the filter of VMs that may read stood in plan_reads and in standbys. The comments of ReadPlan's variants became log texts and lost what watching means; the enum says it.

--- a/crates/core/src/config/reachability.rs
+++ b/crates/core/src/config/reachability.rs
@@ -4,6 +4,8 @@
 use serde::{Deserialize, Serialize};
 
 /// Whether a process can read the configuration service, by its last read.
+///
+/// The comment of each variant is its text in log lines.
 #[derive(Clone, Copy, Debug, Default, Deserialize, Display, Eq, Hash, PartialEq, Serialize)]
 #[serde(rename_all = "snake_case")]
 pub enum ServiceReachability {
--- a/crates/core/src/config/readers.rs
+++ b/crates/core/src/config/readers.rs
@@ -116,7 +116,17 @@
     pub service: ServiceReachability,
 }
 
-/// The way in which a process currently reads the configuration service.
+impl Candidate {
+    /// Returns whether the process may be able to read the service.
+    fn may_read(&self) -> bool {
+        self.service != ServiceReachability::Unreachable
+    }
+}
+
+/// The way in which a process currently reads the configuration service: an elected one watches, so
+/// that each read waits for a change and the next one follows.
+///
+/// The comment of each variant is its text in log lines.
 #[derive(Clone, Copy, Debug, Default, Display, Eq, PartialEq)]
 pub enum ReadPlan {
     /// not at all
@@ -165,16 +175,12 @@
     if input.uptime < input.settings.delay.0 + start_turn(input) {
         return ReadPlan::Idle;
     }
-    if !unreachable
-        && is_elected(input, |peer| {
-            peer.service != ServiceReachability::Unreachable
-        })
-    {
+    if !unreachable && is_elected(input, Candidate::may_read) {
         return ReadPlan::Watch;
     }
     // A process that would be elected if it could read keeps trying, so that the elected readers
     // watch again once the service is reachable.
-    if unreachable && is_elected(input, |_| true) {
+    if is_missed(input) {
         return fallback;
     }
     let is_stale = input
@@ -244,9 +250,7 @@
 /// service: those that are elected, and those that take their place.
 pub(super) fn standbys(peers: &[Candidate], settings: &ReadSettings) -> Vec<VmId> {
     let mut centres: HashMap<&DataCentre, Vec<&VmId>> = HashMap::new();
-    let can_read =
-        |peer: &&Candidate| peer.usable && peer.service != ServiceReachability::Unreachable;
-    for peer in peers.iter().filter(can_read) {
+    for peer in peers.iter().filter(|peer| peer.usable && peer.may_read()) {
         centres.entry(&peer.centre).or_default().push(&peer.vm);
     }
     let mut standbys = Vec::new();
