--- a/crates/core/tests/config/node.rs
+++ b/crates/core/tests/config/node.rs
@@ -117,6 +117,15 @@
     }
 }
 
+/// Returns processes that are spread evenly over data centres.
+pub(crate) fn peers_in(processes: usize, centres: usize) -> Vec<ConfigPeer> {
+    let peers = (0..processes).map(|i| ConfigPeer {
+        centre: DataCentre::from(format!("dc-{}", i % centres)),
+        ..peer(i)
+    });
+    peers.collect()
+}
+
 fn number(vm: &VmId) -> usize {
     vm.trim_start_matches("vm-").parse().unwrap()
 }
@@ -147,12 +156,7 @@
 /// centre, and must still reach those of a data centre without a reader.
 #[test]
 fn test_node_spreads_within_data_centres() {
-    let centre = |i: usize| DataCentre::from(format!("dc-{}", i % 6));
-    let peers = (0..120).map(|i| ConfigPeer {
-        centre: centre(i),
-        ..peer(i)
-    });
-    let mut fleet = Simulation::with_peers(peers.collect());
+    let mut fleet = Simulation::with_peers(peers_in(120, 6));
     fleet.step(&[]);
     let platform = platform(2);
     for reader in 0..5 {
@@ -181,11 +185,7 @@
         stale: Millis::new(12_000),
         ..ReadSettings::default()
     };
-    let peers = (0..processes).map(|i| ConfigPeer {
-        centre: DataCentre::from(format!("dc-{}", i % centres)),
-        ..peer(i)
-    });
-    let mut fleet = Simulation::with_reads(peers.collect(), reads);
+    let mut fleet = Simulation::with_reads(peers_in(processes, centres), reads);
     let platform = platform(2);
     for reader in 0..processes {
         fleet.read(reader, &platform, 2);
--- a/crates/core/tests/config/takeover.rs
+++ b/crates/core/tests/config/takeover.rs
@@ -7,11 +7,10 @@
 
 use cassialift_core::{
     config::{
-        ANSWER_TIMEOUT, ConfigAction, ConfigNode, ConfigPeer, MAX_READERS, ReadPlan, ReadSettings,
-        outranks,
+        ANSWER_TIMEOUT, ConfigAction, ConfigNode, MAX_READERS, ReadPlan, ReadSettings, outranks,
     },
     fleet::members::MemberSettings,
-    ids::{DataCentre, Position, Revision},
+    ids::{Position, Revision},
     time::Millis,
 };
 use rand::{Rng, SeedableRng};
@@ -20,7 +19,7 @@
 
 use crate::{
     history::Platform,
-    node::{Simulation, TICK, peer, platform},
+    node::{Simulation, TICK, peer, peers_in, platform},
 };
 
 /// The mean time between two reads of a reader whose last read failed.
@@ -46,7 +45,8 @@
     /// The read in flight: when it was sent, the time until which it waits for a change, and the
     /// revision after which it asks for changes.
     read: Option<(Instant, Instant, Revision)>,
-    has_failed: bool,
+    /// Whether the next read may wait for a change.
+    may_wait: bool,
     next_at: Option<Instant>,
 }
 
@@ -71,12 +71,8 @@
             delay: Millis::new(300),
             ..ReadSettings::default()
         };
-        let peers = (0..processes).map(|i| ConfigPeer {
-            centre: DataCentre::from(format!("dc-{}", i % centres)),
-            ..peer(i)
-        });
         let mut fleet = Self {
-            simulation: Simulation::with_reads(peers.collect(), reads),
+            simulation: Simulation::with_reads(peers_in(processes, centres), reads),
             readers: vec![Reader::default(); processes],
             reads,
             platform: platform(9),
@@ -84,9 +80,7 @@
             ticks: 0,
         };
         fleet.run(SETTLE_TIME);
-        let reading = fleet.simulation.nodes.iter();
-        let reading = reading.filter(|node| node.plan() != ReadPlan::Idle);
-        assert_eq!(reading.count(), fleet.elected().len());
+        assert_eq!(fleet.reading(), fleet.elected());
         fleet
     }
 
@@ -132,7 +126,7 @@
             let batch = answered.then(|| self.platform.changes(after, self.revision));
             node.handle_read_reply(batch, sent_at, now);
             reader.read = None;
-            reader.has_failed = !answered;
+            reader.may_wait = answered;
             let period = match node.plan() {
                 ReadPlan::Fallback { period } => period,
                 ReadPlan::Watch | ReadPlan::Idle if answered => self.reads.period.0,
@@ -145,10 +139,10 @@
         }
         let wait = match node.plan() {
             ReadPlan::Idle => {
-                reader.has_failed = true;
+                reader.may_wait = false;
                 return;
             }
-            _ if reader.has_failed => Duration::ZERO,
+            _ if !reader.may_wait => Duration::ZERO,
             ReadPlan::Watch => self.reads.watch_wait(),
             ReadPlan::Fallback { period } => period / 2,
         };
@@ -158,8 +152,18 @@
 
     /// Returns the processes that watch the service.
     fn elected(&self) -> Vec<usize> {
-        let is_elected = |i: &usize| self.simulation.nodes[*i].plan() == ReadPlan::Watch;
-        (0..self.readers.len()).filter(is_elected).collect()
+        self.processes_with(|plan| plan == ReadPlan::Watch)
+    }
+
+    /// Returns the processes that read the service, elected or not.
+    fn reading(&self) -> Vec<usize> {
+        self.processes_with(|plan| plan != ReadPlan::Idle)
+    }
+
+    fn processes_with(&self, is_wanted: impl Fn(ReadPlan) -> bool) -> Vec<usize> {
+        let nodes = &self.simulation.nodes;
+        let processes = (0..nodes.len()).filter(|i| is_wanted(nodes[*i].plan()));
+        processes.collect()
     }
 
     /// Treats the reads of the elected processes in another way.
@@ -255,9 +259,7 @@
     }
     fleet.run(Duration::from_secs(15));
     assert_eq!(fleet.elected(), elected);
-    let plans = fleet.simulation.nodes.iter().map(ConfigNode::plan);
-    let reading = plans.filter(|plan| *plan != ReadPlan::Idle);
-    assert_eq!(reading.count(), elected.len());
+    assert_eq!(fleet.reading(), elected);
 }
 
 /// While no process can read the service, only the elected repeat their notices.
