evacuation: no backend server of a data centre that is evacuated is sent work

Cause: operators' orders to evacuate a data centre were not decoded, and nothing acted on them.

Change: an order is a document of its own that spreads with the others. Usable servers, replica choice, probes, retries and calls that waited leave the data centre out; afterwards the share of its servers grows as after an ejection.

--- a/crates/core/src/config/document.rs
+++ b/crates/core/src/config/document.rs
@@ -10,6 +10,8 @@
 pub const ROUTES_KEY: &str = "routes";
 /// The prefix of the keys of documents that describe one backend server each.
 pub const SERVER_PREFIX: &str = "servers/";
+/// The prefix of the keys of documents that order the evacuation of one data centre each.
+pub const EVACUATION_PREFIX: &str = "evacuations/";
 /// The prefix of the keys of index documents.
 pub const INDEX_PREFIX: &str = "index/";
 
--- a/crates/core/src/config/event.rs
+++ b/crates/core/src/config/event.rs
@@ -5,7 +5,7 @@
 use displaydoc::Display;
 
 use super::{BatchError, ReadPlan, RejectedDocument, ServiceReachability, Source};
-use crate::ids::{Position, PresetId, Revision, VmId};
+use crate::ids::{DataCentre, Position, PresetId, Revision, VmId};
 
 /// An event of the configuration. The comment of each variant is the text of its log line.
 #[derive(Clone, Debug, Display, PartialEq)]
@@ -55,6 +55,22 @@
         /// The sender of the revision.
         source: Source,
     },
+    /// Data centre {centre} is evacuated at revision {revision}, learned from {source}: its backend servers get no work.
+    EvacuationBegan {
+        /// The data centre.
+        centre: DataCentre,
+        /// The revision of this process.
+        revision: Revision,
+        /// The sender of the revision.
+        source: Source,
+    },
+    /// Data centre {centre} is no longer evacuated at revision {revision}.
+    EvacuationEnded {
+        /// The data centre.
+        centre: DataCentre,
+        /// The revision of this process.
+        revision: Revision,
+    },
     /// Rejected {0}.
     Rejected(RejectedDocument),
     /// Refused a batch from {source}: {error}.
@@ -130,6 +146,8 @@
             Self::Retained { .. } => "config.retained",
             Self::Released { .. } => "config.released",
             Self::InForce { .. } => "config.in_force",
+            Self::EvacuationBegan { .. } => "config.evacuation_began",
+            Self::EvacuationEnded { .. } => "config.evacuation_ended",
             Self::Rejected(_) => "config.rejected",
             Self::Refused { .. } => "config.batch_refused",
             Self::RevisionNotServed { .. } => "config.unserved",
@@ -171,6 +189,8 @@
             | Self::ReadingBegan { .. }
             | Self::ReadingEnded
             | Self::Confirmed(_)
+            | Self::EvacuationBegan { .. }
+            | Self::EvacuationEnded { .. }
             | Self::Started(_) => false,
         }
     }
--- a/crates/core/src/config/mod.rs
+++ b/crates/core/src/config/mod.rs
@@ -17,14 +17,16 @@
 mod summary;
 
 pub use batch::{Batch, BatchError, Change, MAX_DOCUMENTS, MAX_TOTAL_BYTES, RejectedDocument};
-pub use document::{Document, INDEX_PREFIX, PRESETS_KEY, ROUTES_KEY, SERVER_PREFIX};
+pub use document::{
+    Document, EVACUATION_PREFIX, INDEX_PREFIX, PRESETS_KEY, ROUTES_KEY, SERVER_PREFIX,
+};
 pub use event::ConfigEvent;
 pub use freshness::{Confirmation, Freshness};
 pub use gate::{START_PEERS, START_WAIT, StartGate};
 pub use node::{ConfigNode, ConfigPeer};
 pub use parse::{
-    DocumentCause, DocumentError, ParsedDocument, parse_document, parse_index, parse_presets,
-    parse_routes, parse_server,
+    DocumentCause, DocumentError, ParsedDocument, parse_document, parse_evacuation, parse_index,
+    parse_presets, parse_routes, parse_server,
 };
 pub use pulls::{ConfigAction, FANOUT, PULL_RETRY_DELAY};
 pub use reachability::ServiceReachability;
--- a/crates/core/src/config/node/mod.rs
+++ b/crates/core/src/config/node/mod.rs
@@ -1,6 +1,7 @@
 //! Replication of the configuration in one process: its documents, reads of the configuration
 //! service and exchanges with peers.
 
+mod evacuations;
 mod reads;
 
 use std::{
@@ -18,6 +19,7 @@
     pulls::{FAR_FANOUT, PullTracker},
 };
 use crate::{
+    evacuation::EvacuatedCentres,
     ids::{DataCentre, Position, VmId},
     view::ConfigView,
 };
@@ -36,6 +38,8 @@
     own_vm: VmId,
     centre: DataCentre,
     store: Store,
+    /// The evacuated data centres that were last reported.
+    evacuated: EvacuatedCentres,
     freshness: Freshness,
     gate: StartGate,
     pulls: PullTracker,
@@ -87,6 +91,7 @@
             own_vm,
             centre,
             store: Store::default(),
+            evacuated: EvacuatedCentres::default(),
             freshness: Freshness::default(),
             gate: StartGate::new(now, settings.start.0),
             pulls: PullTracker::default(),
@@ -303,6 +308,7 @@
     pub fn tick(&mut self, now: Instant) {
         let released = self.store.release_retained(now);
         self.report_released(&released);
+        self.report_evacuations(&Source::Platform);
         self.query_peers(now);
         self.request_summary(now);
         self.pull_next(now);
@@ -352,6 +358,7 @@
                 source: source.clone(),
             });
         }
+        self.report_evacuations(&source);
         let rejected = change.rejected.into_iter().map(ConfigEvent::Rejected);
         self.events.extend(rejected);
         if change.preset_changed
--- a/crates/core/src/config/parse.rs
+++ b/crates/core/src/config/parse.rs
@@ -4,8 +4,9 @@
 
 use displaydoc::Display;
 
-use super::{INDEX_PREFIX, PRESETS_KEY, ROUTES_KEY, SERVER_PREFIX};
+use super::{EVACUATION_PREFIX, INDEX_PREFIX, PRESETS_KEY, ROUTES_KEY, SERVER_PREFIX};
 use crate::{
+    evacuation::EvacuationDocument,
     ids::ServiceId,
     index::{IndexDocument, IndexError},
     jsonc::{self, JsoncCause, Path, Position},
@@ -25,7 +26,9 @@
     Routes(Arc<RouteTable>),
     /// One backend server.
     Server(Arc<ServerDocument>),
-    /// The document of the named service or backend server was deleted.
+    /// The evacuation of one data centre.
+    Evacuation(EvacuationDocument),
+    /// The document of the named service, backend server or data centre was deleted.
     Withdrawn(Arc<str>),
 }
 
@@ -96,6 +99,15 @@
             None => Ok(ParsedDocument::Withdrawn(server.into())),
         };
     }
+    if let Some(centre) = key
+        .strip_prefix(EVACUATION_PREFIX)
+        .filter(|c| !c.is_empty())
+    {
+        return match text {
+            Some(text) => Ok(ParsedDocument::Evacuation(parse_evacuation(text)?)),
+            None => Ok(ParsedDocument::Withdrawn(centre.into())),
+        };
+    }
     let Some(service) = key.strip_prefix(INDEX_PREFIX).filter(|s| !s.is_empty()) else {
         return Err(whole_document(DocumentCause::UnknownKey(key.to_owned())));
     };
@@ -159,6 +171,14 @@
     Ok(jsonc::parse(text)?)
 }
 
+/// Parses the document of one evacuation.
+///
+/// # Errors
+/// Returns the first error, with its line and column.
+pub fn parse_evacuation(text: &str) -> Result<EvacuationDocument, DocumentError> {
+    Ok(jsonc::parse(text)?)
+}
+
 impl From<jsonc::JsoncError> for DocumentError {
     fn from(error: jsonc::JsoncError) -> Self {
         Self {
--- a/crates/core/src/config/retained.rs
+++ b/crates/core/src/config/retained.rs
@@ -6,7 +6,7 @@
 //!
 //! - routes with a higher version than those of the backup, however long;
 //! - documents that the backup lacks, for [`ABSENT_GRACE`];
-//! - newer states of backend servers than those in the backup, and deletions of documents that are
+//! - evacuations that the backup lacks, and newer states of backend servers than those in the backup, and deletions of documents that are
 //!   in the backup again, for [`STALE_GRACE`].
 
 use std::{
@@ -194,6 +194,8 @@
         (ParsedDocument::Routes(_) | ParsedDocument::Presets(_), None) => true,
         // A deletion in the current epoch is newer than any backup.
         (ParsedDocument::Withdrawn(_), None) | (_, Some(ParsedDocument::Withdrawn(_))) => false,
+        // Work sent to an evacuated data centre does more harm than a late return to it.
+        (ParsedDocument::Evacuation(_), None) => age < STALE_GRACE,
         (_, None) => age < ABSENT_GRACE,
         (ParsedDocument::Server(known), Some(ParsedDocument::Server(restored))) => {
             known.is_newer_than(restored) && age < STALE_GRACE
--- a/crates/core/src/config/store.rs
+++ b/crates/core/src/config/store.rs
@@ -16,13 +16,14 @@
 use displaydoc::Display;
 
 use super::{
-    Batch, BatchError, Change, Document, INDEX_PREFIX, MAX_DOCUMENTS, MAX_TOTAL_BYTES, PRESETS_KEY,
-    ParsedDocument, ROUTES_KEY, RejectedDocument, SERVER_PREFIX,
+    Batch, BatchError, Change, Document, EVACUATION_PREFIX, INDEX_PREFIX, MAX_DOCUMENTS,
+    MAX_TOTAL_BYTES, PRESETS_KEY, ParsedDocument, ROUTES_KEY, RejectedDocument, SERVER_PREFIX,
     entry::{DocumentVersion, Entry},
     retained::Retained,
 };
 use crate::{
-    ids::{Position, PresetId, Revision, ServerId, ServiceId, VmId},
+    evacuation::EvacuatedCentres,
+    ids::{DataCentre, Position, PresetId, Revision, ServerId, ServiceId, VmId},
     index::IndexDocument,
     pool::ServerDocument,
     view::ConfigView,
@@ -304,6 +305,7 @@
             Some(ParsedDocument::Routes(table)) => Some(Arc::clone(table)),
             _ => None,
         };
+        let evacuated = self.evacuated_centres(previous);
         Some(ConfigView {
             position: self.position,
             generation: self.generation + 1,
@@ -312,9 +314,22 @@
             indexes,
             routes,
             servers,
+            evacuated,
         })
     }
 
+    /// Returns the evacuated data centres; shares the set of the previous view if it is unchanged.
+    fn evacuated_centres(&self, previous: Option<&ConfigView>) -> EvacuatedCentres {
+        let centres: BTreeSet<DataCentre> = self
+            .used_documents(EVACUATION_PREFIX)
+            .filter(|(_, document)| matches!(document, ParsedDocument::Evacuation(_)))
+            .filter_map(|(key, _)| key.strip_prefix(EVACUATION_PREFIX))
+            .map(DataCentre::from)
+            .collect();
+        let unchanged = previous.filter(|previous| *previous.evacuated == centres);
+        unchanged.map_or_else(|| Arc::new(centres), |view| Arc::clone(&view.evacuated))
+    }
+
     /// Returns the documents in use that describe one backend server each.
     fn server_documents(&self) -> BTreeMap<ServerId, Arc<ServerDocument>> {
         self.used_documents(SERVER_PREFIX)
@@ -325,6 +340,7 @@
                     ParsedDocument::Presets(_)
                     | ParsedDocument::Index(_)
                     | ParsedDocument::Routes(_)
+                    | ParsedDocument::Evacuation(_)
                     | ParsedDocument::Withdrawn(_) => None,
                 }
             })
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -5,6 +5,7 @@
 //! time and the randomness. Every decision can therefore be tested with fixed seeds.
 
 pub mod config;
+pub mod evacuation;
 pub mod fleet;
 pub mod ids;
 pub mod index;
--- a/crates/core/src/policy/gather/shard.rs
+++ b/crates/core/src/policy/gather/shard.rs
@@ -160,9 +160,10 @@
                 | NotRunCause::Paused => MissingReason::Busy,
                 NotRunCause::Expired | NotRunCause::Cancelled => MissingReason::Deadline,
                 NotRunCause::VersionGone(_) => MissingReason::VersionGone,
-                NotRunCause::Leaving | NotRunCause::UnknownShard | NotRunCause::Connect => {
-                    MissingReason::Unreachable
-                }
+                NotRunCause::Leaving
+                | NotRunCause::Evacuated
+                | NotRunCause::UnknownShard
+                | NotRunCause::Connect => MissingReason::Unreachable,
             },
         }
     }
--- a/crates/core/src/policy/outcome.rs
+++ b/crates/core/src/policy/outcome.rs
@@ -30,6 +30,8 @@
     Paused,
     /// The backend server is leaving.
     Leaving,
+    /// The data centre of the backend server is evacuated.
+    Evacuated,
     /// The backend server holds only this other index version.
     VersionGone(IndexVersion),
     /// The backend server does not hold the shard.
--- a/crates/core/src/policy/replica/notice_tests.rs
+++ b/crates/core/src/policy/replica/notice_tests.rs
@@ -40,6 +40,7 @@
         server,
         slots: 2,
         leaving: false,
+        evacuated: false,
         born,
         penalty: Duration::ZERO,
         may_pause: true,
@@ -251,6 +252,7 @@
         server: name.into(),
         slots: 2,
         leaving: name == "l",
+        evacuated: false,
         born: 0,
         penalty: Duration::ZERO,
         may_pause: true,
@@ -265,3 +267,38 @@
     let ready_in = tables.ready_in(sets.iter().map(<[ServerId; 1]>::as_slice), share, now);
     assert_eq!(ready_in, expected);
 }
+
+/// No calls, hedges or probes go to a backend server in an evacuated data centre. Afterwards its share of
+/// calls grows.
+#[test]
+fn test_evacuated_server_gets_nothing() {
+    let now = Instant::now();
+    let mut table = table(now);
+    let servers = replicas();
+    let evacuate = |table: &mut ReplicaTable, evacuated: bool| {
+        let listings = servers.iter().map(|server| Listing {
+            server: ServerId::clone(server),
+            slots: 2,
+            leaving: false,
+            evacuated: evacuated && &**server == "a",
+            born: 1,
+            penalty: Duration::ZERO,
+            may_pause: true,
+        });
+        table.set_servers(&"counter".into(), listings.collect(), now);
+    };
+    evacuate(&mut table, true);
+    assert_eq!(table.ready_in(&servers[..1], now), None);
+    let mut rng = ChaCha8Rng::seed_from_u64(1);
+    for _ in 0..50 {
+        let pick = table.choose(&servers, &[], now, &mut rng).unwrap();
+        assert_eq!(&*pick.server, "b");
+    }
+    assert_eq!(table.choose(&servers, &servers[1..], now, &mut rng), None);
+    evacuate(&mut table, false);
+    assert_eq!(table.ready_in(&servers[..1], now), Some(Duration::ZERO));
+    assert!(matches!(
+        table.state(&servers[0]),
+        Some(ReplicaState::Ramp(_))
+    ));
+}
--- a/crates/core/src/policy/replica/stats.rs
+++ b/crates/core/src/policy/replica/stats.rs
@@ -79,6 +79,8 @@
     pub(crate) slots: u32,
     /// Whether the platform publishes the backend server as leaving.
     pub(crate) listed_leaving: bool,
+    /// Whether the data centre of the backend server is evacuated.
+    evacuated: bool,
     /// The run of the backend server that the platform publishes; `None` before the first list.
     born: Option<u64>,
     /// The time at which another run was published under the same name.
@@ -121,6 +123,7 @@
         Self {
             slots: slots.max(1),
             listed_leaving: false,
+            evacuated: false,
             born: None,
             replaced_at: None,
             penalty: Duration::ZERO,
@@ -247,6 +250,16 @@
         self.permits = None;
     }
 
+    /// Sets whether the data centre of the backend server is evacuated. Afterwards its share of calls
+    /// grows as after an ejection.
+    pub(crate) fn set_evacuated(&mut self, evacuated: bool, now: Instant) {
+        let has_ended = self.evacuated && !evacuated;
+        self.evacuated = evacuated;
+        if has_ended {
+            self.readmit(now);
+        }
+    }
+
     /// Returns whether the reply to a call that was sent at `sent_at` may come from a former run.
     fn may_be_of_former_run(&self, sent_at: Instant) -> bool {
         self.replaced_at.is_some_and(|at| sent_at < at)
@@ -358,7 +371,7 @@
     /// Returns the time until the backend server may get calls, apart from its limit: zero if it may
     /// get them now, `None` if it must not get any more.
     pub(crate) fn ready_in(&self, now: Instant) -> Option<Duration> {
-        if self.is_leaving(now) {
+        if self.evacuated || self.is_leaving(now) {
             return None;
         }
         let pause = self
--- a/crates/core/src/policy/replica/table.rs
+++ b/crates/core/src/policy/replica/table.rs
@@ -49,6 +49,8 @@
     pub slots: u32,
     /// Whether the backend server is leaving.
     pub leaving: bool,
+    /// Whether the data centre of the backend server is evacuated.
+    pub evacuated: bool,
     /// The start of the backend server's run, or zero if unknown.
     pub born: u64,
     /// The penalty added to the expected latency when replicas are compared: the cost of the path
@@ -101,6 +103,7 @@
             server: ServerId::clone(&entry.id),
             slots: entry.slots,
             leaving: entry.state == ServerState::Leaving,
+            evacuated: false,
             born: 0,
             penalty: Duration::ZERO,
             may_pause: false,
@@ -129,6 +132,7 @@
             stats.slots = listing.slots.max(1);
             stats.listed_leaving = listing.leaving;
             stats.set_run(listing.born, now);
+            stats.set_evacuated(listing.evacuated, now);
             if stats.permits().is_none() {
                 self.limited.remove(&listing.server);
             }
--- a/crates/core/src/policy/replica/tests.rs
+++ b/crates/core/src/policy/replica/tests.rs
@@ -267,6 +267,7 @@
         server: ServerId::clone(server),
         slots: 2,
         leaving: false,
+        evacuated: false,
         born: 0,
         penalty: Duration::ZERO,
         may_pause: true,
--- a/crates/core/src/policy/retry.rs
+++ b/crates/core/src/policy/retry.rs
@@ -28,7 +28,7 @@
     Busy,
     /// the backend server asked for a pause
     Paused,
-    /// the backend server is leaving
+    /// the backend server is leaving, or its data centre is evacuated
     Leaving,
     /// the backend server holds another index version
     VersionGone,
@@ -129,7 +129,7 @@
             NotRunCause::Infeasible | NotRunCause::Expired => Self::Infeasible,
             NotRunCause::Busy => Self::Busy,
             NotRunCause::Paused => Self::Paused,
-            NotRunCause::Leaving => Self::Leaving,
+            NotRunCause::Leaving | NotRunCause::Evacuated => Self::Leaving,
             NotRunCause::VersionGone(_) => Self::VersionGone,
             NotRunCause::UnknownShard => Self::UnknownShard,
             NotRunCause::Connect => Self::Connect,
--- a/crates/core/src/policy/tests/mod.rs
+++ b/crates/core/src/policy/tests/mod.rs
@@ -527,6 +527,7 @@
         server: ServerId::clone(server),
         slots: 2,
         leaving: false,
+        evacuated: false,
         born: 0,
         penalty: Duration::ZERO,
         may_pause: false,
--- a/crates/core/src/pool/registry.rs
+++ b/crates/core/src/pool/registry.rs
@@ -8,6 +8,7 @@
 
 use super::ServerDocument;
 use crate::{
+    evacuation::EvacuatedCentres,
     ids::{ServerId, ServiceId},
     index::ServerState,
 };
@@ -24,6 +25,7 @@
 pub struct ServerRegistry {
     servers: HashMap<ServerId, RegisteredServer>,
     services: HashMap<ServiceId, Vec<ServerId>>,
+    evacuated: EvacuatedCentres,
 }
 
 #[derive(Clone, Debug)]
@@ -69,9 +71,21 @@
         self.services.values_mut().for_each(|ids| ids.sort());
     }
 
+    /// Sets the data centres whose backend servers get no work.
+    pub fn set_evacuated(&mut self, evacuated: &EvacuatedCentres) {
+        self.evacuated = Arc::clone(evacuated);
+    }
+
+    /// Returns whether a known backend server is in an evacuated data centre.
+    #[must_use]
+    pub fn is_evacuated(&self, server: &str) -> bool {
+        let server = self.servers.get(server);
+        server.is_some_and(|server| self.evacuated.contains(&server.document.centre))
+    }
+
     /// Returns the backend servers of a service that may be sent new work, sorted by name.
     ///
-    /// These are the published servers that are serving. If there are none, these are the servers
+    /// These are the published servers that are serving, outside evacuated data centres. If there are none, these are the servers
     /// that were serving when their documents disappeared, less than [`REMOVAL_GRACE`] ago.
     #[must_use]
     pub fn usable_servers(&self, service: &str, now: Instant) -> Vec<ServerId> {
@@ -79,7 +93,10 @@
             return Vec::new();
         };
         let select = |accept: fn(&RegisteredServer, Instant) -> bool| {
-            let found = ids.iter().filter(|id| accept(&self.servers[*id], now));
+            let found = ids.iter().filter(|id| {
+                let server = &self.servers[*id];
+                accept(server, now) && !self.evacuated.contains(&server.document.centre)
+            });
             found.map(ServerId::clone).collect::<Vec<_>>()
         };
         let serving = select(|server, _| server.is_serving() && server.missing_since.is_none());
--- a/crates/core/src/pool/tests.rs
+++ b/crates/core/src/pool/tests.rs
@@ -108,3 +108,21 @@
     assert_eq!(connection_share(1, true, vms), 1);
     assert_eq!(connection_share(1, false, vms), 1);
 }
+
+#[test]
+fn test_registry_evacuated_servers_get_no_work() {
+    let now = Instant::now();
+    let mut registry = ServerRegistry::default();
+    registry.sync(&published(&[("a", ServerState::Serving)]), now);
+    registry.set_evacuated(&Arc::new(["lagos-1".into()].into()));
+    assert!(registry.is_evacuated("a"));
+    assert_eq!(usable_servers(&registry, now), Vec::<String>::new());
+    registry.sync(&Published::new(), now);
+    assert_eq!(
+        usable_servers(&registry, now),
+        Vec::<String>::new(),
+        "a server whose document disappeared is evacuated, too"
+    );
+    registry.set_evacuated(&Arc::new(["kingston-1".into()].into()));
+    assert_eq!(usable_servers(&registry, now), ["a"]);
+}
--- a/crates/core/src/view/config.rs
+++ b/crates/core/src/view/config.rs
@@ -3,6 +3,7 @@
 use std::{collections::BTreeMap, sync::Arc};
 
 use crate::{
+    evacuation::EvacuatedCentres,
     ids::{Position, PresetId, ServerId, ServiceId},
     index::IndexDocument,
     pool::ServerDocument,
@@ -27,4 +28,6 @@
     pub routes: Option<Arc<RouteTable>>,
     /// The backend servers that are published in documents of their own.
     pub servers: Arc<BTreeMap<ServerId, Arc<ServerDocument>>>,
+    /// The data centres whose backend servers get no work.
+    pub evacuated: EvacuatedCentres,
 }
--- a/crates/core/tests/config/main.rs
+++ b/crates/core/tests/config/main.rs
@@ -2,6 +2,7 @@
 
 mod epoch;
 mod epoch_random;
+mod evacuations;
 mod history;
 mod node;
 mod parse;
--- a/crates/server/src/gateway/servers.rs
+++ b/crates/server/src/gateway/servers.rs
@@ -8,6 +8,7 @@
 };
 
 use cassialift_core::{
+    evacuation::EvacuatedCentres,
     ids::{DataCentre, RouteId, ServerId, ServiceId, ShardId, VmId},
     index::ServerState,
     policy::{
@@ -50,9 +51,8 @@
     splitter: Splitter,
     /// The data centre of this VM; `None` before the first view.
     own_centre: Option<DataCentre>,
-    /// The generation of the view and the documents that the registry was synced with; `None` before
-    /// the first sync.
-    synced: Option<(u64, ServerDocuments)>,
+    /// What the registry was synced with; `None` before the first sync.
+    synced: Option<Synced>,
     /// The members that the VM counts were computed from.
     members: Option<Arc<HashMap<VmId, Arc<MemberView>>>>,
     vm_counts: BTreeMap<DataCentre, u32>,
@@ -62,6 +62,15 @@
     peak_vms: u32,
 }
 
+/// What the registry was synced with.
+#[derive(Debug)]
+struct Synced {
+    /// The generation of the configuration.
+    generation: u64,
+    servers: ServerDocuments,
+    evacuated: EvacuatedCentres,
+}
+
 /// A search whose shards may be delegated.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct Spread<'a> {
@@ -118,8 +127,13 @@
         if inner.has_servers_of(config) {
             return false;
         }
-        inner.synced = Some((config.generation, Arc::clone(&config.servers)));
+        inner.synced = Some(Synced {
+            generation: config.generation,
+            servers: Arc::clone(&config.servers),
+            evacuated: Arc::clone(&config.evacuated),
+        });
         inner.registry.sync(&config.servers, now);
+        inner.registry.set_evacuated(&config.evacuated);
         let own = &view.own.centre;
         let registry = &inner.registry;
         for (service, ids) in registry.services() {
@@ -335,6 +349,11 @@
         documents.map(|document| document.address).collect()
     }
 
+    /// Returns whether a backend server is in an evacuated data centre.
+    pub(super) fn is_evacuated(&self, server: &str) -> bool {
+        self.lock().registry.is_evacuated(server)
+    }
+
     /// Returns whether the table contains a backend server.
     pub(super) fn contains(&self, server: &str) -> bool {
         self.lock().registry.get(server).is_some()
@@ -381,8 +400,10 @@
     /// Returns whether the backend servers of a configuration, or of a newer one, were applied.
     fn has_servers_of(&self, config: &ConfigView) -> bool {
         let synced = self.synced.as_ref();
-        synced.is_some_and(|(generation, servers)| {
-            config.generation < *generation || Arc::ptr_eq(servers, &config.servers)
+        synced.is_some_and(|synced| {
+            let is_same = Arc::ptr_eq(&synced.servers, &config.servers)
+                && Arc::ptr_eq(&synced.evacuated, &config.evacuated);
+            is_same || config.generation < synced.generation
         })
     }
 
@@ -534,6 +555,7 @@
         server: ServerId::clone(id),
         slots: document.slots,
         leaving: document.state == ServerState::Leaving,
+        evacuated: registry.is_evacuated(id),
         born: document.born,
         penalty: if is_far { far_bias } else { Duration::ZERO },
         may_pause: true,
--- a/crates/server/src/gateway/state.rs
+++ b/crates/server/src/gateway/state.rs
@@ -104,6 +104,7 @@
         match ready_in {
             Some(Duration::ZERO) => None,
             Some(_) => Some(NotRunCause::Paused),
+            None if self.servers.is_evacuated(server) => Some(NotRunCause::Evacuated),
             None => Some(NotRunCause::Leaving),
         }
     }
--- a/crates/server/tests/owner_support/mod.rs
+++ b/crates/server/tests/owner_support/mod.rs
@@ -274,6 +274,7 @@
             indexes: BTreeMap::from([("watches".into(), Arc::new(index))]),
             routes: None,
             servers: Arc::default(),
+            evacuated: Arc::default(),
         })),
         members: Arc::default(),
         owners: OwnersView {
