warm-up: cold backend servers get what they bear from all VMs together

Cause: a service's rate for cold servers (WarmupPerS) was not decoded, and coldness in a document only slowed the choice of replicas of one VM at a time.

Change: cold servers get calls against permits, handed out by one VM at a rate that holds in each second, also while VMs start, are cut off or have old views. Cold is known by document, by answer, after another run, after an evacuation and after failures.

--- a/crates/core/src/policy/mod.rs
+++ b/crates/core/src/policy/mod.rs
@@ -22,6 +22,7 @@
 pub mod server_limit;
 pub mod shutdown;
 mod tables;
+pub mod warmup;
 
 pub use tables::EntryTables;
 
--- a/crates/core/src/policy/replica/choose.rs
+++ b/crates/core/src/policy/replica/choose.rs
@@ -108,10 +108,16 @@
                 continue;
             };
             let may_call = stats.accepts_calls(now) && !stats.has_announced_leave();
-            if stats.is_probe_due(now) && may_call && stats.has_permit(now) {
+            if !stats.is_probe_due(now) || !may_call {
+                continue;
+            }
+            if stats.has_permit(now) {
                 stats.postpone_probe(now);
                 return Some(ServerId::clone(server));
             }
+            if let Some(permits) = stats.permits() {
+                permits.want();
+            }
         }
         None
     }
--- a/crates/core/src/policy/replica/event.rs
+++ b/crates/core/src/policy/replica/event.rs
@@ -66,6 +66,18 @@
         /// The backend server.
         server: ServerId,
     },
+    /// Server {server} is cold, or may be when it returns; it takes {limit} from all VMs together.
+    Cold {
+        /// The backend server.
+        server: ServerId,
+        /// The limit.
+        limit: CallRate,
+    },
+    /// Server {server} is no longer cold.
+    Warm {
+        /// The backend server.
+        server: ServerId,
+    },
     /// Took {server} back after a probe; it gets a growing share of calls.
     Returned {
         /// The backend server.
@@ -83,6 +95,8 @@
             Self::Paused { .. } => "entry.server_paused",
             Self::Limited { .. } => "entry.server_limited",
             Self::Unlimited { .. } => "entry.server_unlimited",
+            Self::Cold { .. } => "entry.server_cold",
+            Self::Warm { .. } => "entry.server_warm",
             Self::Returned { .. } => "entry.returned",
         }
     }
--- a/crates/core/src/policy/replica/mod.rs
+++ b/crates/core/src/policy/replica/mod.rs
@@ -2,6 +2,7 @@
 
 mod choose;
 mod event;
+mod limits;
 mod permits;
 mod stats;
 mod table;
--- a/crates/core/src/policy/replica/notice_tests.rs
+++ b/crates/core/src/policy/replica/notice_tests.rs
@@ -24,11 +24,13 @@
     leaves_in: Some(LEAVE_TIME),
     pause: None,
     limit: StatedLimit::Unknown,
+    cold: None,
 };
 const PAUSED: ServerNotice = ServerNotice {
     leaves_in: None,
     pause: Some(PAUSE),
     limit: StatedLimit::Unknown,
+    cold: None,
 };
 
 fn replicas() -> Vec<ServerId> {
@@ -42,6 +44,8 @@
         leaving: false,
         evacuated: false,
         born,
+        warmup: None,
+        cold: Duration::ZERO,
         penalty: Duration::ZERO,
         may_pause: true,
     });
@@ -254,6 +258,8 @@
         leaving: name == "l",
         evacuated: false,
         born: 0,
+        warmup: None,
+        cold: Duration::ZERO,
         penalty: Duration::ZERO,
         may_pause: true,
     });
@@ -282,6 +288,8 @@
             leaving: false,
             evacuated: evacuated && &**server == "a",
             born: 1,
+            warmup: None,
+            cold: Duration::ZERO,
             penalty: Duration::ZERO,
             may_pause: true,
         });
--- a/crates/core/src/policy/replica/permits.rs
+++ b/crates/core/src/policy/replica/permits.rs
@@ -101,6 +101,7 @@
 
     /// Returns the claims that are due, and counts them as sent.
     pub fn take_claims(&mut self, now: Instant) -> Vec<PermitClaim> {
+        self.drop_ended_limits(now);
         let ended = self
             .unlimited
             .drain(..)
@@ -147,8 +148,15 @@
             PermitGrant::Unlimited if permits.stated_at() > sent_at => {
                 permits.grant(claim.calls, 0, now);
             }
+            // The statement that ended concerns the limit that the server itself stated.
+            PermitGrant::Unlimited if stats.is_cold(now) => {
+                stats.end_stated(now);
+                if let Some(permits) = stats.permits() {
+                    permits.grant(claim.calls, 0, now);
+                }
+            }
             PermitGrant::Unlimited => {
-                stats.end_limit();
+                stats.end_stated(now);
                 self.limited.remove(&claim.server);
                 let server = ServerId::clone(&claim.server);
                 self.push_event(ReplicaEvent::Unlimited { server });
@@ -156,6 +164,44 @@
         }
     }
 
+    /// Returns whether the calls to a backend server are limited because it is cold.
+    #[must_use]
+    pub fn is_cold(&self, server: &ServerId, now: Instant) -> bool {
+        let stats = self.servers.get(server);
+        stats.is_some_and(|stats| stats.is_cold(now))
+    }
+
+    /// Updates whether the calls to a backend server are limited.
+    pub(super) fn update_limit(&mut self, server: &ServerId, now: Instant) {
+        let Some(stats) = self.servers.get_mut(server) else {
+            return;
+        };
+        stats.check_limit(now);
+        let is_cold = stats.is_cold(now);
+        let limit = stats.permits().map(|permits| permits.limit());
+        let Some(limit) = limit else {
+            self.limited.remove(server);
+            return;
+        };
+        if self.limited.insert(ServerId::clone(server)) && is_cold {
+            let server = ServerId::clone(server);
+            self.push_event(ReplicaEvent::Cold { server, limit });
+        }
+    }
+
+    /// Drops the permits for backend servers that have warmed up.
+    fn drop_ended_limits(&mut self, now: Instant) {
+        let servers = &mut self.servers;
+        let ended = self.limited.extract_if(|server| {
+            let stats = servers.get_mut(server);
+            stats.is_none_or(|stats| stats.drop_ended_limit(now))
+        });
+        let ended: Vec<ServerId> = ended.collect();
+        for server in ended {
+            self.push_event(ReplicaEvent::Warm { server });
+        }
+    }
+
     fn has_permit(&self, server: &ServerId, now: Instant) -> bool {
         let stats = self.servers.get(server);
         stats.is_none_or(|stats| stats.has_permit(now))
--- a/crates/core/src/policy/replica/stats.rs
+++ b/crates/core/src/policy/replica/stats.rs
@@ -4,7 +4,8 @@
 
 use crate::policy::{
     latency::MovingAverage,
-    server_limit::{Permits, StatedLimit},
+    server_limit::{CallRate, Permits, StatedLimit},
+    warmup::Warmup,
 };
 
 /// The number of successive faults or overdue calls after which a backend server is ejected.
@@ -70,6 +71,8 @@
     pub pause: Option<Duration>,
     /// The calls a second that the backend server takes from all VMs together.
     pub limit: StatedLimit,
+    /// How long the backend server stays cold; zero if it is warm, `None` if it does not say.
+    pub cold: Option<Duration>,
 }
 
 /// The state learned about one backend server.
@@ -113,8 +116,12 @@
     paused_until: Option<Instant>,
     /// Whether the backend server has returned rows since the pause.
     resumed: bool,
-    /// The permits for calls to the backend server; `None` if it states no limit.
-    permits: Option<Permits>,
+    /// The limit that the backend server states; `None` if it states none.
+    pub(super) stated: Option<CallRate>,
+    /// Whether the backend server is cold.
+    pub(super) warmup: Warmup,
+    /// The permits for calls to the backend server; `None` if neither limits them.
+    pub(super) permits: Option<Permits>,
     health: Option<(ReportedHealth, Instant)>,
 }
 
@@ -146,6 +153,8 @@
             leave_at: None,
             paused_until: None,
             resumed: true,
+            stated: None,
+            warmup: Warmup::default(),
             permits: None,
             health: None,
         }
@@ -176,6 +185,7 @@
         self.refusals /= 2;
         self.resumed = self.paused_until.is_none_or(|until| until <= now);
         self.rows_at = Some(now);
+        self.warmup.recover(now);
         if !waited {
             self.add_sample(latency, now);
         } else if self.service.samples() == 0 {
@@ -189,6 +199,7 @@
         match self.state {
             ReplicaState::Active | ReplicaState::Ramp(_) if self.faults >= EJECT_FAULTS => {
                 self.eject(now);
+                self.warmup.suspect();
             }
             ReplicaState::Ejected(_) => self.postpone_probe(now),
             ReplicaState::Active | ReplicaState::Ramp(_) => {}
@@ -247,7 +258,9 @@
         self.leave_at = None;
         self.paused_until = None;
         self.resumed = true;
+        self.stated = None;
         self.permits = None;
+        self.warmup.restart(now);
     }
 
     /// Sets whether the data centre of the backend server is evacuated. Afterwards its share of calls
@@ -257,11 +270,12 @@
         self.evacuated = evacuated;
         if has_ended {
             self.readmit(now);
+            self.warmup.restart(now);
         }
     }
 
     /// Returns whether the reply to a call that was sent at `sent_at` may come from a former run.
-    fn may_be_of_former_run(&self, sent_at: Instant) -> bool {
+    pub(super) fn may_be_of_former_run(&self, sent_at: Instant) -> bool {
         self.replaced_at.is_some_and(|at| sent_at < at)
     }
 
@@ -292,64 +306,6 @@
         is_news
     }
 
-    /// Records what the reply to a call that was sent at `sent_at` states about the limit. Returns
-    /// whether that was not known.
-    pub(crate) fn set_limit(
-        &mut self,
-        stated: StatedLimit,
-        sent_at: Instant,
-        now: Instant,
-    ) -> bool {
-        if self.may_be_of_former_run(sent_at) {
-            return false;
-        }
-        match (stated, &mut self.permits) {
-            (StatedLimit::Unknown, _) | (StatedLimit::Unlimited, None) => false,
-            (StatedLimit::Unlimited, Some(permits)) => {
-                // The reply may have been made before the limit was stated.
-                let is_newer = sent_at >= permits.stated_at();
-                if is_newer {
-                    self.permits = None;
-                }
-                is_newer
-            }
-            (StatedLimit::Limited(limit), Some(permits)) => permits.state(limit, now),
-            (StatedLimit::Limited(limit), permits @ None) => {
-                *permits = Some(Permits::new(limit, now));
-                true
-            }
-        }
-    }
-
-    /// Returns the permits for calls; `None` if the backend server states no limit.
-    pub(crate) const fn permits(&mut self) -> Option<&mut Permits> {
-        self.permits.as_mut()
-    }
-
-    /// Returns whether the permits for calls to the backend server have just run out.
-    pub(crate) fn is_short(&self, now: Instant) -> bool {
-        let permits = self.permits.as_ref();
-        permits.is_some_and(|permits| permits.is_short(now))
-    }
-
-    /// Returns the rank of the backend server among those that lack permits: the lowest is the one
-    /// for which a claim is most likely to bring one.
-    pub(crate) fn claim_rank(&self, now: Instant) -> (bool, u32) {
-        let permits = self.permits.as_ref();
-        permits.map_or((false, 0), |permits| permits.claim_rank(now))
-    }
-
-    /// Ends the limit of the backend server.
-    pub(crate) fn end_limit(&mut self) {
-        self.permits = None;
-    }
-
-    /// Returns whether the limit of the backend server, if there is one, allows a call now.
-    pub(crate) fn has_permit(&self, now: Instant) -> bool {
-        let permits = self.permits.as_ref();
-        permits.is_none_or(|permits| permits.has_one(now))
-    }
-
     /// Returns whether the backend server has announced that it leaves.
     pub(crate) const fn has_announced_leave(&self) -> bool {
         self.leave_at.is_some()
@@ -360,14 +316,6 @@
         self.paused_until.is_some_and(|until| now < until)
     }
 
-    /// Returns the time until the backend server may get a call and its limit allows one: zero if both
-    /// hold now, `None` if it must not get any more.
-    pub(crate) fn permitted_in(&self, now: Instant) -> Option<Duration> {
-        let pause = self.ready_in(now)?;
-        let permit = self.permits.as_ref().map(|permits| permits.ready_in(now));
-        Some(pause.max(permit.unwrap_or_default()))
-    }
-
     /// Returns the time until the backend server may get calls, apart from its limit: zero if it may
     /// get them now, `None` if it must not get any more.
     pub(crate) fn ready_in(&self, now: Instant) -> Option<Duration> {
@@ -431,8 +379,11 @@
     }
 
     /// Returns the share of calls that the backend server may get, 0 to 1.
+    ///
+    /// The permits for a cold server bound its calls already.
     pub(crate) fn ramp_share(&self, now: Instant) -> f64 {
         match self.state {
+            ReplicaState::Ramp(_) if self.is_cold(now) => 1.0,
             ReplicaState::Active => 1.0,
             ReplicaState::Ejected(_) => 0.0,
             ReplicaState::Ramp(since) => {
--- a/crates/core/src/policy/replica/table.rs
+++ b/crates/core/src/policy/replica/table.rs
@@ -16,6 +16,7 @@
         outcome::{CallOutcome, NotRunCause},
         retry::RetryReason,
         server_limit::StatedLimit,
+        warmup::WarmupPolicy,
     },
     request::RequestKind,
 };
@@ -53,6 +54,10 @@
     pub evacuated: bool,
     /// The start of the backend server's run, or zero if unknown.
     pub born: u64,
+    /// What the service states about cold servers; `None` if they take as many calls as others.
+    pub warmup: Option<WarmupPolicy>,
+    /// How long the backend server stays cold, as of its document.
+    pub cold: Duration,
     /// The penalty added to the expected latency when replicas are compared: the cost of the path
     /// to another data centre.
     pub penalty: Duration,
@@ -105,6 +110,8 @@
             leaving: entry.state == ServerState::Leaving,
             evacuated: false,
             born: 0,
+            warmup: None,
+            cold: Duration::ZERO,
             penalty: Duration::ZERO,
             may_pause: false,
         });
@@ -131,13 +138,12 @@
                 .or_insert_with(|| ReplicaStats::new(listing.slots, initial));
             stats.slots = listing.slots.max(1);
             stats.listed_leaving = listing.leaving;
+            stats.set_warmup(listing.warmup, listing.cold, now);
             stats.set_run(listing.born, now);
             stats.set_evacuated(listing.evacuated, now);
-            if stats.permits().is_none() {
-                self.limited.remove(&listing.server);
-            }
             stats.penalty = listing.penalty;
             stats.may_pause = listing.may_pause;
+            self.update_limit(&listing.server, now);
             listed.insert(listing.server);
         }
         let previous = self.listed.insert(ServiceId::clone(service), listed);
@@ -193,6 +199,9 @@
             outcome if outcome.is_refusal() => stats.on_refused(now),
             CallOutcome::NotRun(_) | CallOutcome::Unknown(_) => {}
         }
+        if stats.may_be_cold() {
+            self.update_limit(server, now);
+        }
         self.record_change(server, before, eject_cause(report.outcome));
     }
 
@@ -208,22 +217,21 @@
             return;
         };
         let is_new_limit = stats.set_limit(notice.limit, sent_at, now);
+        if let Some(remaining) = notice.cold {
+            stats.set_cold(remaining, sent_at, now);
+        }
         if stats.on_notice(notice, sent_at, now) {
             self.record_notice(server, notice);
         }
         if is_new_limit {
-            match notice.limit {
-                StatedLimit::Unknown => {}
-                StatedLimit::Limited(_) => {
-                    self.limited.insert(ServerId::clone(server));
-                }
-                StatedLimit::Unlimited => {
-                    self.limited.remove(server);
-                    self.unlimited.push((ServerId::clone(server), now));
-                }
+            if notice.limit == StatedLimit::Unlimited {
+                self.unlimited.push((ServerId::clone(server), now));
             }
             self.record_limit(server, notice.limit);
         }
+        if is_new_limit || notice.cold.is_some() {
+            self.update_limit(server, now);
+        }
     }
 
     /// Returns the time until the first of `replicas` may get calls, apart from their limits: zero if
--- a/crates/core/src/policy/replica/tests.rs
+++ b/crates/core/src/policy/replica/tests.rs
@@ -269,6 +269,8 @@
         leaving: false,
         evacuated: false,
         born: 0,
+        warmup: None,
+        cold: Duration::ZERO,
         penalty: Duration::ZERO,
         may_pause: true,
     };
--- a/crates/core/src/policy/server_limit/allocator.rs
+++ b/crates/core/src/policy/server_limit/allocator.rs
@@ -11,6 +11,7 @@
 use super::CallRate;
 use crate::{
     ids::{ServerId, VmId},
+    policy::warmup::FleetSight,
     time::Millis,
 };
 
@@ -21,6 +22,8 @@
 const SETTLE_SHARE: f64 = 0.4;
 /// The time for which unclaimed permits accumulate.
 const BURST_TIME: Duration = Duration::from_millis(250);
+/// The same for cold servers.
+const COLD_BURST_TIME: Duration = Duration::from_millis(100);
 /// The time without a claim after which a server's pool is dropped.
 const IDLE_TIME: Duration = Duration::from_secs(10);
 
@@ -46,6 +49,15 @@
     Unlimited,
 }
 
+/// How the permits for a backend server are handed out.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Allotment {
+    /// The server states a limit, which holds over some seconds.
+    Stated,
+    /// The server is cold, and the limit holds in each second.
+    Cold(FleetSight),
+}
+
 /// The permits that one VM hands out.
 #[derive(Clone, Debug, Default)]
 pub struct PermitAllocator {
@@ -65,14 +77,19 @@
 
 impl PermitAllocator {
     /// Hands out permits, at most as many as the limits allow.
-    pub fn grant(&mut self, claim: &PermitClaim, now: Instant) -> PermitGrant {
+    pub fn grant(
+        &mut self,
+        claim: &PermitClaim,
+        allotment: Allotment,
+        now: Instant,
+    ) -> PermitGrant {
         // Clocks that start with the machine may be younger than the age.
         let stated_at = now.checked_sub(claim.age.0).unwrap_or(now);
         let pool = self
             .pools
             .entry(ServerId::clone(&claim.server))
             .or_insert_with(|| Pool::new(claim.limit, stated_at, now));
-        pool.add_permits(now);
+        pool.add_permits(allotment, now);
         if stated_at > pool.stated_at {
             pool.stated_at = stated_at;
             pool.limit = claim.limit;
@@ -101,15 +118,19 @@
         }
     }
 
-    fn add_permits(&mut self, now: Instant) {
+    fn add_permits(&mut self, allotment: Allotment, now: Instant) {
         let elapsed = now.saturating_duration_since(self.claimed_at);
         self.claimed_at = now;
         let Some(limit) = self.limit else {
             return;
         };
-        let is_settled = now.saturating_duration_since(self.started_at) >= SETTLE_TIME;
-        let share = if is_settled { 1.0 } else { SETTLE_SHARE };
-        let burst = limit.calls_in(BURST_TIME).max(1.0);
+        let tenure = now.saturating_duration_since(self.started_at);
+        let (share, burst) = match allotment {
+            Allotment::Stated if tenure >= SETTLE_TIME => (1.0, BURST_TIME),
+            Allotment::Stated => (SETTLE_SHARE, BURST_TIME),
+            Allotment::Cold(sight) => (sight.grant_share(tenure), COLD_BURST_TIME),
+        };
+        let burst = limit.calls_in(burst).max(1.0);
         self.permits = (self.permits + limit.calls_in(elapsed) * share).min(burst);
     }
 
--- a/crates/core/src/policy/server_limit/mod.rs
+++ b/crates/core/src/policy/server_limit/mod.rs
@@ -8,7 +8,7 @@
 mod permits;
 mod rate;
 
-pub use allocator::{PermitAllocator, PermitClaim, PermitGrant, choose_allocator};
+pub use allocator::{Allotment, PermitAllocator, PermitClaim, PermitGrant, choose_allocator};
 pub(crate) use permits::Permits;
 pub use rate::{CallRate, StatedLimit};
 
--- a/crates/core/src/policy/server_limit/permits.rs
+++ b/crates/core/src/policy/server_limit/permits.rs
@@ -12,6 +12,9 @@
 /// How long an unused permit is valid beyond that, in calls at the rate of the limit. A permit of a
 /// low limit would otherwise expire between two requests.
 const LIFE_CALLS: u32 = 2;
+/// How long an unused permit for a cold server is valid. Permits that were kept for longer would add up
+/// to more calls in one second than the server bears.
+const COLD_LIFE: Duration = Duration::from_millis(400);
 /// The maximum number of permits that are claimed at once.
 const MAX_WANTED: u32 = 256;
 /// The time in which a claim is usually answered.
@@ -25,6 +28,8 @@
 #[derive(Clone, Debug)]
 pub(crate) struct Permits {
     limit: CallRate,
+    /// How long an unused permit is valid.
+    life: Duration,
     /// The time of the last reply that stated the limit.
     stated_at: Instant,
     /// The unused permits, each batch with the time at which it expires, oldest first.
@@ -46,16 +51,29 @@
     /// Returns the permits for a limit that has just been stated: one, so that an entry with few
     /// requests need not wait for its first claim.
     pub(crate) fn new(limit: CallRate, now: Instant) -> Self {
+        Self {
+            held: VecDeque::from([(now + life(limit), 1)]),
+            ..Self::without_any(limit, life(limit), now)
+        }
+    }
+
+    /// Returns the permits for a cold server: none, since every other entry learns of it as well.
+    pub(crate) const fn for_cold_server(limit: CallRate, now: Instant) -> Self {
+        Self::without_any(limit, COLD_LIFE, now)
+    }
+
+    const fn without_any(limit: CallRate, life: Duration, now: Instant) -> Self {
         Self {
             limit,
+            life,
             stated_at: now,
-            held: VecDeque::from([(now + life(limit), 1)]),
+            held: VecDeque::new(),
             wanted: 0,
             used_at: None,
             claiming: false,
             short_at: None,
             answered_at: now,
-            granted_rate: limit.calls_in(Duration::from_secs(1)),
+            granted_rate: limit.as_f64(),
         }
     }
 
@@ -67,12 +85,11 @@
         self.stated_at
     }
 
-    /// Records that a reply stated the limit; returns whether it has changed.
-    pub(crate) fn state(&mut self, limit: CallRate, now: Instant) -> bool {
-        let is_new = self.limit != limit;
+    /// Sets the limit that was learned now, and whether it is that of a cold server.
+    pub(crate) fn set_limit(&mut self, limit: CallRate, is_cold: bool, now: Instant) {
         self.limit = limit;
+        self.life = if is_cold { COLD_LIFE } else { life(limit) };
         self.stated_at = now;
-        is_new
     }
 
     /// Returns whether a call may be sent.
@@ -114,7 +131,7 @@
         self.claiming = false;
         self.drop_expired(now);
         if granted > 0 {
-            self.held.push_back((now + life(self.limit), granted));
+            self.held.push_back((now + self.life, granted));
         }
         self.short_at = (granted < claimed).then_some(now);
         let elapsed = now.saturating_duration_since(self.answered_at);
--- a/crates/core/src/policy/server_limit/rate.rs
+++ b/crates/core/src/policy/server_limit/rate.rs
@@ -54,9 +54,9 @@
         Self::per_second(self.as_f64() * share).unwrap_or(self)
     }
 
-    /// Returns the rate as a number of calls a second.
+    /// Returns the number of calls a second.
     #[expect(clippy::cast_precision_loss, reason = "far below 2^52")]
-    const fn as_f64(self) -> f64 {
+    pub(crate) const fn as_f64(self) -> f64 {
         self.millis as f64 / 1_000.0
     }
 }
--- a/crates/core/src/policy/server_limit/tests.rs
+++ b/crates/core/src/policy/server_limit/tests.rs
@@ -6,7 +6,9 @@
 use rand_chacha::ChaCha8Rng;
 use yare::parameterized;
 
-use super::{CallRate, PermitAllocator, PermitClaim, PermitGrant, Permits, choose_allocator};
+use super::{
+    Allotment, CallRate, PermitAllocator, PermitClaim, PermitGrant, Permits, choose_allocator,
+};
 use crate::{ids::VmId, time::Millis};
 
 const TICK: Duration = Duration::from_millis(20);
@@ -55,7 +57,7 @@
     let mut now = begin;
     while now < begin + time {
         now += TICK;
-        match allocator.grant(&claim(Some(limit), 0, calls), now) {
+        match allocator.grant(&claim(Some(limit), 0, calls), Allotment::Stated, now) {
             PermitGrant::Calls(calls) => granted += calls,
             PermitGrant::Unlimited => panic!("the limit was stated"),
         }
@@ -100,7 +102,7 @@
     let mut allocator = PermitAllocator::default();
     claim_for(&mut allocator, 8.0, 1, begin, SETTLED);
     let later = begin + SETTLED + Duration::from_secs(5);
-    let grant = allocator.grant(&claim(Some(8.0), 0, 100), later);
+    let grant = allocator.grant(&claim(Some(8.0), 0, 100), Allotment::Stated, later);
     assert_eq!(grant, PermitGrant::Calls(2));
 }
 
@@ -119,8 +121,8 @@
 ) {
     let now = Instant::now() + Duration::from_secs(10);
     let mut allocator = PermitAllocator::default();
-    allocator.grant(&claim(first, first_age, 0), now);
-    let grant = allocator.grant(&claim(second, second_age, 0), now);
+    allocator.grant(&claim(first, first_age, 0), Allotment::Stated, now);
+    let grant = allocator.grant(&claim(second, second_age, 0), Allotment::Stated, now);
     assert_eq!(grant == PermitGrant::Unlimited, unlimited);
 }
 
@@ -170,7 +172,7 @@
                 }
             }
             if let Some(wanted) = permits.take_claim() {
-                match allocator.grant(&claim(Some(limit), 0, wanted), now) {
+                match allocator.grant(&claim(Some(limit), 0, wanted), Allotment::Stated, now) {
                     PermitGrant::Calls(granted) => permits.grant(wanted, granted, now),
                     PermitGrant::Unlimited => panic!("the limit was stated"),
                 }
--- a/crates/core/src/policy/tests/mod.rs
+++ b/crates/core/src/policy/tests/mod.rs
@@ -529,6 +529,8 @@
         leaving: false,
         evacuated: false,
         born: 0,
+        warmup: None,
+        cold: Duration::ZERO,
         penalty: Duration::ZERO,
         may_pause: false,
     });
--- a/crates/core/src/routes/document.rs
+++ b/crates/core/src/routes/document.rs
@@ -6,6 +6,7 @@
 
 use crate::{
     ids::{RouteId, ServiceId},
+    policy::warmup::WarmupPolicy,
     request::RequestKind,
     time::Millis,
 };
@@ -91,6 +92,9 @@
     /// The number of connections that each backend server of the service accepts from all VMs
     /// together.
     pub connections: u32,
+    /// What cold backend servers bear; `None` if they take as many calls as others.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub warmup: Option<WarmupPolicy>,
 }
 
 /// Limits on the size and the duration of what callers send.
--- a/crates/server/src/gateway/notice.rs
+++ b/crates/server/src/gateway/notice.rs
@@ -17,6 +17,9 @@
 /// The longest pause that a backend server can ask for.
 const MAX_PAUSE: Duration = Duration::from_hours(1);
 
+/// The longest time for which a backend server can say that it is cold.
+const MAX_COLD: Duration = Duration::from_mins(10);
+
 /// Returns what a reply states about the backend server that sent it.
 pub(super) fn read_notice(
     status: StatusCode,
@@ -35,7 +38,30 @@
         leaves_in: is_leaving.then(|| settings.leave_time()),
         pause,
         limit: read_limit(status, headers, names),
+        cold: read_cold(status, headers, names),
+    }
+}
+
+/// Returns how long a backend server stays cold according to its reply; `None` if the reply does not say.
+fn read_cold(status: StatusCode, headers: &HeaderMap, names: &HeaderNames) -> Option<Duration> {
+    if !is_own(status, headers, names) {
+        return None;
     }
+    let millis: f64 = headers
+        .get(&names.cold)?
+        .to_str()
+        .ok()?
+        .trim()
+        .parse()
+        .ok()?;
+    let time = Duration::try_from_secs_f64(millis / 1_000.0).ok()?;
+    Some(time.min(MAX_COLD))
+}
+
+/// Returns whether a reply is the called server's own.
+fn is_own(status: StatusCode, headers: &HeaderMap, names: &HeaderNames) -> bool {
+    let is_marked = headers.contains_key(&names.signature) || headers.contains_key(&names.not_run);
+    is_marked && status != StatusCode::MISDIRECTED_REQUEST
 }
 
 /// Returns the limit that a reply states; unknown if it is unreadable, or if the reply need not be
@@ -43,13 +69,11 @@
 ///
 /// Only a signed reply shows that the server states no limit.
 fn read_limit(status: StatusCode, headers: &HeaderMap, names: &HeaderNames) -> StatedLimit {
-    let is_signed = headers.contains_key(&names.signature);
-    let is_own = is_signed || headers.contains_key(&names.not_run);
-    if !is_own || status == StatusCode::MISDIRECTED_REQUEST {
+    if !is_own(status, headers, names) {
         return StatedLimit::Unknown;
     }
     let Some(value) = headers.get(&names.limit) else {
-        return if is_signed {
+        return if headers.contains_key(&names.signature) {
             StatedLimit::Unlimited
         } else {
             StatedLimit::Unknown
--- a/crates/server/src/gateway/permits.rs
+++ b/crates/server/src/gateway/permits.rs
@@ -8,7 +8,10 @@
 
 use cassialift_core::{
     ids::VmId,
-    policy::server_limit::{PermitAllocator, PermitClaim, PermitGrant, choose_allocator},
+    policy::{
+        server_limit::{Allotment, PermitAllocator, PermitClaim, PermitGrant, choose_allocator},
+        warmup::FleetSight,
+    },
     view::FleetView,
 };
 use tarpc::client::RpcError;
@@ -28,6 +31,9 @@
 /// answer.
 const UNANSWERED_SHARE: f64 = 0.5;
 
+/// A claim, and how its permits are handed out; `None` if this VM must not hand out any.
+type AllottedClaim = (PermitClaim, Option<Allotment>);
+
 /// The permits that this VM hands out.
 #[derive(Debug, Default)]
 pub(super) struct PermitPools {
@@ -38,18 +44,21 @@
 }
 
 impl PermitPools {
-    fn grant(&self, claims: &[PermitClaim], now: Instant) -> Vec<PermitGrant> {
+    fn grant(&self, claims: &[AllottedClaim], now: Instant) -> Vec<PermitGrant> {
         grant(&self.shared, claims, now)
     }
 
     /// Grants this VM its part of a share of the limits.
-    fn grant_fallback(&self, claims: &[PermitClaim], vms: u32, now: Instant) -> Vec<PermitGrant> {
+    fn grant_fallback(&self, claims: &[AllottedClaim], vms: u32, now: Instant) -> Vec<PermitGrant> {
         let share = UNANSWERED_SHARE / f64::from(vms.max(1));
         let claims: Vec<_> = claims
             .iter()
-            .map(|claim| PermitClaim {
-                limit: claim.limit.map(|limit| limit.share(share)),
-                ..claim.clone()
+            .map(|(claim, allotment)| {
+                let claim = PermitClaim {
+                    limit: claim.limit.map(|limit| limit.share(share)),
+                    ..claim.clone()
+                };
+                (claim, *allotment)
             })
             .collect();
         grant(&self.fallback, &claims, now)
@@ -58,7 +67,7 @@
 
 fn grant(
     allocator: &Mutex<PermitAllocator>,
-    claims: &[PermitClaim],
+    claims: &[AllottedClaim],
     now: Instant,
 ) -> Vec<PermitGrant> {
     // Each step leaves the allocator consistent, so a poisoned lock is safe to use.
@@ -66,7 +75,10 @@
     allocator.drop_idle(now);
     claims
         .iter()
-        .map(|claim| allocator.grant(claim, now))
+        .map(|(claim, allotment)| match allotment {
+            Some(allotment) => allocator.grant(claim, *allotment, now),
+            None => PermitGrant::Calls(0),
+        })
         .collect()
 }
 
@@ -83,7 +95,54 @@
     /// Hands out permits to another VM.
     pub(crate) fn grant_permits(&self, claims: &[PermitClaim]) -> Vec<PermitGrant> {
         self.node.metrics.count("gateway.permit_claims");
-        self.permits.grant(claims, Timer.now())
+        let view = self.node.control.snapshot();
+        let now = Timer.now();
+        let allotted = self.allot(&view, claims, now);
+        self.permits.grant(&allotted, now)
+    }
+
+    /// Returns how the permits of each claim are handed out.
+    ///
+    /// Those for cold servers are handed out by the VM that this one takes for their allocator, since the
+    /// limit must hold while VMs know different fleets.
+    fn allot(&self, view: &FleetView, claims: &[PermitClaim], now: Instant) -> Vec<AllottedClaim> {
+        let may_grant = |claim: &PermitClaim| self.allocator(view, claim) == view.own.vm;
+        self.allot_if(claims, may_grant, now)
+    }
+
+    /// Returns the same for this VM's own claims while the allocator does not answer.
+    fn allot_alone(&self, claims: &[PermitClaim], now: Instant) -> Vec<AllottedClaim> {
+        self.allot_if(claims, |_| true, now)
+    }
+
+    /// Returns how the permits of each claim are handed out; those for cold servers only if `may_grant`.
+    fn allot_if(
+        &self,
+        claims: &[PermitClaim],
+        may_grant: impl Fn(&PermitClaim) -> bool,
+        now: Instant,
+    ) -> Vec<AllottedClaim> {
+        let is_cold = self.with_tables(|tables| {
+            let is_cold = |claim: &PermitClaim| tables.replicas.is_cold(&claim.server, now);
+            claims.iter().map(is_cold).collect::<Vec<_>>()
+        });
+        let sight = self.sight(now);
+        let allotted = claims.iter().zip(is_cold).map(|(claim, is_cold)| {
+            let allotment = match is_cold {
+                false => Some(Allotment::Stated),
+                true => may_grant(claim).then_some(Allotment::Cold(sight)),
+            };
+            (claim.clone(), allotment)
+        });
+        allotted.collect()
+    }
+
+    /// Returns what this VM knows about the fleet.
+    fn sight(&self, now: Instant) -> FleetSight {
+        let settings = &self.node.settings;
+        let has_seeds = settings.seeds.iter().any(|seed| *seed != settings.peers);
+        let uptime = now.saturating_duration_since(self.started_at);
+        self.servers.fleet_sight(has_seeds, uptime, now)
     }
 
     /// Sends the claims that are due, each to the VM that hands out the permits of its server.
@@ -105,7 +164,8 @@
         }
         for (vm, claims) in by_vm {
             if vm == view.own.vm {
-                let grants = self.permits.grant(&claims, now);
+                let allotted = self.allot(&view, &claims, now);
+                let grants = self.permits.grant(&allotted, now);
                 self.on_grants(&claims, grants, now);
             } else {
                 let gateway = Arc::clone(self);
@@ -154,7 +214,9 @@
             claims.len()
         );
         let vms = self.servers.peak_vms();
-        let grants = self.permits.grant_fallback(&claims, vms, Timer.now());
+        let now = Timer.now();
+        let allotted = self.allot_alone(&claims, now);
+        let grants = self.permits.grant_fallback(&allotted, vms, now);
         self.on_grants(&claims, grants, sent_at);
     }
 
--- a/crates/server/src/gateway/server_call.rs
+++ b/crates/server/src/gateway/server_call.rs
@@ -143,6 +143,8 @@
         let route = &self.inbound.route;
         self.gateway.with_tables(|tables| {
             tables.on_report(&route.name, route.kind, &self.server, &report, now);
+            // A server that fails may be cold when it returns.
+            self.gateway.update_limits(tables);
         });
     }
 }
--- a/crates/server/src/gateway/servers.rs
+++ b/crates/server/src/gateway/servers.rs
@@ -19,9 +19,10 @@
         },
         gather::ShardTarget,
         replica::Listing,
+        warmup::{FleetSight, WarmupPolicy},
     },
     pool::{ServerDocument, ServerRegistry, VmCounts, connection_share},
-    routes::{RouteTarget, SplitShare, Splitter},
+    routes::{RouteTable, RouteTarget, SplitShare, Splitter},
     view::{ConfigView, FleetView, MemberView, Reachability},
 };
 use rand::seq::{IndexedRandom, IteratorRandom};
@@ -39,6 +40,9 @@
 /// The documents of backend servers in one view.
 type ServerDocuments = Arc<BTreeMap<ServerId, Arc<ServerDocument>>>;
 
+/// What services state about their cold backend servers.
+type WarmupPolicies = BTreeMap<ServiceId, WarmupPolicy>;
+
 /// The backend servers that requests may go to.
 #[derive(Debug, Default)]
 pub(super) struct ServerTable {
@@ -60,6 +64,8 @@
     excluded: HashMap<VmId, Instant>,
     /// The most VMs that answered at the same time; VMs that are cut off may still serve.
     peak_vms: u32,
+    /// The number of VMs that answer, and the time of its last change.
+    answering: Option<(u32, Instant)>,
 }
 
 /// What the registry was synced with.
@@ -69,6 +75,9 @@
     generation: u64,
     servers: ServerDocuments,
     evacuated: EvacuatedCentres,
+    routes: Option<Arc<RouteTable>>,
+    /// The policies of the routes' services.
+    warmups: WarmupPolicies,
 }
 
 /// A search whose shards may be delegated.
@@ -104,6 +113,21 @@
     pub(super) connections: u32,
 }
 
+impl Synced {
+    fn new(config: &ConfigView) -> Self {
+        let services = config.routes.iter().flat_map(|routes| &routes.services);
+        let warmups = services
+            .filter_map(|(service, policy)| Some((ServiceId::clone(service), policy.warmup?)));
+        Self {
+            generation: config.generation,
+            servers: Arc::clone(&config.servers),
+            evacuated: Arc::clone(&config.evacuated),
+            routes: config.routes.clone(),
+            warmups: warmups.collect(),
+        }
+    }
+}
+
 impl ServerTable {
     /// Returns whether the VMs of a view and the backend servers of its configuration, or of a
     /// newer one, were applied.
@@ -127,19 +151,22 @@
         if inner.has_servers_of(config) {
             return false;
         }
-        inner.synced = Some(Synced {
-            generation: config.generation,
-            servers: Arc::clone(&config.servers),
-            evacuated: Arc::clone(&config.evacuated),
-        });
+        let synced = Synced::new(config);
+        let previous = inner.synced.replace(synced);
+        if inner.has_same_servers(previous.as_ref()) {
+            return false;
+        }
         inner.registry.sync(&config.servers, now);
         inner.registry.set_evacuated(&config.evacuated);
         let own = &view.own.centre;
         let registry = &inner.registry;
+        let no_warmups = WarmupPolicies::new();
+        let synced = inner.synced.as_ref();
+        let warmups = synced.map_or(&no_warmups, |synced| &synced.warmups);
         for (service, ids) in registry.services() {
             let listings = ids
                 .iter()
-                .filter_map(|id| listing(registry, id, own, far_bias));
+                .filter_map(|id| listing(registry, id, own, far_bias, warmups));
             tables
                 .replicas
                 .set_servers(service, listings.collect(), now);
@@ -364,6 +391,25 @@
         self.lock().peak_vms.max(1)
     }
 
+    /// Returns what this VM, which has other seeds if `has_seeds` and started `uptime` ago, knows about
+    /// the fleet.
+    pub(super) fn fleet_sight(
+        &self,
+        has_seeds: bool,
+        uptime: Duration,
+        now: Instant,
+    ) -> FleetSight {
+        let inner = self.lock();
+        let (answering, changed_at) = inner.answering.unwrap_or((1, now));
+        FleetSight {
+            answering,
+            peak: inner.peak_vms,
+            stable_for: now.saturating_duration_since(changed_at),
+            uptime,
+            has_seeds,
+        }
+    }
+
     /// Returns the number of backend servers of sharded routes in each data centre.
     pub(super) fn server_counts(&self, config: &ConfigView) -> BTreeMap<DataCentre, u32> {
         let inner = self.lock();
@@ -401,12 +447,27 @@
     fn has_servers_of(&self, config: &ConfigView) -> bool {
         let synced = self.synced.as_ref();
         synced.is_some_and(|synced| {
-            let is_same = Arc::ptr_eq(&synced.servers, &config.servers)
+            let has_routes = match (&synced.routes, &config.routes) {
+                (Some(known), Some(routes)) => Arc::ptr_eq(known, routes),
+                (known, routes) => known.is_none() && routes.is_none(),
+            };
+            let is_same = has_routes
+                && Arc::ptr_eq(&synced.servers, &config.servers)
                 && Arc::ptr_eq(&synced.evacuated, &config.evacuated);
             is_same || config.generation < synced.generation
         })
     }
 
+    /// Returns whether the servers, and all that their listings hold, are the same as before.
+    fn has_same_servers(&self, previous: Option<&Synced>) -> bool {
+        let (Some(synced), Some(previous)) = (&self.synced, previous) else {
+            return false;
+        };
+        Arc::ptr_eq(&synced.servers, &previous.servers)
+            && Arc::ptr_eq(&synced.evacuated, &previous.evacuated)
+            && synced.warmups == previous.warmups
+    }
+
     /// Returns whether the VM counts were computed from the members of a view.
     fn has_members_of(&self, view: &FleetView) -> bool {
         let counted = self.members.as_ref();
@@ -430,7 +491,11 @@
                 *self.vm_counts.entry(centre).or_default() += 1;
             }
         }
-        self.peak_vms = self.peak_vms.max(self.vm_counts.values().sum());
+        let answering = self.vm_counts.values().sum();
+        self.peak_vms = self.peak_vms.max(answering);
+        if self.answering.is_none_or(|(known, _)| known != answering) {
+            self.answering = Some((answering, Timer.now()));
+        }
     }
 
     fn connection_limit(&self, limit: u32, centre: &DataCentre) -> u32 {
@@ -548,6 +613,7 @@
     id: &ServerId,
     own: &DataCentre,
     far_bias: Duration,
+    warmups: &WarmupPolicies,
 ) -> Option<Listing> {
     let document = registry.get(id)?;
     let is_far = document.centre != *own;
@@ -557,6 +623,8 @@
         leaving: document.state == ServerState::Leaving,
         evacuated: registry.is_evacuated(id),
         born: document.born,
+        warmup: warmups.get(&document.service).copied(),
+        cold: document.warmup.0,
         penalty: if is_far { far_bias } else { Duration::ZERO },
         may_pause: true,
     })
--- a/crates/server/src/gateway/state.rs
+++ b/crates/server/src/gateway/state.rs
@@ -36,6 +36,7 @@
     pub(super) permits: PermitPools,
     pub(super) poison: PoisonMemory,
     pub(super) reach: Arc<ReachMonitor>,
+    pub(super) started_at: Instant,
     /// Whether any backend server states a limit on its calls.
     has_limits: watch::Sender<bool>,
     /// The time at which requests in flight must end because the process is leaving; `None` before
@@ -67,6 +68,7 @@
             permits: PermitPools::default(),
             poison: PoisonMemory::default(),
             reach,
+            started_at: Timer.now(),
             has_limits: watch::Sender::new(false),
             shutdown_at: watch::Sender::new(None),
         }
@@ -81,7 +83,9 @@
         let now = Timer.now();
         let changed = self.with_tables(|tables| {
             let far_bias = self.settings.far_bias.0;
-            self.servers.sync(view, config, far_bias, tables, now)
+            let changed = self.servers.sync(view, config, far_bias, tables, now);
+            self.update_limits(tables);
+            changed
         });
         if changed {
             self.connections
@@ -117,7 +121,11 @@
             StatedLimit::Unlimited => self.has_limits(),
             StatedLimit::Limited(_) => true,
         };
-        if notice.leaves_in.is_none() && notice.pause.is_none() && !is_new_limit {
+        let is_cold = notice
+            .cold
+            .is_some_and(|time| !time.is_zero() || self.has_limits());
+        let is_new = is_new_limit || is_cold;
+        if notice.leaves_in.is_none() && notice.pause.is_none() && !is_new {
             return;
         }
         let now = Timer.now();
--- a/crates/server/src/gateway/tests.rs
+++ b/crates/server/src/gateway/tests.rs
@@ -35,6 +35,7 @@
         signature: name("x-signature"),
         not_run: name("x-refused"),
         leaving: name("x-leaving"),
+        cold: HeaderName::from_static("cold-ms"),
         limit: name("x-limit"),
         part_signatures: name("x-parts"),
         missing_count: name("x-missing"),
--- a/crates/wire/src/platform/adapter.rs
+++ b/crates/wire/src/platform/adapter.rs
@@ -62,6 +62,8 @@
     /// The header by which a backend server states how many calls a second it takes from all VMs
     /// together.
     pub limit: HeaderName,
+    /// The header by which a backend server states how long it stays cold, in milliseconds.
+    pub cold: HeaderName,
     /// The signatures of the shard replies that an answer was merged from.
     pub part_signatures: HeaderName,
     /// The number of shards that an answer lacks.
