priority: callers of higher priority go first where several share servers

Cause: the priority of routes was decoded and used by no decision; servers queue all calls alike.

Change: each VM keeps the queues of services with several priorities short, by admitting a smaller share of the lower ones while its calls wait or are refused there.

--- a/crates/core/src/policy/gather/recover.rs
+++ b/crates/core/src/policy/gather/recover.rs
@@ -222,6 +222,7 @@
     fn hedge(&mut self, index: usize, context: &mut Context<'_>, actions: &mut Vec<Action>) {
         if context.tables.admission.in_overload(context.now)
             || self.shards[index].pending.len() != 1
+            || self.is_outranked(index, context)
         {
             return;
         }
@@ -240,6 +241,13 @@
         self.shards[index].hedge_at = hedge_at;
     }
 
+    /// Returns whether calls of a higher priority need the room that a second call to a shard would take.
+    fn is_outranked(&self, index: usize, context: &Context<'_>) -> bool {
+        let priority = &context.tables.priority;
+        let (service, target) = (&self.spec.service, &self.shards[index].target);
+        priority.rank(service) > 0 && priority.is_congested(target.service(service))
+    }
+
     /// Gives up shards whose replicas are all ejected or leaving and whose calls have all passed
     /// the time at which they are given up.
     pub(super) fn drop_unreachable(
--- a/crates/core/src/policy/mod.rs
+++ b/crates/core/src/policy/mod.rs
@@ -15,6 +15,7 @@
 pub mod limit;
 pub mod outcome;
 pub mod poison;
+pub mod priority;
 pub mod queue;
 pub mod reach;
 pub mod replica;
--- a/crates/core/src/policy/replica/stats.rs
+++ b/crates/core/src/policy/replica/stats.rs
@@ -2,10 +2,13 @@
 
 use std::time::{Duration, Instant};
 
-use crate::policy::{
-    latency::MovingAverage,
-    server_limit::{CallRate, Permits, StatedLimit},
-    warmup::Warmup,
+use crate::{
+    ids::ServiceId,
+    policy::{
+        latency::MovingAverage,
+        server_limit::{CallRate, Permits, StatedLimit},
+        warmup::Warmup,
+    },
 };
 
 /// The number of successive faults or overdue calls after which a backend server is ejected.
@@ -78,6 +81,8 @@
 /// The state learned about one backend server.
 #[derive(Clone, Debug)]
 pub(crate) struct ReplicaStats {
+    /// The service of the backend server; `None` before the first list.
+    pub(crate) service_id: Option<ServiceId>,
     /// The number of slots that the platform publishes.
     pub(crate) slots: u32,
     /// Whether the platform publishes the backend server as leaving.
@@ -128,6 +133,7 @@
 impl ReplicaStats {
     pub(crate) fn new(slots: u32, state: ReplicaState) -> Self {
         Self {
+            service_id: None,
             slots: slots.max(1),
             listed_leaving: false,
             evacuated: false,
--- a/crates/core/src/policy/replica/table.rs
+++ b/crates/core/src/policy/replica/table.rs
@@ -136,6 +136,9 @@
                 .servers
                 .entry(ServerId::clone(&listing.server))
                 .or_insert_with(|| ReplicaStats::new(listing.slots, initial));
+            stats
+                .service_id
+                .get_or_insert_with(|| ServiceId::clone(service));
             stats.slots = listing.slots.max(1);
             stats.listed_leaving = listing.leaving;
             stats.set_warmup(listing.warmup, listing.cold, now);
@@ -164,6 +167,13 @@
         }
     }
 
+    /// Returns the service of a backend server; `None` if the server is unknown.
+    #[must_use]
+    pub fn service(&self, server: &ServerId) -> Option<&ServiceId> {
+        let stats = self.servers.get(server)?;
+        stats.service_id.as_ref()
+    }
+
     /// Records that a call was sent.
     pub fn on_send(&mut self, server: &ServerId) {
         if let Some(stats) = self.servers.get_mut(server) {
--- a/crates/core/src/policy/tables.rs
+++ b/crates/core/src/policy/tables.rs
@@ -7,6 +7,7 @@
     extra_calls::ExtraCallBudgets,
     hedge::Hedger,
     outcome::CallOutcome,
+    priority::PriorityTable,
     replica::{CallReport, ReplicaTable, WaitEstimate},
     retry::Retrier,
 };
@@ -28,6 +29,8 @@
     pub extra_calls: ExtraCallBudgets,
     /// The admitted requests.
     pub admission: Admission,
+    /// The congestion of services with routes of several priorities.
+    pub priority: PriorityTable,
 }
 
 impl EntryTables {
@@ -44,6 +47,10 @@
         now: Instant,
     ) {
         self.replicas.on_report(server, report, now);
+        if let Some(called) = self.replicas.service(server) {
+            self.priority
+                .on_report(called, service, report.outcome, report.latency, now);
+        }
         if matches!(report.outcome, CallOutcome::Done(_)) {
             self.hedger.record_latency(service, kind, report.latency);
         }
@@ -102,7 +109,7 @@
 }
 
 /// Returns how many of `shards` shards make up `share` of them, 0 to 1; at least one.
-fn needed_shards(shards: usize, share: f64) -> usize {
+pub(super) fn needed_shards(shards: usize, share: f64) -> usize {
     whole_shards(share.clamp(0.0, 1.0) * shard_count(shards)).max(1)
 }
 
--- a/crates/core/src/routes/table.rs
+++ b/crates/core/src/routes/table.rs
@@ -6,7 +6,7 @@
 };
 
 use super::{Route, RouteDocument, ServicePolicy, TrafficLimits};
-use crate::ids::ServiceId;
+use crate::{ids::ServiceId, policy::priority::RouteRanks};
 
 /// The routes of one document, indexed by host.
 #[derive(Clone, Debug, Default, PartialEq)]
@@ -17,6 +17,8 @@
     pub services: BTreeMap<ServiceId, ServicePolicy>,
     /// The limits on what callers may send.
     pub limits: TrafficLimits,
+    /// The ranks of routes that share services.
+    pub ranks: Arc<RouteRanks>,
     /// The routes by host in lower case, those of one host with the longest prefixes first.
     hosts: HashMap<String, Vec<Arc<Route>>>,
 }
@@ -37,6 +39,7 @@
             version: document.version,
             services: document.services.clone(),
             limits: document.limits.clone(),
+            ranks: Arc::new(RouteRanks::new(&document.routes)),
             hosts,
         }
     }
--- a/crates/server/src/gateway/connections.rs
+++ b/crates/server/src/gateway/connections.rs
@@ -1,7 +1,7 @@
 //! Pools of connections to backend servers; each connection carries one request at a time.
 
 use std::{
-    collections::{HashMap, VecDeque},
+    collections::HashMap,
     io::ErrorKind,
     net::SocketAddr,
     sync::{Arc, Mutex, MutexGuard, PoisonError},
@@ -9,14 +9,14 @@
 };
 
 use bytes::Bytes;
-use cassialift_core::ids::ServerId;
+use cassialift_core::{ids::ServerId, policy::priority::Rank};
 use displaydoc::Display;
 use http_body_util::Full;
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper_util::rt::TokioIo;
 use tokio::{sync::oneshot, task::AbortHandle, time::timeout};
 
-use super::{reach::ReachMonitor, receive_limit::Overhead};
+use super::{reach::ReachMonitor, receive_limit::Overhead, waiting::WaitingCalls};
 use crate::{
     sockets::{self, MeteredStream},
     timer::Timer,
@@ -137,7 +137,7 @@
 struct PoolState {
     in_use: u32,
     idle: Vec<PooledConnection>,
-    waiting: VecDeque<oneshot::Sender<()>>,
+    waiting: WaitingCalls,
     /// Until when the backend server may reset new connections; `None` if no resets are expected.
     resets_until: Option<Instant>,
 }
@@ -153,6 +153,8 @@
     pub(super) attempt: Bytes,
     /// Whether the connection must be new, so that no reply to an earlier request can arrive on it.
     pub(super) fresh: bool,
+    /// The rank of the request's route; calls of lower numbers get a connection first.
+    pub(super) rank: Rank,
 }
 
 /// The permission to use one connection to a backend server, released when it is dropped.
@@ -164,7 +166,7 @@
 impl Drop for ConnectionPermit {
     fn drop(&mut self) {
         let mut state = self.pool.lock();
-        while let Some(waiting) = state.waiting.pop_front() {
+        while let Some(waiting) = state.waiting.pop() {
             if waiting.send(()).is_ok() {
                 // The permit passes to the waiting call, so the count stays.
                 return;
@@ -230,7 +232,8 @@
         deadline: Instant,
     ) -> Result<(PooledConnection, ConnectionPermit), AcquireError> {
         let pool = self.pool(&request.server);
-        let permit = ServerPool::acquire_permit(&pool, request.limit, deadline).await?;
+        let permit =
+            ServerPool::acquire_permit(&pool, request.limit, request.rank, deadline).await?;
         if !request.fresh
             && let Some(connection) = pool.take_idle(request)
         {
@@ -283,6 +286,7 @@
     async fn acquire_permit(
         pool: &Arc<Self>,
         limit: u32,
+        rank: Rank,
         deadline: Instant,
     ) -> Result<ConnectionPermit, AcquireError> {
         let receiver = {
@@ -292,7 +296,7 @@
                 None
             } else {
                 let (sender, receiver) = oneshot::channel();
-                state.waiting.push_back(sender);
+                state.waiting.push(rank, sender);
                 Some(receiver)
             }
         };
--- a/crates/server/src/gateway/decision.rs
+++ b/crates/server/src/gateway/decision.rs
@@ -22,6 +22,13 @@
     Admitted(AdmissionEstimate),
     /// The request was rejected because of the load.
     Rejected(AdmissionEstimate),
+    /// Requests of higher priorities need the room at the backend servers.
+    Outranked {
+        /// The priority of the route.
+        priority: u32,
+        /// The share of the requests of this priority that is admitted, 0 to 1.
+        share: f64,
+    },
     /// The process ends before the request is expected to.
     Leaving(AdmissionEstimate),
     /// Too few backend servers take calls.
@@ -165,6 +172,7 @@
             Decision::Admitted(_) | Decision::Delegated { .. } => !missing.is_empty(),
             Decision::Continued { .. }
             | Decision::Rejected(_)
+            | Decision::Outranked { .. }
             | Decision::Leaving(_)
             | Decision::Unavailable { .. }
             | Decision::Poison { .. }
--- a/crates/server/src/gateway/forward.rs
+++ b/crates/server/src/gateway/forward.rs
@@ -1,6 +1,7 @@
 //! Forwards one request of a caller, from its head to its answer.
 
 use std::{
+    net::IpAddr,
     sync::{
         Arc,
         atomic::{AtomicBool, AtomicU32},
@@ -51,10 +52,14 @@
 
 impl Gateway {
     /// Serves one request; dropping the future, as a disconnect does, cancels its calls.
-    pub(super) async fn serve(self: Arc<Self>, request: Request<Incoming>) -> Answer {
+    pub(super) async fn serve(
+        self: Arc<Self>,
+        caller: IpAddr,
+        request: Request<Incoming>,
+    ) -> Answer {
         let _running = self.node.drain.enter();
         let mut trace = Trace::new(Timer.now());
-        let result = self.try_serve(request, &mut trace).await;
+        let result = self.try_serve(caller, request, &mut trace).await;
         let took = Timer.now().saturating_duration_since(trace.started_at);
         let metrics = &self.node.metrics;
         let (reason, answer) = match result {
@@ -85,6 +90,7 @@
 
     async fn try_serve(
         self: &Arc<Self>,
+        caller: IpAddr,
         request: Request<Incoming>,
         trace: &mut Trace,
     ) -> Result<Answer, Refusal> {
@@ -94,7 +100,10 @@
         trace.id = printable(&head.attempt);
         let view = self.node.control.snapshot();
         let (config, inbound) = self.read_request(&view, request, head, trace).await?;
-        let inbound = Arc::new(inbound);
+        let inbound = Arc::new(Inbound {
+            caller: Some(caller),
+            ..inbound
+        });
         if self.reach.is_detached()
             && let Some(result) = Box::pin(self.relay(&inbound, trace)).await
         {
@@ -241,6 +250,7 @@
         let target = origin_form(&parts.uri);
         let inbound = Inbound {
             route,
+            caller: None,
             fingerprint: inbound::fingerprint(&parts.method, &host, &target, &body),
             method: parts.method,
             target,
@@ -298,6 +308,7 @@
         let kind = inbound.route.kind;
         let share = coverage(&inbound.route.target);
         self.check_shutdown(inbound, targets, trace)?;
+        self.check_priority(inbound, targets, trace)?;
         let (estimate, readiness, admitted) = self.with_tables(|tables| {
             let request = AdmissionRequest {
                 caller: CallerId::from(SHARED_CALLER),
--- a/crates/server/src/gateway/inbound.rs
+++ b/crates/server/src/gateway/inbound.rs
@@ -1,6 +1,7 @@
 //! Reading of callers' requests.
 
 use std::{
+    net::IpAddr,
     sync::{
         Arc,
         atomic::{AtomicBool, AtomicU32},
@@ -54,6 +55,8 @@
 #[derive(Debug)]
 pub(super) struct Inbound {
     pub(super) route: Arc<Route>,
+    /// The address of the caller; `None` if another VM passed the request on.
+    pub(super) caller: Option<IpAddr>,
     pub(super) method: Method,
     pub(super) target: Uri,
     /// The headers to forward.
@@ -87,6 +90,7 @@
         let host = host.unwrap_or_default();
         Some(Self {
             route: Arc::new(route),
+            caller: None,
             fingerprint: fingerprint(&method, host, &target, &request.body),
             method,
             target,
--- a/crates/server/src/gateway/listen.rs
+++ b/crates/server/src/gateway/listen.rs
@@ -53,10 +53,10 @@
         tokio::spawn(Acceptor::new(&accept_settings, serve).run(listener, stopped));
     }
     let forwarding = Arc::clone(&gateway);
-    let serve = move |_: SocketAddr, request: Request<Incoming>| {
+    let serve = move |caller: SocketAddr, request: Request<Incoming>| {
         let gateway = Arc::clone(&forwarding);
         async move {
-            let answer = Arc::clone(&gateway).serve(request).await;
+            let answer = Arc::clone(&gateway).serve(caller.ip(), request).await;
             gateway.close_if_leaving(answer)
         }
     };
--- a/crates/server/src/gateway/mod.rs
+++ b/crates/server/src/gateway/mod.rs
@@ -20,6 +20,7 @@
 mod permits;
 mod plan;
 mod poison;
+mod priority;
 mod reach;
 mod readiness;
 mod receive_limit;
@@ -31,6 +32,7 @@
 mod state;
 mod trace;
 mod trial;
+mod waiting;
 
 #[cfg(test)]
 mod reply_memory_tests;
--- a/crates/server/src/gateway/server_call.rs
+++ b/crates/server/src/gateway/server_call.rs
@@ -12,6 +12,7 @@
     ids::ServerId,
     policy::{
         outcome::{CallOutcome, NotRunCause, UnknownCause},
+        priority::Rank,
         replica::{CallReport, ServerNotice},
     },
     routes::RouteTarget,
@@ -106,11 +107,17 @@
                 limit: address.connections,
                 attempt: self.inbound.attempt.clone(),
                 fresh: self.fresh,
+                rank: self.rank(),
             },
         };
         exchange.run(gateway, sent).await
     }
 
+    fn rank(&self) -> Rank {
+        let routes = self.config.routes.as_ref();
+        routes.map_or(0, |routes| routes.ranks.rank(&self.inbound.route.name))
+    }
+
     fn classify(&self, end: ExchangeEnd) -> (CallOutcome, Option<Reply>) {
         let reply = match end {
             ExchangeEnd::Reply(reply) => reply,
--- a/crates/server/src/gateway/state.rs
+++ b/crates/server/src/gateway/state.rs
@@ -85,6 +85,9 @@
             let far_bias = self.settings.far_bias.0;
             let changed = self.servers.sync(view, config, far_bias, tables, now);
             self.update_limits(tables);
+            if let Some(routes) = &config.routes {
+                tables.priority.set_ranks(&routes.ranks);
+            }
             changed
         });
         if changed {
