gateway: bodies that callers hold open stay within a budget

Cause: each incomplete body kept all of its bytes for ten seconds, and each chunk kept the buffer that it came in; nothing bounded the sum.

Change: one budget for all bodies, from limits.memory; those that have stopped give way, small ones have a reserve. Chunks go into one buffer. Connections and large replies follow the memory too, and answers keep their part until they are read.

--- a/crates/server/src/entry/http/listen.rs
+++ b/crates/server/src/entry/http/listen.rs
@@ -28,6 +28,7 @@
     let listener = sockets::listen(node.settings.callers).await?;
     let limits = &node.settings.limits;
     let settings = AcceptSettings {
+        full: Arc::default(),
         max_connections: limits.connections,
         max_headers: limits.headers + SPARE_HEADERS,
         max_head: MAX_HEAD,
--- a/crates/server/src/gateway/exchange.rs
+++ b/crates/server/src/gateway/exchange.rs
@@ -63,8 +63,7 @@
     /// The backend server's signature; `None` if the reply is unsigned.
     pub(super) signature: Option<HeaderValue>,
     /// The memory that the body takes.
-    #[expect(dead_code, reason = "it is held until the reply has been used")]
-    share: Arc<ReplyShare>,
+    pub(super) share: Arc<ReplyShare>,
 }
 
 /// A request to one backend server and the connection that it needs.
--- a/crates/server/src/gateway/forward.rs
+++ b/crates/server/src/gateway/forward.rs
@@ -46,6 +46,9 @@
 /// The delay after which to retry a request that no backend server could take.
 pub(super) const RETRY_UNREACHABLE: Duration = Duration::from_millis(150);
 
+/// The delay after which to retry a request whose body found no memory.
+const RETRY_BODY: Duration = Duration::from_millis(500);
+
 /// The caller that all requests are counted under, since platforms of this kind do not name their
 /// callers.
 const SHARED_CALLER: &str = "any";
@@ -241,9 +244,12 @@
         trace.objective = route.objective.0;
         self.sync(view, &config);
         let (mut parts, body) = request.into_parts();
-        let body = read_body(body, &routes.limits)
-            .await
-            .map_err(|reason| Refusal::not_run(reason, None))?;
+        let body_share = self.bodies.begin();
+        let body = read_body(body, &routes.limits, &body_share).await;
+        let body = body.map_err(|reason| {
+            let retry = (reason == RefusalReason::Overloaded).then_some(RETRY_BODY);
+            Refusal::not_run(reason, retry)
+        })?;
         trace.body_bytes = body.len();
         strip_hop_headers(&mut parts.headers);
         let timeout = head.timeout.unwrap_or(route.timeout.0).min(route.timeout.0);
@@ -256,6 +262,7 @@
             target,
             headers: parts.headers,
             body,
+            body_share,
             attempt: head.attempt,
             started_at: trace.started_at,
             deadline: trace.started_at + timeout.saturating_sub(RETURN_MARGIN),
--- a/crates/server/src/gateway/inbound.rs
+++ b/crates/server/src/gateway/inbound.rs
@@ -9,7 +9,7 @@
     time::{Duration, Instant},
 };
 
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use cassialift_core::{
     policy::poison::Fingerprint,
     records::RECORD_BYTES,
@@ -20,13 +20,15 @@
     peer::version::{self, MessageVersion},
     platform::HeaderNames,
 };
-use http_body_util::{BodyExt, LengthLimitError, Limited};
+use http_body::Body;
+use http_body_util::BodyExt;
 use hyper::{
     Method, Request, Uri,
     body::Incoming,
     header::{self, CONTENT_LENGTH, HOST, HeaderMap, HeaderName, HeaderValue},
 };
 
+use super::body_memory::BodyShare;
 use crate::{peers::MAX_CONTENT, timer::Timer};
 
 /// The time limit for receiving a whole body.
@@ -62,6 +64,9 @@
     /// The headers to forward.
     pub(super) headers: HeaderMap,
     pub(super) body: Bytes,
+    /// The memory that the body takes.
+    #[expect(dead_code, reason = "it is held until the request has been served")]
+    pub(super) body_share: BodyShare,
     /// What the request asks for, the same for all its attempts.
     pub(super) fingerprint: Fingerprint,
     /// The caller's id of this attempt.
@@ -80,6 +85,7 @@
     pub(super) fn from_peer(
         request: PeerRequest<'_>,
         route: Route,
+        body_share: BodyShare,
         started_at: Instant,
         remaining: Duration,
     ) -> Option<Self> {
@@ -96,6 +102,7 @@
             target,
             headers,
             body: request.body,
+            body_share,
             attempt: Bytes::copy_from_slice(request.attempt),
             started_at,
             deadline: started_at + remaining,
@@ -253,15 +260,53 @@
     headers.remove(CONTENT_LENGTH);
 }
 
-/// Reads a body within the limits on its size and time.
+/// Reads a body within the limits on its size, its time and the memory for all bodies.
 pub(super) async fn read_body(
     body: Incoming,
     limits: &TrafficLimits,
+    share: &BodyShare,
 ) -> Result<Bytes, RefusalReason> {
-    let collecting = Limited::new(body, limits.body).collect();
-    match tokio::time::timeout(BODY_TIMEOUT, collecting).await {
-        Ok(Ok(collected)) => Ok(collected.to_bytes()),
-        Ok(Err(error)) if error.is::<LengthLimitError>() => Err(RefusalReason::TooLarge),
-        Ok(Err(_)) | Err(_) => Err(RefusalReason::Malformed),
+    let reading = tokio::time::timeout(BODY_TIMEOUT, collect(body, limits.body, share));
+    tokio::select! {
+        result = reading => result.unwrap_or(Err(RefusalReason::Malformed)),
+        () = share.evicted() => {
+            log::debug!("gateway: A body that had stopped gave way to others.");
+            Err(RefusalReason::Overloaded)
+        }
+    }
+}
+
+/// Collects a body into one buffer: a part that was received keeps the whole buffer of the connection.
+async fn collect(
+    mut body: Incoming,
+    limit: usize,
+    share: &BodyShare,
+) -> Result<Bytes, RefusalReason> {
+    let stated = body.size_hint().exact();
+    if stated.is_some_and(|size| size > limit as u64) {
+        return Err(RefusalReason::TooLarge);
+    }
+    let mut buffer = BytesMut::new();
+    while let Some(frame) = body.frame().await {
+        let Ok(data) = frame.map_err(|_| RefusalReason::Malformed)?.into_data() else {
+            continue;
+        };
+        let size = buffer.len() + data.len();
+        if size > limit {
+            return Err(RefusalReason::TooLarge);
+        }
+        if size > buffer.capacity() {
+            // A body of a stated size never needs more.
+            let stated = stated.and_then(|size| usize::try_from(size).ok());
+            let capacity = (buffer.capacity() * 2)
+                .min(stated.unwrap_or(limit))
+                .max(size);
+            let extended = share.extend(capacity).await;
+            extended.map_err(|_| RefusalReason::Overloaded)?;
+            buffer.reserve(capacity - buffer.len());
+        }
+        buffer.extend_from_slice(&data);
     }
+    share.complete();
+    Ok(buffer.freeze())
 }
--- a/crates/server/src/gateway/listen.rs
+++ b/crates/server/src/gateway/listen.rs
@@ -7,7 +7,7 @@
     body::Incoming,
     header::{CONNECTION, HeaderValue},
 };
-use tokio::sync::watch;
+use tokio::sync::{Notify, watch};
 
 use super::{Gateway, answer::Answer};
 use crate::{
@@ -40,6 +40,10 @@
     let accept_settings = accept_settings(&gateway);
     let syncing = tokio::spawn(sync_periodically(Arc::clone(&gateway)));
     let claiming = tokio::spawn(Arc::clone(&gateway).claim_periodically());
+    let evicting = tokio::spawn(evict_when_full(
+        Arc::clone(&gateway),
+        Arc::clone(&accept_settings.full),
+    ));
     let exchanging = tokio::spawn(Arc::clone(&gateway).exchange_periodically());
     let watching = tokio::spawn(Arc::clone(&gateway).watch_reach());
     let (stopping, stopped) = watch::channel(false);
@@ -66,6 +70,7 @@
     stopping.send_replace(true);
     syncing.abort();
     claiming.abort();
+    evicting.abort();
     exchanging.abort();
     watching.abort();
     Ok(())
@@ -86,6 +91,16 @@
     }
 }
 
+/// Makes room for a connection whenever there are too many: one whose body has stopped is closed.
+async fn evict_when_full(gateway: Arc<Gateway>, full: Arc<Notify>) {
+    loop {
+        full.notified().await;
+        if gateway.bodies.evict_stalled() {
+            gateway.node.metrics.count("gateway.body_evicted");
+        }
+    }
+}
+
 async fn wait_for_stop(mut stopped: watch::Receiver<bool>) {
     // `wait_for` fails only when the process ends.
     drop(stopped.wait_for(|stopped| *stopped).await);
@@ -98,7 +113,7 @@
 fn accept_settings(gateway: &Gateway) -> AcceptSettings {
     let limits = TrafficLimits::default();
     AcceptSettings {
-        max_connections: gateway.node.settings.limits.connections,
+        max_connections: gateway.node.settings.limits.max_connections(),
         max_headers: MAX_HEADERS,
         max_head: limits.head,
         // hyper measures the time for a head from the end of the previous request.
@@ -106,6 +121,7 @@
         refusal: "HTTP/1.1 503 Service Unavailable\r\nretry-after: 1\r\nconnection: close\r\n\
                   content-length: 0\r\n\r\n"
             .to_owned(),
+        full: Arc::default(),
     }
 }
 
--- a/crates/server/src/gateway/mod.rs
+++ b/crates/server/src/gateway/mod.rs
@@ -5,6 +5,7 @@
 //! connections that the servers accept.
 
 mod answer;
+mod body_memory;
 mod connections;
 mod continuations;
 mod crashes;
@@ -34,6 +35,8 @@
 mod trial;
 mod waiting;
 
+#[cfg(test)]
+mod body_memory_tests;
 #[cfg(test)]
 mod reply_memory_tests;
 #[cfg(test)]
--- a/crates/server/src/gateway/pages.rs
+++ b/crates/server/src/gateway/pages.rs
@@ -9,13 +9,15 @@
     view::Reachability,
 };
 use cassialift_wire::caller::AddressAnswer;
-use http_body_util::Full;
 use hyper::{
     Response, StatusCode, Uri,
     header::{CONTENT_TYPE, HeaderValue},
 };
 
-use super::{Gateway, answer::Answer};
+use super::{
+    Gateway,
+    answer::{Answer, AnswerBody},
+};
 use crate::entry::address_entries;
 
 /// The value of `Retry-After` while no address is known, in seconds.
@@ -42,7 +44,7 @@
             return answer;
         };
         let body = Bytes::from(self.dialect.address_answer(&answer));
-        let mut response = Response::new(Full::new(body));
+        let mut response = Response::new(AnswerBody::new(body));
         let json = HeaderValue::from_static("application/json");
         response.headers_mut().insert(CONTENT_TYPE, json);
         response
@@ -77,7 +79,7 @@
 }
 
 fn empty(status: StatusCode) -> Answer {
-    let mut response = Response::new(Full::default());
+    let mut response = Response::new(AnswerBody::default());
     *response.status_mut() = status;
     response
 }
--- a/crates/server/src/gateway/partial.rs
+++ b/crates/server/src/gateway/partial.rs
@@ -22,6 +22,7 @@
 
 use super::{
     Gateway,
+    body_memory::BodyShare,
     continuations::{ContinuedSearch, SearchId},
     fan_out::{FanOut, FanOutResult},
     inbound::{Inbound, PeerRequest, header_pairs, printable},
@@ -210,7 +211,13 @@
         }
         let view = self.node.control.snapshot();
         let may_lack_body = body.is_none();
-        let inbound = inbound(&partial, body.unwrap_or_default(), started_at);
+        let body = body.unwrap_or_default();
+        let body_share = self.bodies.begin();
+        if body_share.try_extend(body.len()).is_err() {
+            return declined(partial.attempt);
+        }
+        body_share.complete();
+        let inbound = inbound(&partial, body, body_share, started_at);
         let (Some(config), Some(inbound)) = (view.config.clone(), inbound) else {
             return PartialReply::empty(partial.attempt);
         };
@@ -407,7 +414,12 @@
 }
 
 /// Builds a request from a VM's message; `None` if the message is not a valid HTTP request.
-fn inbound(partial: &PartialGather, body: Bytes, started_at: Instant) -> Option<Inbound> {
+fn inbound(
+    partial: &PartialGather,
+    body: Bytes,
+    body_share: BodyShare,
+    started_at: Instant,
+) -> Option<Inbound> {
     let services = partial.shards.iter().map(|(_, service)| service);
     let route = Route {
         name: Arc::clone(&partial.route),
@@ -431,5 +443,6 @@
         body,
         attempt: &partial.attempt,
     };
-    Inbound::from_peer(request, route, started_at, partial.remaining.0)
+    let remaining = partial.remaining.0;
+    Inbound::from_peer(request, route, body_share, started_at, remaining)
 }
--- a/crates/server/src/gateway/relay.rs
+++ b/crates/server/src/gateway/relay.rs
@@ -14,12 +14,12 @@
     view::FleetView,
 };
 use cassialift_wire::peer::{RelayOutcome, RelayReply, RelayRequest};
-use http_body_util::{BodyExt, Full};
+use http_body_util::BodyExt;
 use hyper::{Response, StatusCode};
 
 use super::{
     Gateway,
-    answer::{Answer, Refusal},
+    answer::{Answer, AnswerBody, Refusal},
     decision::{Decision, millis},
     forward::unanswered,
     inbound::{Inbound, PeerRequest, header_map, header_pairs},
@@ -167,6 +167,11 @@
             return RelayOutcome::Unavailable;
         }
         let mut trace = Trace::new(Timer.now());
+        let body_share = self.bodies.begin();
+        if body_share.try_extend(request.body.len()).is_err() {
+            return RelayOutcome::Unavailable;
+        }
+        body_share.complete();
         let message = PeerRequest {
             method: &request.method,
             target: &request.target,
@@ -175,7 +180,8 @@
             attempt: &request.attempt,
         };
         let remaining = request.remaining.0;
-        let inbound = Inbound::from_peer(message, request.route, trace.started_at, remaining);
+        let started_at = trace.started_at;
+        let inbound = Inbound::from_peer(message, request.route, body_share, started_at, remaining);
         let Some(inbound) = inbound else {
             return refused(Refusal::not_run(RefusalReason::Malformed, None));
         };
@@ -286,7 +292,7 @@
 }
 
 fn response(status: u16, headers: &[(String, Vec<u8>)], body: Vec<u8>) -> Option<Answer> {
-    let mut response = Response::new(Full::new(Bytes::from(body)));
+    let mut response = Response::new(AnswerBody::new(body));
     *response.status_mut() = StatusCode::from_u16(status).ok()?;
     *response.headers_mut() = header_map(headers)?;
     Some(response)
--- a/crates/server/src/gateway/reply_memory.rs
+++ b/crates/server/src/gateway/reply_memory.rs
@@ -18,6 +18,9 @@
 /// the size of its reply for a moment, and the smallest VMs have 160 MB.
 const MAX_BLOCKS: usize = (16 << 20) / BLOCK;
 
+/// The share of the machine's memory that large replies may take, as a divisor.
+const MEMORY_DIVISOR: usize = 10;
+
 /// Why a reply is not read to its end.
 #[derive(Clone, Copy, Debug, Display, Eq, PartialEq)]
 pub(super) enum ReplyTooLarge {
@@ -39,15 +42,15 @@
     permit: Option<OwnedSemaphorePermit>,
 }
 
-impl Default for ReplyMemory {
-    fn default() -> Self {
+impl ReplyMemory {
+    /// Returns the memory for large replies on a machine with this many bytes of memory.
+    pub(super) fn new(machine: usize) -> Self {
+        let blocks = (machine / MEMORY_DIVISOR / BLOCK).min(MAX_BLOCKS);
         Self {
-            blocks: Arc::new(Semaphore::new(MAX_BLOCKS)),
+            blocks: Arc::new(Semaphore::new(blocks)),
         }
     }
-}
 
-impl ReplyMemory {
     /// Extends the share of a reply whose body now has `bytes` bytes.
     ///
     /// # Errors
--- a/crates/server/src/gateway/state.rs
+++ b/crates/server/src/gateway/state.rs
@@ -14,9 +14,9 @@
 use tokio::sync::watch;
 
 use super::{
-    GatewaySettings, connections::ConnectionPools, continuations::Continuations,
-    permits::PermitPools, poison::PoisonMemory, reach::ReachMonitor, reply_memory::ReplyMemory,
-    servers::ServerTable,
+    GatewaySettings, body_memory::BodyMemory, connections::ConnectionPools,
+    continuations::Continuations, permits::PermitPools, poison::PoisonMemory, reach::ReachMonitor,
+    reply_memory::ReplyMemory, servers::ServerTable,
 };
 use crate::{process::Node, timer::Timer};
 
@@ -30,6 +30,7 @@
     pub(super) dialect: Arc<dyn Dialect>,
     pub(super) settings: GatewaySettings,
     pub(super) connections: ConnectionPools,
+    pub(super) bodies: Arc<BodyMemory>,
     pub(super) replies: ReplyMemory,
     pub(super) servers: ServerTable,
     pub(super) continuations: Continuations,
@@ -57,12 +58,14 @@
         } else {
             ConnectionPools::after_restart(Arc::clone(&reach), Timer.now())
         };
+        let machine = node.settings.limits.memory_bytes();
         Self {
             node,
             dialect,
             settings,
             connections,
-            replies: ReplyMemory::default(),
+            bodies: Arc::new(BodyMemory::new(machine)),
+            replies: ReplyMemory::new(machine),
             servers: ServerTable::default(),
             continuations: Continuations::default(),
             permits: PermitPools::default(),
--- a/crates/server/src/http/accept.rs
+++ b/crates/server/src/http/accept.rs
@@ -8,7 +8,7 @@
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
     net::{TcpListener, TcpStream},
-    sync::{OwnedSemaphorePermit, Semaphore, watch},
+    sync::{Notify, OwnedSemaphorePermit, Semaphore, watch},
 };
 use tokio_util::task::TaskTracker;
 
@@ -37,6 +37,8 @@
     pub(crate) head_timeout: Duration,
     /// The whole HTTP response to a connection beyond the limit.
     pub(crate) refusal: String,
+    /// Notified when a connection finds no room.
+    pub(crate) full: Arc<Notify>,
 }
 
 /// A server that accepts connections and serves their requests with one function.
@@ -46,6 +48,7 @@
     refusal: Arc<str>,
     connections: Arc<Semaphore>,
     refusals: Arc<Semaphore>,
+    full: Arc<Notify>,
     stopping: watch::Sender<()>,
     tasks: TaskTracker,
 }
@@ -70,6 +73,7 @@
             refusal: settings.refusal.as_str().into(),
             connections: Arc::new(Semaphore::new(settings.max_connections)),
             refusals: Arc::new(Semaphore::new(MAX_REFUSALS)),
+            full: Arc::clone(&settings.full),
             stopping: watch::Sender::new(()),
             tasks: TaskTracker::new(),
         }
@@ -104,6 +108,7 @@
         if let Ok(permit) = connections.try_acquire_owned() {
             self.drive(stream, peer, permit);
         } else if let Ok(permit) = Arc::clone(&self.refusals).try_acquire_owned() {
+            self.full.notify_one();
             let refusal = Arc::clone(&self.refusal);
             self.tasks.spawn(refuse_connection(stream, refusal, permit));
         }
--- a/crates/server/src/settings/document.rs
+++ b/crates/server/src/settings/document.rs
@@ -77,6 +77,8 @@
     pub connections: usize,
     /// The largest number of requests in flight.
     pub requests: usize,
+    /// The memory of the machine, in megabytes: bodies, replies and connections get parts of it.
+    pub memory: usize,
     /// The longest time that a caller may take to send the head, and then the body, of a request.
     pub receive: Millis,
 }
@@ -88,7 +90,28 @@
             headers: 64,
             connections: 4_096,
             requests: 4_096,
+            memory: 1_024,
             receive: Millis::new(5_000),
         }
     }
 }
+
+/// The memory that a connection with an incomplete request takes at most, in bytes: the buffer of a head and
+/// its tasks.
+const CONNECTION_BYTES: usize = 24 << 10;
+
+/// The share of the machine's memory that connections may take, as a divisor.
+const CONNECTIONS_DIVISOR: usize = 5;
+
+impl LimitSettings {
+    /// Returns the memory of the machine, in bytes.
+    pub(crate) const fn memory_bytes(&self) -> usize {
+        self.memory.saturating_mul(1 << 20)
+    }
+
+    /// Returns the largest number of open connections from callers that the memory allows.
+    pub(crate) fn max_connections(&self) -> usize {
+        let room = self.memory_bytes() / CONNECTIONS_DIVISOR / CONNECTION_BYTES;
+        self.connections.min(room.max(1))
+    }
+}
--- a/crates/server/src/settings/validate.rs
+++ b/crates/server/src/settings/validate.rs
@@ -92,6 +92,7 @@
         check_positive("limits.headers", self.headers as u64, MAX_HEADERS)?;
         check_positive("limits.connections", self.connections as u64, MAX_COUNT)?;
         check_positive("limits.requests", self.requests as u64, MAX_COUNT)?;
+        check_positive("limits.memory", self.memory as u64, MAX_COUNT)?;
         check_positive("limits.receive", self.receive.into(), MAX_RECEIVE.into())
     }
 }
