gateway: replies with a status that is no final one of HTTP are unusable

Cause: a server's status 000, or any below 100 or with four digits, reached no caller (hyper refuses to parse it: 502, as the issue found). But 600 to 999, and an unasked 101, were passed to callers of plain requests with the server's signature.

Change: a reply whose final status is not in 200 to 599 counts as unusable, from a server or relayed by another VM.

--- a/crates/server/src/gateway/exchange.rs
+++ b/crates/server/src/gateway/exchange.rs
@@ -210,6 +210,9 @@
         if echoed.is_some_and(|id| id.as_bytes() != &*self.connection.attempt) {
             return ExchangeEnd::Unknown(UnknownCause::BadReply);
         }
+        if !is_final(reply.status) {
+            return ExchangeEnd::Unknown(UnknownCause::BadReply);
+        }
         if reply.status == StatusCode::MISDIRECTED_REQUEST {
             // Another backend server has the address now.
             return ExchangeEnd::NotRun(NotRunCause::Leaving);
@@ -243,6 +246,12 @@
     }
 }
 
+/// Returns whether a status is one with which a reply ends. HTTP knows none above 599, and nobody asked to
+/// switch protocols.
+pub(super) fn is_final(status: StatusCode) -> bool {
+    (200..600).contains(&status.as_u16())
+}
+
 /// Why there is no complete reply.
 enum ExchangeError {
     Unsent,
--- a/crates/server/src/gateway/relay.rs
+++ b/crates/server/src/gateway/relay.rs
@@ -21,6 +21,7 @@
     Gateway,
     answer::{Answer, AnswerBody, Refusal},
     decision::{Decision, millis},
+    exchange::is_final,
     forward::unanswered,
     inbound::{Inbound, PeerRequest, header_map, header_pairs},
     trace::{Trace, TraceEnd},
@@ -272,7 +273,7 @@
 
 /// Returns what the caller gets for the outcome at another VM; `None` if the VM did nothing. An answer
 /// that is not valid HTTP is no answer, and the request may have run.
-fn caller_answer(outcome: RelayOutcome) -> Option<Result<Answer, Refusal>> {
+pub(super) fn caller_answer(outcome: RelayOutcome) -> Option<Result<Answer, Refusal>> {
     match outcome {
         RelayOutcome::Answered {
             status,
@@ -293,7 +294,8 @@
 
 fn response(status: u16, headers: &[(String, Vec<u8>)], body: Vec<u8>) -> Option<Answer> {
     let mut response = Response::new(AnswerBody::new(body));
-    *response.status_mut() = StatusCode::from_u16(status).ok()?;
+    let status = StatusCode::from_u16(status).ok();
+    *response.status_mut() = status.filter(|status| is_final(*status))?;
     *response.headers_mut() = header_map(headers)?;
     Some(response)
 }
--- a/crates/server/src/gateway/tests.rs
+++ b/crates/server/src/gateway/tests.rs
@@ -10,7 +10,10 @@
     },
     request::{ExecutionStatus, RefusalReason},
 };
-use cassialift_wire::{peer::PartialReply, platform::HeaderNames};
+use cassialift_wire::{
+    peer::{PartialReply, RelayOutcome},
+    platform::HeaderNames,
+};
 use hyper::{
     StatusCode,
     header::{HeaderMap, HeaderName, HeaderValue, RETRY_AFTER},
@@ -23,6 +26,7 @@
     inbound::{Head, printable, strip_hop_headers},
     notice::{parse_pause, read_notice},
     partial::{self, DelegateError},
+    relay::caller_answer,
 };
 use crate::peers::PeerError;
 
@@ -215,3 +219,15 @@
 fn limited(calls: f64) -> StatedLimit {
     StatedLimit::Limited(CallRate::per_second(calls).unwrap())
 }
+
+/// A VM of an earlier build may pass on a status that is no final one of HTTP.
+#[parameterized(zero = { 0 }, below = { 99 }, switching = { 101 }, above = { 600 }, highest = { 999 })]
+fn test_relayed_answer_with_an_odd_status_is_no_answer(status: u16) {
+    let outcome = RelayOutcome::Answered {
+        status,
+        headers: Vec::new(),
+        body: Vec::new(),
+    };
+    let refusal = caller_answer(outcome).unwrap().unwrap_err();
+    assert_eq!(refusal, Refusal::unknown(RefusalReason::NoReply));
+}
