priority: refused calls show congestion only if others wait

Ruled out: waits, of which the servers had none.

Change: a round with refused calls counts only if the median of the others is not free of waiting. Hedges of lower ranks are held back once a tenth of the rank is refused.

Result: a test of such refusals, failing before; the simulated loads keep their bounds.

--- a/crates/core/src/policy/priority/gate.rs
+++ b/crates/core/src/policy/priority/gate.rs
@@ -26,8 +26,10 @@
 const ABSENT_TIME: Duration = Duration::from_secs(1);
 /// The growth of the share with each round after that.
 const ABSENT_RISE: f64 = 0.2;
-/// The bounds of that change.
-const STEP_RANGE: (f64, f64) = (-0.2, 0.04);
+/// The largest fall of the share in one round without refused calls.
+const LARGEST_FALL: f64 = -0.2;
+/// The largest growth of the share in one round.
+const LARGEST_RISE: f64 = 0.04;
 /// The multiple of the wait that shows congestion below which calls do not wait.
 const FREE_WAIT: f64 = 0.85;
 /// The most rounds in a row without waiting calls that speed up the growth: as many times.
@@ -48,6 +50,8 @@
 const ROUND_REPLIES: usize = 5;
 /// The share of refused calls in a round that shows congestion.
 const REFUSED_SHARE: f64 = 0.1;
+/// The part of a rank that is refused before its calls count as calls too many.
+const CONGESTED_MARGIN: f64 = 0.1;
 /// The multiple of its usual latency above which a call has waited.
 const WAIT_FACTOR: f64 = 1.25;
 /// The time beyond that which may have other causes than a queue.
@@ -139,9 +143,9 @@
         self.served += (served - self.served) * SERVED_WEIGHT;
     }
 
-    /// Returns whether calls wait or are refused, so that some rank is not admitted whole.
+    /// Returns whether calls wait or are refused, so that a part of some rank is not admitted.
     pub(super) fn is_congested(&self) -> bool {
-        self.level < f64::from(self.lowest)
+        self.level < f64::from(self.lowest) - CONGESTED_MARGIN
     }
 
     /// Records the end of a call.
@@ -200,23 +204,8 @@
         let is_absent = |at: Instant| now.saturating_duration_since(at) > ABSENT_TIME;
         if self.higher_at.is_some_and(is_absent) {
             self.raise(ABSENT_RISE);
-        } else if are_refused {
-            self.free_rounds = 0;
-            self.step(REFUSED_STEP);
         } else if let Some(wait) = median(&mut self.waits) {
-            let (least, most) = STEP_RANGE;
-            let gain = if wait < 1.0 { RISE_GAIN } else { FALL_GAIN };
-            let step = (gain * (1.0 - wait)).clamp(least, most);
-            self.free_rounds = if wait < FREE_WAIT {
-                (self.free_rounds + 1).min(MAX_FREE_ROUNDS)
-            } else {
-                0
-            };
-            let age = now.saturating_duration_since(self.began_at);
-            let rounds = (age.as_secs_f64() / ROUND_TIME.as_secs_f64()).clamp(1.0, MAX_ROUNDS);
-            let is_slow = age >= SLOW_ROUND;
-            let rounds = if step > 0.0 && is_slow { rounds } else { 1.0 };
-            self.step(step * rounds * f64::from(self.free_rounds.max(1)));
+            self.follow(wait, are_refused, now);
         }
         self.began_at = now;
         self.replies = 0;
@@ -224,6 +213,34 @@
         self.waits.clear();
     }
 
+    /// Follows the wait of the median call, as a multiple of that which shows congestion. Refused calls show
+    /// it only if the others wait: servers in trouble refuse calls for other reasons.
+    fn follow(&mut self, wait: f64, are_refused: bool, now: Instant) {
+        if wait >= FREE_WAIT && are_refused {
+            self.free_rounds = 0;
+            self.step(REFUSED_STEP);
+            return;
+        }
+        if wait >= 1.0 {
+            self.free_rounds = 0;
+            self.step((FALL_GAIN * (1.0 - wait)).max(LARGEST_FALL));
+            return;
+        }
+        self.free_rounds = if wait < FREE_WAIT {
+            (self.free_rounds + 1).min(MAX_FREE_ROUNDS)
+        } else {
+            0
+        };
+        let age = now.saturating_duration_since(self.began_at);
+        let rounds = if age >= SLOW_ROUND {
+            (age.as_secs_f64() / ROUND_TIME.as_secs_f64()).min(MAX_ROUNDS)
+        } else {
+            1.0
+        };
+        let rise = (RISE_GAIN * (1.0 - wait)).min(LARGEST_RISE);
+        self.step(rise * rounds * f64::from(self.free_rounds.max(1)));
+    }
+
     /// Changes the share of the rank that is being limited.
     fn step(&mut self, change: f64) {
         let (above, share) = self.limited();
--- a/crates/core/src/policy/priority/tests.rs
+++ b/crates/core/src/policy/priority/tests.rs
@@ -331,6 +331,12 @@
             vms: others,
             ..OTHERS
         },
+        Load {
+            rate: 30.0,
+            vms: others,
+            active: (0, 2_000),
+            ..OTHERS
+        },
     ];
     let before = Simulation::run(&loads, &[0, 1], false);
     assert!(before[0].share() < 0.8, "{}", before[0].share());
@@ -431,6 +437,25 @@
     assert!(outcomes[0].share() >= 0.98);
 }
 
+/// Servers in trouble refuse calls although nothing waits there: less load would not help.
+#[test]
+fn test_priority_refusals_without_waits_are_no_congestion() {
+    let mut table = PriorityTable::default();
+    table.set_ranks(&ranks(&[0, 1]));
+    let mut now = Instant::now();
+    for call in 0..500 {
+        now += Duration::from_millis(10);
+        let outcome = if call % 5 < 3 {
+            CallOutcome::NotRun(NotRunCause::Busy)
+        } else {
+            CallOutcome::Done(0)
+        };
+        let latency = Duration::from_millis(11);
+        table.on_report(&"ledger".into(), &"r1".into(), outcome, latency, now);
+    }
+    assert!(!table.is_congested(&"ledger".into()));
+}
+
 /// A search needs most of its shards: the congestion of a few of them does not keep it out.
 #[parameterized(
     few_congested = { 1, true },
@@ -450,11 +475,12 @@
     let mut table = PriorityTable::default();
     table.set_ranks(&Arc::new(RouteRanks::new(&routes)));
     let mut now = Instant::now();
-    for _ in 0..200 {
+    for call in 0..400 {
         now += Duration::from_millis(20);
         for service in &services[..congested] {
-            let refused = CallOutcome::NotRun(NotRunCause::Busy);
-            table.on_report(service, &"full".into(), refused, Duration::ZERO, now);
+            let latency = Duration::from_millis(if call < 100 { 10 } else { 90 });
+            let done = CallOutcome::Done(0);
+            table.on_report(service, &"full".into(), done, latency, now);
         }
     }
     let mut rng = StdRng::seed_from_u64(1);
