--- a/crates/core/src/policy/replica/mod.rs
+++ b/crates/core/src/policy/replica/mod.rs
@@ -12,6 +12,8 @@
 pub use stats::{ReplicaState, ReportedHealth, ServerNotice};
 pub use table::{CallReport, Listing, ReplicaTable, WaitEstimate};
 
+#[cfg(test)]
+mod balance_tests;
 #[cfg(test)]
 mod notice_tests;
 #[cfg(test)]
