priority: a gate limits only after servers have refused calls while others waited

Slow servers, bursts that queues absorb and busy VMs make calls wait without any lack of room.

Change: a gate begins to limit in a round in which calls were refused while others waited, and goes on until calls no longer wait.

--- a/crates/core/src/policy/priority/gate.rs
+++ b/crates/core/src/policy/priority/gate.rs
@@ -53,9 +53,9 @@
 /// The part of a rank that is refused before its calls count as calls too many.
 const CONGESTED_MARGIN: f64 = 0.1;
 /// The multiple of its usual latency above which a call has waited.
-const WAIT_FACTOR: f64 = 1.25;
+const WAIT_FACTOR: f64 = 1.28;
 /// The time beyond that which may have other causes than a queue.
-const WAIT_SLACK: f64 = 0.01;
+const WAIT_SLACK: f64 = 0.012;
 /// The number of latencies whose average may become the usual latency of a route.
 const USUAL_SAMPLES: u32 = 16;
 /// The share by which the lowest known average latency rises per second, so that it follows servers that
@@ -71,6 +71,9 @@
 pub(super) struct Gate {
     level: f64,
     lowest: Rank,
+    /// Whether servers have refused calls while others waited, and calls have not yet stopped waiting since.
+    /// Waits alone have other causes: slow servers, bursts that queues absorb, a busy VM.
+    engaged: bool,
     /// The time of the last call of a higher rank than the one that is being limited.
     higher_at: Option<Instant>,
     began_at: Instant,
@@ -101,6 +104,7 @@
         Self {
             level: f64::from(lowest),
             lowest,
+            engaged: false,
             higher_at: None,
             began_at: now,
             grown_at: now,
@@ -217,10 +221,14 @@
     /// it only if the others wait: servers in trouble refuse calls for other reasons.
     fn follow(&mut self, wait: f64, are_refused: bool, now: Instant) {
         if wait >= FREE_WAIT && are_refused {
+            self.engaged = true;
             self.free_rounds = 0;
             self.step(REFUSED_STEP);
             return;
         }
+        if !self.engaged {
+            return;
+        }
         if wait >= 1.0 {
             self.free_rounds = 0;
             self.step((FALL_GAIN * (1.0 - wait)).max(LARGEST_FALL));
@@ -239,6 +247,7 @@
         };
         let rise = (RISE_GAIN * (1.0 - wait)).min(LARGEST_RISE);
         self.step(rise * rounds * f64::from(self.free_rounds.max(1)));
+        self.engaged = self.level < f64::from(self.lowest);
     }
 
     /// Changes the share of the rank that is being limited.
--- a/crates/core/src/policy/priority/tests.rs
+++ b/crates/core/src/policy/priority/tests.rs
@@ -267,8 +267,8 @@
                 let is_round = tried.is_multiple_of(2);
                 let sent = self.now + if is_round { ROUND_PAUSE } else { 0 };
                 let call = Call {
-                    tried,
                     sent,
+                    tried,
                     ..call
                 };
                 self.again.push((sent, 1 - index, call));
@@ -456,6 +456,21 @@
     assert!(!table.is_congested(&"ledger".into()));
 }
 
+/// Calls take longer for a while although none is refused: servers are slow, and less load would not help.
+#[test]
+fn test_priority_waits_without_refusals_are_no_congestion() {
+    let mut table = PriorityTable::default();
+    table.set_ranks(&ranks(&[0, 1]));
+    let mut now = Instant::now();
+    for call in 0..500 {
+        now += Duration::from_millis(10);
+        let latency = Duration::from_millis(if call < 100 { 11 } else { 60 });
+        let done = CallOutcome::Done(0);
+        table.on_report(&"ledger".into(), &"r1".into(), done, latency, now);
+    }
+    assert!(!table.is_congested(&"ledger".into()));
+}
+
 /// A search needs most of its shards: the congestion of a few of them does not keep it out.
 #[parameterized(
     few_congested = { 1, true },
@@ -479,8 +494,12 @@
         now += Duration::from_millis(20);
         for service in &services[..congested] {
             let latency = Duration::from_millis(if call < 100 { 10 } else { 90 });
-            let done = CallOutcome::Done(0);
-            table.on_report(service, &"full".into(), done, latency, now);
+            let outcome = if call < 100 || call % 2 == 0 {
+                CallOutcome::Done(0)
+            } else {
+                CallOutcome::NotRun(NotRunCause::Busy)
+            };
+            table.on_report(service, &"full".into(), outcome, latency, now);
         }
     }
     let mut rng = StdRng::seed_from_u64(1);
--- a/crates/core/src/policy/replica/stats.rs
+++ b/crates/core/src/policy/replica/stats.rs
@@ -79,6 +79,10 @@
 }
 
 /// The state learned about one backend server.
+#[expect(
+    clippy::struct_excessive_bools,
+    reason = "independent facts from different sources"
+)]
 #[derive(Clone, Debug)]
 pub(crate) struct ReplicaStats {
     /// The service of the backend server; `None` before the first list.
