priority: searches are not limited, and gates open again after their last refusals

Change: shards of searches have no gate, so that no search is refused for its rank; a gate needs two refused calls in a round, and limits for 15 s after the last such round at most.

--- a/crates/core/src/policy/priority/gate.rs
+++ b/crates/core/src/policy/priority/gate.rs
@@ -24,6 +24,8 @@
 /// The time without calls of a higher rank after which they no longer need room. A VM that never had any
 /// does not know whether others have.
 const ABSENT_TIME: Duration = Duration::from_secs(1);
+/// The time after which waits alone no longer limit lower ranks, if no call was refused since.
+const ENGAGED_TIME: Duration = Duration::from_secs(15);
 /// The growth of the share with each round after that.
 const ABSENT_RISE: f64 = 0.2;
 /// The largest fall of the share in one round without refused calls.
@@ -48,6 +50,8 @@
 const MAX_ROUNDS: f64 = 10.0;
 /// The replies that a round needs.
 const ROUND_REPLIES: usize = 5;
+/// The refused calls in a round that show congestion, if they are not few among all.
+const LEAST_REFUSED: u32 = 2;
 /// The share of refused calls in a round that shows congestion.
 const REFUSED_SHARE: f64 = 0.1;
 /// The part of a rank that is refused before its calls count as calls too many.
@@ -71,9 +75,9 @@
 pub(super) struct Gate {
     level: f64,
     lowest: Rank,
-    /// Whether servers have refused calls while others waited, and calls have not yet stopped waiting since.
-    /// Waits alone have other causes: slow servers, bursts that queues absorb, a busy VM.
-    engaged: bool,
+    /// The end of the last round in which servers refused calls while others waited; `None` once calls have
+    /// stopped waiting since. Waits alone have other causes: slow servers, bursts that queues absorb, a busy VM.
+    refused_at: Option<Instant>,
     /// The time of the last call of a higher rank than the one that is being limited.
     higher_at: Option<Instant>,
     began_at: Instant,
@@ -104,7 +108,7 @@
         Self {
             level: f64::from(lowest),
             lowest,
-            engaged: false,
+            refused_at: None,
             higher_at: None,
             began_at: now,
             grown_at: now,
@@ -204,7 +208,8 @@
 
     fn end_round(&mut self, now: Instant) {
         let ended = f64::from(self.refused + self.replies);
-        let are_refused = f64::from(self.refused) > ended * REFUSED_SHARE;
+        let are_refused =
+            self.refused >= LEAST_REFUSED && f64::from(self.refused) > ended * REFUSED_SHARE;
         let is_absent = |at: Instant| now.saturating_duration_since(at) > ABSENT_TIME;
         if self.higher_at.is_some_and(is_absent) {
             self.raise(ABSENT_RISE);
@@ -221,12 +226,14 @@
     /// it only if the others wait: servers in trouble refuse calls for other reasons.
     fn follow(&mut self, wait: f64, are_refused: bool, now: Instant) {
         if wait >= FREE_WAIT && are_refused {
-            self.engaged = true;
+            self.refused_at = Some(now);
             self.free_rounds = 0;
             self.step(REFUSED_STEP);
             return;
         }
-        if !self.engaged {
+        let is_recent = |at: Instant| now.saturating_duration_since(at) < ENGAGED_TIME;
+        if !self.refused_at.is_some_and(is_recent) {
+            self.raise(ABSENT_RISE);
             return;
         }
         if wait >= 1.0 {
@@ -247,7 +254,9 @@
         };
         let rise = (RISE_GAIN * (1.0 - wait)).min(LARGEST_RISE);
         self.step(rise * rounds * f64::from(self.free_rounds.max(1)));
-        self.engaged = self.level < f64::from(self.lowest);
+        if self.level >= f64::from(self.lowest) {
+            self.refused_at = None;
+        }
     }
 
     /// Changes the share of the rank that is being limited.
--- a/crates/core/src/policy/priority/rank.rs
+++ b/crates/core/src/policy/priority/rank.rs
@@ -15,7 +15,8 @@
 pub struct RouteRanks {
     /// The routes below the highest priority.
     lower: HashMap<RouteId, Rank>,
-    /// The services with several priorities, each with its lowest rank.
+    /// The services with several priorities, each with its lowest rank; without the shards of searches,
+    /// which are answered although some shards are short of room.
     contended: HashMap<ServiceId, Rank>,
 }
 
@@ -42,7 +43,12 @@
             let ranks = services(route).map(|service| rank(service, route.priority));
             (RouteId::clone(&route.name), ranks.max().unwrap_or(0))
         });
-        let contended = priorities.iter().map(|(service, priorities)| {
+        let searches = routes.iter().filter(|route| is_search(route));
+        let shards: BTreeSet<&ServiceId> = searches.flat_map(services).collect();
+        let whole = priorities
+            .iter()
+            .filter(|(service, _)| !shards.contains(*service));
+        let contended = whole.map(|(service, priorities)| {
             let lowest = Rank::try_from(priorities.len() - 1).unwrap_or(Rank::MAX);
             (ServiceId::clone(service), lowest)
         });
@@ -64,6 +70,10 @@
     }
 }
 
+fn is_search(route: &Route) -> bool {
+    matches!(route.target, RouteTarget::Shards(_))
+}
+
 /// Returns the services that requests on a route go to.
 fn services(route: &Route) -> Box<dyn Iterator<Item = &ServiceId> + '_> {
     match &route.target {
