--- a/crates/server/src/gateway/answer.rs
+++ b/crates/server/src/gateway/answer.rs
@@ -49,9 +49,9 @@
 
     fn poll_frame(
         self: Pin<&mut Self>,
-        context: &mut Context<'_>,
+        cx: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, Infallible>>> {
-        Pin::new(&mut self.get_mut().bytes).poll_frame(context)
+        Pin::new(&mut self.get_mut().bytes).poll_frame(cx)
     }
 
     fn is_end_stream(&self) -> bool {
--- a/crates/server/src/gateway/inbound.rs
+++ b/crates/server/src/gateway/inbound.rs
@@ -288,7 +288,11 @@
     }
     let mut buffer = BytesMut::new();
     while let Some(frame) = body.frame().await {
-        let Ok(data) = frame.map_err(|_| RefusalReason::Malformed)?.into_data() else {
+        let frame = frame.map_err(|error| {
+            log::debug!("gateway: A body broke off: {error}.");
+            RefusalReason::Malformed
+        })?;
+        let Ok(data) = frame.into_data() else {
             continue;
         };
         let size = buffer.len() + data.len();
@@ -301,8 +305,10 @@
             let capacity = (buffer.capacity() * 2)
                 .min(stated.unwrap_or(limit))
                 .max(size);
-            let extended = share.extend(capacity).await;
-            extended.map_err(|_| RefusalReason::Overloaded)?;
+            if let Err(error) = share.extend(capacity).await {
+                log::debug!("gateway: A body was refused: {error}.");
+                return Err(RefusalReason::Overloaded);
+            }
             buffer.reserve(capacity - buffer.len());
         }
         buffer.extend_from_slice(&data);
--- a/crates/server/src/gateway/permits.rs
+++ b/crates/server/src/gateway/permits.rs
@@ -128,9 +128,10 @@
         });
         let sight = self.sight(now);
         let allotted = claims.iter().zip(is_cold).map(|(claim, is_cold)| {
-            let allotment = match is_cold {
-                false => Some(Allotment::Stated),
-                true => may_grant(claim).then_some(Allotment::Cold(sight)),
+            let allotment = if is_cold {
+                may_grant(claim).then_some(Allotment::Cold(sight))
+            } else {
+                Some(Allotment::Stated)
             };
             (claim.clone(), allotment)
         });
