--- a/crates/core/src/policy/priority/gate.rs
+++ b/crates/core/src/policy/priority/gate.rs
@@ -58,7 +58,7 @@
 const CONGESTED_MARGIN: f64 = 0.1;
 /// The multiple of its usual latency above which a call has waited.
 const WAIT_FACTOR: f64 = 1.28;
-/// The time beyond that which may have other causes than a queue.
+/// The time beyond that which may have other causes than a queue, in seconds.
 const WAIT_SLACK: f64 = 0.012;
 /// The number of latencies whose average may become the usual latency of a route.
 const USUAL_SAMPLES: u32 = 16;
@@ -69,8 +69,8 @@
 /// The share of lower priorities that one VM admits to one service.
 ///
 /// The level falls while calls wait for longer than is usual, and rises while they do not, in proportion to
-/// the difference. At the level `lowest` all ranks are
-/// admitted; each whole step below takes one rank away, the lowest first, but for its assured share.
+/// the difference. At the level `lowest` all ranks are admitted; each whole step below takes one rank away, the
+/// lowest first, but for its assured share.
 #[derive(Clone, Debug)]
 pub(super) struct Gate {
     level: f64,
