refactor: priority admission asks for one service; whole bodies are reserved in one place

Since the shards of searches have no gates, the list of services, the coverage and the sorting in PriorityTable::admit were dead, yet each request copied its services and took the lock of the tables for them, on deployments without priorities too.

Change: - RequestClass names one service. Requests of rank 0 and searches pass without the lock. - The rank of a request is looked up in one function, which calls and admission share. Admission now reads it from the request's own configuration first; it differs from the tables' only in the moment in which another request applies newer routes. - BodyMemory::reserve replaces the same three steps in relayed requests and partial searches. - The caller's address is set where the request is read, instead of by a second copy of it. - needed_shards is private again; one comment is wrapped.

The tests keep their assertions; only a constructor in priority/tests.rs lost a field.

--- a/crates/core/src/config/retained.rs
+++ b/crates/core/src/config/retained.rs
@@ -6,8 +6,8 @@
 //!
 //! - routes with a higher version than those of the backup, however long;
 //! - documents that the backup lacks, for [`ABSENT_GRACE`];
-//! - evacuations that the backup lacks, and newer states of backend servers than those in the backup, and deletions of documents that are
-//!   in the backup again, for [`STALE_GRACE`].
+//! - evacuations that the backup lacks, newer states of backend servers than those in the backup, and
+//!   deletions of documents that are in the backup again, for [`STALE_GRACE`].
 
 use std::{
     collections::BTreeMap,
--- a/crates/core/src/policy/priority/table.rs
+++ b/crates/core/src/policy/priority/table.rs
@@ -26,10 +26,8 @@
 pub struct RequestClass<'a> {
     /// The route.
     pub route: &'a RouteId,
-    /// The services whose servers the request needs.
-    pub services: &'a [ServiceId],
-    /// The share of the services that the answer needs, 0 to 1.
-    pub share: f64,
+    /// The service whose servers the request needs.
+    pub service: &'a ServiceId,
     /// The address of the caller; `None` if another VM passed the request on.
     pub caller: Option<IpAddr>,
     /// What the request asks for.
@@ -120,10 +118,14 @@
         rng: &mut dyn RngCore,
     ) -> Admittance {
         let rank = self.ranks.rank(request.route);
-        if rank == 0 || self.gates.is_empty() {
+        if rank == 0 {
             return Admittance::Admitted;
         }
-        let share = self.share(request, rank, now);
+        let Some(gate) = self.gates.get_mut(request.service) else {
+            return Admittance::Admitted;
+        };
+        gate.grow(now);
+        let share = gate.share(rank);
         if share >= 1.0 {
             return Admittance::Admitted;
         }
@@ -133,29 +135,9 @@
         if rng.random::<f64>() < share {
             return Admittance::Admitted;
         }
-        for service in request.services {
-            if let Some(gate) = self.gates.get_mut(service) {
-                gate.on_refused();
-            }
-        }
+        gate.on_refused();
         let retry_after = RETRY_TIME.div_f64(share.max(1e-3)).min(RETRY_TIME_MAX);
         self.refused.insert(request, retry_after, now);
         Admittance::Refused { retry_after, share }
     }
-
-    /// Returns the share of the requests like this one that is admitted: that of the services that the
-    /// answer needs, the least congested ones first.
-    fn share(&mut self, request: &RequestClass<'_>, rank: Rank, now: Instant) -> f64 {
-        let gates = &mut self.gates;
-        let shares = request.services.iter().map(|service| {
-            gates.get_mut(service).map_or(1.0, |gate| {
-                gate.grow(now);
-                gate.share(rank)
-            })
-        });
-        let mut shares: Vec<f64> = shares.collect();
-        shares.sort_by(|a, b| b.total_cmp(a));
-        let needed = crate::policy::tables::needed_shards(shares.len(), request.share);
-        shares.get(needed - 1).copied().unwrap_or(1.0)
-    }
 }
--- a/crates/core/src/policy/priority/tests.rs
+++ b/crates/core/src/policy/priority/tests.rs
@@ -223,12 +223,11 @@
     }
 
     fn is_admitted(&mut self, load: usize, vm: usize) -> bool {
-        let services: [ServiceId; 1] = ["ledger".into()];
+        let service: ServiceId = "ledger".into();
         let route = format!("r{}", self.loads[load].route).into();
         let request = RequestClass {
             route: &route,
-            services: &services,
-            share: 1.0,
+            service: &service,
             caller: None,
             fingerprint: Fingerprint::new(&[&self.requests.to_le_bytes()]),
         };
--- a/crates/core/src/policy/tables.rs
+++ b/crates/core/src/policy/tables.rs
@@ -109,7 +109,7 @@
 }
 
 /// Returns how many of `shards` shards make up `share` of them, 0 to 1; at least one.
-pub(super) fn needed_shards(shards: usize, share: f64) -> usize {
+fn needed_shards(shards: usize, share: f64) -> usize {
     whole_shards(share.clamp(0.0, 1.0) * shard_count(shards)).max(1)
 }
 
--- a/crates/server/src/gateway/body_memory.rs
+++ b/crates/server/src/gateway/body_memory.rs
@@ -108,6 +108,17 @@
         }
     }
 
+    /// Returns the share of a body that has been received as a whole, if nothing has to give way for it.
+    ///
+    /// # Errors
+    /// Returns an error if the memory does not suffice.
+    pub(super) fn reserve(self: &Arc<Self>, bytes: usize) -> Result<BodyShare, OutOfMemory> {
+        let share = self.begin();
+        share.try_extend(bytes)?;
+        share.complete();
+        Ok(share)
+    }
+
     /// Makes the body give way that has been stopped for longest; returns whether there was one.
     pub(super) fn evict_stalled(&self) -> bool {
         self.lock().evict_stalled(None, Timer.now())
--- a/crates/server/src/gateway/forward.rs
+++ b/crates/server/src/gateway/forward.rs
@@ -102,11 +102,10 @@
         let head = head.map_err(|reason| Refusal::not_run(reason, None))?;
         trace.id = printable(&head.attempt);
         let view = self.node.control.snapshot();
-        let (config, inbound) = self.read_request(&view, request, head, trace).await?;
-        let inbound = Arc::new(Inbound {
-            caller: Some(caller),
-            ..inbound
-        });
+        let (config, inbound) = self
+            .read_request(&view, caller, request, head, trace)
+            .await?;
+        let inbound = Arc::new(inbound);
         if self.reach.is_detached()
             && let Some(result) = Box::pin(self.relay(&inbound, trace)).await
         {
@@ -220,6 +219,7 @@
     async fn read_request(
         &self,
         view: &FleetView,
+        caller: IpAddr,
         request: Request<Incoming>,
         head: Head,
         trace: &mut Trace,
@@ -256,7 +256,7 @@
         let target = origin_form(&parts.uri);
         let inbound = Inbound {
             route,
-            caller: None,
+            caller: Some(caller),
             fingerprint: inbound::fingerprint(&parts.method, &host, &target, &body),
             method: parts.method,
             target,
@@ -315,7 +315,7 @@
         let kind = inbound.route.kind;
         let share = coverage(&inbound.route.target);
         self.check_shutdown(inbound, targets, trace)?;
-        self.check_priority(inbound, targets, trace)?;
+        self.check_priority(config, inbound, targets, trace)?;
         let (estimate, readiness, admitted) = self.with_tables(|tables| {
             let request = AdmissionRequest {
                 caller: CallerId::from(SHARED_CALLER),
--- a/crates/server/src/gateway/partial.rs
+++ b/crates/server/src/gateway/partial.rs
@@ -212,11 +212,9 @@
         let view = self.node.control.snapshot();
         let may_lack_body = body.is_none();
         let body = body.unwrap_or_default();
-        let body_share = self.bodies.begin();
-        if body_share.try_extend(body.len()).is_err() {
+        let Ok(body_share) = self.bodies.reserve(body.len()) else {
             return declined(partial.attempt);
-        }
-        body_share.complete();
+        };
         let inbound = inbound(&partial, body, body_share, started_at);
         let (Some(config), Some(inbound)) = (view.config.clone(), inbound) else {
             return PartialReply::empty(partial.attempt);
--- a/crates/server/src/gateway/priority.rs
+++ b/crates/server/src/gateway/priority.rs
@@ -1,44 +1,50 @@
 //! Admission of requests whose route shares backend servers with routes of higher priorities.
 
 use cassialift_core::{
-    ids::ServiceId,
     policy::{
         gather::ShardTarget,
-        priority::{Admittance, RequestClass},
+        priority::{Admittance, Rank, RequestClass},
     },
     request::RefusalReason,
-    routes::RouteTarget,
+    routes::Route,
+    view::ConfigView,
 };
 
-use super::{
-    Gateway, answer::Refusal, decision::Decision, forward::coverage, inbound::Inbound, trace::Trace,
-};
+use super::{Gateway, answer::Refusal, decision::Decision, inbound::Inbound, trace::Trace};
 use crate::timer::Timer;
 
+/// Returns the rank of a route among those that share its services.
+pub(super) fn priority_rank(config: &ConfigView, route: &Route) -> Rank {
+    let routes = config.routes.as_ref();
+    routes.map_or(0, |routes| routes.ranks.rank(&route.name))
+}
+
 impl Gateway {
     /// Refuses a request at once if requests of higher priorities need the room at its backend servers.
     pub(super) fn check_priority(
         &self,
+        config: &ConfigView,
         inbound: &Inbound,
         targets: &[ShardTarget],
         trace: &mut Trace,
     ) -> Result<(), Refusal> {
         let route = &inbound.route;
-        let chosen: Vec<ServiceId>;
-        let services = match &route.target {
-            RouteTarget::Shards(set) => &set.services,
-            RouteTarget::Service(_) | RouteTarget::Split(_) => {
-                let targets = targets.iter();
-                chosen = targets
-                    .filter_map(|target| target.service.clone())
-                    .collect();
-                &chosen
-            }
+        if priority_rank(config, route) == 0 {
+            return Ok(());
+        }
+        // A search needs no single shard, so there is no service to ask for.
+        let [
+            ShardTarget {
+                service: Some(service),
+                ..
+            },
+        ] = targets
+        else {
+            return Ok(());
         };
         let request = RequestClass {
             route: &route.name,
-            services,
-            share: coverage(&route.target),
+            service,
             caller: inbound.caller,
             fingerprint: inbound.fingerprint,
         };
--- a/crates/server/src/gateway/relay.rs
+++ b/crates/server/src/gateway/relay.rs
@@ -168,11 +168,9 @@
             return RelayOutcome::Unavailable;
         }
         let mut trace = Trace::new(Timer.now());
-        let body_share = self.bodies.begin();
-        if body_share.try_extend(request.body.len()).is_err() {
+        let Ok(body_share) = self.bodies.reserve(request.body.len()) else {
             return RelayOutcome::Unavailable;
-        }
-        body_share.complete();
+        };
         let message = PeerRequest {
             method: &request.method,
             target: &request.target,
--- a/crates/server/src/gateway/server_call.rs
+++ b/crates/server/src/gateway/server_call.rs
@@ -12,7 +12,6 @@
     ids::ServerId,
     policy::{
         outcome::{CallOutcome, NotRunCause, UnknownCause},
-        priority::Rank,
         replica::{CallReport, ServerNotice},
     },
     routes::RouteTarget,
@@ -25,6 +24,7 @@
     connections::ConnectionRequest,
     exchange::{Exchange, ExchangeEnd, Reply},
     inbound::Inbound,
+    priority::priority_rank,
 };
 use crate::timer::Timer;
 
@@ -107,17 +107,12 @@
                 limit: address.connections,
                 attempt: self.inbound.attempt.clone(),
                 fresh: self.fresh,
-                rank: self.rank(),
+                rank: priority_rank(&self.config, &self.inbound.route),
             },
         };
         exchange.run(gateway, sent).await
     }
 
-    fn rank(&self) -> Rank {
-        let routes = self.config.routes.as_ref();
-        routes.map_or(0, |routes| routes.ranks.rank(&self.inbound.route.name))
-    }
-
     fn classify(&self, end: ExchangeEnd) -> (CallOutcome, Option<Reply>) {
         let reply = match end {
             ExchangeEnd::Reply(reply) => reply,
