--- /dev/null
+++ b/review/standin-2/leaf.rs
@@ -0,0 +1,251 @@
+//! Stand-ins for leafs: each listens on an address of its own, runs requests and registers in the store.
+
+use std::{
+    io::{self, BufReader},
+    net::{Shutdown, TcpListener, TcpStream},
+    sync::{
+        Arc, Condvar, Mutex,
+        atomic::{AtomicBool, AtomicU64, Ordering},
+    },
+    thread,
+    time::{Duration, Instant},
+};
+
+use crate::{http, record::Record, store::Store};
+
+/// The requests that a leaf runs at once, and those that wait for that (`Slots` on the sheets).
+const SLOTS: usize = 2;
+const QUEUE: usize = 12;
+
+/// What a leaf answers.
+#[derive(Clone, Copy, Debug)]
+pub enum Work {
+    /// Records of 16 bytes, the part of a search.
+    Records(usize),
+    /// A body of this many bytes.
+    Bytes(usize),
+}
+
+/// How long a leaf works on a request.
+#[derive(Clone, Copy, Debug)]
+pub struct Times {
+    pub millis: u64,
+    /// How long the leaf pauses, and how often.
+    pub pause: Duration,
+    pub every: Duration,
+}
+
+impl Times {
+    pub const fn steady(millis: u64) -> Self {
+        Self {
+            millis,
+            pause: Duration::ZERO,
+            every: Duration::from_secs(3_600),
+        }
+    }
+}
+
+/// A running leaf.
+pub struct Leaf {
+    pub id: String,
+    pub service: String,
+    pub zone: String,
+    address: String,
+    born: u64,
+    state: Arc<State>,
+}
+
+struct State {
+    id: String,
+    service: String,
+    work: Work,
+    times: Times,
+    /// The time of the first pause.
+    phase: Instant,
+    leaving: AtomicBool,
+    ended: AtomicBool,
+    runs: AtomicU64,
+    /// The requests that run, and those that wait.
+    busy: Mutex<(usize, usize)>,
+    freed: Condvar,
+    streams: Mutex<Vec<TcpStream>>,
+    record: Arc<Record>,
+}
+
+static NEXT: AtomicU64 = AtomicU64::new(1);
+
+impl Leaf {
+    /// Starts a leaf under a new id.
+    pub fn start(service: &str, zone: &str, work: Work, times: Times, record: &Arc<Record>) -> Self {
+        let number = NEXT.fetch_add(1, Ordering::Relaxed);
+        let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
+        let id = format!("i-{number:08x}");
+        let shift = times.every.mul_f64((number * 37 % 100) as f64 / 100.0);
+        let state = Arc::new(State {
+            id: id.clone(),
+            service: service.to_owned(),
+            work,
+            times,
+            phase: Instant::now() + shift,
+            leaving: AtomicBool::new(false),
+            ended: AtomicBool::new(false),
+            runs: AtomicU64::new(0),
+            busy: Mutex::default(),
+            freed: Condvar::new(),
+            streams: Mutex::default(),
+            record: Arc::clone(record),
+        });
+        let leaf = Self {
+            id,
+            service: service.to_owned(),
+            zone: zone.to_owned(),
+            address: listener.local_addr().expect("an address").to_string(),
+            born: unix_millis(),
+            state: Arc::clone(&state),
+        };
+        thread::spawn(move || {
+            for stream in listener.incoming().flatten() {
+                if state.ended.load(Ordering::SeqCst) {
+                    return;
+                }
+                let state = Arc::clone(&state);
+                thread::spawn(move || state.serve(stream));
+            }
+        });
+        leaf
+    }
+
+    /// Writes the leaf's entry.
+    pub fn register(&self, store: &Store, state: &str) {
+        let Self { id, service, zone, address, born, .. } = self;
+        if state == "draining" {
+            self.state.leaving.store(true, Ordering::Relaxed);
+        }
+        let entry = format!(
+            "{{\"Service\":\"{service}\",\"Address\":\"{address}\",\"Zone\":\"{zone}\",\
+             \"Version\":\"v1\",\"Slots\":{SLOTS},\"State\":\"{state}\",\"WarmupLeftMs\":0,\"Seq\":1,\
+             \"born\":{born}}}"
+        );
+        store.put(&format!("servers/{id}"), &entry);
+    }
+
+    /// Removes the leaf's entry.
+    pub fn deregister(&self, store: &Store) {
+        store.delete(&format!("servers/{}", self.id));
+    }
+
+    /// Ends the leaf at once, as a crash does: its connections close, and its address refuses others.
+    pub fn crash(&self) {
+        self.state.ended.store(true, Ordering::SeqCst);
+        // Wakes the listener, which then closes.
+        drop(TcpStream::connect(&self.address));
+        for stream in self.state.streams.lock().unwrap().drain(..) {
+            let _ = stream.shutdown(Shutdown::Both);
+        }
+    }
+
+    /// Removes the leaf's entry and ends the leaf.
+    pub fn end(&self, store: &Store) {
+        self.deregister(store);
+        self.crash();
+    }
+}
+
+impl State {
+    fn serve(&self, stream: TcpStream) {
+        let _ = stream.set_nodelay(true);
+        let _ = stream.set_read_timeout(Some(Duration::from_secs(15)));
+        let (Ok(mut writer), Ok(handle)) = (stream.try_clone(), stream.try_clone()) else {
+            return;
+        };
+        let peer = stream.peer_addr().ok();
+        self.streams.lock().unwrap().push(handle);
+        let mut reader = BufReader::new(stream);
+        while let Ok(Some(request)) = http::read(&mut reader) {
+            if self.ended.load(Ordering::SeqCst) || self.answer(&request, &mut writer).is_err() {
+                break;
+            }
+        }
+        let mut streams = self.streams.lock().unwrap();
+        streams.retain(|known| known.peer_addr().ok() != peer);
+    }
+
+    fn answer(&self, request: &http::Message, writer: &mut TcpStream) -> io::Result<()> {
+        let instance = ("Instance-Id", self.id.clone());
+        if request.header("expect-instance").is_some_and(|id| id != self.id) {
+            return http::answer(writer, "421 Misdirected Request", &[instance], b"");
+        }
+        let Some(attempt) = request.header("attempt-id") else {
+            let headers = [instance, ("Not-Executed", "1".to_owned())];
+            return http::answer(writer, "400 Bad Request", &headers, b"");
+        };
+        let left = request.header("deadline-ms").and_then(|text| text.parse().ok());
+        let until = Instant::now() + Duration::from_millis(left.unwrap_or(5_000));
+        if !self.take_slot(until) {
+            let headers = [("Not-Executed", "1".to_owned())];
+            return http::answer(writer, "503 Service Unavailable", &headers, b"");
+        }
+        let run = self.runs.fetch_add(1, Ordering::Relaxed);
+        self.record.ran(attempt, &self.service, &self.id);
+        thread::sleep(Duration::from_millis(self.times.millis) + self.pause_left());
+        self.free_slot();
+        if self.ended.load(Ordering::SeqCst) {
+            return Err(io::ErrorKind::ConnectionReset.into());
+        }
+        let body = match self.work {
+            Work::Records(count) => {
+                let seed = self.id.bytes().fold(run, |sum, byte| sum * 31 + u64::from(byte));
+                let words = 0..2 * count as u64;
+                let words = words.map(|n| (seed + n).wrapping_mul(0x9e37_79b9_7f4a_7c15));
+                words.flat_map(u64::to_be_bytes).collect()
+            }
+            Work::Bytes(count) => vec![b'x'; count],
+        };
+        let mut headers = vec![
+            ("Attempt-Id", attempt.to_owned()),
+            ("Server-Stamp", format!("{}.{run:x}.{attempt}", self.id)),
+        ];
+        if self.leaving.load(Ordering::Relaxed) {
+            headers.push(("Server-Leaving", "1".to_owned()));
+        }
+        http::answer(writer, "200 OK", &headers, &body)
+    }
+
+    /// Waits for a slot; returns false if the leaf is full or the time has passed.
+    fn take_slot(&self, until: Instant) -> bool {
+        let mut busy = self.busy.lock().unwrap();
+        if busy.0 >= SLOTS && busy.1 >= QUEUE {
+            return false;
+        }
+        busy.1 += 1;
+        while busy.0 >= SLOTS {
+            let left = until.saturating_duration_since(Instant::now());
+            if left.is_zero() {
+                busy.1 -= 1;
+                return false;
+            }
+            busy = self.freed.wait_timeout(busy, left).unwrap().0;
+        }
+        busy.1 -= 1;
+        busy.0 += 1;
+        true
+    }
+
+    fn free_slot(&self) {
+        self.busy.lock().unwrap().0 -= 1;
+        self.freed.notify_one();
+    }
+
+    /// Returns what is left of a pause.
+    fn pause_left(&self) -> Duration {
+        let since = Instant::now().saturating_duration_since(self.phase).as_secs_f64();
+        let within = Duration::from_secs_f64(since % self.times.every.as_secs_f64());
+        self.times.pause.saturating_sub(within)
+    }
+}
+
+pub fn unix_millis() -> u64 {
+    let now = std::time::SystemTime::now();
+    let since = now.duration_since(std::time::UNIX_EPOCH);
+    since.map_or(0, |since| since.as_millis() as u64)
+}
--- /dev/null
+++ b/review/standin-2/main.rs
@@ -0,0 +1,36 @@
+//! The stand-ins of the scripts in `review/`: each script starts this program with its number and folder.
+
+mod aging;
+mod http;
+mod leaf;
+mod machine;
+mod record;
+mod popular;
+mod slow;
+mod store;
+
+use std::{path::PathBuf, process::ExitCode};
+
+fn main() -> ExitCode {
+    let mut words = std::env::args().skip(1);
+    let (Some(case), Some(folder)) = (words.next(), words.next()) else {
+        eprintln!("usage: standin CASE FOLDER");
+        return ExitCode::from(2);
+    };
+    let trouble = std::env::var("TROUBLE").as_deref() != Ok("0");
+    let folder = PathBuf::from(folder);
+    let verdict = match case.as_str() {
+        "aging" => aging::run(&folder, trouble),
+        "slow" => slow::run(&folder, trouble),
+        "popular" => popular::run(&folder, trouble),
+        _ => Err(std::io::ErrorKind::InvalidInput.into()),
+    };
+    match verdict {
+        Ok(true) => ExitCode::SUCCESS,
+        Ok(false) => ExitCode::from(1),
+        Err(error) => {
+            eprintln!("the case could not run: {error}");
+            ExitCode::from(2)
+        }
+    }
+}
