--- a/review/standin-2/slow.rs
+++ b/review/standin-2/slow.rs
@@ -1,4 +1,4 @@
-//! Consumers read the answers slowly; the platform ends a process that takes more memory than it may.
+//! Consumers read large answers slowly; the platform kills a process that exceeds its memory.
 
 use std::{
     fs,
@@ -7,7 +7,7 @@
     path::Path,
     sync::{
         Arc,
-        atomic::{AtomicUsize, Ordering},
+        atomic::{AtomicBool, AtomicU32, Ordering},
     },
     thread,
     time::{Duration, Instant},
@@ -20,15 +20,21 @@
     store::Store,
 };
 
-const HOST: &str = "docs.example";
-/// The consumers that read slowly, as many as the small installation has.
-const CONSUMERS: usize = 60;
-/// What one of them reads in a second.
+const HOST: &str = "papers.example";
+/// The size of the answers.
+const SIZE: usize = 6 << 20;
+/// Requests a second to each machine, and their time limit.
+const RATE: u32 = 10;
+const LIMIT: Duration = Duration::from_secs(5);
+/// What a slow consumer reads in a second.
 const PACE: usize = 64 << 10;
-/// The time limit of the requests.
-const LIMIT: Duration = Duration::from_secs(15);
-/// `MemoryMb` of the machines of the small installations, in kilobytes.
+/// `MemoryMb` of the machines, in kilobytes.
 const MEMORY: u64 = 260 << 10;
+/// How often a process has to end for the rule, and for how long that is waited for.
+const ENDS: u32 = 3;
+const LENGTH: Duration = Duration::from_secs(60);
+/// How long after its end a process is started again.
+const RESTART: Duration = Duration::from_secs(1);
 
 pub fn run(folder: &Path, trouble: bool) -> io::Result<bool> {
     let record = Arc::new(Record::create(folder)?);
@@ -39,20 +45,30 @@
     result
 }
 
+/// What the consumers of one machine have seen.
+#[derive(Default)]
+struct Seen {
+    sent: AtomicU32,
+    whole: AtomicU32,
+    given_up: AtomicU32,
+    /// Connections that ended before the answer did, and requests that found no process.
+    broken: AtomicU32,
+    failed: AtomicU32,
+}
+
 fn play(record: &Arc<Record>, folder: &Path, trouble: bool) -> io::Result<bool> {
-    let size: usize = std::env::var("SIZE").ok().and_then(|s| s.parse().ok()).unwrap_or(7 << 20);
     let store = Store::new();
     let zones = ["ikeja-a", "lekki-b"];
-    let leafs: Vec<Leaf> = (0..6)
-        .map(|n| Leaf::start("docs", zones[n % 2], Work::Bytes(size), Times::steady(20), record))
+    let leafs: Vec<Leaf> = (0..7)
+        .map(|n| Leaf::start("papers", zones[n % 2], Work::Bytes(SIZE), Times::steady(20), record))
         .collect();
     for leaf in &leafs {
         leaf.register(&store, "ready");
     }
     let config = format!(
-        "{{\"Version\":3,\"Routes\":[{{\"Name\":\"r-docs\",\"Hostname\":\"{HOST}\",\"Prefix\":\"/docs/\",\
-         \"RouteType\":\"idempotent\",\"TimeoutMs\":15000,\"TargetLatencyMs\":800,\"Priority\":2,\
-         \"MaxAttempts\":2,\"Service\":\"docs\"}}],\"Services\":[{{\"Name\":\"docs\",\
+        "{{\"Version\":3,\"Routes\":[{{\"Name\":\"r-papers\",\"Hostname\":\"{HOST}\",\"Prefix\":\"/papers/\",\
+         \"RouteType\":\"idempotent\",\"TimeoutMs\":5000,\"TargetLatencyMs\":500,\"Priority\":2,\
+         \"MaxAttempts\":2,\"Service\":\"papers\"}}],\"Services\":[{{\"Name\":\"papers\",\
          \"HealthPath\":\"/health\",\"MaxConns\":100,\"Protocol\":\"h1\",\"Tls\":false}}],\"Limits\":\
          {{\"MaxHeaderBytes\":16384,\"MaxBodyBytes\":262144,\"HeaderTimeoutMs\":3000,\
          \"IdleTimeoutMs\":15000}}}}"
@@ -71,60 +87,131 @@
         return Err(io::Error::other("the machines did not get ready"));
     }
     thread::sleep(Duration::from_secs(1));
-    let whole = Arc::new(AtomicUsize::new(0));
-    let mut tasks = Vec::new();
-    for n in 0..CONSUMERS {
-        let front = machines[0].front.clone();
-        let whole = Arc::clone(&whole);
-        tasks.push(thread::spawn(move || {
-            let done = fetch(&front, n, trouble, size).unwrap_or(false);
-            whole.fetch_add(usize::from(done), Ordering::Relaxed);
-        }));
-        thread::sleep(Duration::from_millis(100));
+    let stopped = Arc::new(AtomicBool::new(false));
+    let seen: Vec<Arc<Seen>> = machines.iter().map(|_| Arc::default()).collect();
+    let consumers: Vec<_> = machines
+        .iter()
+        .zip(&seen)
+        .map(|(machine, seen)| {
+            let (front, seen, stopped) = (machine.front.clone(), Arc::clone(seen), Arc::clone(&stopped));
+            thread::spawn(move || generate(&front, trouble, &seen, &stopped))
+        })
+        .collect();
+    let ends = watch(record, &mut machines, &seeds)?;
+    stopped.store(true, Ordering::Relaxed);
+    for consumer in consumers {
+        let _ = consumer.join();
     }
-    let until = Instant::now() + LIMIT;
-    let mut peak = 0;
-    while Instant::now() < until {
-        let memory = machines[0].memory();
-        if memory > peak + 20_000 {
-            record.line(&format!("{} takes {} MB", machines[0].name, memory >> 10));
-            peak = memory;
-        }
-        if memory > MEMORY {
-            record.line(&format!("{} takes {} MB: over", machines[0].name, memory >> 10));
-            break;
+    thread::sleep(LIMIT);
+    for (machine, seen) in machines.iter().zip(&seen) {
+        let count = |number: &AtomicU32| number.load(Ordering::Relaxed);
+        record.line(&format!(
+            "{}: sent {}, answered whole {}, given up while reading {}, broken off {}, other statuses {}",
+            machine.name,
+            count(&seen.sent),
+            count(&seen.whole),
+            count(&seen.given_up),
+            count(&seen.broken),
+            count(&seen.failed)
+        ));
+    }
+    let often = ends.iter().filter(|ends| **ends >= ENDS).count();
+    record.line(&format!("Fault: processes ended {ends:?} times for their memory"));
+    Ok(often < 2)
+}
+
+/// Does what the platform does: kills a process that exceeds its memory, and starts it again. Returns how
+/// often that happened on each machine.
+fn watch(record: &Record, machines: &mut [Machine], seeds: &[String]) -> io::Result<Vec<u32>> {
+    let began = Instant::now();
+    let mut ends = vec![0; machines.len()];
+    let mut peaks = vec![0; machines.len()];
+    let mut down: Vec<Option<Instant>> = vec![None; machines.len()];
+    while began.elapsed() < LENGTH && ends.iter().any(|ends| *ends < ENDS) {
+        for (n, machine) in machines.iter_mut().enumerate() {
+            if let Some(at) = down[n] {
+                if at.elapsed() > RESTART {
+                    down[n] = None;
+                    machine.start(seeds, false)?;
+                }
+                continue;
+            }
+            let memory = machine.memory();
+            if memory > peaks[n] + (40 << 10) {
+                peaks[n] = memory;
+                record.line(&format!("{} takes {} MB", machine.name, memory >> 10));
+            }
+            if memory > MEMORY {
+                record.line(&format!("{} takes {} MB and is killed", machine.name, memory >> 10));
+                machine.kill();
+                ends[n] += 1;
+                peaks[n] = 0;
+                down[n] = Some(Instant::now());
+            }
         }
-        thread::sleep(Duration::from_millis(50));
+        thread::sleep(Duration::from_millis(25));
     }
-    for task in tasks {
-        let _ = task.join();
+    Ok(ends)
+}
+
+fn generate(front: &str, slowly: bool, seen: &Arc<Seen>, stopped: &AtomicBool) {
+    let began = Instant::now();
+    let mut number = 0;
+    while !stopped.load(Ordering::Relaxed) {
+        number += 1;
+        let (front, seen) = (front.to_owned(), Arc::clone(seen));
+        thread::spawn(move || {
+            seen.sent.fetch_add(1, Ordering::Relaxed);
+            let count = match fetch(&front, number, slowly) {
+                Ok(End::Whole) => &seen.whole,
+                Ok(End::GivenUp) => &seen.given_up,
+                Ok(End::Failed) => &seen.failed,
+                Err(_) => &seen.broken,
+            };
+            count.fetch_add(1, Ordering::Relaxed);
+        });
+        let due = began + Duration::from_secs(1) * number / RATE;
+        thread::sleep(due.saturating_duration_since(Instant::now()));
     }
-    record.line(&format!("whole answers: {}; peak {} MB", whole.load(Ordering::Relaxed), peak >> 10));
-    Ok(peak <= MEMORY)
 }
 
-fn fetch(front: &str, number: usize, slowly: bool, size: usize) -> io::Result<bool> {
+enum End {
+    Whole,
+    GivenUp,
+    Failed,
+}
+
+/// Asks for a paper and reads the answer until its end or the time limit.
+fn fetch(front: &str, number: u32, slowly: bool) -> io::Result<End> {
     let mut stream = TcpStream::connect(front)?;
-    stream.set_read_timeout(Some(Duration::from_secs(5)))?;
+    stream.set_read_timeout(Some(LIMIT))?;
     let request = format!(
-        "GET /docs/{number} HTTP/1.1\r\nHost: {HOST}\r\nAttempt-Id: {number:016x}\r\nDeadline-Ms: 15000\r\n\r\n"
+        "GET /papers/{number} HTTP/1.1\r\nHost: {HOST}\r\nAttempt-Id: {:016x}\r\nDeadline-Ms: {}\r\n\
+         Connection: close\r\n\r\n",
+        u64::from(number) << 32 | u64::from(std::process::id()),
+        LIMIT.as_millis()
     );
     stream.write_all(request.as_bytes())?;
     let until = Instant::now() + LIMIT;
-    let mut buffer = vec![0; PACE / 4];
+    let mut buffer = vec![0; if slowly { PACE / 4 } else { 256 << 10 }];
     let mut total = 0;
+    let mut is_success = false;
     while Instant::now() < until {
         let read = stream.read(&mut buffer)?;
-        if read == 0 {
-            break;
+        if total == 0 {
+            is_success = buffer[..read].starts_with(b"HTTP/1.1 200");
         }
         total += read;
-        if total >= size {
-            return Ok(true);
+        if read == 0 || total >= SIZE + 64 {
+            return match (is_success, total >= SIZE) {
+                (true, true) => Ok(End::Whole),
+                (true, false) => Err(io::ErrorKind::UnexpectedEof.into()),
+                (false, _) => Ok(End::Failed),
+            };
         }
         if slowly {
             thread::sleep(Duration::from_millis(250));
         }
     }
-    Ok(false)
+    Ok(End::GivenUp)
 }
