--- a/review/standin-2/leaf.rs
+++ b/review/standin-2/leaf.rs
@@ -63,6 +63,8 @@
     /// The time of the first pause.
     phase: Instant,
     leaving: AtomicBool,
+    /// How many of 10 requests fail after they have run.
+    failing: AtomicU64,
     ended: AtomicBool,
     runs: AtomicU64,
     /// The requests that run, and those that wait.
@@ -88,6 +90,7 @@
             times,
             phase: Instant::now() + shift,
             leaving: AtomicBool::new(false),
+            failing: AtomicU64::new(0),
             ended: AtomicBool::new(false),
             runs: AtomicU64::new(0),
             busy: Mutex::default(),
@@ -129,6 +132,11 @@
         store.put(&format!("servers/{id}"), &entry);
     }
 
+    /// Makes the leaf fail this many of 10 requests, after it has run them.
+    pub fn fail(&self, of_ten: u64) {
+        self.state.failing.store(of_ten, Ordering::Relaxed);
+    }
+
     /// Removes the leaf's entry.
     pub fn deregister(&self, store: &Store) {
         store.delete(&format!("servers/{}", self.id));
@@ -208,6 +216,10 @@
         if self.leaving.load(Ordering::Relaxed) {
             headers.push(("Server-Leaving", "1".to_owned()));
         }
+        if run * 7 % 10 < self.failing.load(Ordering::Relaxed) {
+            // Signed, and without `Not-Executed`.
+            return http::answer(writer, "503 Service Unavailable", &headers, b"it failed midway");
+        }
         http::answer(writer, "200 OK", &headers, &body)
     }
 
--- a/review/standin-2/main.rs
+++ b/review/standin-2/main.rs
@@ -1,11 +1,13 @@
 //! The stand-ins of the scripts in `review/`: each script starts this program with its number and folder.
 
 mod aging;
+mod alone;
 mod http;
 mod leaf;
 mod machine;
 mod record;
 mod popular;
+mod promise;
 mod slow;
 mod store;
 
@@ -21,8 +23,10 @@
     let folder = PathBuf::from(folder);
     let verdict = match case.as_str() {
         "aging" => aging::run(&folder, trouble),
+        "promise" => promise::run(&folder, trouble),
         "slow" => slow::run(&folder, trouble),
         "popular" => popular::run(&folder, trouble),
+        "alone" => alone::run(&folder, trouble),
         _ => Err(std::io::ErrorKind::InvalidInput.into()),
     };
     match verdict {
