--- a/review/standin-2/aging.rs
+++ b/review/standin-2/aging.rs
@@ -24,7 +24,7 @@
 /// How long a leaf serves after the store took its `draining` (`DrainMs` and a little longer).
 const DRAIN: Duration = Duration::from_millis(3_300);
 /// How long leafs are replaced.
-const RELEASES: Duration = Duration::from_secs(82);
+const RELEASES: Duration = Duration::from_secs(86);
 /// The time after an ack from which requests count (`ConfigApplyMs` and half a second).
 const APPLY: Duration = Duration::from_millis(3_500);
 /// How often each machine is asked on a route of one service, and on that of searches.
@@ -45,12 +45,35 @@
     let zones = ["ikeja-a", "lekki-b", "yaba-c"];
     let mut fixed = Vec::new();
     for (place, zone) in zones.iter().enumerate() {
-        fixed.push(Leaf::start("ledger", zone, Work::Bytes(600), Times::steady(5), record));
-        fixed.push(Leaf::start("portal", zone, Work::Bytes(600), Times::steady(5), record));
-        fixed.push(Leaf::start(&format!("quiet{place}"), zone, Work::Bytes(600), Times::steady(5), record));
+        fixed.push(Leaf::start(
+            "ledger",
+            zone,
+            Work::Bytes(600),
+            Times::steady(5),
+            record,
+        ));
+        fixed.push(Leaf::start(
+            "portal",
+            zone,
+            Work::Bytes(600),
+            Times::steady(5),
+            record,
+        ));
+        fixed.push(Leaf::start(
+            &format!("quiet{place}"),
+            zone,
+            Work::Bytes(600),
+            Times::steady(5),
+            record,
+        ));
     }
     let mut shards: Vec<Vec<Leaf>> = (0..SHARDS)
-        .map(|shard| zones[..2].iter().map(|zone| start_shard(shard, zone, record)).collect())
+        .map(|shard| {
+            zones[..2]
+                .iter()
+                .map(|zone| start_shard(shard, zone, record))
+                .collect()
+        })
         .collect();
     for leaf in fixed.iter().chain(shards.iter().flatten()) {
         leaf.register(&store, "ready");
@@ -59,13 +82,15 @@
     let mut machines: Vec<Machine> = zones
         .iter()
         .enumerate()
-        .map(|(place, zone)| Machine::new(&format!("front-{place}"), zone, &store.listen(place), folder))
+        .map(|(place, zone)| Machine::new(&format!("front-{place}"), zone, &store.listen(), folder))
         .collect();
     let seeds: Vec<String> = machines.iter().map(Machine::control).collect();
     for machine in &mut machines {
         machine.start(&seeds, true)?;
     }
-    let is_up = wait_for(Duration::from_secs(15), || machines.iter().all(Machine::is_ready));
+    let is_up = wait_for(Duration::from_secs(15), || {
+        machines.iter().all(Machine::is_ready)
+    });
     if !is_up {
         return Err(io::Error::other("the machines did not get ready"));
     }
@@ -73,9 +98,15 @@
     let mut requests = Requests { record, sent: 0 };
     for machine in &machines {
         let (served, of) = requests.ask(machine, "/ledger/", "ledger", ASKED);
-        record.line(&format!("before: {} served {served} of {of} on /ledger/", machine.name));
+        record.line(&format!(
+            "before: {} served {served} of {of} on /ledger/",
+            machine.name
+        ));
         let (served, of) = requests.ask(machine, "/search/", "", SEARCHED);
-        record.line(&format!("before: {} served {served} of {of} on /search/", machine.name));
+        record.line(&format!(
+            "before: {} served {served} of {of} on /search/",
+            machine.name
+        ));
     }
     let began = Instant::now();
     let mut ids = fixed.len() + 2 * SHARDS;
@@ -84,35 +115,58 @@
     } else {
         thread::sleep(RELEASES);
     }
-    record.line(&format!("{ids} leafs have registered in all; the store is at revision {}", store.revision()));
+    record.line(&format!(
+        "{ids} leafs have registered in all; the store is at revision {}",
+        store.revision()
+    ));
     // The last leafs that drain leave, and all is calm for `StableWindowMs`.
     thread::sleep(Duration::from_secs(1));
     for machine in &machines {
         let (served, of) = requests.ask(machine, "/search/", "", SEARCHED);
-        record.line(&format!("calm: {} served {served} of {of} on /search/", machine.name));
+        record.line(&format!(
+            "calm: {} served {served} of {of} on /search/",
+            machine.name
+        ));
     }
     configure(&store, record, 8, "portal", true);
     thread::sleep(APPLY);
     let mut broken = 0;
     for machine in &machines {
         let (served, of) = requests.ask(machine, "/ledger/", "portal", ASKED);
-        record.line(&format!("after: {} served {served} of {of} on /ledger/ as version 8 says", machine.name));
+        record.line(&format!(
+            "after: {} served {served} of {of} on /ledger/ as version 8 says",
+            machine.name
+        ));
         broken += of - served;
         let (served, of) = requests.ask(machine, "/added/", "portal", ASKED);
-        record.line(&format!("after: {} served {served} of {of} on /added/ as version 8 says", machine.name));
+        record.line(&format!(
+            "after: {} served {served} of {of} on /added/ as version 8 says",
+            machine.name
+        ));
         broken += of - served;
         for line in machine.log_lines("Refused a batch").iter().rev().take(1) {
             record.line(&format!("log of {}: {line}", machine.name));
         }
     }
-    let ended = machines.iter_mut().filter_map(|machine| machine.has_ended().then_some(())).count();
+    let ended = machines
+        .iter_mut()
+        .filter_map(|machine| machine.has_ended().then_some(()))
+        .count();
     record.line(&format!("{ended} processes ended by themselves"));
-    record.line(&format!("CONFIG: {broken} requests were handled as only an older version allows"));
+    record.line(&format!(
+        "CONFIG: {broken} requests were handled as only an older version allows"
+    ));
     Ok(broken == 0 && ended == 0)
 }
 
 fn start_shard(shard: usize, zone: &str, record: &Arc<Record>) -> Leaf {
-    Leaf::start(&format!("shard{shard}"), zone, Work::Records(6), Times::steady(3), record)
+    Leaf::start(
+        &format!("shard{shard}"),
+        zone,
+        Work::Records(6),
+        Times::steady(3),
+        record,
+    )
 }
 
 /// Replaces one leaf of each shard each [`GAP`]: the new one starts first, then the old one drains.
@@ -151,7 +205,9 @@
 }
 
 fn configure(store: &Store, record: &Record, version: u64, service: &str, added: bool) {
-    let names: Vec<String> = (0..SHARDS).map(|shard| format!("\"shard{shard}\"")).collect();
+    let names: Vec<String> = (0..SHARDS)
+        .map(|shard| format!("\"shard{shard}\""))
+        .collect();
     let route = |name: &str, prefix: &str, target: &str| {
         format!(
             "{{\"Name\":\"{name}\",\"Hostname\":\"{HOST}\",\"Prefix\":\"{prefix}\",\
@@ -160,17 +216,25 @@
         )
     };
     let mut routes = vec![
-        route("r-ledger", "/ledger/", &format!("\"Service\":\"{service}\"")),
+        route(
+            "r-ledger",
+            "/ledger/",
+            &format!("\"Service\":\"{service}\""),
+        ),
         route(
             "r-search",
             "/search/",
-            &format!("\"Shards\":[{}],\"TopK\":20,\"MinPartShare\":0.89", names.join(",")),
+            &format!(
+                "\"Shards\":[{}],\"TopK\":20,\"MinPartShare\":0.89",
+                names.join(",")
+            ),
         ),
     ];
     if added {
         routes.push(route("r-added", "/added/", "\"Service\":\"portal\""));
     }
-    let plain = ["ledger", "portal", "quiet0", "quiet1", "quiet2"].map(|name| (name.to_owned(), 100));
+    let plain =
+        ["ledger", "portal", "quiet0", "quiet1", "quiet2"].map(|name| (name.to_owned(), 100));
     let shards = (0..SHARDS).map(|shard| (format!("shard{shard}"), 26));
     let services: Vec<String> = plain
         .into_iter()
@@ -189,7 +253,9 @@
         services.join(",")
     );
     let revision = store.put("op/config", &config);
-    record.line(&format!("version {version} acknowledged at revision {revision}: /ledger/ to {service}"));
+    record.line(&format!(
+        "version {version} acknowledged at revision {revision}: /ledger/ to {service}"
+    ));
 }
 
 struct Requests<'a> {
@@ -200,7 +266,13 @@
 impl Requests<'_> {
     /// Sends some requests to a machine; returns how many were run by a service (any, if it is empty), and
     /// how many were sent.
-    fn ask(&mut self, machine: &Machine, path: &str, service: &str, count: usize) -> (usize, usize) {
+    fn ask(
+        &mut self,
+        machine: &Machine,
+        path: &str,
+        service: &str,
+        count: usize,
+    ) -> (usize, usize) {
         let mut served = 0;
         for _ in 0..count {
             self.sent += 1;
@@ -215,11 +287,19 @@
             let answer = http::call(&machine.front, "GET", &target, &headers, b"", limit);
             let status = answer.as_ref().map_or(0, http::Message::status);
             let runs = self.record.runs(&attempt);
-            let by: Vec<&str> = runs.iter().map(|(service, _)| service.as_str()).take(2).collect();
-            let is_right = status == 200 && (service.is_empty() || by.iter().all(|by| *by == service));
+            let by: Vec<&str> = runs
+                .iter()
+                .map(|(service, _)| service.as_str())
+                .take(2)
+                .collect();
+            let is_right =
+                status == 200 && (service.is_empty() || by.iter().all(|by| *by == service));
             served += usize::from(is_right);
             if !is_right {
-                let text = format!("{} {target} {attempt}: status {status}, run by {by:?}", machine.name);
+                let text = format!(
+                    "{} {target} {attempt}: status {status}, run by {by:?}",
+                    machine.name
+                );
                 self.record.line(&text);
             }
         }
--- a/review/standin-2/leaf.rs
+++ b/review/standin-2/leaf.rs
@@ -11,7 +11,7 @@
     time::{Duration, Instant},
 };
 
-use crate::{http, record::Record, store::Store};
+use crate::{http, link::Link, record::Record, store::Store};
 
 /// The requests that a leaf runs at once, and those that wait for that (`Slots` on the sheets).
 const SLOTS: usize = 2;
@@ -51,6 +51,8 @@
     pub service: String,
     pub zone: String,
     address: String,
+    /// The address that the entry states.
+    public: String,
     born: u64,
     state: Arc<State>,
 }
@@ -71,6 +73,7 @@
     busy: Mutex<(usize, usize)>,
     freed: Condvar,
     streams: Mutex<Vec<TcpStream>>,
+    arrivals: Mutex<Vec<Instant>>,
     record: Arc<Record>,
 }
 
@@ -78,7 +81,13 @@
 
 impl Leaf {
     /// Starts a leaf under a new id.
-    pub fn start(service: &str, zone: &str, work: Work, times: Times, record: &Arc<Record>) -> Self {
+    pub fn start(
+        service: &str,
+        zone: &str,
+        work: Work,
+        times: Times,
+        record: &Arc<Record>,
+    ) -> Self {
         let number = NEXT.fetch_add(1, Ordering::Relaxed);
         let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
         let id = format!("i-{number:08x}");
@@ -96,13 +105,16 @@
             busy: Mutex::default(),
             freed: Condvar::new(),
             streams: Mutex::default(),
+            arrivals: Mutex::default(),
             record: Arc::clone(record),
         });
+        let address = listener.local_addr().expect("an address").to_string();
         let leaf = Self {
             id,
             service: service.to_owned(),
             zone: zone.to_owned(),
-            address: listener.local_addr().expect("an address").to_string(),
+            public: address.clone(),
+            address,
             born: unix_millis(),
             state: Arc::clone(&state),
         };
@@ -118,20 +130,44 @@
         leaf
     }
 
+    /// Puts a link before the leaf, whose address is registered in place of the leaf's.
+    pub fn put_behind_link(&mut self) -> Arc<Link> {
+        let link = Link::open(&self.address);
+        self.public = link.address.clone();
+        link
+    }
+
     /// Writes the leaf's entry.
     pub fn register(&self, store: &Store, state: &str) {
-        let Self { id, service, zone, address, born, .. } = self;
+        self.register_cold(store, state, 0);
+    }
+
+    /// Writes the leaf's entry, by which it stays cold for some milliseconds.
+    pub fn register_cold(&self, store: &Store, state: &str, cold: u64) {
+        let Self {
+            id,
+            service,
+            zone,
+            public,
+            born,
+            ..
+        } = self;
         if state == "draining" {
             self.state.leaving.store(true, Ordering::Relaxed);
         }
         let entry = format!(
-            "{{\"Service\":\"{service}\",\"Address\":\"{address}\",\"Zone\":\"{zone}\",\
-             \"Version\":\"v1\",\"Slots\":{SLOTS},\"State\":\"{state}\",\"WarmupLeftMs\":0,\"Seq\":1,\
+            "{{\"Service\":\"{service}\",\"Address\":\"{public}\",\"Zone\":\"{zone}\",\
+             \"Version\":\"v1\",\"Slots\":{SLOTS},\"State\":\"{state}\",\"WarmupLeftMs\":{cold},\"Seq\":1,\
              \"born\":{born}}}"
         );
         store.put(&format!("servers/{id}"), &entry);
     }
 
+    /// Returns the times at which requests arrived, apart from those for another leaf.
+    pub fn arrivals(&self) -> Vec<Instant> {
+        self.state.arrivals.lock().unwrap().clone()
+    }
+
     /// Makes the leaf fail this many of 10 requests, after it has run them.
     pub fn fail(&self, of_ten: u64) {
         self.state.failing.store(of_ten, Ordering::Relaxed);
@@ -180,14 +216,20 @@
 
     fn answer(&self, request: &http::Message, writer: &mut TcpStream) -> io::Result<()> {
         let instance = ("Instance-Id", self.id.clone());
-        if request.header("expect-instance").is_some_and(|id| id != self.id) {
+        if request
+            .header("expect-instance")
+            .is_some_and(|id| id != self.id)
+        {
             return http::answer(writer, "421 Misdirected Request", &[instance], b"");
         }
+        self.arrivals.lock().unwrap().push(Instant::now());
         let Some(attempt) = request.header("attempt-id") else {
             let headers = [instance, ("Not-Executed", "1".to_owned())];
             return http::answer(writer, "400 Bad Request", &headers, b"");
         };
-        let left = request.header("deadline-ms").and_then(|text| text.parse().ok());
+        let left = request
+            .header("deadline-ms")
+            .and_then(|text| text.parse().ok());
         let until = Instant::now() + Duration::from_millis(left.unwrap_or(5_000));
         if !self.take_slot(until) {
             let headers = [("Not-Executed", "1".to_owned())];
@@ -202,7 +244,10 @@
         }
         let body = match self.work {
             Work::Records(count) => {
-                let seed = self.id.bytes().fold(run, |sum, byte| sum * 31 + u64::from(byte));
+                let seed = self
+                    .id
+                    .bytes()
+                    .fold(run, |sum, byte| sum * 31 + u64::from(byte));
                 let words = 0..2 * count as u64;
                 let words = words.map(|n| (seed + n).wrapping_mul(0x9e37_79b9_7f4a_7c15));
                 words.flat_map(u64::to_be_bytes).collect()
@@ -218,7 +263,12 @@
         }
         if run * 7 % 10 < self.failing.load(Ordering::Relaxed) {
             // Signed, and without `Not-Executed`.
-            return http::answer(writer, "503 Service Unavailable", &headers, b"it failed midway");
+            return http::answer(
+                writer,
+                "503 Service Unavailable",
+                &headers,
+                b"it failed midway",
+            );
         }
         http::answer(writer, "200 OK", &headers, &body)
     }
@@ -250,7 +300,9 @@
 
     /// Returns what is left of a pause.
     fn pause_left(&self) -> Duration {
-        let since = Instant::now().saturating_duration_since(self.phase).as_secs_f64();
+        let since = Instant::now()
+            .saturating_duration_since(self.phase)
+            .as_secs_f64();
         let within = Duration::from_secs_f64(since % self.times.every.as_secs_f64());
         self.times.pause.saturating_sub(within)
     }
--- a/review/standin-2/machine.rs
+++ b/review/standin-2/machine.rs
@@ -4,6 +4,7 @@
     fs,
     io::Read,
     net::TcpListener,
+    os::unix::process::CommandExt,
     path::{Path, PathBuf},
     process::{Child, Command, Stdio},
     sync::atomic::{AtomicU32, Ordering},
@@ -16,15 +17,14 @@
 const PROGRAM: &str = "target/deploy/cassialift";
 const TEMPLATE: &str = "deploy/settings.jsonc";
 
+/// The option of `prctl` that sets the signal which a process gets when its parent ends.
+const PR_SET_PDEATHSIG: i32 = 1;
+const SIGKILL: u64 = 9;
+
 unsafe extern "C" {
-    fn kill(pid: i32, signal: i32) -> i32;
+    fn prctl(option: i32, signal: u64) -> i32;
 }
 
-pub const SIGKILL: i32 = 9;
-pub const SIGTERM: i32 = 15;
-pub const SIGCONT: i32 = 18;
-pub const SIGSTOP: i32 = 19;
-
 pub struct Machine {
     pub name: String,
     pub zone: String,
@@ -93,13 +93,18 @@
             .append(true)
             .open(self.folder.join(format!("{}.log", self.name)))?;
         let errors = log.try_clone()?;
-        let child = Command::new(PROGRAM)
-            .arg("--settings")
-            .arg(&path)
-            .stdin(Stdio::null())
-            .stdout(log)
-            .stderr(errors)
-            .spawn()?;
+        let mut command = Command::new(PROGRAM);
+        command.arg("--settings").arg(&path);
+        command.stdin(Stdio::null()).stdout(log).stderr(errors);
+        // SAFETY: the call passes numbers only, and is allowed between fork and exec. The process does not
+        // outlive a script that is killed.
+        unsafe {
+            command.pre_exec(|| {
+                prctl(PR_SET_PDEATHSIG, SIGKILL);
+                Ok(())
+            });
+        }
+        let child = command.spawn()?;
         self.child = Some(child);
         Ok(())
     }
@@ -108,16 +113,6 @@
         self.control.clone()
     }
 
-    /// Sends a signal to the process.
-    pub fn signal(&self, signal: i32) {
-        if let Some(child) = &self.child {
-            // SAFETY: it passes numbers only, and the process is a child that was not waited for.
-            unsafe {
-                kill(child.id() as i32, signal);
-            }
-        }
-    }
-
     /// Kills the process and waits for its end.
     pub fn kill(&mut self) {
         if let Some(mut child) = self.child.take() {
@@ -183,7 +178,7 @@
 
 /// Returns ports that nobody listens on, below those that the system gives to outgoing connections: another
 /// connection could take one of these before the process listens on it.
-fn free_ports(count: usize) -> Vec<u16> {
+pub fn free_ports(count: usize) -> Vec<u16> {
     let bind = |port: &u16| TcpListener::bind(("127.0.0.1", *port)).is_ok();
     let ports = std::iter::repeat_with(next_port).filter(bind);
     ports.take(count).collect()
--- a/review/standin-2/main.rs
+++ b/review/standin-2/main.rs
@@ -4,11 +4,12 @@
 mod alone;
 mod http;
 mod leaf;
+mod link;
 mod machine;
-mod record;
-mod popular;
 mod promise;
+mod record;
 mod slow;
+mod split;
 mod store;
 
 use std::{path::PathBuf, process::ExitCode};
@@ -24,8 +25,8 @@
     let verdict = match case.as_str() {
         "aging" => aging::run(&folder, trouble),
         "promise" => promise::run(&folder, trouble),
+        "split" => split::run(&folder, trouble),
         "slow" => slow::run(&folder, trouble),
-        "popular" => popular::run(&folder, trouble),
         "alone" => alone::run(&folder, trouble),
         _ => Err(std::io::ErrorKind::InvalidInput.into()),
     };
--- a/review/standin-2/promise.rs
+++ b/review/standin-2/promise.rs
@@ -37,7 +37,15 @@
     let store = Store::new();
     let zones = ["kgn-a", "kgn-b", "spt-a"];
     let leafs: Vec<Leaf> = (0..LEAFS)
-        .map(|n| Leaf::start("pressdesk", zones[n % 3], Work::Bytes(300), Times::steady(30), record))
+        .map(|n| {
+            Leaf::start(
+                "pressdesk",
+                zones[n % 3],
+                Work::Bytes(300),
+                Times::steady(30),
+                record,
+            )
+        })
         .collect();
     for leaf in &leafs {
         leaf.register(&store, "ready");
@@ -54,19 +62,24 @@
     let mut machines: Vec<Machine> = zones
         .iter()
         .enumerate()
-        .map(|(n, zone)| Machine::new(&format!("front-{n}"), zone, &store.listen(n), folder))
+        .map(|(n, zone)| Machine::new(&format!("front-{n}"), zone, &store.listen(), folder))
         .collect();
     let seeds: Vec<String> = machines.iter().map(Machine::control).collect();
     for machine in &mut machines {
         machine.start(&seeds, true)?;
     }
-    if !wait_for(Duration::from_secs(15), || machines.iter().all(Machine::is_ready)) {
+    if !wait_for(Duration::from_secs(15), || {
+        machines.iter().all(Machine::is_ready)
+    }) {
         return Err(io::Error::other("the machines did not get ready"));
     }
     thread::sleep(Duration::from_secs(1));
     if trouble {
         leafs[0].fail(OF_TEN);
-        record.line(&format!("{} of {LEAFS} leafs fails {OF_TEN} of 10 jobs after it has run them", leafs[0].id));
+        record.line(&format!(
+            "{} of {LEAFS} leafs fails {OF_TEN} of 10 jobs after it has run them",
+            leafs[0].id
+        ));
     }
     let began = Instant::now();
     let mut tasks = Vec::new();
@@ -79,11 +92,19 @@
         let due = began + Duration::from_secs(1) * number / RATE;
         thread::sleep(due.saturating_duration_since(Instant::now()));
     }
-    let ends: Vec<Job> = tasks.into_iter().filter_map(|task| task.join().ok()).collect();
+    let ends: Vec<Job> = tasks
+        .into_iter()
+        .filter_map(|task| task.join().ok())
+        .collect();
     let broken = ends.iter().map(|end| end.broken).sum::<usize>();
     let doubled = ends.iter().filter(|end| end.runs > 1).count();
-    record.line(&format!("{} jobs were sent; {doubled} ran more than once, in several attempts", ends.len()));
-    record.line(&format!("REFUSED: {broken} attempts were answered 503 and had run"));
+    record.line(&format!(
+        "{} jobs were sent; {doubled} ran more than once, in several attempts",
+        ends.len()
+    ));
+    record.line(&format!(
+        "REFUSED: {broken} attempts were answered 503 and had run"
+    ));
     Ok(broken == 0)
 }
 
@@ -106,7 +127,14 @@
             ("Deadline-Ms", "4000".to_owned()),
         ];
         let path = format!("/print/{number}");
-        let answer = http::call(front, "POST", &path, &headers, b"batch", Duration::from_secs(4));
+        let answer = http::call(
+            front,
+            "POST",
+            &path,
+            &headers,
+            b"batch",
+            Duration::from_secs(4),
+        );
         let status = answer.as_ref().map_or(0, http::Message::status);
         let runs = record.runs(&id);
         job.runs += runs.len();
@@ -116,7 +144,10 @@
             let stamp = answer.as_ref().map_or("none", |answer| {
                 answer.header("server-stamp").unwrap_or("none")
             });
-            record.line(&format!("{path} {id}: answered {status}, Server-Stamp {stamp}; run at {}", runs[0].1));
+            record.line(&format!(
+                "{path} {id}: answered {status}, Server-Stamp {stamp}; run at {}",
+                runs[0].1
+            ));
         }
         if !is_promise {
             break;
--- a/review/standin-2/record.rs
+++ b/review/standin-2/record.rs
@@ -1,13 +1,6 @@
 //! The record of a script: what was sent, answered and run.
 
-use std::{
-    collections::HashMap,
-    fs::File,
-    io::Write,
-    path::Path,
-    sync::Mutex,
-    time::Instant,
-};
+use std::{collections::HashMap, fs::File, io::Write, path::Path, sync::Mutex, time::Instant};
 
 pub struct Record {
     began: Instant,
@@ -44,8 +37,4 @@
         let runs = self.runs.lock().unwrap();
         runs.get(attempt).cloned().unwrap_or_default()
     }
-
-    pub fn seconds(&self) -> f64 {
-        self.began.elapsed().as_secs_f64()
-    }
 }
--- a/review/standin-2/slow.rs
+++ b/review/standin-2/slow.rs
@@ -60,7 +60,15 @@
     let store = Store::new();
     let zones = ["ikeja-a", "lekki-b"];
     let leafs: Vec<Leaf> = (0..7)
-        .map(|n| Leaf::start("papers", zones[n % 2], Work::Bytes(SIZE), Times::steady(20), record))
+        .map(|n| {
+            Leaf::start(
+                "papers",
+                zones[n % 2],
+                Work::Bytes(SIZE),
+                Times::steady(20),
+                record,
+            )
+        })
         .collect();
     for leaf in &leafs {
         leaf.register(&store, "ready");
@@ -77,13 +85,15 @@
     let mut machines: Vec<Machine> = zones
         .iter()
         .enumerate()
-        .map(|(n, zone)| Machine::new(&format!("front-{n}"), zone, &store.listen(n), folder))
+        .map(|(n, zone)| Machine::new(&format!("front-{n}"), zone, &store.listen(), folder))
         .collect();
     let seeds: Vec<String> = machines.iter().map(Machine::control).collect();
     for machine in &mut machines {
         machine.start(&seeds, true)?;
     }
-    if !wait_for(Duration::from_secs(15), || machines.iter().all(Machine::is_ready)) {
+    if !wait_for(Duration::from_secs(15), || {
+        machines.iter().all(Machine::is_ready)
+    }) {
         return Err(io::Error::other("the machines did not get ready"));
     }
     thread::sleep(Duration::from_secs(1));
@@ -93,7 +103,11 @@
         .iter()
         .zip(&seen)
         .map(|(machine, seen)| {
-            let (front, seen, stopped) = (machine.front.clone(), Arc::clone(seen), Arc::clone(&stopped));
+            let (front, seen, stopped) = (
+                machine.front.clone(),
+                Arc::clone(seen),
+                Arc::clone(&stopped),
+            );
             thread::spawn(move || generate(&front, trouble, &seen, &stopped))
         })
         .collect();
@@ -116,7 +130,9 @@
         ));
     }
     let often = ends.iter().filter(|ends| **ends >= ENDS).count();
-    record.line(&format!("Fault: processes ended {ends:?} times for their memory"));
+    record.line(&format!(
+        "Fault: processes ended {ends:?} times for their memory"
+    ));
     Ok(often < 2)
 }
 
@@ -142,7 +158,11 @@
                 record.line(&format!("{} takes {} MB", machine.name, memory >> 10));
             }
             if memory > MEMORY {
-                record.line(&format!("{} takes {} MB and is killed", machine.name, memory >> 10));
+                record.line(&format!(
+                    "{} takes {} MB and is killed",
+                    machine.name,
+                    memory >> 10
+                ));
                 machine.kill();
                 ends[n] += 1;
                 peaks[n] = 0;
--- a/review/standin-2/store.rs
+++ b/review/standin-2/store.rs
@@ -1,5 +1,4 @@
-//! A stand-in for the platform's metadata store, with an address of its own for each machine, so that it
-//! can tell which machine reads.
+//! A stand-in for the platform's metadata store.
 
 use std::{
     collections::{BTreeMap, VecDeque},
@@ -36,8 +35,6 @@
     events: VecDeque<Event>,
     /// The last revision whose event is no longer kept.
     dropped: u64,
-    /// The reads of each machine that ended or wait, with the time of the last one.
-    reads: BTreeMap<usize, (u64, Instant)>,
 }
 
 /// The store.
@@ -54,7 +51,6 @@
                 items: BTreeMap::new(),
                 events: VecDeque::new(),
                 dropped: 100,
-                reads: BTreeMap::new(),
             }),
             changed: Condvar::new(),
         })
@@ -93,32 +89,25 @@
         self.changed.notify_all();
     }
 
-    /// Returns the machines that read within this time, with their counts of reads.
-    pub fn readers(&self, within: Duration) -> Vec<(usize, u64)> {
-        let state = self.state.lock().unwrap();
-        let recent = state.reads.iter().filter(|(_, (_, at))| at.elapsed() < within);
-        recent.map(|(machine, (count, _))| (*machine, *count)).collect()
-    }
-
     pub fn revision(&self) -> u64 {
         self.state.lock().unwrap().revision
     }
 
-    /// Listens for one machine and returns the address.
-    pub fn listen(self: &Arc<Self>, machine: usize) -> String {
+    /// Listens on an address of its own and returns it.
+    pub fn listen(self: &Arc<Self>) -> String {
         let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
         let address = listener.local_addr().expect("an address").to_string();
         let store = Arc::clone(self);
         thread::spawn(move || {
             for stream in listener.incoming().flatten() {
                 let store = Arc::clone(&store);
-                thread::spawn(move || store.serve(machine, stream));
+                thread::spawn(move || store.serve(stream));
             }
         });
         address
     }
 
-    fn serve(&self, machine: usize, stream: TcpStream) {
+    fn serve(&self, stream: TcpStream) {
         let _ = stream.set_nodelay(true);
         let Ok(mut writer) = stream.try_clone() else {
             return;
@@ -131,13 +120,10 @@
             let (path, query) = target.split_once('?').unwrap_or((target, ""));
             let field = |name: &str| {
                 let mut pairs = query.split('&').filter_map(|pair| pair.split_once('='));
-                pairs.find(|(known, _)| *known == name).map_or("", |(_, value)| value)
+                pairs
+                    .find(|(known, _)| *known == name)
+                    .map_or("", |(_, value)| value)
             };
-            {
-                let mut state = self.state.lock().unwrap();
-                let entry = state.reads.entry(machine).or_insert((0, Instant::now()));
-                *entry = (entry.0 + 1, Instant::now());
-            }
             let (status, body) = match path {
                 "/kv-key" => self.key(field("Key")),
                 "/kv-range" => self.range(field("Prefix"), field("after")),
@@ -160,9 +146,15 @@
             Some(item) => {
                 let text = item_text(key, &item.value, item.revision, item.created);
                 let open = text.trim_end_matches('}');
-                ("200 OK", format!("{open},\"StoreRevision\":{}}}", state.revision))
+                (
+                    "200 OK",
+                    format!("{open},\"StoreRevision\":{}}}", state.revision),
+                )
             }
-            None => ("404 Not Found", format!("{{\"StoreRevision\":{}}}", state.revision)),
+            None => (
+                "404 Not Found",
+                format!("{{\"StoreRevision\":{}}}", state.revision),
+            ),
         }
     }
 
@@ -249,7 +241,9 @@
     const LETTERS: &[u8; 64] = b"ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789+/";
     let mut text = String::new();
     for chunk in bytes.chunks(3) {
-        let word = chunk.iter().fold(0_u32, |word, byte| word << 8 | u32::from(*byte));
+        let word = chunk
+            .iter()
+            .fold(0_u32, |word, byte| word << 8 | u32::from(*byte));
         let word = word << (8 * (3 - chunk.len()));
         for place in 0..4 {
             if place <= chunk.len() {
