--- a/review/standin-2/alone.rs
+++ b/review/standin-2/alone.rs
@@ -14,7 +14,7 @@
 
 use crate::{
     http,
-    leaf::{Leaf, Times, Work},
+    leaf::Leaf,
     machine::{Machine, wait_for},
     record::Record,
     store::Store,
@@ -50,8 +50,8 @@
             Leaf::start(
                 "archive",
                 zones[n % 3],
-                Work::Bytes(1_500),
-                Times::steady(40),
+                1_500,
+                Duration::from_millis(40),
                 record,
             )
         })
--- a/review/standin-2/promise.rs
+++ b/review/standin-2/promise.rs
@@ -10,7 +10,7 @@
 
 use crate::{
     http,
-    leaf::{Leaf, Times, Work},
+    leaf::Leaf,
     machine::{Machine, wait_for},
     record::Record,
     store::Store,
@@ -41,8 +41,8 @@
             Leaf::start(
                 "pressdesk",
                 zones[n % 3],
-                Work::Bytes(300),
-                Times::steady(30),
+                300,
+                Duration::from_millis(30),
                 record,
             )
         })
--- a/review/standin-2/slow.rs
+++ b/review/standin-2/slow.rs
@@ -14,7 +14,7 @@
 };
 
 use crate::{
-    leaf::{Leaf, Times, Work},
+    leaf::Leaf,
     machine::{Machine, wait_for},
     record::Record,
     store::Store,
@@ -64,8 +64,8 @@
             Leaf::start(
                 "papers",
                 zones[n % 2],
-                Work::Bytes(SIZE),
-                Times::steady(20),
+                SIZE,
+                Duration::from_millis(20),
                 record,
             )
         })
--- a/review/standin-2/split.rs
+++ b/review/standin-2/split.rs
@@ -13,7 +13,7 @@
 
 use crate::{
     http,
-    leaf::{Leaf, Times, Work},
+    leaf::Leaf,
     machine::{Machine, free_ports, wait_for},
     record::Record,
     store::Store,
@@ -48,8 +48,8 @@
         Leaf::start(
             "archive",
             zones[n],
-            Work::Bytes(1_500),
-            Times::steady(15),
+            1_500,
+            Duration::from_millis(15),
             record,
         )
     };
