--- a/review/standin-2/alone.rs
+++ b/review/standin-2/alone.rs
@@ -148,7 +148,7 @@
         let mut tasks = Vec::new();
         for number in 0..count {
             self.sent += 1;
-            let (front, sent) = (self.front.clone(), self.sent);
+            let (front, sent, record) = (self.front.clone(), self.sent, Arc::clone(&self.record));
             let (served, refused) = (Arc::clone(&served), Arc::clone(&refused));
             tasks.push(thread::spawn(move || {
                 let headers = [
@@ -160,6 +160,7 @@
                 let answer =
                     http::call(&front, "GET", &path, &headers, b"", Duration::from_secs(4));
                 let status = answer.map_or(0, |answer| answer.status());
+                record.request(&headers[1].1, &front, &status.to_string());
                 served.fetch_add(u32::from(status == 200), Ordering::Relaxed);
                 refused.fetch_add(u32::from(status == 503), Ordering::Relaxed);
             }));
--- a/review/standin-2/promise.rs
+++ b/review/standin-2/promise.rs
@@ -136,6 +136,7 @@
             Duration::from_secs(4),
         );
         let status = answer.as_ref().map_or(0, http::Message::status);
+        record.request(&id, front, &status.to_string());
         let runs = record.runs(&id);
         job.runs += runs.len();
         let is_promise = matches!(status, 408 | 421 | 429 | 503);
--- a/review/standin-2/record.rs
+++ b/review/standin-2/record.rs
@@ -26,6 +26,23 @@
         println!("{at:8.3} {text}");
     }
 
+    /// Writes what became of one request: its id, where it was sent, how it was answered and which leafs ran
+    /// it.
+    pub fn request(&self, attempt: &str, to: &str, end: &str) {
+        let leafs: Vec<String> = self
+            .runs(attempt)
+            .into_iter()
+            .map(|(_, leaf)| leaf)
+            .collect();
+        let at = self.began.elapsed().as_secs_f64();
+        let mut file = self.file.lock().unwrap();
+        let _ = writeln!(
+            file,
+            "{at:8.3} {attempt} to {to}: {end}, run at {}",
+            leafs.join(" ")
+        );
+    }
+
     pub fn ran(&self, attempt: &str, service: &str, leaf: &str) {
         let mut runs = self.runs.lock().unwrap();
         let run = (service.to_owned(), leaf.to_owned());
--- a/review/standin-2/slow.rs
+++ b/review/standin-2/slow.rs
@@ -103,12 +103,9 @@
         .iter()
         .zip(&seen)
         .map(|(machine, seen)| {
-            let (front, seen, stopped) = (
-                machine.front.clone(),
-                Arc::clone(seen),
-                Arc::clone(&stopped),
-            );
-            thread::spawn(move || generate(&front, trouble, &seen, &stopped))
+            let (front, seen) = (machine.front.clone(), Arc::clone(seen));
+            let (stopped, record) = (Arc::clone(&stopped), Arc::clone(record));
+            thread::spawn(move || generate(&front, trouble, &seen, &stopped, &record))
         })
         .collect();
     let ends = watch(record, &mut machines, &seeds)?;
@@ -174,20 +171,29 @@
     Ok(ends)
 }
 
-fn generate(front: &str, slowly: bool, seen: &Arc<Seen>, stopped: &AtomicBool) {
+fn generate(
+    front: &str,
+    slowly: bool,
+    seen: &Arc<Seen>,
+    stopped: &AtomicBool,
+    record: &Arc<Record>,
+) {
     let began = Instant::now();
     let mut number = 0;
     while !stopped.load(Ordering::Relaxed) {
         number += 1;
         let (front, seen) = (front.to_owned(), Arc::clone(seen));
+        let record = Arc::clone(record);
         thread::spawn(move || {
             seen.sent.fetch_add(1, Ordering::Relaxed);
-            let count = match fetch(&front, number, slowly) {
-                Ok(End::Whole) => &seen.whole,
-                Ok(End::GivenUp) => &seen.given_up,
-                Ok(End::Failed) => &seen.failed,
-                Err(_) => &seen.broken,
+            let id = attempt(&front, number);
+            let (count, end) = match fetch(&front, number, &id, slowly) {
+                Ok(End::Whole) => (&seen.whole, "answered whole"),
+                Ok(End::GivenUp) => (&seen.given_up, "given up while reading"),
+                Ok(End::Failed) => (&seen.failed, "another status"),
+                Err(_) => (&seen.broken, "broken off"),
             };
+            record.request(&id, &front, end);
             count.fetch_add(1, Ordering::Relaxed);
         });
         let due = began + Duration::from_secs(1) * number / RATE;
@@ -201,14 +207,19 @@
     Failed,
 }
 
+/// Returns the id of a request, one of its own for each machine.
+fn attempt(front: &str, number: u32) -> String {
+    let port = front.rsplit(':').next().unwrap_or_default();
+    format!("{number:08x}{port:0>8}")
+}
+
 /// Asks for a paper and reads the answer until its end or the time limit.
-fn fetch(front: &str, number: u32, slowly: bool) -> io::Result<End> {
+fn fetch(front: &str, number: u32, id: &str, slowly: bool) -> io::Result<End> {
     let mut stream = TcpStream::connect(front)?;
     stream.set_read_timeout(Some(LIMIT))?;
     let request = format!(
-        "GET /papers/{number} HTTP/1.1\r\nHost: {HOST}\r\nAttempt-Id: {:016x}\r\nDeadline-Ms: {}\r\n\
+        "GET /papers/{number} HTTP/1.1\r\nHost: {HOST}\r\nAttempt-Id: {id}\r\nDeadline-Ms: {}\r\n\
          Connection: close\r\n\r\n",
-        u64::from(number) << 32 | u64::from(std::process::id()),
         LIMIT.as_millis()
     );
     stream.write_all(request.as_bytes())?;
--- a/review/standin-2/split.rs
+++ b/review/standin-2/split.rs
@@ -2,6 +2,7 @@
 
 use std::{
     fs, io,
+    net::TcpListener,
     path::Path,
     sync::{
         Arc,
@@ -54,7 +55,11 @@
         )
     };
     let mut leafs: Vec<Leaf> = (0..LEAFS).map(start).collect();
-    for leaf in &leafs {
+    // With them the machines reach a leaf at any time, also while those of the service are away.
+    let others: Vec<Leaf> = (0..3)
+        .map(|n| Leaf::start("other", zones[n % 2], 100, Duration::from_millis(5), record))
+        .collect();
+    for leaf in leafs.iter().chain(&others) {
         leaf.register(&store, "ready");
     }
     configure(&store);
@@ -62,8 +67,9 @@
         .map(|n| Machine::new(&format!("front-{n}"), zones[n / 2], &store.listen(), folder))
         .collect();
     let controls: Vec<String> = machines.iter().map(Machine::control).collect();
-    // Seeds in the other half don't answer.
-    let silent = format!("127.0.0.1:{}", free_ports(1)[0]);
+    // Seeds in the other half don't answer: nobody accepts the connections to this address.
+    let listener = TcpListener::bind(("127.0.0.1", free_ports(1)[0]))?;
+    let silent = listener.local_addr()?.to_string();
     for (n, machine) in machines.iter_mut().enumerate() {
         let seed = |other: usize| {
             let is_cut = trouble && other / 2 != n / 2;
@@ -93,7 +99,8 @@
     let served = Arc::new(AtomicU32::new(0));
     let traffic = {
         let (stopped, served) = (Arc::clone(&stopped), Arc::clone(&served));
-        thread::spawn(move || generate(&fronts, &stopped, &served))
+        let record = Arc::clone(record);
+        thread::spawn(move || generate(&fronts, &stopped, &served, &record))
     };
     thread::sleep(Duration::from_secs(6));
     let bound = PER_S * OVERSHOOT + SLACK;
@@ -161,15 +168,18 @@
 }
 
 /// Sends requests to all machines in turn; returns how many.
-fn generate(fronts: &[String], stopped: &AtomicBool, served: &Arc<AtomicU32>) -> u32 {
+fn generate(
+    fronts: &[String],
+    stopped: &AtomicBool,
+    served: &Arc<AtomicU32>,
+    record: &Arc<Record>,
+) -> u32 {
     let began = Instant::now();
     let mut number = 0;
     while !stopped.load(Ordering::Relaxed) {
         number += 1;
-        let (front, served) = (
-            fronts[number as usize % fronts.len()].clone(),
-            Arc::clone(served),
-        );
+        let front = fronts[number as usize % fronts.len()].clone();
+        let (served, record) = (Arc::clone(served), Arc::clone(record));
         thread::spawn(move || {
             let headers = [
                 ("Host", HOST.to_owned()),
@@ -179,6 +189,7 @@
             let path = format!("/archive/{number:x}");
             let answer = http::call(&front, "GET", &path, &headers, b"", Duration::from_secs(4));
             let status = answer.map_or(0, |answer| answer.status());
+            record.request(&headers[1].1, &front, &status.to_string());
             served.fetch_add(u32::from(status == 200), Ordering::Relaxed);
         });
         let due = began + Duration::from_secs(1) * number / RATE;
