gateway: replies without end leave the smallest VMs enough memory

Callers: in a test, none of their requests ended; but a process took more than the memory of its VM, which ends it with all requests on it. Other operators saw that: a server sent bytes that were no answer, without end.

Cause: what a reply may take was bounded for each connection and for the large replies together, but - each connection to a server received into a buffer of up to 417 KB, the HTTP library's default, so that 100 connections take 42 MB; - the buffer of a reply grew as a whole, and takes three times the size of the reply while it is copied. The tests of bytes without end had one faulty server, and a bound of 160 MB, from before a deployment with VMs of 112 MB came.

Fix: connections to servers, those of owners too, receive into 64 KiB. The largest head of a reply falls from about 400 KB to that. A reply is kept in blocks of 64 KiB that are joined once it is complete, so that one without end takes no more than is counted for it.

--- a/crates/server/src/gateway/connections.rs
+++ b/crates/server/src/gateway/connections.rs
@@ -12,12 +12,13 @@
 use cassialift_core::{ids::ServerId, policy::priority::Rank};
 use displaydoc::Display;
 use http_body_util::Full;
-use hyper::client::conn::http1::{self, SendRequest};
+use hyper::client::conn::http1::SendRequest;
 use hyper_util::rt::TokioIo;
 use tokio::{sync::oneshot, task::AbortHandle, time::timeout};
 
 use super::{reach::ReachMonitor, receive_limit::Overhead, waiting::WaitingCalls};
 use crate::{
+    http::server_connections,
     sockets::{self, MeteredStream},
     timer::Timer,
 };
@@ -92,7 +93,7 @@
         };
         let overhead = Overhead::default();
         let stream = MeteredStream::new(stream, overhead.clone());
-        let handshake = http1::handshake(TokioIo::new(stream)).await;
+        let handshake = server_connections().handshake(TokioIo::new(stream)).await;
         let (sender, connection) = handshake.ok()?;
         let driver = tokio::spawn(async move {
             if let Err(error) = connection.await {
--- a/crates/server/src/gateway/exchange.rs
+++ b/crates/server/src/gateway/exchange.rs
@@ -9,7 +9,7 @@
     time::Duration,
 };
 
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
 use cassialift_core::policy::{
     outcome::{NotRunCause, UnknownCause},
     replica::ServerNotice,
@@ -28,7 +28,7 @@
     inbound::{Inbound, strip_hop_headers},
     notice::read_notice,
     receive_limit::Overhead,
-    reply_memory::{ReplyMemory, ReplyShare, ReplyTooLarge},
+    reply_memory::{ReplyBuffer, ReplyMemory, ReplyShare, ReplyTooLarge},
 };
 use crate::timer::Timer;
 
@@ -276,7 +276,7 @@
         reusable: !requests_close(&parts.headers),
         idle: idle_timeout(&parts.headers),
     };
-    let mut buffer = BytesMut::new();
+    let mut buffer = ReplyBuffer::default();
     let mut share = ReplyShare::default();
     while let Some(frame) = body.frame().await {
         let Ok(frame) = frame else {
@@ -286,13 +286,13 @@
             overhead.record_progress();
             let extended = memory.extend(&mut share, buffer.len() + data.len());
             extended.map_err(ExchangeError::TooLarge)?;
-            buffer.extend_from_slice(&data);
+            buffer.extend(&data);
         }
     }
     let reply = Reply {
         status: parts.status,
         headers: parts.headers,
-        body: buffer.freeze(),
+        body: buffer.join(),
         signature: None,
         share: Arc::new(share),
     };
--- a/crates/server/src/gateway/receive_limit.rs
+++ b/crates/server/src/gateway/receive_limit.rs
@@ -13,7 +13,7 @@
 use crate::sockets::Meter;
 
 /// The most bytes that are received between two parts of a body, and before the first one: heads,
-/// interim replies and the framing of chunks. A head alone may have about 400 KB.
+/// interim replies and the framing of chunks. A head alone may have 64 KiB.
 const MAX_OVERHEAD: usize = 1 << 20;
 
 /// {0} bytes brought no part of a reply
--- a/crates/server/src/gateway/reply_memory.rs
+++ b/crates/server/src/gateway/reply_memory.rs
@@ -2,6 +2,7 @@
 
 use std::sync::Arc;
 
+use bytes::{Bytes, BytesMut};
 use displaydoc::Display;
 use tokio::sync::{OwnedSemaphorePermit, Semaphore};
 
@@ -11,11 +12,11 @@
 /// The size up to which a reply body needs no share of the memory for large ones, in bytes.
 const SMALL_REPLY: usize = 64 << 10;
 
-/// The unit in which the memory for large replies is reserved, in bytes.
+/// The unit in which the memory for large replies is reserved and allocated, in bytes.
 const BLOCK: usize = 64 << 10;
 
-/// The memory for all large replies together, in blocks. A buffer that grows takes up to three times
-/// the size of its reply for a moment, and the smallest VMs have 160 MB.
+/// The memory for all large replies together, in blocks. A reply takes twice its size for a moment when it is
+/// complete.
 const MAX_BLOCKS: usize = (16 << 20) / BLOCK;
 
 /// The share of the machine's memory that large replies may take, as a divisor.
@@ -30,6 +31,49 @@
     Together,
 }
 
+/// The body of a reply while it is received.
+///
+/// It is kept in blocks, and joined when it is complete: one buffer that grew with it would take several times
+/// its size, also for a reply that never ends.
+#[derive(Debug, Default)]
+pub(super) struct ReplyBuffer {
+    full: Vec<Bytes>,
+    last: BytesMut,
+}
+
+impl ReplyBuffer {
+    /// Returns the number of bytes received so far.
+    pub(super) fn len(&self) -> usize {
+        self.full.len() * BLOCK + self.last.len()
+    }
+
+    pub(super) fn extend(&mut self, mut data: &[u8]) {
+        while !data.is_empty() {
+            let room = BLOCK - self.last.len();
+            let (fitting, rest) = data.split_at(room.min(data.len()));
+            self.last.extend_from_slice(fitting);
+            if self.last.len() == BLOCK {
+                let full = std::mem::replace(&mut self.last, BytesMut::with_capacity(BLOCK));
+                self.full.push(full.freeze());
+            }
+            data = rest;
+        }
+    }
+
+    /// Returns the whole body.
+    pub(super) fn join(self) -> Bytes {
+        if self.full.is_empty() {
+            return self.last.freeze();
+        }
+        let mut whole = BytesMut::with_capacity(self.len());
+        for block in self.full {
+            whole.extend_from_slice(&block);
+        }
+        whole.extend_from_slice(&self.last);
+        whole.freeze()
+    }
+}
+
 /// The memory that is left for large replies.
 #[derive(Debug)]
 pub(super) struct ReplyMemory {
--- a/crates/server/src/gateway/reply_memory_tests.rs
+++ b/crates/server/src/gateway/reply_memory_tests.rs
@@ -1,6 +1,8 @@
 //! Tests of the memory for replies of backend servers.
 
-use super::reply_memory::{ReplyMemory, ReplyShare, ReplyTooLarge};
+use yare::parameterized;
+
+use super::reply_memory::{ReplyBuffer, ReplyMemory, ReplyShare, ReplyTooLarge};
 
 /// The memory of a machine, in bytes.
 const MACHINE: usize = 512 << 20;
@@ -32,3 +34,23 @@
     let refused = memory.extend(&mut share, 8 * MIB + 1);
     assert_eq!(refused, Err(ReplyTooLarge::Reply));
 }
+
+/// A body is joined as it was received, whatever the sizes of its parts.
+#[parameterized(
+    empty = { 0, 1 },
+    small = { 10, 3 },
+    one_block = { 64 << 10, 4_096 },
+    one_byte_more = { (64 << 10) + 1, 1_000 },
+    several_blocks = { 300_000, 999 },
+    part_of_several_blocks = { 300_000, 300_000 },
+)]
+fn test_reply_buffer_joins_the_body(size: usize, part: usize) {
+    let body: Vec<u8> = (0..=250).cycle().take(size).collect();
+    let mut buffer = ReplyBuffer::default();
+    for (index, data) in body.chunks(part).enumerate() {
+        assert_eq!(buffer.len(), index * part);
+        buffer.extend(data);
+    }
+    assert_eq!(buffer.len(), size);
+    assert_eq!(buffer.join(), body);
+}
--- a/crates/server/src/http/mod.rs
+++ b/crates/server/src/http/mod.rs
@@ -1,5 +1,8 @@
-//! An HTTP/1.1 server with limits on its connections and graceful shutdown.
+//! An HTTP/1.1 server with limits on its connections and graceful shutdown, and the settings of connections to
+//! backend servers.
 
 mod accept;
+mod connect;
 
 pub(crate) use accept::{AcceptSettings, Acceptor};
+pub(crate) use connect::server_connections;
--- a/crates/server/src/owner/connection.rs
+++ b/crates/server/src/owner/connection.rs
@@ -3,12 +3,12 @@
 use std::{io, net::SocketAddr, time::Duration, time::Instant};
 
 use displaydoc::Display;
-use hyper::client::conn::http1::{self, SendRequest};
+use hyper::client::conn::http1::SendRequest;
 use hyper_util::rt::TokioIo;
 use tokio::runtime::Handle;
 
 use super::{body::CallBody, counters::OwnerCounter, grant::OpenPermit};
-use crate::sockets;
+use crate::{http::server_connections, sockets};
 
 /// The reason why a connection could not be opened.
 #[derive(Debug, Display)]
@@ -66,7 +66,8 @@
                 return Err(ConnectError::Timeout);
             }
         };
-        let (sender, connection) = http1::handshake(TokioIo::new(stream))
+        let (sender, connection) = server_connections()
+            .handshake(TokioIo::new(stream))
             .await
             .map_err(ConnectError::Setup)?;
         OwnerCounter::Opened.add(&metrics);
