gateway: a signature that is no entry of a list makes no part of a search

Callers: none seen. A server whose signature is empty, or holds a comma, would make each search that uses it wrong as a whole: the caller finds an entry among the signatures that belongs to no part, and drops what all other shards sent.

Cause: the signatures of the parts are joined with commas, as the servers sent them.

Fix: a reply to a call of a search whose signature is not one entry of a list can't be used, and its shard is called elsewhere or left out. The same is checked in what another VM sends, which may be of an earlier build. Replies that are passed on whole keep their signature as it is.

Two cases more of test_delegated_part.

--- a/crates/server/src/gateway/exchange.rs
+++ b/crates/server/src/gateway/exchange.rs
@@ -10,9 +10,12 @@
 };
 
 use bytes::Bytes;
-use cassialift_core::policy::{
-    outcome::{NotRunCause, UnknownCause},
-    replica::ServerNotice,
+use cassialift_core::{
+    policy::{
+        outcome::{NotRunCause, UnknownCause},
+        replica::ServerNotice,
+    },
+    routes::RouteTarget,
 };
 use cassialift_wire::platform::HeaderNames;
 use http_body_util::{BodyExt, Full};
@@ -226,9 +229,12 @@
             return ExchangeEnd::NotRun(cause);
         }
         reply.signature = reply.headers.get(&names.signature).cloned();
-        let is_complete =
-            reply.signature.is_some() && !reply.headers.contains_key(CONTENT_ENCODING);
-        if !is_complete {
+        let is_part = matches!(self.inbound.route.target, RouteTarget::Shards(_));
+        let is_signed = reply
+            .signature
+            .as_ref()
+            .is_some_and(|signature| !is_part || is_list_entry(signature));
+        if !is_signed || reply.headers.contains_key(CONTENT_ENCODING) {
             return ExchangeEnd::Unknown(UnknownCause::BadReply);
         }
         strip_hop_headers(&mut reply.headers);
@@ -252,6 +258,12 @@
     (200..600).contains(&status.as_u16())
 }
 
+/// Returns whether a signature is one entry of the list of signatures that the answer to a search has.
+pub(super) fn is_list_entry(signature: &HeaderValue) -> bool {
+    let bytes = signature.as_bytes();
+    !bytes.is_empty() && !bytes.contains(&b',')
+}
+
 /// Why there is no complete reply.
 enum ExchangeError {
     Unsent,
--- a/crates/server/src/gateway/partial.rs
+++ b/crates/server/src/gateway/partial.rs
@@ -24,6 +24,7 @@
     Gateway,
     body_memory::BodyShare,
     continuations::{ContinuedSearch, SearchId},
+    exchange::is_list_entry,
     fan_out::{FanOut, FanOutResult},
     inbound::{Inbound, PeerRequest, header_pairs, printable},
     plan::{Part, Plan, delegation_time, initial_hedge},
@@ -177,11 +178,11 @@
         return None;
     }
     let shards = reply.included.iter().map(|(shard, signature)| {
-        let signature = HeaderValue::from_bytes(signature);
-        signature.map(|signature| (*shard, signature))
+        let signature = HeaderValue::from_bytes(signature).ok()?;
+        is_list_entry(&signature).then_some((*shard, signature))
     });
     Some(Part {
-        shards: shards.collect::<Result<_, _>>().ok()?,
+        shards: shards.collect::<Option<_>>()?,
         body: Bytes::from(reply.records),
     })
 }
--- a/crates/server/src/gateway/tests.rs
+++ b/crates/server/src/gateway/tests.rs
@@ -133,19 +133,21 @@
 }
 
 #[parameterized(
-    whole = { &[1, 2], true },
-    fewer = { &[2], true },
-    none = { &[], true },
-    twice = { &[1, 1], false },
-    not_asked = { &[1, 3], false },
+    whole = { &[1, 2], "signed", true },
+    fewer = { &[2], "signed", true },
+    none = { &[], "signed", true },
+    twice = { &[1, 1], "signed", false },
+    not_asked = { &[1, 3], "signed", false },
+    two_signatures = { &[1], "signed, signed", false },
+    empty_signature = { &[1], "", false },
 )]
-fn test_delegated_part(included: &[u32], accepted: bool) {
+fn test_delegated_part(included: &[u32], signature: &str, accepted: bool) {
     let targets = [1, 2].map(|shard| ShardTarget {
         shard,
         service: None,
         replicas: Vec::new(),
     });
-    let included = included.iter().map(|shard| (*shard, b"signed".to_vec()));
+    let included = included.iter().map(|shard| (*shard, signature.into()));
     let reply = PartialReply {
         included: included.collect(),
         records: vec![7; 16],
