logging: the size of a line is bounded, also where it quotes an entry

Callers: none seen. Each VM that lists a store with large entries of another writer wrote their values to its log; a VM whose log is read slowly keeps up to 2,000 lines waiting, so that such entries could take its memory.

Cause: the error of an entry whose field has the wrong type, or names an unknown state, quotes the field, which may have a megabyte. The log bounds the number of lines, not their size.

Fix: a text of more than 8 KiB is cut, and ends with the number of bytes that are missing. The lines of requests are not cut, since their fields are bounded one by one.

Evidence: test_log_line_is_cut_to_a_bounded_size failed before (a line of 2,097,235 bytes) and passes after.

--- a/crates/server/src/logging/format.rs
+++ b/crates/server/src/logging/format.rs
@@ -14,6 +14,9 @@
 /// The target of records whose text is a JSON object about one request.
 const REQUEST: &str = "request";
 
+/// The longest text of a record that is written whole, in bytes. Errors quote what other processes sent.
+const MAX_TEXT: usize = 8 << 10;
+
 /// The name of this VM, which is set once the settings were read.
 static VM: OnceLock<String> = OnceLock::new();
 
@@ -52,6 +55,8 @@
     let since = SystemTime::now().duration_since(UNIX_EPOCH);
     let text = record.args().to_string();
     let is_request = record.target() == REQUEST;
+    // A request's fields are bounded one by one, and an object that is cut could not be parsed.
+    let text = if is_request { text } else { cut(text) };
     let (part, msg) = if is_request {
         (REQUEST, None)
     } else {
@@ -82,6 +87,16 @@
     out.write_all(&line)
 }
 
+/// Returns a text cut to [`MAX_TEXT`], with how much is missing at its end.
+fn cut(text: String) -> String {
+    if text.len() <= MAX_TEXT {
+        return text;
+    }
+    let kept = &text[..text.floor_char_boundary(MAX_TEXT)];
+    let missing = text.len() - kept.len();
+    format!("{kept}... ({missing} bytes more)")
+}
+
 fn split_part(text: &str) -> (&str, &str) {
     let is_part = |part: &str| !part.is_empty() && part.bytes().all(|b| b.is_ascii_lowercase());
     match text.split_once(": ") {
--- a/crates/server/src/logging/tests.rs
+++ b/crates/server/src/logging/tests.rs
@@ -48,6 +48,19 @@
     assert_eq!(found, expected);
 }
 
+/// A text may quote what another process sent, of any size.
+#[test]
+fn test_log_line_is_cut_to_a_bounded_size() {
+    let text = format!("platform: Ignored \u{e9}{}", "\u{e9}".repeat(1 << 20));
+    let line = line("cassialift::x", &text);
+    assert!(line.len() < 10_000, "{} bytes", line.len());
+    let object: Map<String, Value> = serde_json::from_str(&line[1..]).unwrap();
+    assert_eq!(object["part"], "platform");
+    let msg = object["msg"].as_str().unwrap();
+    assert!(msg.starts_with("Ignored \u{e9}"), "{msg}");
+    assert!(msg.ends_with(" bytes more)"), "{msg}");
+}
+
 /// An output that a test can read.
 #[derive(Clone, Default)]
 struct Sink(Arc<Mutex<Vec<u8>>>);
