gateway: a status that states that a job has not run is not passed on from a server that ran it

Callers saw a 503 of the server's own for a job that had run, took it for the statement that it never will run, and sent the job again: it ran twice.

Cause: for a route that may not be repeated each signed reply counted as the answer, whatever its status. Only a refusal before the run may have 408, 421, 429 or 503; a server marks such a one as not run.

Such a reply is now an unknown outcome, and counts as a fault of the server. The caller gets 502, which states nothing, and the reply is logged. Other failures, such as 500, are passed on as before.

Before: the three new cases of test_once_only_request_that_may_have_run_is_not_sent_again failed with 408, 429 and 503 where 502 is due.

--- a/crates/server/src/gateway/exchange.rs
+++ b/crates/server/src/gateway/exchange.rs
@@ -258,6 +258,17 @@
     (200..600).contains(&status.as_u16())
 }
 
+/// Returns whether a status states to a caller that its request has not run and never will.
+pub(super) const fn states_not_run(status: StatusCode) -> bool {
+    matches!(
+        status,
+        StatusCode::REQUEST_TIMEOUT
+            | StatusCode::MISDIRECTED_REQUEST
+            | StatusCode::TOO_MANY_REQUESTS
+            | StatusCode::SERVICE_UNAVAILABLE
+    )
+}
+
 /// Returns whether a signature is one entry of the list of signatures that the answer to a search has.
 pub(super) fn is_list_entry(signature: &HeaderValue) -> bool {
     let bytes = signature.as_bytes();
--- a/crates/server/src/gateway/server_call.rs
+++ b/crates/server/src/gateway/server_call.rs
@@ -22,7 +22,7 @@
 use super::{
     Gateway,
     connections::ConnectionRequest,
-    exchange::{Exchange, ExchangeEnd, Reply},
+    exchange::{Exchange, ExchangeEnd, Reply, states_not_run},
     inbound::Inbound,
     priority::priority_rank,
 };
@@ -121,6 +121,15 @@
         };
         let route = &self.inbound.route;
         let is_part = matches!(route.target, RouteTarget::Shards(_));
+        if !is_part && !route.kind.is_idempotent() && states_not_run(reply.status) {
+            // The request ran, so that the caller must not get this status.
+            let server = &self.server;
+            log::warn!(
+                "gateway: {server} answered a request that it ran with status {}, which is not passed on.",
+                reply.status.as_u16()
+            );
+            return (CallOutcome::Unknown(UnknownCause::BadReply), None);
+        }
         let failed = if is_part {
             !reply.status.is_success()
         } else {
