warm-up: a VM that has not met all its seeds hands out a third of a cold server's rate

A cold server got up to 40 requests in one second, bound 35: the fleet was cut in two, all VMs restarted during the cut, and each half handed out nearly the whole rate.

Cause: a VM hands out the share of the VMs that answer among the most that it has met since its start. One that started in the cut has met its own half only, and takes it for the whole.

A VM now counts the seeds that have not answered since its start. While there is one, a part of the fleet of unknown size may hand out permits as well, and the VM hands out 0.3 of the rate, as after a change of the fleet: two or three parts together stay below the rate. Once each seed has been met, the count of VMs includes them, as before.

Before: the four cases of test_cold_rate_is_kept_by_parts_that_have_not_met failed with the rule as it was (42 calls in a second, 35 allowed; 187, 188 and 279, 155 allowed).

--- a/crates/core/src/policy/warmup/fleet_share.rs
+++ b/crates/core/src/policy/warmup/fleet_share.rs
@@ -7,7 +7,7 @@
 /// The share of the rate that is handed out. Permits are held for a moment, so that the calls of one
 /// second may be permits of more than one.
 const STEADY_SHARE: f64 = 0.9;
-/// The share that a VM hands out while another one may still do so in its place.
+/// The share that a VM hands out while others may do so in its place, as in up to three parts of a fleet.
 const SETTLE_SHARE: f64 = 0.3;
 
 /// What a VM knows about the fleet in which it hands out permits.
@@ -21,27 +21,26 @@
     pub stable_for: Duration,
     /// The time since the start of this process.
     pub uptime: Duration,
-    /// Whether the fleet has other VMs, as the settings name them.
-    pub has_seeds: bool,
+    /// The seeds of the settings, other than this VM, that have not answered since its start.
+    pub unmet_seeds: u32,
 }
 
 impl FleetSight {
     /// Returns the share of a rate that this VM hands out, which it has done for `tenure`.
     ///
     /// VMs that do not answer may be cut off and hand out permits among themselves, each part of the fleet
-    /// in proportion to its size. A VM that has just started, or has met no other, may know too few to be
-    /// the one that hands them out.
+    /// in proportion to its size. A seed that was never met may belong to a part whose size is unknown, and a
+    /// VM that has just started may know too few to be the one that hands out permits.
     #[must_use]
     pub fn grant_share(&self, tenure: Duration) -> f64 {
-        let is_alone = self.has_seeds && self.peak <= 1;
-        if self.uptime < SETTLE_TIME || is_alone {
+        if self.uptime < SETTLE_TIME {
             return 0.0;
         }
         let is_settled = self.stable_for >= SETTLE_TIME || tenure >= SETTLE_TIME;
-        let share = if is_settled {
-            STEADY_SHARE
-        } else {
-            SETTLE_SHARE
+        let share = match self.unmet_seeds {
+            0 if is_settled => STEADY_SHARE,
+            1.. if self.peak <= 1 => 0.0,
+            0 | 1.. => SETTLE_SHARE,
         };
         share * f64::from(self.answering) / f64::from(self.peak.max(self.answering).max(1))
     }
--- a/crates/core/src/policy/warmup/tests.rs
+++ b/crates/core/src/policy/warmup/tests.rs
@@ -68,7 +68,7 @@
                 peak: count,
                 stable_for: LONG,
                 uptime: LONG,
-                has_seeds: true,
+                unmet_seeds: 0,
             },
             is_cut: false,
             waiting: None,
@@ -208,9 +208,11 @@
         vm.sight.peak = 1;
         vm.sight.uptime = Duration::ZERO;
         vm.sight.stable_for = Duration::ZERO;
+        vm.sight.unmet_seeds = 3;
     }
     fleet.run(SECOND);
     for vm in &mut fleet.vms {
+        vm.sight.unmet_seeds = 0;
         vm.sight.answering = vms;
         vm.sight.peak = vms;
     }
@@ -227,10 +229,38 @@
     lonely.allocator = 7;
     lonely.sight.answering = 1;
     lonely.sight.peak = 1;
+    lonely.sight.unmet_seeds = 3;
     fleet.run(RUN);
     fleet.check(0.6);
 }
 
+/// The fleet was cut in parts and restarted since, so that each part knows only itself.
+#[parameterized(
+    halves = { &[6, 6], 20.0 },
+    halves_high_rate = { &[6, 6], 100.0 },
+    uneven = { &[9, 3], 100.0 },
+    three_parts = { &[4, 4, 4], 100.0 },
+)]
+fn test_cold_rate_is_kept_by_parts_that_have_not_met(sizes: &[usize], limit: f64) {
+    let mut parts: Vec<Fleet> = sizes
+        .iter()
+        .map(|size| Fleet::new(u32::try_from(*size).unwrap(), limit))
+        .collect();
+    for part in &mut parts {
+        for vm in &mut part.vms {
+            vm.sight.unmet_seeds = 1;
+        }
+        part.run(RUN);
+    }
+    let mut fleet = parts.pop().unwrap();
+    for part in parts {
+        let shift = |at: &Instant| fleet.begin + (*at - part.begin);
+        let calls: Vec<Instant> = part.calls.iter().map(shift).collect();
+        fleet.calls.extend(calls);
+    }
+    fleet.check(0.5);
+}
+
 /// Both halves hand out permits in proportion to their size.
 #[parameterized(low_rate = { 2.0 }, usual = { 10.0 }, high_rate = { 100.0 })]
 fn test_cold_rate_is_kept_in_a_partition(limit: f64) {
--- a/crates/server/src/gateway/permits.rs
+++ b/crates/server/src/gateway/permits.rs
@@ -140,10 +140,8 @@
 
     /// Returns what this VM knows about the fleet.
     fn sight(&self, now: Instant) -> FleetSight {
-        let settings = &self.node.settings;
-        let has_seeds = settings.seeds.iter().any(|seed| *seed != settings.peers);
         let uptime = now.saturating_duration_since(self.started_at);
-        self.servers.fleet_sight(has_seeds, uptime, now)
+        self.servers.fleet_sight(uptime, now)
     }
 
     /// Sends the claims that are due, each to the VM that hands out the permits of its server.
--- a/crates/server/src/gateway/servers.rs
+++ b/crates/server/src/gateway/servers.rs
@@ -1,7 +1,7 @@
 //! The backend servers that requests may go to, synced with the configuration.
 
 use std::{
-    collections::{BTreeMap, HashMap, HashSet},
+    collections::{BTreeMap, BTreeSet, HashMap, HashSet},
     net::SocketAddr,
     sync::{Arc, Mutex, MutexGuard, PoisonError},
     time::{Duration, Instant},
@@ -44,7 +44,7 @@
 type WarmupPolicies = BTreeMap<ServiceId, WarmupPolicy>;
 
 /// The backend servers that requests may go to.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub(super) struct ServerTable {
     inner: Mutex<Inner>,
 }
@@ -66,6 +66,8 @@
     peak_vms: u32,
     /// The number of VMs that answer, and the time of its last change.
     answering: Option<(u32, Instant)>,
+    /// The seeds, other than this VM, that have not answered since its start.
+    unmet_seeds: BTreeSet<SocketAddr>,
 }
 
 /// What the registry was synced with.
@@ -129,6 +131,16 @@
 }
 
 impl ServerTable {
+    /// Returns the table of a VM that has these seeds, other than itself.
+    pub(super) fn new(seeds: BTreeSet<SocketAddr>) -> Self {
+        Self {
+            inner: Mutex::new(Inner {
+                unmet_seeds: seeds,
+                ..Inner::default()
+            }),
+        }
+    }
+
     /// Returns whether the VMs of a view and the backend servers of its configuration, or of a
     /// newer one, were applied.
     pub(super) fn is_synced(&self, view: &FleetView, config: &ConfigView) -> bool {
@@ -391,14 +403,8 @@
         self.lock().peak_vms.max(1)
     }
 
-    /// Returns what this VM, which has other seeds if `has_seeds` and started `uptime` ago, knows about
-    /// the fleet.
-    pub(super) fn fleet_sight(
-        &self,
-        has_seeds: bool,
-        uptime: Duration,
-        now: Instant,
-    ) -> FleetSight {
+    /// Returns what this VM, which started `uptime` ago, knows about the fleet.
+    pub(super) fn fleet_sight(&self, uptime: Duration, now: Instant) -> FleetSight {
         let inner = self.lock();
         let (answering, changed_at) = inner.answering.unwrap_or((1, now));
         FleetSight {
@@ -406,7 +412,7 @@
             peak: inner.peak_vms,
             stable_for: now.saturating_duration_since(changed_at),
             uptime,
-            has_seeds,
+            unmet_seeds: u32::try_from(inner.unmet_seeds.len()).unwrap_or(u32::MAX),
         }
     }
 
@@ -489,6 +495,7 @@
             ) {
                 let centre = DataCentre::clone(&member.centre);
                 *self.vm_counts.entry(centre).or_default() += 1;
+                self.unmet_seeds.remove(&member.peers);
             }
         }
         let answering = self.vm_counts.values().sum();
--- a/crates/server/src/gateway/state.rs
+++ b/crates/server/src/gateway/state.rs
@@ -59,6 +59,8 @@
             ConnectionPools::after_restart(Arc::clone(&reach), Timer.now())
         };
         let machine = node.settings.limits.memory_bytes();
+        let seeds = node.settings.seeds.iter().copied();
+        let other_seeds = seeds.filter(|seed| *seed != node.settings.peers).collect();
         Self {
             node,
             dialect,
@@ -66,7 +68,7 @@
             connections,
             bodies: Arc::new(BodyMemory::new(machine)),
             replies: ReplyMemory::new(machine),
-            servers: ServerTable::default(),
+            servers: ServerTable::new(other_seeds),
             continuations: Continuations::default(),
             permits: PermitPools::default(),
             poison: PoisonMemory::default(),
