warm-up: a VM that has met no other hands out a little of a cold server's rate

Callers of a service that states what cold servers bear were refused for good by a VM that was left alone by a loss of power, once each of its servers had been cut off for five seconds: 0 of 120 requests served.

Cause: a server that was ejected counts as cold until a call has returned rows, so that each call and each probe needs a permit. A VM that had met none of its seeds handed out none, to itself neither, so that the call that would have ended the state was never sent.

Such a VM now hands out 0.05 of the rate: a call now and then, after which the server is cold for the service's time and then warm. Three such VMs beside the rest of the fleet stay within the bound. A service whose servers really are cold gets as little from it instead of nothing.

Before: test_lone_vm_uses_servers_again_that_were_cut_off timed out after 20 s on, and the three cases of test_cold_server_is_tried_by_a_vm_that_meets_nobody got no call with the rule as it was.

--- a/crates/core/src/policy/warmup/fleet_share.rs
+++ b/crates/core/src/policy/warmup/fleet_share.rs
@@ -9,6 +9,9 @@
 const STEADY_SHARE: f64 = 0.9;
 /// The share that a VM hands out while others may do so in its place, as in up to three parts of a fleet.
 const SETTLE_SHARE: f64 = 0.3;
+/// The share that a VM hands out which has met no other: enough to find out whether servers answer, and so
+/// little that the bound holds beside the rest of the fleet and a few more such VMs.
+const LONE_SHARE: f64 = 0.05;
 
 /// What a VM knows about the fleet in which it hands out permits.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -39,7 +42,7 @@
         let is_settled = self.stable_for >= SETTLE_TIME || tenure >= SETTLE_TIME;
         let share = match self.unmet_seeds {
             0 if is_settled => STEADY_SHARE,
-            1.. if self.peak <= 1 => 0.0,
+            1.. if self.peak <= 1 => LONE_SHARE,
             0 | 1.. => SETTLE_SHARE,
         };
         share * f64::from(self.answering) / f64::from(self.peak.max(self.answering).max(1))
--- a/crates/core/src/policy/warmup/tests.rs
+++ b/crates/core/src/policy/warmup/tests.rs
@@ -221,19 +221,29 @@
     fleet.check(0.4);
 }
 
-/// A VM that is cut off from all others since its start hands out nothing.
-#[test]
-fn test_cold_rate_is_kept_beside_a_vm_that_meets_nobody() {
-    let mut fleet = Fleet::new(8, 20.0);
-    let lonely = &mut fleet.vms[7];
-    lonely.allocator = 7;
-    lonely.sight.answering = 1;
-    lonely.sight.peak = 1;
-    lonely.sight.unmet_seeds = 3;
+/// VMs that are cut off from all others since their start hand out little.
+#[parameterized(one = { 1, 20.0 }, three = { 3, 20.0 }, three_high_rate = { 3, 100.0 })]
+fn test_cold_rate_is_kept_beside_vms_that_meet_nobody(lonely: usize, limit: f64) {
+    let mut fleet = Fleet::new(8, limit);
+    for (index, vm) in fleet.vms.iter_mut().enumerate().take(lonely + 1).skip(1) {
+        vm.allocator = index;
+        vm.sight.answering = 1;
+        vm.sight.peak = 1;
+        vm.sight.unmet_seeds = 3;
+    }
     fleet.run(RUN);
     fleet.check(0.6);
 }
 
+/// A VM that has met no other since its start still sends servers a call now and then.
+#[parameterized(low_rate = { 2.0 }, usual = { 20.0 }, high_rate = { 100.0 })]
+fn test_cold_server_is_tried_by_a_vm_that_meets_nobody(limit: f64) {
+    let mut fleet = Fleet::new(1, limit);
+    fleet.vms[0].sight.unmet_seeds = 2;
+    fleet.run(LONG);
+    fleet.check(0.04);
+}
+
 /// The fleet was cut in parts and restarted since, so that each part knows only itself.
 #[parameterized(
     halves = { &[6, 6], 20.0 },
