gateway: large answers hold their memory until they have been written to the caller

Two VMs of 260 MB each exceeded their memory three times in 14 s, and lost all answers under way, when callers asked for answers of 6 MiB ten times a second and read 64 KB a second.

Cause: the share of the memory for large replies ended with the response's body. Its only frame is the whole body, which hyper takes at once and keeps in its own buffer until the caller has read it, so that replies that were being received were bounded and answers that were being read were not.

The bytes themselves own the share now, wherever they are kept: in a part, in an answer, in hyper's buffer. Answers that a VM puts together, or gets from another VM, take a share too. While less than a quarter of it is free, connections of callers that have not read their answer after 5 s are closed, the slowest first. A reply that finds no room since answers are unread gets its request 502, is not repeated and is not blamed on its server; where the replies themselves take the memory the call is a fault of the server as before.

--- a/crates/core/src/policy/outcome.rs
+++ b/crates/core/src/policy/outcome.rs
@@ -51,6 +51,8 @@
     Timeout,
     /// The reply could not be read, or belonged to another call.
     BadReply,
+    /// This VM had no memory for the reply, since callers have not read other answers.
+    NoMemory,
 }
 
 impl CallOutcome {
@@ -76,6 +78,10 @@
     /// Returns whether the outcome counts as a fault of the backend server.
     #[must_use]
     pub const fn is_fault(self) -> bool {
-        matches!(self, Self::NotRun(NotRunCause::Connect) | Self::Unknown(_))
+        match self {
+            Self::NotRun(cause) => matches!(cause, NotRunCause::Connect),
+            Self::Unknown(cause) => !matches!(cause, UnknownCause::NoMemory),
+            Self::Done(_) => false,
+        }
     }
 }
--- a/crates/core/src/policy/retry.rs
+++ b/crates/core/src/policy/retry.rs
@@ -109,11 +109,13 @@
     /// retried.
     ///
     /// A call is retried only if it provably did not run or its kind is idempotent. A call whose
-    /// deadline has expired is not retried.
+    /// deadline has expired is not retried, nor one whose reply this VM has no memory for.
     #[must_use]
     pub const fn from_outcome(outcome: CallOutcome, kind: RequestKind) -> Option<Self> {
         match outcome {
-            CallOutcome::Done(_) | CallOutcome::NotRun(NotRunCause::Expired) => None,
+            CallOutcome::Done(_)
+            | CallOutcome::NotRun(NotRunCause::Expired)
+            | CallOutcome::Unknown(UnknownCause::NoMemory) => None,
             CallOutcome::NotRun(cause) => Some(Self::from_not_run(cause)),
             CallOutcome::Unknown(_) if !kind.is_idempotent() => None,
             CallOutcome::Unknown(UnknownCause::Broken) => Some(Self::Broken),
--- a/crates/core/src/policy/tests/mod.rs
+++ b/crates/core/src/policy/tests/mod.rs
@@ -73,6 +73,7 @@
     fetch_unknown = {
         CallOutcome::Unknown(UnknownCause::Timeout), RequestKind::Fetch, Some(RetryReason::Timeout)
     },
+    fetch_no_memory = { CallOutcome::Unknown(UnknownCause::NoMemory), RequestKind::Fetch, None },
 )]
 fn test_retry_reason(outcome: CallOutcome, kind: RequestKind, expected: Option<RetryReason>) {
     assert_eq!(RetryReason::from_outcome(outcome, kind), expected);
--- a/crates/server/src/gateway/exchange.rs
+++ b/crates/server/src/gateway/exchange.rs
@@ -65,8 +65,6 @@
     pub(super) body: Bytes,
     /// The backend server's signature; `None` if the reply is unsigned.
     pub(super) signature: Option<HeaderValue>,
-    /// The memory that the body takes.
-    pub(super) share: Arc<ReplyShare>,
 }
 
 /// A request to one backend server and the connection that it needs.
@@ -183,7 +181,10 @@
             Err(ExchangeError::TooLarge(reason)) => {
                 let server = &self.connection.server;
                 log::warn!("gateway: Dropped a reply of {server} before its end: {reason}.");
-                ExchangeEnd::Unknown(UnknownCause::BadReply)
+                ExchangeEnd::Unknown(match reason {
+                    ReplyTooLarge::Reply | ReplyTooLarge::Together => UnknownCause::BadReply,
+                    ReplyTooLarge::Unread => UnknownCause::NoMemory,
+                })
             }
             Err(ExchangeError::Timeout) => {
                 pools.close_idle_before(&self.connection.server, sent_at);
@@ -315,9 +316,8 @@
     let reply = Reply {
         status: parts.status,
         headers: parts.headers,
-        body: buffer.join(),
+        body: share.hold(buffer.join()),
         signature: None,
-        share: Arc::new(share),
     };
     Ok((reply, hints))
 }
--- a/crates/server/src/gateway/forward.rs
+++ b/crates/server/src/gateway/forward.rs
@@ -33,9 +33,10 @@
     fan_out::{FanOut, FanOutResult},
     inbound::{self, Head, Inbound, origin_form, printable, read_body, strip_hop_headers},
     readiness::Readiness,
+    reply_memory::ReplyMemory,
     trace::{Trace, TraceEnd},
 };
-use crate::timer::Timer;
+use crate::{http::ConnectionCloser, timer::Timer};
 
 /// The part of a request's timeout that is reserved for the answer's way back to the caller.
 const RETURN_MARGIN: Duration = Duration::from_millis(10);
@@ -62,6 +63,7 @@
     ) -> Answer {
         let _running = self.node.drain.enter();
         let mut trace = Trace::new(Timer.now());
+        let closer = request.extensions().get::<ConnectionCloser>().cloned();
         let result = self.try_serve(caller, request, &mut trace).await;
         let took = Timer.now().saturating_duration_since(trace.started_at);
         let metrics = &self.node.metrics;
@@ -88,7 +90,10 @@
             reason,
             took,
         });
-        answer
+        match closer {
+            Some(closer) => answer.map(|body| self.replies.deliver(body, closer)),
+            None => answer,
+        }
     }
 
     async fn try_serve(
@@ -186,7 +191,7 @@
         trace
             .decisions
             .record_left_out(inbound.age(), missing, service);
-        answer(inbound, result, names).map_err(|refusal| {
+        answer(inbound, result, names, &self.replies).map_err(|refusal| {
             if is_tried {
                 // The shard that was tried has run the search.
                 return Refusal::unknown(refusal.reason);
@@ -358,11 +363,12 @@
     inbound: &Inbound,
     mut result: FanOutResult,
     names: &HeaderNames,
+    memory: &ReplyMemory,
 ) -> Result<Answer, Refusal> {
     let answer = match (&inbound.route.target, result.end.outcome) {
         (RouteTarget::Shards(set), GatherOutcome::Answer) => {
             let missing = result.end.coverage.missing.len();
-            Some(answer::merge(&result.parts, missing, set.top, names))
+            answer::merge(&result.parts, missing, set.top, names, memory)
         }
         (RouteTarget::Shards(_), GatherOutcome::NotRun | GatherOutcome::Unknown) => None,
         // Without a successful reply, the last failure of a backend server is the answer.
--- a/crates/server/src/gateway/listen.rs
+++ b/crates/server/src/gateway/listen.rs
@@ -2,6 +2,7 @@
 
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
+use http_body_util::Full;
 use hyper::{
     Request,
     body::Incoming,
@@ -50,7 +51,7 @@
     for listener in [directory, readiness] {
         let pages = Arc::clone(&gateway);
         let serve = move |_: SocketAddr, request: Request<Incoming>| {
-            let answer = pages.page(request.uri());
+            let answer = pages.page(request.uri()).map(Full::new);
             async move { answer }
         };
         let stopped = wait_for_stop(stopped.clone());
@@ -61,7 +62,7 @@
         let gateway = Arc::clone(&forwarding);
         async move {
             let answer = Arc::clone(&gateway).serve(caller.ip(), request).await;
-            gateway.close_if_leaving(answer)
+            gateway.close_if_leaving(answer).map(Full::new)
         }
     };
     Acceptor::new(&accept_settings, serve)
--- a/crates/server/src/gateway/pages.rs
+++ b/crates/server/src/gateway/pages.rs
@@ -14,10 +14,7 @@
     header::{CONTENT_TYPE, HeaderValue},
 };
 
-use super::{
-    Gateway,
-    answer::{Answer, AnswerBody},
-};
+use super::{Gateway, answer::Answer};
 use crate::entry::address_entries;
 
 /// The value of `Retry-After` while no address is known, in seconds.
@@ -44,7 +41,7 @@
             return answer;
         };
         let body = Bytes::from(self.dialect.address_answer(&answer));
-        let mut response = Response::new(AnswerBody::new(body));
+        let mut response = Response::new(body);
         let json = HeaderValue::from_static("application/json");
         response.headers_mut().insert(CONTENT_TYPE, json);
         response
@@ -79,7 +76,7 @@
 }
 
 fn empty(status: StatusCode) -> Answer {
-    let mut response = Response::new(AnswerBody::default());
+    let mut response = Response::new(Bytes::new());
     *response.status_mut() = status;
     response
 }
--- a/crates/server/src/gateway/relay.rs
+++ b/crates/server/src/gateway/relay.rs
@@ -14,12 +14,11 @@
     view::FleetView,
 };
 use cassialift_wire::peer::{RelayOutcome, RelayReply, RelayRequest};
-use http_body_util::BodyExt;
 use hyper::{Response, StatusCode};
 
 use super::{
     Gateway,
-    answer::{Answer, AnswerBody, Refusal},
+    answer::{Answer, Refusal},
     decision::{Decision, millis},
     exchange::is_final,
     forward::unanswered,
@@ -89,7 +88,7 @@
             };
             let cause = match outcome {
                 Ok(outcome) => match caller_answer(outcome) {
-                    Some(answer) => return Some(answer),
+                    Some(answer) => return Some(answer.and_then(|answer| self.hold(answer))),
                     None => "the VM does not take it".to_owned(),
                 },
                 Err(error) if !error.is_unsent() => {
@@ -108,6 +107,14 @@
         None
     }
 
+    /// Returns an answer of another VM with the memory that it takes.
+    fn hold(&self, answer: Answer) -> Result<Answer, Refusal> {
+        let (parts, body) = answer.into_parts();
+        let body = self.replies.hold(body);
+        let body = body.ok_or(Refusal::unknown(RefusalReason::NoReply))?;
+        Ok(Response::from_parts(parts, body))
+    }
+
     async fn offer(
         &self,
         view: &FleetView,
@@ -205,7 +212,7 @@
             took: Timer.now().saturating_duration_since(trace.started_at),
         });
         match result {
-            Ok(answer) => answered(answer).await,
+            Ok(answer) => answered(answer),
             Err(refusal) => refused(refusal),
         }
     }
@@ -241,12 +248,8 @@
 }
 
 /// Returns the outcome of a request with an answer.
-async fn answered(answer: Answer) -> RelayOutcome {
+fn answered(answer: Answer) -> RelayOutcome {
     let (parts, body) = answer.into_parts();
-    let body = match body.collect().await {
-        Ok(body) => body.to_bytes(),
-        Err(never) => match never {},
-    };
     if body.len() > peers::MAX_CONTENT {
         let bytes = body.len();
         log::warn!(
@@ -291,7 +294,7 @@
 }
 
 fn response(status: u16, headers: &[(String, Vec<u8>)], body: Vec<u8>) -> Option<Answer> {
-    let mut response = Response::new(AnswerBody::new(body));
+    let mut response = Response::new(Bytes::from(body));
     let status = StatusCode::from_u16(status).ok();
     *response.status_mut() = status.filter(|status| is_final(*status))?;
     *response.headers_mut() = header_map(headers)?;
--- a/crates/server/src/http/accept.rs
+++ b/crates/server/src/http/accept.rs
@@ -12,6 +12,7 @@
 };
 use tokio_util::task::TaskTracker;
 
+use super::ConnectionCloser;
 use crate::{sockets, timer::Timer};
 
 /// The time that a connection beyond the limit is given to read its refusal.
@@ -116,7 +117,10 @@
 
     fn drive(&self, stream: TcpStream, peer: SocketAddr, permit: OwnedSemaphorePermit) {
         let serve = self.serve.clone();
-        let service = service_fn(move |request| {
+        let closer = ConnectionCloser::default();
+        let watched = closer.clone();
+        let service = service_fn(move |mut request: Request<Incoming>| {
+            request.extensions_mut().insert(closer.clone());
             let served = serve(peer, request);
             async move { Ok::<_, Infallible>(served.await) }
         });
@@ -125,16 +129,21 @@
         self.tasks.spawn(async move {
             let _permit = permit;
             let mut connection = std::pin::pin!(connection);
-            let ended = tokio::select! {
-                ended = connection.as_mut() => ended,
-                _ = stopped.changed() => {
-                    // Closes the connection once its present request, if any, has been answered.
-                    connection.as_mut().graceful_shutdown();
-                    connection.await
+            let serving = async {
+                tokio::select! {
+                    ended = connection.as_mut() => ended,
+                    _ = stopped.changed() => {
+                        // Closes the connection once its present request, if any, has been answered.
+                        connection.as_mut().graceful_shutdown();
+                        connection.await
+                    }
                 }
             };
-            if let Err(error) = ended {
-                log::debug!("callers: A connection failed: {error}.");
+            tokio::select! {
+                ended = serving => if let Err(error) = ended {
+                    log::debug!("callers: A connection failed: {error}.");
+                },
+                () = watched.closed() => log::debug!("callers: Closed the connection of {peer}."),
             }
         });
     }
