--- a/crates/server/src/gateway/reply_memory_tests.rs
+++ b/crates/server/src/gateway/reply_memory_tests.rs
@@ -1,8 +1,12 @@
 //! Tests of the memory for replies of backend servers.
 
+use std::sync::Arc;
+
+use bytes::Bytes;
 use yare::parameterized;
 
 use super::reply_memory::{ReplyBuffer, ReplyMemory, ReplyShare, ReplyTooLarge};
+use crate::http::ConnectionCloser;
 
 /// The memory of a machine of which large replies may take 16 MiB, in bytes.
 const MACHINE: usize = 80 << 20;
@@ -35,6 +39,24 @@
     assert_eq!(refused, Err(ReplyTooLarge::Reply));
 }
 
+/// Answers take their memory until nobody holds any of their bytes, and are the reason why others find none.
+#[test]
+fn test_reply_memory_is_taken_by_unread_answers() {
+    let memory = Arc::new(ReplyMemory::new(MACHINE));
+    let unread = |size| {
+        let body = memory.hold(Bytes::from(vec![7; size]));
+        body.map(|body| memory.deliver(body, ConnectionCloser::default()))
+    };
+    let mut answers: Vec<Bytes> = (0..3).map(|_| unread(5 * MIB).unwrap()).collect();
+    assert!(unread(2 * MIB).is_none());
+    let refused = memory.extend(&mut ReplyShare::default(), 2 * MIB);
+    assert_eq!(refused, Err(ReplyTooLarge::Unread));
+    let last = answers.pop().unwrap().split_off(5 * MIB - 1);
+    assert!(unread(2 * MIB).is_none(), "a byte is left");
+    drop(last);
+    assert_eq!(unread(2 * MIB).unwrap().len(), 2 * MIB);
+}
+
 /// A body is joined as it was received, whatever the sizes of its parts.
 #[parameterized(
     empty = { 0, 1 },
