gateway: the closer of a caller's connection is an argument, not an extension of the request

A reader of the change found that each request of any listener got an entry in a map of extensions, and that the gateway then handled a closer that might be missing, which none ever was.

The function that serves a connection's requests is given the caller: its address and the closer of its connection. Behaviour is the same.

--- a/crates/server/src/entry/http/listen.rs
+++ b/crates/server/src/entry/http/listen.rs
@@ -1,6 +1,6 @@
 //! Listening for callers and operators that use cassialift's own protocol.
 
-use std::{net::SocketAddr, sync::Arc};
+use std::sync::Arc;
 
 use cassialift_core::request::{ExecutionStatus, RefusalReason};
 use hyper::{Request, body::Incoming};
@@ -8,7 +8,7 @@
 use super::{connection::SharedState, routes::router};
 use crate::{
     entry::refuse::RefusalError,
-    http::{AcceptSettings, Acceptor},
+    http::{AcceptSettings, Acceptor, Caller},
     process::{Node, ProcessError},
     sockets,
 };
@@ -36,9 +36,9 @@
         refusal: refusal(),
     };
     let shared = SharedState::new(&node, router(&node));
-    let serve = move |peer: SocketAddr, request: Request<Incoming>| {
+    let serve = move |caller: Caller, request: Request<Incoming>| {
         let shared = shared.clone();
-        async move { shared.serve(peer, request).await }
+        async move { shared.serve(caller.address, request).await }
     };
     Acceptor::new(&settings, serve).run(listener, stop).await;
     Ok(())
--- a/crates/server/src/gateway/forward.rs
+++ b/crates/server/src/gateway/forward.rs
@@ -36,7 +36,7 @@
     reply_memory::ReplyMemory,
     trace::{Trace, TraceEnd},
 };
-use crate::{http::ConnectionCloser, timer::Timer};
+use crate::{http::Caller, timer::Timer};
 
 /// The part of a request's timeout that is reserved for the answer's way back to the caller.
 const RETURN_MARGIN: Duration = Duration::from_millis(10);
@@ -58,13 +58,13 @@
     /// Serves one request; dropping the future, as a disconnect does, cancels its calls.
     pub(super) async fn serve(
         self: Arc<Self>,
-        caller: IpAddr,
+        caller: Caller,
         request: Request<Incoming>,
     ) -> Answer {
         let _running = self.node.drain.enter();
         let mut trace = Trace::new(Timer.now());
-        let closer = request.extensions().get::<ConnectionCloser>().cloned();
-        let result = self.try_serve(caller, request, &mut trace).await;
+        let ip = caller.address.ip();
+        let result = self.try_serve(ip, request, &mut trace).await;
         let took = Timer.now().saturating_duration_since(trace.started_at);
         let metrics = &self.node.metrics;
         let (reason, answer) = match result {
@@ -90,10 +90,7 @@
             reason,
             took,
         });
-        match closer {
-            Some(closer) => answer.map(|body| self.replies.deliver(body, closer)),
-            None => answer,
-        }
+        answer.map(|body| self.replies.deliver(body, caller.closer))
     }
 
     async fn try_serve(
--- a/crates/server/src/gateway/listen.rs
+++ b/crates/server/src/gateway/listen.rs
@@ -1,6 +1,6 @@
 //! The gateway's listeners.
 
-use std::{net::SocketAddr, sync::Arc, time::Duration};
+use std::{sync::Arc, time::Duration};
 
 use http_body_util::Full;
 use hyper::{
@@ -12,7 +12,7 @@
 
 use super::{Gateway, answer::Answer};
 use crate::{
-    http::{AcceptSettings, Acceptor},
+    http::{AcceptSettings, Acceptor, Caller},
     process::ProcessError,
     sockets,
     timer::Timer,
@@ -50,7 +50,7 @@
     let (stopping, stopped) = watch::channel(false);
     for listener in [directory, readiness] {
         let pages = Arc::clone(&gateway);
-        let serve = move |_: SocketAddr, request: Request<Incoming>| {
+        let serve = move |_: Caller, request: Request<Incoming>| {
             let answer = pages.page(request.uri()).map(Full::new);
             async move { answer }
         };
@@ -58,10 +58,10 @@
         tokio::spawn(Acceptor::new(&accept_settings, serve).run(listener, stopped));
     }
     let forwarding = Arc::clone(&gateway);
-    let serve = move |caller: SocketAddr, request: Request<Incoming>| {
+    let serve = move |caller: Caller, request: Request<Incoming>| {
         let gateway = Arc::clone(&forwarding);
         async move {
-            let answer = Arc::clone(&gateway).serve(caller.ip(), request).await;
+            let answer = Arc::clone(&gateway).serve(caller, request).await;
             gateway.close_if_leaving(answer).map(Full::new)
         }
     };
--- a/crates/server/src/http/accept.rs
+++ b/crates/server/src/http/accept.rs
@@ -12,7 +12,7 @@
 };
 use tokio_util::task::TaskTracker;
 
-use super::ConnectionCloser;
+use super::{Caller, ConnectionCloser};
 use crate::{sockets, timer::Timer};
 
 /// The time that a connection beyond the limit is given to read its refusal.
@@ -56,7 +56,7 @@
 
 impl<F, Answering, SentBody> Acceptor<F>
 where
-    F: Fn(SocketAddr, Request<Incoming>) -> Answering + Clone + Send + 'static,
+    F: Fn(Caller, Request<Incoming>) -> Answering + Clone + Send + 'static,
     Answering: Future<Output = Response<SentBody>> + Send + 'static,
     SentBody: Body + Send + 'static,
     SentBody::Data: Send,
@@ -118,10 +118,12 @@
     fn drive(&self, stream: TcpStream, peer: SocketAddr, permit: OwnedSemaphorePermit) {
         let serve = self.serve.clone();
         let closer = ConnectionCloser::default();
-        let watched = closer.clone();
-        let service = service_fn(move |mut request: Request<Incoming>| {
-            request.extensions_mut().insert(closer.clone());
-            let served = serve(peer, request);
+        let caller = Caller {
+            address: peer,
+            closer: closer.clone(),
+        };
+        let service = service_fn(move |request| {
+            let served = serve(caller.clone(), request);
             async move { Ok::<_, Infallible>(served.await) }
         });
         let connection = self.http.serve_connection(TokioIo::new(stream), service);
@@ -143,7 +145,7 @@
                 ended = serving => if let Err(error) = ended {
                     log::debug!("callers: A connection failed: {error}.");
                 },
-                () = watched.closed() => log::debug!("callers: Closed the connection of {peer}."),
+                () = closer.closed() => log::debug!("callers: Closed the connection of {peer}."),
             }
         });
     }
--- a/crates/server/src/http/closer.rs
+++ b/crates/server/src/http/caller.rs
@@ -1,12 +1,18 @@
-//! Closing of a caller's connection from outside the task that serves it.
+//! The caller at the other end of a connection, and the closing of the connection from outside its task.
 
-use std::sync::Arc;
+use std::{net::SocketAddr, sync::Arc};
 
 use tokio::sync::Notify;
 
+/// The caller of a request.
+#[derive(Clone, Debug)]
+pub(crate) struct Caller {
+    pub(crate) address: SocketAddr,
+    /// Closes the connection on which the request came.
+    pub(crate) closer: ConnectionCloser,
+}
+
 /// Closes one connection, whatever is being sent on it.
-///
-/// Each request has the closer of its connection among its extensions.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct ConnectionCloser(Arc<Notify>);
 
--- a/crates/server/src/http/mod.rs
+++ b/crates/server/src/http/mod.rs
@@ -2,9 +2,9 @@
 //! backend servers.
 
 mod accept;
-mod closer;
+mod caller;
 mod connect;
 
 pub(crate) use accept::{AcceptSettings, Acceptor};
-pub(crate) use closer::ConnectionCloser;
+pub(crate) use caller::{Caller, ConnectionCloser};
 pub(crate) use connect::server_connections;
