warm-up: whether a seed was not met, instead of how many

Only whether there is one was ever used. The share is chosen by plain conditions, in place of a match on a number whose last arm stood for all the rest.

--- a/crates/core/src/policy/warmup/fleet_share.rs
+++ b/crates/core/src/policy/warmup/fleet_share.rs
@@ -24,8 +24,8 @@
     pub stable_for: Duration,
     /// The time since the start of this process.
     pub uptime: Duration,
-    /// The seeds of the settings, other than this VM, that have not answered since its start.
-    pub unmet_seeds: u32,
+    /// Whether a seed of the settings, other than this VM, has not answered since its start.
+    pub has_unmet_seed: bool,
 }
 
 impl FleetSight {
@@ -40,10 +40,12 @@
             return 0.0;
         }
         let is_settled = self.stable_for >= SETTLE_TIME || tenure >= SETTLE_TIME;
-        let share = match self.unmet_seeds {
-            0 if is_settled => STEADY_SHARE,
-            1.. if self.peak <= 1 => LONE_SHARE,
-            0 | 1.. => SETTLE_SHARE,
+        let share = if self.has_unmet_seed && self.peak <= 1 {
+            LONE_SHARE
+        } else if self.has_unmet_seed || !is_settled {
+            SETTLE_SHARE
+        } else {
+            STEADY_SHARE
         };
         share * f64::from(self.answering) / f64::from(self.peak.max(self.answering).max(1))
     }
--- a/crates/core/src/policy/warmup/tests.rs
+++ b/crates/core/src/policy/warmup/tests.rs
@@ -68,7 +68,7 @@
                 peak: count,
                 stable_for: LONG,
                 uptime: LONG,
-                unmet_seeds: 0,
+                has_unmet_seed: false,
             },
             is_cut: false,
             waiting: None,
@@ -208,11 +208,11 @@
         vm.sight.peak = 1;
         vm.sight.uptime = Duration::ZERO;
         vm.sight.stable_for = Duration::ZERO;
-        vm.sight.unmet_seeds = 3;
+        vm.sight.has_unmet_seed = true;
     }
     fleet.run(SECOND);
     for vm in &mut fleet.vms {
-        vm.sight.unmet_seeds = 0;
+        vm.sight.has_unmet_seed = false;
         vm.sight.answering = vms;
         vm.sight.peak = vms;
     }
@@ -229,7 +229,7 @@
         vm.allocator = index;
         vm.sight.answering = 1;
         vm.sight.peak = 1;
-        vm.sight.unmet_seeds = 3;
+        vm.sight.has_unmet_seed = true;
     }
     fleet.run(RUN);
     fleet.check(0.6);
@@ -239,7 +239,7 @@
 #[parameterized(low_rate = { 2.0 }, usual = { 20.0 }, high_rate = { 100.0 })]
 fn test_cold_server_is_tried_by_a_vm_that_meets_nobody(limit: f64) {
     let mut fleet = Fleet::new(1, limit);
-    fleet.vms[0].sight.unmet_seeds = 2;
+    fleet.vms[0].sight.has_unmet_seed = true;
     fleet.run(LONG);
     fleet.check(0.04);
 }
@@ -258,7 +258,7 @@
         .collect();
     for part in &mut parts {
         for vm in &mut part.vms {
-            vm.sight.unmet_seeds = 1;
+            vm.sight.has_unmet_seed = true;
         }
         part.run(RUN);
     }
--- a/crates/server/src/gateway/servers.rs
+++ b/crates/server/src/gateway/servers.rs
@@ -412,7 +412,7 @@
             peak: inner.peak_vms,
             stable_for: now.saturating_duration_since(changed_at),
             uptime,
-            unmet_seeds: u32::try_from(inner.unmet_seeds.len()).unwrap_or(u32::MAX),
+            has_unmet_seed: !inner.unmet_seeds.is_empty(),
         }
     }
 
