config, gateway: logs tell the ways apart in which a VM acts on an older version

A pull that failed was logged at the debug level only, and one that took long not at all; a request that another VM had passed on with an older route left no trace. Both have a line and a counter now, and the end of a passed-on request states the version of the VM that served it. The reads of the store, and who takes over from whom, had their lines already. No logic has changed.

--- a/crates/server/src/control/config_pull.rs
+++ b/crates/server/src/control/config_pull.rs
@@ -2,22 +2,66 @@
 
 use std::{sync::Arc, time::Duration};
 
-use cassialift_core::ids::{Position, VmId};
+use cassialift_core::{
+    config::PULL_RETRY_DELAY,
+    ids::{Position, VmId},
+};
 use cassialift_wire::peer::{ConfigPull, ConfigPullReply};
+use displaydoc::Display;
 
 use super::{ConfigEvent, ControlHandle, Event};
 use crate::{
-    peers::{PeerTable, context_until},
+    metrics::Metrics,
+    peers::{PeerError, PeerTable, context_until},
     timer::Timer,
 };
 
 /// The time limit for a peer's reply with one page.
 const ANSWER_TIMEOUT: Duration = Duration::from_secs(1);
 
+/// Why a pull brought nothing.
+///
+/// The comment of each variant is its text in log lines.
+#[derive(Debug, Display)]
+enum PullError {
+    /// {0}
+    Peer(PeerError),
+    /// its documents changed between two pages
+    Changed,
+}
+
 /// Pulls the configuration from a peer and passes the result to the control thread.
-pub(super) async fn pull(vm: VmId, after: Position, peers: Arc<PeerTable>, control: ControlHandle) {
+pub(super) async fn pull(
+    vm: VmId,
+    after: Position,
+    peers: Arc<PeerTable>,
+    control: ControlHandle,
+    metrics: Arc<Metrics>,
+) {
     let sent_at = Timer.now();
-    let reply = pull_pages(&peers, &control, &vm, after).await;
+    let result = pull_pages(&peers, &control, &vm, after).await;
+    let took = Timer.now().saturating_duration_since(sent_at);
+    let reply = match result {
+        Ok(reply) => {
+            if took >= PULL_RETRY_DELAY {
+                let texts = reply.documents.iter().flat_map(|document| &document.text);
+                log::info!(
+                    "config: A pull of the changes after {after} from {vm} took {} ms, {} bytes of documents.",
+                    took.as_millis(),
+                    texts.map(String::len).sum::<usize>()
+                );
+            }
+            Some(reply)
+        }
+        Err(error) => {
+            metrics.count("config.pull_failed");
+            log::info!(
+                "config: A pull of the changes after {after} from {vm} failed after {} ms: {error}.",
+                took.as_millis()
+            );
+            None
+        }
+    };
     let event = ConfigEvent::PullEnded { vm, reply, sent_at };
     control.send(Event::Config(event)).await;
 }
@@ -27,8 +71,9 @@
     control: &ControlHandle,
     vm: &VmId,
     after: Position,
-) -> Option<ConfigPullReply> {
-    let client = peers.client(&control.snapshot(), vm).await.ok()?;
+) -> Result<ConfigPullReply, PullError> {
+    let client = peers.client(&control.snapshot(), vm).await;
+    let client = client.map_err(PullError::Peer)?;
     let mut whole: Option<ConfigPullReply> = None;
     loop {
         let skip = whole.as_ref().map_or(0, |whole| whole.documents.len());
@@ -40,15 +85,15 @@
             Ok(page) => page,
             Err(error) => {
                 peers.discard_broken(vm, &error);
-                log::debug!("config: Pulling the configuration from {vm} failed: {error}.");
-                return None;
+                return Err(PullError::Peer(PeerError::Call(error)));
             }
         };
         let more = page.more;
-        whole = Some(append(whole, page)?);
+        let pages = append(whole, page).ok_or(PullError::Changed)?;
         if !more {
-            return whole;
+            return Ok(pages);
         }
+        whole = Some(pages);
     }
 }
 
--- a/crates/server/src/control/thread.rs
+++ b/crates/server/src/control/thread.rs
@@ -354,7 +354,8 @@
                 ConfigAction::Announce(vm) => self.spawn_heartbeat(vm, now),
                 ConfigAction::Pull { vm, after } => {
                     let (peers, handle) = (Arc::clone(&self.peers), self.handle.clone());
-                    tokio::spawn(config_pull::pull(vm, after, peers, handle));
+                    let metrics = Arc::clone(&self.metrics);
+                    tokio::spawn(config_pull::pull(vm, after, peers, handle, metrics));
                 }
             }
         }
--- a/crates/server/src/gateway/relay.rs
+++ b/crates/server/src/gateway/relay.rs
@@ -10,7 +10,7 @@
 use cassialift_core::{
     ids::VmId,
     request::RefusalReason,
-    routes::{Route, RouteTarget},
+    routes::{Route, RouteTable, RouteTarget},
     view::FleetView,
 };
 use cassialift_wire::peer::{RelayOutcome, RelayReply, RelayRequest};
@@ -159,6 +159,23 @@
         Some(route)
     }
 
+    /// Reports a request whose route the version of this VM does not have, since the VM that passed it on
+    /// has another version.
+    fn report_route(&self, routes: &RouteTable, inbound: &Inbound) {
+        let own = routes.find(&inbound.route.host, inbound.target.path());
+        let chosen = &inbound.route.target;
+        if own.is_some_and(|own| allows(&own.target, chosen)) {
+            return;
+        }
+        self.node.metrics.count("gateway.relayed_other_route");
+        log::info!(
+            "gateway: Request {} was passed on with another route than version {} has for it: {}.",
+            inbound.id(),
+            routes.version,
+            inbound.route.name
+        );
+    }
+
     /// Serves a request that another VM passed on.
     pub(crate) async fn serve_relayed(self: Arc<Self>, request: RelayRequest) -> RelayReply {
         let attempt = request.attempt.clone();
@@ -197,6 +214,10 @@
         trace.revision = config.position.revision;
         trace.objective = route.objective.0;
         trace.body_bytes = inbound.body.len();
+        if let Some(routes) = &config.routes {
+            trace.version = routes.version;
+            self.report_route(routes, &inbound);
+        }
         self.sync(&view, &config);
         let result = self
             .serve_here(view, config, &Arc::new(inbound), &mut trace)
@@ -218,6 +239,16 @@
     }
 }
 
+/// Returns whether a route allows a target that another VM chose: its own, or a service of its split.
+fn allows(own: &RouteTarget, chosen: &RouteTarget) -> bool {
+    match (own, chosen) {
+        (RouteTarget::Split(shares), RouteTarget::Service(service)) => {
+            shares.iter().any(|share| share.service == *service)
+        }
+        _ => own == chosen,
+    }
+}
+
 fn record_failure(trace: &mut Trace, inbound: &Inbound, vm: &VmId, cause: String) {
     let vm = VmId::clone(vm);
     let failed = Decision::RelayFailed { vm, cause };
