--- a/crates/core/tests/config/node.rs
+++ b/crates/core/tests/config/node.rs
@@ -26,6 +26,8 @@
 pub(crate) struct Simulation {
     pub(crate) now: Instant,
     pub(crate) nodes: Vec<ConfigNode>,
+    /// The processes that are gone; the others do not know.
+    pub(crate) gone: HashSet<usize>,
     peers: Vec<ConfigPeer>,
     /// The numbers of pulls that brought documents within a data centre, and between two.
     near_pulls: usize,
@@ -53,6 +55,7 @@
         Self {
             now,
             nodes: (0..peers.len()).map(node).collect(),
+            gone: HashSet::new(),
             peers,
             near_pulls: 0,
             far_pulls: 0,
@@ -62,7 +65,10 @@
     /// Advances the time by one tick and executes all actions; pulls from `silent` get no reply.
     pub(crate) fn step(&mut self, silent: &[usize]) {
         self.now += TICK;
-        for i in 0..self.nodes.len() {
+        for i in (0..self.nodes.len())
+            .filter(|i| !self.gone.contains(i))
+            .collect::<Vec<_>>()
+        {
             self.nodes[i].tick(self.now);
             for action in self.nodes[i].take_actions() {
                 self.execute(i, action, silent);
@@ -75,7 +81,8 @@
         match action {
             ConfigAction::Pull { vm, after } => {
                 let to = number(&vm);
-                let reply = (!silent.contains(&to)).then(|| {
+                let is_silent = silent.contains(&to) || self.gone.contains(&to);
+                let reply = (!is_silent).then(|| {
                     let node = &self.nodes[to];
                     (node.summary(now), node.changes_since(after, now))
                 });
@@ -92,6 +99,9 @@
             ConfigAction::Announce(vm) => {
                 let summary = self.nodes[from].summary(now);
                 let (own, to) = (peer(from).vm, number(&vm));
+                if self.gone.contains(&to) {
+                    return;
+                }
                 self.nodes[to].handle_summary(&own, &summary, None, now);
                 let reply = self.nodes[to].summary(now);
                 self.nodes[from].handle_summary(&vm, &reply, Some(now), now);
--- a/crates/core/tests/config/takeover.rs
+++ b/crates/core/tests/config/takeover.rs
@@ -88,7 +88,7 @@
         let end = self.simulation.now + time;
         while self.simulation.now < end {
             self.simulation.step(&[]);
-            for i in 0..self.readers.len() {
+            for i in self.running() {
                 self.read(i);
             }
             self.exchange_heartbeats();
@@ -101,7 +101,8 @@
         let ticks = usize::try_from(period.as_millis() / TICK.as_millis()).unwrap();
         let processes = self.readers.len();
         let round = self.ticks / ticks;
-        for i in (0..processes).filter(|i| (self.ticks + i).is_multiple_of(ticks)) {
+        let running = self.running().into_iter();
+        for i in running.filter(|i| (self.ticks + i).is_multiple_of(ticks)) {
             let to = (i + 1 + round % (processes - 1)) % processes;
             let action = ConfigAction::Announce(peer(to).vm);
             self.simulation.execute(i, action, &[]);
@@ -150,6 +151,13 @@
         reader.read = Some((now, now + wait, revision));
     }
 
+    /// Returns the processes that are not gone.
+    fn running(&self) -> Vec<usize> {
+        let gone = &self.simulation.gone;
+        let processes = (0..self.readers.len()).filter(|i| !gone.contains(i));
+        processes.collect()
+    }
+
     /// Returns the processes that watch the service.
     fn elected(&self) -> Vec<usize> {
         self.processes_with(|plan| plan == ReadPlan::Watch)
@@ -177,11 +185,10 @@
     fn check_change_is_in_time(&mut self) {
         self.revision += 1;
         self.run(self.reads.apply.0);
-        let nodes = &self.simulation.nodes;
-        let late = nodes
-            .iter()
-            .filter(|node| node.store().revision() < self.revision);
-        assert_eq!(late.count(), 0, "of {} processes are late", nodes.len());
+        let running = self.running();
+        let revision = |i: usize| self.simulation.nodes[i].store().revision();
+        let late = running.iter().filter(|i| revision(**i) < self.revision);
+        assert_eq!(late.count(), 0, "of {} processes are late", running.len());
     }
 }
 
@@ -202,6 +209,30 @@
     fleet.check_change_is_in_time();
 }
 
+/// Processes that are gone send no notice, and membership takes seconds to notice many of them.
+#[parameterized(
+    small = { 20, 2, 1, 4 },
+    medium = { 105, 3, 0, 1 },
+    medium_and_most_others = { 105, 3, 7, 8 },
+    large = { 295, 6, 0, 1 },
+    large_and_most_others = { 295, 6, 7, 8 },
+)]
+fn test_node_takes_over_in_time_when_all_elected_readers_are_gone(
+    processes: usize,
+    centres: usize,
+    part: u32,
+    of: u32,
+) {
+    for seed in 0..4 {
+        let mut random = ChaCha8Rng::seed_from_u64(seed);
+        let mut fleet = Fleet::new(processes, centres);
+        let others = (0..processes).filter(|_| random.random_ratio(part, of));
+        let gone = fleet.elected().into_iter().chain(others);
+        fleet.simulation.gone = gone.collect();
+        fleet.check_change_is_in_time();
+    }
+}
+
 /// The processes that are next in the election may be refused as well.
 #[parameterized(
     second_of_each_centre = { 2 },
