config: a change is in force in time although all readers of the store have ended

Callers were refused with 404, or served by the former service, more than the bound after a change was acknowledged.

Cause: other VMs read the store only once membership says that the elected readers are gone, or once the last confirmation is 12 s old. That many VMs ended at once takes seconds to travel; a reader that is refused tells the first two of each data centre only. Class: a duty whose loss is noticed by its holder alone.

Each VM now asks the elected readers whether they read, and reads by itself once none has said so for the time for a change less 1.5 s. This needs neither notices nor membership, so that it covers readers that end, freeze, are cut off or refused alike. It replaces no other path.

--- a/crates/core/src/config/node/mod.rs
+++ b/crates/core/src/config/node/mod.rs
@@ -2,6 +2,7 @@
 //! service and exchanges with peers.
 
 mod evacuations;
+mod reader_contact;
 mod reads;
 
 use std::{
@@ -13,6 +14,7 @@
 use rand::{SeedableRng, seq::IndexedRandom};
 use rand_chacha::ChaCha8Rng;
 
+use self::reader_contact::ReaderContact;
 use super::{
     Batch, BatchError, Candidate, ConfigAction, ConfigEvent, ConfigSummary, Confirmation, FANOUT,
     Freshness, ReadPlan, ReadSettings, ServiceReachability, Source, StartGate, Store, outranks,
@@ -53,6 +55,7 @@
     /// The time of the last notice that this process lost or regained the service.
     noticed_at: Option<Instant>,
     plan: ReadPlan,
+    contact: ReaderContact,
     settings: ReadSettings,
     started_at: Instant,
     /// Whether the last event about the age of the confirmation said that it is overdue.
@@ -101,6 +104,7 @@
             lost_at: None,
             noticed_at: None,
             plan: ReadPlan::Idle,
+            contact: ReaderContact::default(),
             settings,
             started_at: now,
             is_overdue: false,
@@ -207,6 +211,9 @@
             });
             return;
         }
+        if let Some(sent_at) = sent_at {
+            self.record_reader(vm, summary, sent_at);
+        }
         self.pulls
             .record_position(vm, summary.position, is_near, own);
         if summary.position != own {
@@ -300,6 +307,7 @@
     /// confirmation, and the newest one by a reader that ranks before this process.
     pub fn discard_confirmation(&mut self) {
         self.freshness.clear();
+        self.contact.clear();
         self.outranked_at = None;
         self.events.push(ConfigEvent::FreezeDetected);
     }
@@ -311,6 +319,7 @@
         self.report_evacuations(&Source::Platform);
         self.query_peers(now);
         self.request_summary(now);
+        self.ask_reader(now);
         self.pull_next(now);
         self.update_gate(now);
         self.update_plan(now);
--- a/crates/core/src/config/node/reads.rs
+++ b/crates/core/src/config/node/reads.rs
@@ -117,6 +117,7 @@
             peers: &self.peers,
             uptime: now.saturating_duration_since(self.started_at),
             confirmation_age: self.freshness.age(now),
+            reader_age: self.reader_age(now),
             outranked_age: self
                 .outranked_at
                 .map(|at| now.saturating_duration_since(at)),
--- a/crates/core/src/config/readers.rs
+++ b/crates/core/src/config/readers.rs
@@ -8,6 +8,10 @@
 //!
 //! In a large fleet, two processes seldom exchange heartbeats. A reader that loses the service, or
 //! regains it, therefore tells the processes that are next in the election at once.
+//!
+//! A reader that ends tells nobody. So each process asks the elected readers in turn whether they read,
+//! and reads by itself once none has said so for [`ReadSettings::reader_timeout`]. A change then comes
+//! in time whatever happened to the readers, and whether or not membership has noticed.
 
 use std::{cmp::Reverse, collections::HashMap, time::Duration};
 
@@ -50,6 +54,14 @@
 /// The minimum mean time between two reads by a process that is not elected.
 pub const FALLBACK_PERIOD: Duration = Duration::from_millis(500);
 
+/// The maximum number of reads per second by all processes together that know of no elected reader.
+pub const READER_LOST_RATE: u32 = 20;
+/// The minimum mean time between two reads by a process that knows of no elected reader.
+pub const READER_LOST_PERIOD: Duration = Duration::from_secs(1);
+/// The mean number of processes that ask whether the elected readers read, in a larger fleet: enough
+/// that some are left whatever happens, and few enough for the readers to answer.
+const MAX_ASKING: u32 = 512;
+
 /// Settings of reads of the configuration service.
 #[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
 #[serde(default, deny_unknown_fields)]
@@ -101,6 +113,19 @@
         let longest = self.apply.0.saturating_sub(RECOVERY_TIME);
         self.wait.0.min(longest)
     }
+
+    /// Returns the time after the last word of an elected reader from which a process reads by itself:
+    /// what it reads must still be in force everywhere in time.
+    #[must_use]
+    pub const fn reader_timeout(&self) -> Duration {
+        self.apply.0.saturating_sub(RECOVERY_TIME)
+    }
+
+    /// Returns the age of the newest confirmation up to which a reader counts as reading: its last two
+    /// reads, the second of which still waits.
+    pub(super) const fn reading_age(&self) -> Duration {
+        self.wait.0.saturating_mul(2).saturating_add(ANSWER_TIMEOUT)
+    }
 }
 
 /// Another process, which may be elected as a reader.
@@ -139,6 +164,11 @@
         /// The mean time from one read to the next.
         period: Duration,
     },
+    /// since no elected VM is known to read it, every {period:?}
+    ReaderLost {
+        /// The mean time from one read to the next.
+        period: Duration,
+    },
 }
 
 /// The input of [`plan_reads`].
@@ -156,6 +186,9 @@
     pub uptime: Duration,
     /// The age of the newest confirmation; `None` if there is none.
     pub confirmation_age: Option<Duration>,
+    /// The time since an elected reader was last known to read, or this process has read; `None` if
+    /// neither is known.
+    pub reader_age: Option<Duration>,
     /// The age of the newest confirmation by a reader that ranks before this process; `None` if
     /// there is none.
     pub outranked_age: Option<Duration>,
@@ -189,6 +222,13 @@
     if is_stale || (is_reader(input) && !defers_to_reader(input)) {
         return fallback;
     }
+    let timeout = input.settings.reader_timeout();
+    let processes = input.peers.len() + 1;
+    let is_reader_lost = input.reader_age.is_none_or(|age| age > timeout);
+    if is_reader_lost && asks_readers(input.vm, processes) {
+        let period = reader_lost_period(processes);
+        return ReadPlan::ReaderLost { period };
+    }
     ReadPlan::Idle
 }
 
@@ -210,9 +250,26 @@
 /// the given number of processes.
 #[must_use]
 pub fn fallback_period(processes: usize) -> Duration {
+    shared_period(processes, FALLBACK_RATE).max(FALLBACK_PERIOD)
+}
+
+/// Returns the mean time between two reads by each process that knows of no elected reader, in a fleet
+/// of the given number of processes.
+#[must_use]
+pub fn reader_lost_period(processes: usize) -> Duration {
+    shared_period(processes, READER_LOST_RATE).max(READER_LOST_PERIOD)
+}
+
+/// Returns the period of each process with which all of them together keep to a rate a second.
+fn shared_period(processes: usize, rate: u32) -> Duration {
     let processes = u32::try_from(processes).unwrap_or(u32::MAX);
-    let period = Duration::from_secs(1) * processes / FALLBACK_RATE;
-    period.max(FALLBACK_PERIOD)
+    Duration::from_secs(1) * processes / rate
+}
+
+/// Returns whether a process of a fleet of this size asks whether the elected readers read.
+pub(super) fn asks_readers(vm: &str, processes: usize) -> bool {
+    let processes = u64::try_from(processes).unwrap_or(u64::MAX);
+    hash(b"config-asking/", vm) % processes.max(1) < u64::from(MAX_ASKING)
 }
 
 /// Returns whether the process is elected: fewer usable peers of its data centre rank before it
@@ -249,16 +306,37 @@
 /// Returns the first readers of each data centre among the peers that may be able to read the
 /// service: those that are elected, and those that take their place.
 pub(super) fn standbys(peers: &[Candidate], settings: &ReadSettings) -> Vec<VmId> {
-    let mut centres: HashMap<&DataCentre, Vec<&VmId>> = HashMap::new();
+    let centres = ranked_centres(peers).into_iter();
+    let standbys = centres.flat_map(|peers| peers.into_iter().take(settings.readers));
+    standbys.map(|peer| VmId::clone(&peer.vm)).collect()
+}
+
+/// Returns the peers that are elected as readers, if this process is not.
+pub(super) fn elected_peers<'a>(
+    peers: &'a [Candidate],
+    settings: &ReadSettings,
+) -> Vec<&'a Candidate> {
+    let mut elected: Vec<(usize, &Candidate)> = Vec::new();
+    for peers in ranked_centres(peers) {
+        elected.extend(peers.into_iter().take(settings.readers).enumerate());
+    }
+    elected.sort_by_cached_key(|(place, peer)| (*place > 0, Reverse(rank(&peer.vm))));
+    elected.truncate(settings.most);
+    elected.into_iter().map(|(_, peer)| peer).collect()
+}
+
+/// Returns the usable peers of each data centre that may be able to read the service, those that rank
+/// first before the others.
+fn ranked_centres(peers: &[Candidate]) -> Vec<Vec<&Candidate>> {
+    let mut centres: HashMap<&DataCentre, Vec<&Candidate>> = HashMap::new();
     for peer in peers.iter().filter(|peer| peer.usable && peer.may_read()) {
-        centres.entry(&peer.centre).or_default().push(&peer.vm);
+        centres.entry(&peer.centre).or_default().push(peer);
     }
-    let mut standbys = Vec::new();
-    for mut vms in centres.into_values() {
-        vms.sort_by_cached_key(|vm| Reverse(rank(vm)));
-        standbys.extend(vms.into_iter().take(settings.readers).cloned());
+    let mut centres: Vec<Vec<&Candidate>> = centres.into_values().collect();
+    for peers in &mut centres {
+        peers.sort_by_cached_key(|peer| Reverse(rank(&peer.vm)));
     }
-    standbys
+    centres
 }
 
 /// Returns whether the process reads, and its last read succeeded.
@@ -283,8 +361,12 @@
 
 /// Returns the rank of a VM in the election; the VM's name breaks ties.
 fn rank(vm: &str) -> (u64, &str) {
+    (hash(b"config-reader/", vm), vm)
+}
+
+fn hash(prefix: &[u8], vm: &str) -> u64 {
     let mut hasher = Xxh3::new();
-    hasher.update(b"config-reader/");
+    hasher.update(prefix);
     hasher.update(vm.as_bytes());
-    (hasher.digest(), vm)
+    hasher.digest()
 }
--- a/crates/core/tests/config/readers.rs
+++ b/crates/core/tests/config/readers.rs
@@ -43,6 +43,7 @@
             peers: &peers,
             uptime: Duration::ZERO,
             confirmation_age: age,
+            reader_age: age,
             outranked_age: outranked,
             plan: current,
             settings: ReadSettings::default(),
@@ -58,7 +59,9 @@
     let rate_of = |plan: &ReadPlan| match plan {
         ReadPlan::Idle => 0.0,
         ReadPlan::Watch => 1.0 / watch.as_secs_f64(),
-        ReadPlan::Fallback { period } => 1.0 / period.as_secs_f64(),
+        ReadPlan::Fallback { period } | ReadPlan::ReaderLost { period } => {
+            1.0 / period.as_secs_f64()
+        }
     };
     plans.iter().map(rate_of).sum()
 }
@@ -156,6 +159,7 @@
         peers: &peers,
         uptime,
         confirmation_age: age,
+        reader_age: age,
         outranked_age: None,
         plan: ReadPlan::Idle,
         settings: ReadSettings {
--- a/crates/core/tests/config/takeover.rs
+++ b/crates/core/tests/config/takeover.rs
@@ -129,7 +129,7 @@
             reader.read = None;
             reader.may_wait = answered;
             let period = match node.plan() {
-                ReadPlan::Fallback { period } => period,
+                ReadPlan::Fallback { period } | ReadPlan::ReaderLost { period } => period,
                 ReadPlan::Watch | ReadPlan::Idle if answered => self.reads.period.0,
                 ReadPlan::Watch | ReadPlan::Idle => RETRY_PERIOD,
             };
@@ -145,7 +145,7 @@
             }
             _ if !reader.may_wait => Duration::ZERO,
             ReadPlan::Watch => self.reads.watch_wait(),
-            ReadPlan::Fallback { period } => period / 2,
+            ReadPlan::Fallback { period } | ReadPlan::ReaderLost { period } => period / 2,
         };
         let Position { revision, .. } = node.store().position();
         reader.read = Some((now, now + wait, revision));
--- a/crates/server/src/control/config_read.rs
+++ b/crates/server/src/control/config_read.rs
@@ -43,7 +43,9 @@
                 continue;
             }
             ReadPlan::Watch => (reads.watch_wait(), reads.period.0),
-            ReadPlan::Fallback { period } => (period / 2, jittered(period)),
+            ReadPlan::Fallback { period } | ReadPlan::ReaderLost { period } => {
+                (period / 2, jittered(period))
+            }
         };
         let wait = if may_wait { wait } else { Duration::ZERO };
         let after = control.config().position().max(read_up_to);
