peers: a large configuration gets through narrow links in time

Cause: all routes are one document, and documents went uncompressed between VMs unless there were more than four. A reader announces a change to five VMs, which all pull from it. Five copies of 612 KB take 1.75 s on a link of 14 Mbit/s; a pull is given up after 1 s, its bytes are lost, and it is repeated at another VM, so that the links stay full. Class: a cost that was bounded by a number of items, not by their size.

Documents are compressed by their size now. The form on the wire is unchanged: VMs of earlier builds read both.

--- a/crates/wire/src/peer/packed.rs
+++ b/crates/wire/src/peer/packed.rs
@@ -1,7 +1,8 @@
-//! The form of configuration documents on the wire: compressed, unless they are few.
+//! The form of configuration documents on the wire: compressed, unless they are small.
 //!
-//! The documents of backend servers differ in a few fields only, and a starting VM receives all of
-//! them, often from another data centre.
+//! The documents of backend servers differ in a few fields only, and so do the routes of one document. A
+//! starting VM receives all of them, often from another data centre, and a change of the routes is sent
+//! to all VMs at once, some of them over narrow links.
 
 use std::io::Read;
 
@@ -12,8 +13,8 @@
 };
 use serde::{Deserialize, Deserializer, Serialize, Serializer, de, ser};
 
-/// The number of documents up to which they are not compressed: a change of a few of them.
-const MAX_PLAIN: usize = 4;
+/// The size of documents up to which they are not compressed, in bytes: a change of a few backend servers.
+const MAX_PLAIN_BYTES: usize = 2 << 10;
 /// The maximum size of the documents of one reply before compression, in bytes: twice that of a page
 /// with its last text, so that a small reply cannot take much memory.
 const MAX_BYTES: u64 = 8 << 20;
@@ -30,7 +31,11 @@
     documents: &[Document],
     serializer: S,
 ) -> Result<S::Ok, S::Error> {
-    if documents.len() <= MAX_PLAIN {
+    let sizes = documents.iter().map(|document| {
+        let text = document.text.as_ref();
+        document.key.len() + text.map_or(0, String::len)
+    });
+    if sizes.sum::<usize>() <= MAX_PLAIN_BYTES {
         return Packed::Plain(documents.to_vec()).serialize(serializer);
     }
     let bytes = bincode::serialize(documents).map_err(ser::Error::custom)?;
