config: a VM that reads for want of an elected reader reads again as soon as it is to

Such a process reads once, counts as informed for the time for a change less 1.5 s, and is to read again then; but the task that reads still slept until the period of its last read (5.25 s with 105 VMs) had passed. The task now ends its sleep when the process is not to read any more.

The unit test failed before (one read instead of two).

--- a/crates/core/tests/config/main.rs
+++ b/crates/core/tests/config/main.rs
@@ -6,6 +6,7 @@
 mod history;
 mod node;
 mod parse;
+mod random_faults;
 mod readers;
 mod store;
 mod store_random;
--- a/crates/core/tests/config/node.rs
+++ b/crates/core/tests/config/node.rs
@@ -28,6 +28,9 @@
     pub(crate) nodes: Vec<ConfigNode>,
     /// The processes that are gone; the others do not know.
     pub(crate) gone: HashSet<usize>,
+    /// The group of each process: no message passes between two groups.
+    pub(crate) groups: Vec<usize>,
+    reads: ReadSettings,
     peers: Vec<ConfigPeer>,
     /// The numbers of pulls that brought documents within a data centre, and between two.
     near_pulls: usize,
@@ -45,23 +48,43 @@
 
     pub(crate) fn with_reads(peers: Vec<ConfigPeer>, reads: ReadSettings) -> Self {
         let now = Instant::now() + Duration::from_hours(1);
-        let node = |seed: usize| {
-            let peer = &peers[seed];
-            let centre = DataCentre::clone(&peer.centre);
-            let mut node = ConfigNode::new(VmId::clone(&peer.vm), centre, reads, seed as u64, now);
-            node.set_peers(peers.clone());
-            node
-        };
         Self {
             now,
-            nodes: (0..peers.len()).map(node).collect(),
+            nodes: (0..peers.len())
+                .map(|i| start(&peers, i, reads, now))
+                .collect(),
             gone: HashSet::new(),
+            groups: vec![0; peers.len()],
+            reads,
             peers,
             near_pulls: 0,
             far_pulls: 0,
         }
     }
 
+    /// Starts a process again, without documents.
+    pub(crate) fn restart(&mut self, i: usize) {
+        self.gone.remove(&i);
+        self.nodes[i] = start(&self.peers, i, self.reads, self.now);
+    }
+
+    /// Sets whether membership says that a process is usable, from the next update of the members on.
+    pub(crate) fn set_usable(&mut self, i: usize, usable: bool) {
+        self.peers[i].usable = usable;
+    }
+
+    /// Tells all processes what membership says.
+    pub(crate) fn update_members(&mut self) {
+        for node in &mut self.nodes {
+            node.set_peers(self.peers.clone());
+        }
+    }
+
+    /// Returns whether a message from one process reaches another.
+    fn reaches(&self, from: usize, to: usize) -> bool {
+        !self.gone.contains(&to) && self.groups[from] == self.groups[to]
+    }
+
     /// Advances the time by one tick and executes all actions; pulls from `silent` get no reply.
     pub(crate) fn step(&mut self, silent: &[usize]) {
         self.now += TICK;
@@ -81,7 +104,7 @@
         match action {
             ConfigAction::Pull { vm, after } => {
                 let to = number(&vm);
-                let is_silent = silent.contains(&to) || self.gone.contains(&to);
+                let is_silent = silent.contains(&to) || !self.reaches(from, to);
                 let reply = (!is_silent).then(|| {
                     let node = &self.nodes[to];
                     (node.summary(now), node.changes_since(after, now))
@@ -99,7 +122,7 @@
             ConfigAction::Announce(vm) => {
                 let summary = self.nodes[from].summary(now);
                 let (own, to) = (peer(from).vm, number(&vm));
-                if self.gone.contains(&to) {
+                if !self.reaches(from, to) {
                     return;
                 }
                 self.nodes[to].handle_summary(&own, &summary, None, now);
@@ -119,6 +142,14 @@
     }
 }
 
+fn start(peers: &[ConfigPeer], i: usize, reads: ReadSettings, now: Instant) -> ConfigNode {
+    let own = &peers[i];
+    let (vm, centre) = (VmId::clone(&own.vm), DataCentre::clone(&own.centre));
+    let mut node = ConfigNode::new(vm, centre, reads, i as u64, now);
+    node.set_peers(peers.to_vec());
+    node
+}
+
 pub(crate) fn peer(i: usize) -> ConfigPeer {
     ConfigPeer {
         vm: VmId::from(format!("vm-{i}")),
--- a/crates/core/tests/config/takeover.rs
+++ b/crates/core/tests/config/takeover.rs
@@ -29,7 +29,7 @@
 
 /// How the service treats the reads of a process.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
-enum Service {
+pub(crate) enum Service {
     #[default]
     Answers,
     /// Reads fail at once.
@@ -40,8 +40,8 @@
 
 /// The reads of one process.
 #[derive(Clone, Copy, Debug, Default)]
-struct Reader {
-    service: Service,
+pub(crate) struct Reader {
+    pub(crate) service: Service,
     /// The read in flight: when it was sent, the time until which it waits for a change, and the
     /// revision after which it asks for changes.
     read: Option<(Instant, Instant, Revision)>,
@@ -51,31 +51,46 @@
 }
 
 /// A fleet whose processes read a service by their plans, and exchange heartbeats in turn.
-struct Fleet {
-    simulation: Simulation,
-    readers: Vec<Reader>,
-    reads: ReadSettings,
+pub(crate) struct Fleet {
+    pub(crate) simulation: Simulation,
+    pub(crate) readers: Vec<Reader>,
+    pub(crate) reads: ReadSettings,
     platform: Platform,
     /// The newest revision of the service.
-    revision: Revision,
+    pub(crate) revision: Revision,
     ticks: usize,
 }
 
+/// The settings of reads in use, but for the time for a change.
+pub(crate) fn deployed_reads() -> ReadSettings {
+    ReadSettings {
+        wait: Millis::new(3_000),
+        period: Millis::new(400),
+        stale: Millis::new(12_000),
+        start: Millis::new(300),
+        delay: Millis::new(300),
+        ..ReadSettings::default()
+    }
+}
+
+impl Reader {
+    /// Forgets the reads of a process that ended.
+    pub(crate) fn restart(&mut self) {
+        *self = Self::default();
+    }
+}
+
 impl Fleet {
     fn new(processes: usize, centres: usize) -> Self {
-        let reads = ReadSettings {
-            wait: Millis::new(3_000),
-            period: Millis::new(400),
-            stale: Millis::new(12_000),
-            start: Millis::new(300),
-            delay: Millis::new(300),
-            ..ReadSettings::default()
-        };
+        Self::with_reads(processes, centres, deployed_reads())
+    }
+
+    pub(crate) fn with_reads(processes: usize, centres: usize, reads: ReadSettings) -> Self {
         let mut fleet = Self {
             simulation: Simulation::with_reads(peers_in(processes, centres), reads),
             readers: vec![Reader::default(); processes],
             reads,
-            platform: platform(9),
+            platform: platform(400),
             revision: 2,
             ticks: 0,
         };
@@ -84,7 +99,7 @@
         fleet
     }
 
-    fn run(&mut self, time: Duration) {
+    pub(crate) fn run(&mut self, time: Duration) {
         let end = self.simulation.now + time;
         while self.simulation.now < end {
             self.simulation.step(&[]);
@@ -135,17 +150,19 @@
             };
             reader.next_at = Some(sent_at + period);
         }
+        if node.plan() == ReadPlan::Idle {
+            reader.may_wait = false;
+            reader.next_at = None;
+            return;
+        }
         if reader.next_at.is_some_and(|at| now < at) {
             return;
         }
         let wait = match node.plan() {
-            ReadPlan::Idle => {
-                reader.may_wait = false;
-                return;
-            }
             _ if !reader.may_wait => Duration::ZERO,
             ReadPlan::Watch => self.reads.watch_wait(),
             ReadPlan::Fallback { period } | ReadPlan::ReaderLost { period } => period / 2,
+            ReadPlan::Idle => unreachable!("an idle process does not read"),
         };
         let Position { revision, .. } = node.store().position();
         reader.read = Some((now, now + wait, revision));
@@ -164,7 +181,7 @@
     }
 
     /// Returns the processes that read the service, elected or not.
-    fn reading(&self) -> Vec<usize> {
+    pub(crate) fn reading(&self) -> Vec<usize> {
         self.processes_with(|plan| plan != ReadPlan::Idle)
     }
 
--- a/crates/server/src/control/config_read.rs
+++ b/crates/server/src/control/config_read.rs
@@ -65,7 +65,14 @@
             None if plan == ReadPlan::Watch => jittered(RETRY_PERIOD),
             Some(_) | None => period,
         };
-        wait_until(started + period).await;
+        wait_while_reading(&control, started + period).await;
+    }
+}
+
+/// Waits until a time, or until the process is not to read: when it is to again, it reads at once.
+async fn wait_while_reading(control: &ControlHandle, until: Instant) {
+    while Timer.now() < until && control.config().plan() != ReadPlan::Idle {
+        wait_until(until.min(Timer.now() + IDLE_PERIOD)).await;
     }
 }
 
--- a/crates/server/src/control/config_read_tests.rs
+++ b/crates/server/src/control/config_read_tests.rs
@@ -61,35 +61,45 @@
     }
 }
 
-/// Returns the revisions and the waits of the reads of an elected reader within a time.
-async fn reads_of(source: Source, time: Duration) -> Vec<(Revision, Duration)> {
-    let reads = ReadSettings {
-        wait: Millis::new(3_000),
-        ..ReadSettings::default()
-    };
+/// Returns a process that has just started, is alone and so is elected as a reader.
+fn elected_node(reads: ReadSettings) -> ConfigNode {
+    let (vm, centre) = (VmId::from("vm-0"), DataCentre::from("dc-a"));
+    let mut node = ConfigNode::new(vm, centre, reads, 1, Timer.now());
+    node.tick(Timer.now());
+    assert_eq!(node.plan(), ReadPlan::Watch);
+    node
+}
+
+/// Returns a handle to a process in this state, which ignores all events.
+fn control(node: &ConfigNode) -> ControlHandle {
     let own = OwnView {
         vm: VmId::from("vm-0"),
         incarnation: 1,
         centre: DataCentre::from("dc-a"),
         leaving: false,
     };
-    let (vm, centre) = (VmId::clone(&own.vm), DataCentre::clone(&own.centre));
-    let mut node = ConfigNode::new(vm, centre, reads, own.incarnation, Timer.now());
-    node.tick(Timer.now());
-    assert_eq!(node.plan(), ReadPlan::Watch);
     let (events, mut received) = mpsc::channel(16);
-    let control = ControlHandle {
+    tokio::spawn(async move { while received.recv().await.is_some() {} });
+    ControlHandle {
         view: Arc::new(ArcSwap::from_pointee(FleetView {
             own,
             config: None,
             members: Arc::default(),
             owners: OwnersView::default(),
         })),
-        config: Arc::new(ArcSwap::from_pointee(ConfigState::new(&node, Timer.now()))),
+        config: Arc::new(ArcSwap::from_pointee(ConfigState::new(node, Timer.now()))),
         events,
         detached: Arc::default(),
+    }
+}
+
+/// Returns the revisions and the waits of the reads of an elected reader within a time.
+async fn reads_of(source: Source, time: Duration) -> Vec<(Revision, Duration)> {
+    let reads = ReadSettings {
+        wait: Millis::new(3_000),
+        ..ReadSettings::default()
     };
-    tokio::spawn(async move { while received.recv().await.is_some() {} });
+    let control = control(&elected_node(reads));
     let done = Arc::clone(&source.reads);
     let metrics = Arc::new(Metrics::new(None).unwrap());
     let task = config_read::run(Arc::new(source), reads, control, metrics);
@@ -128,3 +138,33 @@
         ]
     );
 }
+
+/// A process that reads for want of an elected reader stops after each answer, and its next turn may come
+/// before its period has passed.
+#[tokio::test(start_paused = true)]
+async fn test_read_of_a_process_that_is_to_read_again_does_not_wait_for_its_period() {
+    let reads = ReadSettings {
+        wait: Millis::default(),
+        period: Millis::new(10_000),
+        ..ReadSettings::default()
+    };
+    let node = elected_node(reads);
+    let control = control(&node);
+    let source = Source::default();
+    let done = Arc::clone(&source.reads);
+    let metrics = Arc::new(Metrics::new(None).unwrap());
+    tokio::spawn(config_read::run(
+        Arc::new(source),
+        reads,
+        control.clone(),
+        metrics,
+    ));
+    for reads in 1..=3 {
+        Timer.after(Duration::from_secs(1)).await;
+        assert_eq!(done.lock().unwrap().len(), reads);
+        control.config.store(Arc::default());
+        Timer.after(Duration::from_millis(200)).await;
+        let state = ConfigState::new(&node, Timer.now());
+        control.config.store(Arc::new(state));
+    }
+}
