gateway: bodies that callers hold open take no more memory than their budget

Cause: a body was collected in one buffer, which doubled. Each outgrown buffer, of every size on the way, is freed among those of all other bodies, where the allocator can't use it again or return it. The budget counted the newest buffer only. Class: a budget that is proved by its own figure.

Bodies are collected in blocks of 16 KiB, which all bodies share, and joined when complete; both are charged, and free blocks too. A body counts as stopped from its last byte on, not from the last growth of its buffer.

--- a/crates/server/src/gateway/body_memory.rs
+++ b/crates/server/src/gateway/body_memory.rs
@@ -13,10 +13,11 @@
 use displaydoc::Display;
 use tokio::{sync::Notify, time::timeout};
 
+use super::body_buffer::BlockPool;
 use crate::timer::Timer;
 
-/// The share of the machine's memory that bodies may take, as a divisor. A buffer that grows takes up to
-/// twice its size for a moment, and replies and connections take as much again.
+/// The share of the machine's memory that bodies may take, as a divisor. Replies and connections
+/// take as much again.
 const BUDGET_DIVISOR: usize = 5;
 /// The share of the budget that is kept for small bodies, as a divisor.
 const RESERVE_DIVISOR: usize = 4;
@@ -40,6 +41,7 @@
 pub(super) struct BodyMemory {
     budget: usize,
     inner: Mutex<Inner>,
+    pool: BlockPool,
     /// Notified when a body has given its memory back.
     freed: Notify,
 }
@@ -85,6 +87,7 @@
         Self {
             budget: machine / BUDGET_DIVISOR,
             inner: Mutex::default(),
+            pool: BlockPool::default(),
             freed: Notify::new(),
         }
     }
@@ -146,6 +149,10 @@
                 body.bytes += missing;
             }
             inner.used += missing;
+            let spare = self.budget - inner.used;
+            drop(inner);
+            // Free blocks are part of the budget.
+            self.pool.trim(spare);
             return Extended::Granted;
         }
         if inner.evict_stalled(Some(id), now) {
@@ -218,6 +225,33 @@
         }
     }
 
+    /// Returns the blocks that bodies share.
+    pub(super) fn pool(&self) -> &BlockPool {
+        &self.memory.pool
+    }
+
+    /// Records that bytes of the body have come, for which no memory was needed.
+    pub(super) fn record_progress(&self) {
+        if let Some(body) = self.memory.lock().bodies.get_mut(&self.id)
+            && let BodyState::Receiving(at) = &mut body.state
+        {
+            *at = Timer.now();
+        }
+    }
+
+    /// Gives back all but `bytes` of the share.
+    pub(super) fn shrink(&self, bytes: usize) {
+        let mut inner = self.memory.lock();
+        let Some(body) = inner.bodies.get_mut(&self.id) else {
+            return;
+        };
+        let returned = body.bytes.saturating_sub(bytes);
+        body.bytes -= returned;
+        inner.used -= returned;
+        drop(inner);
+        self.memory.freed.notify_waiters();
+    }
+
     /// Records that the whole body has been received, so that it no longer gives way.
     pub(super) fn complete(&self) {
         if let Some(body) = self.memory.lock().bodies.get_mut(&self.id) {
--- a/crates/server/src/gateway/body_memory_tests.rs
+++ b/crates/server/src/gateway/body_memory_tests.rs
@@ -2,7 +2,13 @@
 
 use std::{sync::Arc, time::Duration};
 
-use super::body_memory::{BodyMemory, BodyShare, OutOfMemory};
+use tokio::runtime::Builder;
+use yare::parameterized;
+
+use super::{
+    body_buffer::{BLOCK_BYTES, BodyBuffer},
+    body_memory::{BodyMemory, BodyShare, OutOfMemory},
+};
 use crate::timer::Timer;
 
 const KIB: usize = 1 << 10;
@@ -60,3 +66,29 @@
     stopped.try_extend(2 * KIB).unwrap_err();
     stopped.evicted().await;
 }
+
+/// The blocks of a joined body are free again, so that the body takes its size only.
+#[parameterized(
+    empty = { 0, None },
+    small = { 300, Some(300) },
+    small_chunked = { 300, None },
+    one_block = { BLOCK_BYTES, Some(BLOCK_BYTES) },
+    more = { 3 * BLOCK_BYTES + 5, Some(3 * BLOCK_BYTES + 5) },
+    more_chunked = { 3 * BLOCK_BYTES + 5, None },
+)]
+fn test_body_buffer_joins_the_body(bytes: usize, stated: Option<usize>) {
+    let runtime = Builder::new_current_thread().enable_all().build().unwrap();
+    runtime.block_on(async {
+        let memory = Arc::new(BodyMemory::new(MACHINE));
+        let body: Vec<u8> = (0..bytes).map(|i| i.to_le_bytes()[0]).collect();
+        let share = memory.begin();
+        let mut buffer = BodyBuffer::new(&share, stated);
+        for piece in body.chunks(1_400) {
+            buffer.extend(piece).await.unwrap();
+        }
+        assert_eq!(buffer.len(), bytes);
+        assert_eq!(buffer.join().await.unwrap(), body);
+        let rest = MACHINE / 5 * 3 / 4 - bytes.next_multiple_of(BLOCK_BYTES);
+        hold(&memory, rest).await.unwrap();
+    });
+}
--- a/crates/server/src/gateway/inbound.rs
+++ b/crates/server/src/gateway/inbound.rs
@@ -9,7 +9,7 @@
     time::{Duration, Instant},
 };
 
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
 use cassialift_core::{
     policy::poison::Fingerprint,
     records::RECORD_BYTES,
@@ -28,7 +28,10 @@
     header::{self, CONTENT_LENGTH, HOST, HeaderMap, HeaderName, HeaderValue},
 };
 
-use super::body_memory::BodyShare;
+use super::{
+    body_buffer::BodyBuffer,
+    body_memory::{BodyShare, OutOfMemory},
+};
 use crate::{peers::MAX_CONTENT, timer::Timer};
 
 /// The time limit for receiving a whole body.
@@ -276,7 +279,7 @@
     }
 }
 
-/// Collects a body into one buffer: a part that was received keeps the whole buffer of the connection.
+/// Collects a body by copying it: a part that was received keeps the whole buffer of the connection.
 async fn collect(
     mut body: Incoming,
     limit: usize,
@@ -286,7 +289,12 @@
     if stated.is_some_and(|size| size > limit as u64) {
         return Err(RefusalReason::TooLarge);
     }
-    let mut buffer = BytesMut::new();
+    let stated = stated.and_then(|size| usize::try_from(size).ok());
+    let mut buffer = BodyBuffer::new(share, stated);
+    let refuse = |error: OutOfMemory| {
+        log::debug!("gateway: A body was refused: {error}.");
+        RefusalReason::Overloaded
+    };
     while let Some(frame) = body.frame().await {
         let frame = frame.map_err(|error| {
             log::debug!("gateway: A body broke off: {error}.");
@@ -295,24 +303,12 @@
         let Ok(data) = frame.into_data() else {
             continue;
         };
-        let size = buffer.len() + data.len();
-        if size > limit {
+        if buffer.len() + data.len() > limit {
             return Err(RefusalReason::TooLarge);
         }
-        if size > buffer.capacity() {
-            // A body of a stated size never needs more.
-            let stated = stated.and_then(|size| usize::try_from(size).ok());
-            let capacity = (buffer.capacity() * 2)
-                .min(stated.unwrap_or(limit))
-                .max(size);
-            if let Err(error) = share.extend(capacity).await {
-                log::debug!("gateway: A body was refused: {error}.");
-                return Err(RefusalReason::Overloaded);
-            }
-            buffer.reserve(capacity - buffer.len());
-        }
-        buffer.extend_from_slice(&data);
+        buffer.extend(&data).await.map_err(refuse)?;
     }
+    let body = buffer.join().await.map_err(refuse)?;
     share.complete();
-    Ok(buffer.freeze())
+    Ok(body)
 }
--- a/crates/server/src/gateway/mod.rs
+++ b/crates/server/src/gateway/mod.rs
@@ -5,6 +5,7 @@
 //! connections that the servers accept.
 
 mod answer;
+mod body_buffer;
 mod body_memory;
 mod connections;
 mod continuations;
