process: no more traffic threads than the machine's memory allows

After crowds of clients that hold bodies in all forms, one after the other, a process kept what each form had taken.

Cause: the allocator keeps what a thread has freed for that thread, and a VM had a traffic thread for each core of the machine, whatever share of it and however little memory it has. Evidence: all forms in a row, machine of 48 MiB, 8 cores: 49.5 MB; the same program on two cores 41.4, on one 37.3.

--- a/crates/server/src/process/run.rs
+++ b/crates/server/src/process/run.rs
@@ -38,20 +38,25 @@
     adapter: Option<PlatformAdapter>,
     path: PathBuf,
 ) -> Result<(), ProcessError> {
-    let runtime = traffic_runtime().map_err(ProcessError::Runtime)?;
+    let runtime = traffic_runtime(&settings).map_err(ProcessError::Runtime)?;
     runtime.block_on(serve(settings, adapter, path))
 }
 
-/// Builds the runtime of the traffic threads. On one core it has a single thread, which avoids
-/// passing tasks between threads.
-fn traffic_runtime() -> std::io::Result<Runtime> {
+/// Builds the runtime of the traffic threads. On one core, or with little memory, it has a single thread,
+/// which avoids passing tasks between threads.
+fn traffic_runtime(settings: &Settings) -> std::io::Result<Runtime> {
     let cores = thread::available_parallelism().map_or(1, NonZero::get);
-    let mut builder = if cores == 1 {
+    let threads = cores.min(settings.limits.max_threads());
+    let mut builder = if threads == 1 {
         Builder::new_current_thread()
     } else {
         Builder::new_multi_thread()
     };
-    builder.enable_all().thread_name("traffic").build()
+    builder
+        .worker_threads(threads)
+        .enable_all()
+        .thread_name("traffic")
+        .build()
 }
 
 async fn serve(
--- a/crates/server/src/settings/document.rs
+++ b/crates/server/src/settings/document.rs
@@ -103,12 +103,21 @@
 /// The share of the machine's memory that connections may take, as a divisor.
 const CONNECTIONS_DIVISOR: usize = 5;
 
+/// The memory of a machine for each of its traffic threads, in bytes. The allocator keeps what one thread has
+/// freed for that thread, so that each of them takes as much as the largest load has taken on it.
+const THREAD_BYTES: usize = 64 << 20;
+
 impl LimitSettings {
     /// Returns the memory of the machine, in bytes.
     pub(crate) const fn memory_bytes(&self) -> usize {
         self.memory.saturating_mul(1 << 20)
     }
 
+    /// Returns the largest number of threads for traffic that the memory allows.
+    pub(crate) fn max_threads(&self) -> usize {
+        (self.memory_bytes() / THREAD_BYTES).max(1)
+    }
+
     /// Returns the largest number of open connections from callers that the memory allows.
     pub(crate) fn max_connections(&self) -> usize {
         let room = self.memory_bytes() / CONNECTIONS_DIVISOR / CONNECTION_BYTES;
