config: a refused VM hears of a change although the elected readers are gone

Found by the simulation of random faults (40 processes, seed 96 of 500): two processes that the service refused were late. They asked elected readers only, all of which were gone, and met one of the few others by chance.

--- a/crates/core/src/config/node/reader_contact.rs
+++ b/crates/core/src/config/node/reader_contact.rs
@@ -16,6 +16,9 @@
 /// The time between two questions while no elected reader answers: the time limit of a heartbeat.
 const ASK_PERIOD: Duration = Duration::from_millis(500);
 
+/// The number of other processes that are asked as well once no elected reader has answered in time.
+const OTHERS_ASKED: usize = 2;
+
 /// The newest proof that an elected reader reads the service, and the last question for one.
 #[derive(Clone, Debug, Default)]
 pub(super) struct ReaderContact {
@@ -56,7 +59,7 @@
     }
 
     /// Asks an elected reader whether it reads, if none has said so for half of the time after which
-    /// this process reads by itself.
+    /// this process reads by itself; from then on others too.
     pub(super) fn ask_reader(&mut self, now: Instant) {
         let (age, timeout) = (self.reader_age(now), self.settings.reader_timeout());
         let is_known = age.is_some_and(|age| age < timeout / 2);
@@ -79,8 +82,17 @@
         } else {
             elected
         };
-        let chosen = asked.choose(&mut self.random);
-        let action = chosen.map(|peer| ConfigAction::Announce(VmId::clone(&peer.vm)));
-        self.actions.extend(action);
+        let mut chosen: Vec<&Candidate> = asked
+            .choose(&mut self.random)
+            .into_iter()
+            .copied()
+            .collect();
+        if age.is_none_or(|age| age >= timeout) {
+            // This process may not be able to read, and what others have read reaches it late if many are gone.
+            let usable: Vec<&Candidate> = self.peers.iter().filter(|peer| peer.usable).collect();
+            chosen.extend(usable.choose_multiple(&mut self.random, OTHERS_ASKED));
+        }
+        let vms = chosen.into_iter().map(|peer| VmId::clone(&peer.vm));
+        self.actions.extend(vms.map(ConfigAction::Announce));
     }
 }
--- a/crates/core/tests/config/random_faults.rs
+++ b/crates/core/tests/config/random_faults.rs
@@ -220,18 +220,21 @@
     }
 }
 
+/// The seeds at the end have failed before: at 32 a process that had read once slept past its next turn, at 96 the
+/// refused ones asked only the elected readers, which were gone.
 #[parameterized(
-    small = { 8, 3_000, 12 },
-    medium = { 40, 3_000, 6 },
-    large = { 105, 5_000, 3 },
+    small = { 8, 3_000, 12, &[] },
+    medium = { 40, 3_000, 6, &[96] },
+    large = { 105, 5_000, 3, &[32] },
 )]
 fn test_random_faults_delay_no_change_on_the_other_vms(
     processes: usize,
     apply_ms: u64,
     seeds: u64,
+    failed: &'static [u64],
 ) {
     let seeds = std::env::var("SEEDS").map_or(seeds, |seeds| seeds.parse().unwrap());
-    for seed in 0..seeds {
+    for seed in (0..seeds).chain(failed.iter().copied()) {
         println!("seed {seed}");
         let reads = ReadSettings {
             apply: Millis::new(apply_ms),
