--- a/crates/core/src/config/readers.rs
+++ b/crates/core/src/config/readers.rs
@@ -110,12 +110,11 @@
     /// come then. The read must fail early enough for the next one to bring the change in time.
     #[must_use]
     pub fn watch_wait(&self) -> Duration {
-        let longest = self.apply.0.saturating_sub(RECOVERY_TIME);
-        self.wait.0.min(longest)
+        self.wait.0.min(self.reader_timeout())
     }
 
-    /// Returns the time after the last word of an elected reader from which a process reads by itself:
-    /// what it reads must still be in force everywhere in time.
+    /// Returns the time since an elected reader was last known to read after which a process reads by
+    /// itself: what it reads must still be in force everywhere in time.
     #[must_use]
     pub const fn reader_timeout(&self) -> Duration {
         self.apply.0.saturating_sub(RECOVERY_TIME)
