config, docs: what bounds the reads of VMs that know of no elected reader, said as it is

Read as a newcomer: since such a VM reads again after each successful read as soon as it is to, so that the rate of 20 a second holds for those whose reads fail only; the comments and the design said it of all. No behaviour changes.

--- a/crates/core/src/config/mod.rs
+++ b/crates/core/src/config/mod.rs
@@ -32,9 +32,8 @@
 pub use reachability::ServiceReachability;
 pub use readers::{
     ANSWER_TIMEOUT, APPLY_TIME, Candidate, FALLBACK_PERIOD, FALLBACK_RATE, FLEET_START_DELAY,
-    MAX_READERS, READER_LOST_PERIOD, READER_LOST_RATE, READERS_PER_CENTRE, RECOVERY_TIME,
-    ReadInput, ReadPlan, ReadSettings, SPREAD_TIME, STALE_AGE, WATCH_PERIOD, WATCH_WAIT,
-    fallback_period, outranks, plan_reads, reader_lost_period,
+    MAX_READERS, READERS_PER_CENTRE, RECOVERY_TIME, ReadInput, ReadPlan, ReadSettings, SPREAD_TIME,
+    STALE_AGE, WATCH_PERIOD, WATCH_WAIT, fallback_period, outranks, plan_reads,
 };
 pub use retained::{ABSENT_GRACE, RetainedDocument, RetainedDocuments, STALE_GRACE};
 pub use store::{Origin, Source, Store};
--- a/crates/core/src/config/readers.rs
+++ b/crates/core/src/config/readers.rs
@@ -54,10 +54,11 @@
 /// The minimum mean time between two reads by a process that is not elected.
 pub const FALLBACK_PERIOD: Duration = Duration::from_millis(500);
 
-/// The maximum number of reads per second by all processes together that know of no elected reader.
-pub const READER_LOST_RATE: u32 = 20;
-/// The minimum mean time between two reads by a process that knows of no elected reader.
-pub const READER_LOST_PERIOD: Duration = Duration::from_secs(1);
+/// The maximum number of reads per second by all processes together that know of no elected reader and whose
+/// reads fail. One whose read succeeds reads again after [`ReadSettings::reader_timeout`].
+const READER_LOST_RATE: u32 = 20;
+/// The minimum mean time between two reads by a process that knows of no elected reader and whose reads fail.
+const READER_LOST_PERIOD: Duration = Duration::from_secs(1);
 /// The mean number of processes that ask whether the elected readers read, in a larger fleet: enough
 /// that some are left whatever happens, and few enough for the readers to answer.
 const MAX_ASKING: u32 = 512;
@@ -252,10 +253,9 @@
     shared_period(processes, FALLBACK_RATE).max(FALLBACK_PERIOD)
 }
 
-/// Returns the mean time between two reads by each process that knows of no elected reader, in a fleet
-/// of the given number of processes.
-#[must_use]
-pub fn reader_lost_period(processes: usize) -> Duration {
+/// Returns the mean time between two reads by each process that knows of no elected reader and whose reads
+/// fail, in a fleet of the given number of processes.
+fn reader_lost_period(processes: usize) -> Duration {
     shared_period(processes, READER_LOST_RATE).max(READER_LOST_PERIOD)
 }
 
